--- /dev/null
+++ b/cmd/tamarackbay/gateway.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/tamarackbay/tamarackbay/internal/logging"
+	"github.com/tamarackbay/tamarackbay/internal/program"
+	"github.com/tamarackbay/tamarackbay/internal/settings"
+)
+
+const gatewayUsage = `Serve callers, trainers and operators on an entry VM.
+
+With a data folder in its settings the gateway also votes in the group that holds
+the state. SIGTERM or SIGINT ends it gracefully: the health check fails first, new
+work is taken until the balancer has moved on, what runs finishes.
+
+Example:
+  tamarackbay gateway --settings /etc/tamarackbay/gateway.jsonc`
+
+func addGateway(app *kingpin.Application) []command {
+	c := app.Command("gateway", gatewayUsage)
+	path := c.Flag("settings", "Settings file, JSON with comments.").Required().String()
+
+	return []command{{c, func() error {
+		var se settings.Gateway
+		if err := settings.Load(*path, &se); err != nil {
+			return err
+		}
+		pg, err := program.StartGateway(se, logging.New(os.Stderr, se.LogLevel, "gateway", se.Name))
+		if err != nil {
+			return err
+		}
+
+		sig := stopSignals()
+		select {
+		case <-sig:
+			pg.Shutdown()
+		case <-pg.Done():
+		}
+
+		return pg.Err()
+	}}}
+}
+
+func stopSignals() <-chan os.Signal {
+	sig := make(chan os.Signal, 1)
+	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT)
+
+	return sig
+}
--- /dev/null
+++ b/internal/admission/limiter.go
@@ -0,0 +1,61 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/tamarackbay/tamarackbay/internal/declaration"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+)
+
+// bucket is the state of one workspace's limits on one gateway.
+type bucket struct {
+	tokens   float64
+	at       time.Duration
+	inFlight int
+}
+
+// Limiter keeps each workspace to its rate and its concurrent requests. Each of
+// several gateways keeps an equal share, so no request waits for another process;
+// when a gateway is lost the others' shares grow with the next load report.
+type Limiter struct {
+	buckets map[string]*bucket
+}
+
+// NewLimiter returns a limiter with full buckets.
+func NewLimiter() *Limiter { return &Limiter{buckets: map[string]*bucket{}} }
+
+// Enter admits one request of a workspace or refuses it. gateways is the number
+// of gateways that share the limits.
+func (li *Limiter) Enter(now time.Duration, name string, wo declaration.Workspace, gateways int) error {
+	gateways = max(gateways, 1)
+	b, ok := li.buckets[name]
+	if !ok {
+		b = &bucket{tokens: float64(wo.Burst) / float64(gateways), at: now}
+		li.buckets[name] = b
+	}
+	if wo.MaxInFlight > 0 && b.inFlight >= (wo.MaxInFlight+gateways-1)/gateways {
+		return result.New(result.WorkspaceInFlight, "workspace %s: %d requests run here", name, b.inFlight).After(time.Second)
+	}
+	if wo.RatePerSecond > 0 {
+		share := wo.RatePerSecond / float64(gateways)
+		burst := max(1, float64(wo.Burst)/float64(gateways))
+		b.tokens = min(burst, b.tokens+share*(now-b.at).Seconds())
+		b.at = now
+		if b.tokens < 1 {
+			wait := time.Duration((1 - b.tokens) / share * float64(time.Second))
+
+			return result.New(result.WorkspaceRate, "workspace %s: over %g requests a second", name, wo.RatePerSecond).After(wait)
+		}
+		b.tokens--
+	}
+	b.inFlight++
+
+	return nil
+}
+
+// Leave ends a request that Enter admitted.
+func (li *Limiter) Leave(name string) {
+	if b, ok := li.buckets[name]; ok && b.inFlight > 0 {
+		b.inFlight--
+	}
+}
--- /dev/null
+++ b/internal/admission/queue.go
@@ -0,0 +1,311 @@
+// Package admission decides which waiting request is served next and which is
+// refused: rates and queues of each workspace, classes one before the other with
+// a bounded wait for the lowest, and weighted fair queueing by estimated cost
+// inside a class. It is a core: time is an argument.
+package admission
+
+import (
+	"time"
+
+	"github.com/tamarackbay/tamarackbay/internal/declaration"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+)
+
+// Item is one waiting request.
+type Item struct {
+	Workspace string
+	Weight    float64
+	Class     int // rank, 0 is served first
+	Cost      float64
+	Arrived   time.Duration
+	Deadline  time.Duration
+	MaxQueued int
+	Payload   any
+}
+
+// flow is the queue of one workspace in one class.
+type flow struct {
+	workspace string
+	items     []*Item
+	cost      float64 // waiting
+	pass      float64 // virtual time at which its next item is due
+}
+
+type class struct {
+	flows  []*flow // those with items
+	byName map[string]*flow
+	pass   float64 // virtual time of the last item served
+	cost   float64 // waiting
+	count  int
+}
+
+// Config are the limits of a Queue.
+type Config struct {
+	MaxItems int           // waiting in all
+	MaxWait  time.Duration // after it an item of a low class goes before higher ones
+	IsFair   bool          // false: first come, first served (a baseline)
+}
+
+// Defaults fills the fields left zero.
+func (c *Config) Defaults() {
+	if c.MaxItems == 0 {
+		c.MaxItems = 100_000
+	}
+	if c.MaxWait == 0 {
+		c.MaxWait = 20 * time.Second
+	}
+}
+
+// Queue holds the waiting requests of one pool. It is not safe for concurrent use.
+type Queue struct {
+	cfg     Config
+	classes [declaration.ClassCount]class
+	count   int
+	rate    rate
+}
+
+// NewQueue returns an empty queue.
+func NewQueue(cfg Config) *Queue {
+	cfg.Defaults()
+	q := &Queue{cfg: cfg}
+	for i := range q.classes {
+		q.classes[i].byName = map[string]*flow{}
+	}
+
+	return q
+}
+
+// Len returns the number of waiting requests.
+func (q *Queue) Len() int { return q.count }
+
+// Cost returns the estimated cost that waits.
+func (q *Queue) Cost() float64 {
+	sum := 0.0
+	for i := range q.classes {
+		sum += q.classes[i].cost
+	}
+
+	return sum
+}
+
+// Push adds a request or refuses it at once.
+func (q *Queue) Push(now time.Duration, it *Item) error {
+	cl := &q.classes[it.Class]
+	name := it.Workspace
+	if !q.cfg.IsFair {
+		name = ""
+	}
+	fl := cl.byName[name]
+	if fl == nil {
+		fl = &flow{workspace: name}
+		cl.byName[name] = fl
+	}
+
+	wait := q.expectedWait(it)
+	switch {
+	case q.count >= q.cfg.MaxItems || (q.cfg.IsFair && len(fl.items) >= it.MaxQueued):
+		return result.New(result.QueueFull, "admission: %d requests of %s wait", len(fl.items), it.Workspace).After(max(wait, time.Second))
+	case it.Deadline > 0 && now+wait > it.Deadline:
+		return result.New(result.DeadlineTooShort, "admission: the wait would be %v", wait.Round(time.Millisecond)).After(wait)
+	}
+
+	if len(fl.items) == 0 {
+		fl.pass = max(fl.pass, cl.pass)
+		cl.flows = append(cl.flows, fl)
+	}
+	it.Arrived = now
+	fl.items = append(fl.items, it)
+	fl.cost += it.Cost
+	cl.cost += it.Cost
+	cl.count++
+	q.count++
+
+	return nil
+}
+
+// expectedWait estimates how long the item would wait from the cost before it and
+// the rate at which cost was served lately. The item's own workspace waits behind
+// its own items only in proportion to its share.
+func (q *Queue) expectedWait(it *Item) time.Duration {
+	served := q.rate.perSecond()
+	if served <= 0 {
+		return 0
+	}
+
+	before := 0.0
+	for i := 0; i < it.Class; i++ {
+		before += q.classes[i].cost
+	}
+	cl := &q.classes[it.Class]
+	if !q.cfg.IsFair {
+		return time.Duration((before + cl.cost) / served * float64(time.Second))
+	}
+	own, weights := 0.0, it.Weight
+	for _, fl := range cl.flows {
+		if fl.workspace == it.Workspace {
+			own = fl.cost
+		} else {
+			weights += fl.items[0].Weight
+		}
+	}
+	mine := min(own*weights/it.Weight, cl.cost+own)
+
+	return time.Duration((before + mine) / served * float64(time.Second))
+}
+
+// Pop removes and returns the next request that fits, or nil. Requests whose
+// deadline has passed are handed to expired first.
+func (q *Queue) Pop(now time.Duration, fits func(it *Item) bool, expired func(it *Item)) *Item {
+	if it := q.popOverdue(now, fits, expired); it != nil {
+		return it
+	}
+	for i := range q.classes {
+		if it := q.popClass(now, &q.classes[i], fits, expired); it != nil {
+			return it
+		}
+	}
+
+	return nil
+}
+
+// popOverdue serves an item of a lower class that has waited too long.
+func (q *Queue) popOverdue(now time.Duration, fits func(it *Item) bool, expired func(it *Item)) *Item {
+	for i := 1; i < len(q.classes); i++ {
+		cl := &q.classes[i]
+		for _, fl := range cl.flows {
+			if now > fl.items[0].Arrived+q.cfg.MaxWait {
+				return q.popClass(now, cl, fits, expired)
+			}
+		}
+	}
+
+	return nil
+}
+
+func (q *Queue) popClass(now time.Duration, cl *class, fits func(it *Item) bool, expired func(it *Item)) *Item {
+	q.dropExpired(now, cl, expired)
+	var tried uint64 // bit i: flows[i] did not fit
+	for range min(len(cl.flows), 64) {
+		best := -1
+		for i, fl := range cl.flows {
+			if i < 64 && tried&(1<<i) != 0 {
+				continue
+			}
+			if best < 0 || fl.pass < cl.flows[best].pass {
+				best = i
+			}
+		}
+		if best < 0 {
+			return nil
+		}
+		if it := cl.flows[best].items[0]; fits(it) {
+			cl.pass = cl.flows[best].pass
+			cl.flows[best].pass += it.Cost / it.Weight
+			q.removeHead(cl, best)
+
+			return it
+		}
+		if best >= 64 {
+			return nil
+		}
+		tried |= 1 << best
+	}
+
+	return nil
+}
+
+func (q *Queue) dropExpired(now time.Duration, cl *class, expired func(it *Item)) {
+	for i := len(cl.flows) - 1; i >= 0; i-- {
+		fl := cl.flows[i]
+		for len(fl.items) > 0 && fl.items[0].Deadline > 0 && now > fl.items[0].Deadline {
+			it := fl.items[0]
+			isLast := len(fl.items) == 1
+			q.removeHead(cl, i)
+			expired(it)
+			if isLast {
+				break
+			}
+		}
+	}
+}
+
+func (q *Queue) removeHead(cl *class, i int) {
+	fl := cl.flows[i]
+	cl.cost -= fl.items[0].Cost
+	fl.cost -= fl.items[0].Cost
+	cl.count--
+	q.count--
+	fl.items[0] = nil
+	fl.items = fl.items[1:]
+	if len(fl.items) == 0 {
+		fl.items, fl.cost = nil, 0
+		cl.flows = append(cl.flows[:i], cl.flows[i+1:]...)
+		if cl.count == 0 {
+			cl.cost = 0
+		}
+	}
+}
+
+// Remove takes a request out that its caller has given up.
+func (q *Queue) Remove(it *Item) bool {
+	cl := &q.classes[it.Class]
+	for i, fl := range cl.flows {
+		for j, o := range fl.items {
+			if o != it {
+				continue
+			}
+			if j == 0 {
+				q.removeHead(cl, i)
+
+				return true
+			}
+			fl.items = append(fl.items[:j], fl.items[j+1:]...)
+			fl.cost -= it.Cost
+			cl.cost -= it.Cost
+			cl.count--
+			q.count--
+
+			return true
+		}
+	}
+
+	return false
+}
+
+// Served tells the queue that cost was served, from which it learns its rate.
+func (q *Queue) Served(now time.Duration, cost float64) { q.rate.add(now, cost, q.count > 0) }
+
+// rate is a moving average of the cost served a second while requests waited.
+type rate struct {
+	since time.Duration
+	sum   float64
+	value float64
+}
+
+const ratePeriod = 500 * time.Millisecond
+
+func (ra *rate) add(now time.Duration, cost float64, isBusy bool) {
+	if !isBusy {
+		ra.since, ra.sum = now, 0
+
+		return
+	}
+	if ra.since == 0 {
+		ra.since = now
+	}
+
+	ra.sum += cost
+	d := now - ra.since
+	if d < ratePeriod {
+		return
+	}
+	v := ra.sum / d.Seconds()
+	if ra.value == 0 {
+		ra.value = v
+	} else {
+		ra.value = 0.7*ra.value + 0.3*v
+	}
+	ra.since, ra.sum = now, 0
+}
+
+func (ra *rate) perSecond() float64 { return ra.value }
--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,351 @@
+// Package agent runs beside one backend server. It announces it to the gateways,
+// passes requests on, knows the true weight version, refuses orders with an old
+// fencing number, runs no attempt twice, counts usage and drains.
+package agent
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/tamarackbay/tamarackbay/internal/engine"
+	"github.com/tamarackbay/tamarackbay/internal/meter"
+	"github.com/tamarackbay/tamarackbay/internal/peer"
+	"github.com/tamarackbay/tamarackbay/internal/plainservice"
+	"github.com/tamarackbay/tamarackbay/internal/pool"
+	"github.com/tamarackbay/tamarackbay/internal/wire"
+)
+
+// Methods that an agent calls on gateways.
+const (
+	MethodAnnounce = "server.announce"
+	MethodLoad     = "server.load"
+	MethodUsage    = "server.usage"
+	MethodCrash    = "server.crash"
+	MethodFencing  = "server.fencing"
+)
+
+// Methods that gateways call on an agent.
+const (
+	MethodRun     = "agent.run"
+	MethodForward = "agent.forward"
+	MethodOrder   = "agent.order"
+)
+
+// Periods of an agent's duties.
+const (
+	statusPeriod   = 100 * time.Millisecond
+	statusTimeout  = 500 * time.Millisecond
+	statusFailures = 3 // failed polls after which a ready backend server is suspect
+	loadPeriod     = 500 * time.Millisecond
+	usagePeriod    = time.Second
+	callTimeout    = 2 * time.Second
+	fencingPeriod  = 200 * time.Millisecond
+)
+
+// Config describes the backend server and the gateways.
+type Config struct {
+	Server        string
+	Class         string
+	Model         string // of an engine
+	Service       string // of a plain service
+	Address       string // of the backend server, an IP number with a port
+	Bind          string // IP number to dial from
+	FailureDomain string
+	Slots         int
+	ChecksFencing bool
+	Order         string // ID of the order that started the backend server, if known
+	Gateways      []string
+	Peer          peer.Config
+	Log           log.Interface
+	Meter         *meter.Meter
+	WallSeconds   func() int64
+}
+
+// Agent is the process beside one backend server.
+type Agent struct {
+	cfg         Config
+	incarnation uint64
+	engine      *engine.Client
+	service     *plainservice.Client
+	links       []*peer.Link
+	kick        []chan struct{} // wakes the load duty of each link
+	usage       *counters
+	guard       *guard
+	fences      *fences
+
+	mu           sync.Mutex
+	state        string
+	status       engine.Status
+	versionKnown bool
+	swapping     bool
+	draining     bool
+	paused       bool
+	failures     int
+	inFlight     map[*work]struct{}
+	idle         chan struct{} // closed and replaced when nothing is in flight
+	suspect      chan struct{} // holds one token: a suspect request runs alone among suspects
+	crash        *crashReport
+	sequence     uint64
+	cacheSent    map[*peer.Session]uint64
+	window       int64 // seconds
+}
+
+// work is one request in flight.
+type work struct {
+	fingerprint string
+	isSuspect   bool
+	tokens      uint32
+}
+
+// New returns an agent.
+func New(cfg Config) *Agent {
+	ag := &Agent{
+		cfg: cfg, incarnation: rand.Uint64(), state: pool.StateStarting, usage: newCounters(), guard: newGuard(),
+		fences: newFences(), inFlight: map[*work]struct{}{}, idle: make(chan struct{}),
+		suspect: make(chan struct{}, 1), crash: newCrashReport(), cacheSent: map[*peer.Session]uint64{},
+	}
+	if cfg.Model != "" {
+		ag.engine = engine.New(cfg.Address, cfg.Bind)
+	} else {
+		ag.service = plainservice.New(cfg.Address, cfg.Bind)
+	}
+	pc := cfg.Peer
+	pc.Mux = peer.Mux{MethodRun: ag.handleRun, MethodForward: ag.handleForward, MethodOrder: ag.handleOrder}
+	for i, a := range cfg.Gateways {
+		ag.kick = append(ag.kick, make(chan struct{}, 1))
+		ag.links = append(ag.links, peer.NewLink(a, pc, func(*peer.Session) { ag.wake(i) }))
+	}
+
+	return ag
+}
+
+// Run serves until ctx ends. Call Drain first for a graceful end.
+func (ag *Agent) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	start := func(duty func(context.Context)) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			duty(ctx)
+		}()
+	}
+	for i, li := range ag.links {
+		start(li.Run)
+		start(func(ctx context.Context) { ag.reportDuty(ctx, i) })
+	}
+	start(ag.statusDuty)
+	start(ag.usageDuty)
+	start(ag.fencingDuty)
+	wg.Wait()
+}
+
+// Drain refuses new work, waits for what runs and sends the last counters.
+func (ag *Agent) Drain(ctx context.Context) {
+	ag.mu.Lock()
+	ag.draining = true
+	ag.mu.Unlock()
+	ag.wakeAll()
+
+	if err := ag.waitIdle(ctx); err != nil {
+		ag.cfg.Log.WithError(err).Warn("the drain was cut short")
+	}
+	ag.sendUsage(ctx)
+}
+
+func (ag *Agent) wake(i int) {
+	select {
+	case ag.kick[i] <- struct{}{}:
+	default:
+	}
+}
+
+func (ag *Agent) wakeAll() {
+	for i := range ag.kick {
+		ag.wake(i)
+	}
+}
+
+// statusDuty follows the backend server's state.
+func (ag *Agent) statusDuty(ctx context.Context) {
+	for ctx.Err() == nil {
+		ag.poll(ctx)
+		select {
+		case <-time.After(statusPeriod):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (ag *Agent) poll(ctx context.Context) {
+	cctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+
+	if ag.engine == nil {
+		ag.setState(engine.Status{State: engine.StateReady}, ag.service.Healthy(cctx))
+
+		return
+	}
+	st, err := ag.engine.Status(cctx)
+	ag.setState(st, err == nil)
+}
+
+func (ag *Agent) setState(st engine.Status, ok bool) {
+	ag.mu.Lock()
+	before := ag.state
+	switch {
+	case !ok:
+		ag.failures++
+		if ag.failures >= statusFailures && ag.state != pool.StateStarting {
+			ag.state = pool.StateSuspect
+		}
+	case st.State == engine.StateReady:
+		ag.failures, ag.state = 0, pool.StateReady
+	default:
+		ag.failures, ag.state = 0, pool.StateStarting
+	}
+	changed := ag.state != before
+	if ok {
+		changed = changed || st.Version != ag.status.Version || st.LoadedVersion != ag.status.LoadedVersion
+		if st.Instance != ag.status.Instance {
+			ag.crash = newCrashReport()
+		}
+		ag.status = st
+		ag.versionKnown = st.State == engine.StateReady && st.Version != "" && !ag.swapping
+	} else {
+		ag.versionKnown = false
+	}
+	ag.mu.Unlock()
+
+	if changed {
+		ag.wakeAll()
+	}
+}
+
+// reportDuty announces the backend server to one gateway and reports its load.
+func (ag *Agent) reportDuty(ctx context.Context, i int) {
+	var announced *peer.Session
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+
+	for {
+		select {
+		case <-timer.C:
+		case <-ag.kick[i]:
+		case <-ctx.Done():
+			return
+		}
+		timer.Reset(loadPeriod)
+
+		se := ag.links[i].Session()
+		if se == nil {
+			announced = nil
+
+			continue
+		}
+		if se != announced && ag.announce(ctx, se) == nil {
+			announced = se
+		}
+		if se == announced {
+			ag.report(ctx, se)
+		}
+	}
+}
+
+func (ag *Agent) announce(ctx context.Context, se *peer.Session) error {
+	cctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+
+	var rep wire.AnnounceReply
+	err := se.Call(cctx, MethodAnnounce, &wire.Announce{
+		Server: ag.cfg.Server, Incarnation: ag.incarnation, Class: ag.cfg.Class, Model: ag.cfg.Model,
+		Service: ag.cfg.Service, FailureDomain: ag.cfg.FailureDomain, Slots: uint32(ag.cfg.Slots),
+		ChecksFencing: ag.cfg.ChecksFencing, Order: ag.cfg.Order,
+	}, &rep)
+	if err != nil {
+		return err
+	}
+	ag.setWindow(rep.GetWindowSeconds())
+
+	return nil
+}
+
+func (ag *Agent) setWindow(seconds uint32) {
+	ag.mu.Lock()
+	defer ag.mu.Unlock()
+
+	ag.window = int64(seconds)
+}
+
+func (ag *Agent) report(ctx context.Context, se *peer.Session) {
+	cctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+
+	lo := ag.loadReport()
+	if ag.engine != nil {
+		lo.CacheEvents = ag.cacheEvents(cctx, se)
+	}
+	var rep wire.LoadReply
+	if err := se.Call(cctx, MethodLoad, lo, &rep); err != nil {
+		return
+	}
+	ag.setWindow(rep.GetWindowSeconds())
+	ag.noteCacheSent(se, lo.GetCacheEvents(), rep.GetResync())
+}
+
+func (ag *Agent) loadReport() *wire.Load {
+	sessions := 0
+	for _, li := range ag.links {
+		if li.Session() != nil {
+			sessions++
+		}
+	}
+
+	ag.mu.Lock()
+	defer ag.mu.Unlock()
+
+	ag.sequence++
+	lo := &wire.Load{
+		Server: ag.cfg.Server, Incarnation: ag.incarnation, Sequence: ag.sequence, State: ag.state,
+		Version: ag.status.Version, LoadedVersion: ag.status.LoadedVersion, Running: uint32(len(ag.inFlight)),
+		Queued: ag.status.Queued, Gateways: uint32(sessions),
+	}
+	switch {
+	case ag.draining:
+		lo.State = pool.StateDraining
+	case ag.paused:
+		lo.State = pool.StateStarting
+	}
+	if ag.engine != nil && !ag.versionKnown && lo.State == pool.StateReady && !ag.swapping {
+		lo.Version = ""
+	}
+
+	return lo
+}
+
+// begin registers a request in flight, or tells why there is no room for it.
+func (ag *Agent) begin(w *work) bool {
+	ag.mu.Lock()
+	defer ag.mu.Unlock()
+
+	if ag.draining || ag.paused {
+		return false
+	}
+	ag.inFlight[w] = struct{}{}
+
+	return true
+}
+
+func (ag *Agent) end(w *work) {
+	ag.mu.Lock()
+	defer ag.mu.Unlock()
+
+	delete(ag.inFlight, w)
+	if len(ag.inFlight) == 0 {
+		close(ag.idle)
+		ag.idle = make(chan struct{})
+	}
+}
--- /dev/null
+++ b/internal/agent/crash.go
@@ -0,0 +1,53 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/tamarackbay/tamarackbay/internal/wire"
+)
+
+// crashReport makes sure that one crash of the backend server is reported once,
+// with all that was in flight.
+type crashReport struct {
+	once sync.Once
+	done chan struct{}
+}
+
+func newCrashReport() *crashReport { return &crashReport{done: make(chan struct{})} }
+
+// reportCrash tells a gateway which fingerprints were in flight, and returns when
+// the group knows it. Suspects are reported alone if there were any.
+func (ag *Agent) reportCrash() {
+	ag.mu.Lock()
+	cr, instance := ag.crash, ag.status.Instance
+	ag.state, ag.versionKnown = "suspect", false
+	var all, suspects []string
+	for w := range ag.inFlight {
+		if w.fingerprint == "" {
+			continue
+		}
+		all = append(all, w.fingerprint)
+		if w.isSuspect {
+			suspects = append(suspects, w.fingerprint)
+		}
+	}
+	ag.mu.Unlock()
+	if len(suspects) > 0 {
+		all = suspects
+	}
+
+	cr.once.Do(func() {
+		defer close(cr.done)
+		ag.wakeAll()
+		if len(all) == 0 {
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		defer cancel()
+		rq := &wire.CrashRequest{Server: fmt.Sprintf("%s/%d/%s", ag.cfg.Server, ag.incarnation, instance), Fingerprints: all}
+		_ = ag.callAny(ctx, MethodCrash, rq, &wire.Empty{})
+	})
+	<-cr.done
+}
--- /dev/null
+++ b/internal/agent/run.go
@@ -0,0 +1,207 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/tamarackbay/tamarackbay/internal/engine"
+	"github.com/tamarackbay/tamarackbay/internal/peer"
+	"github.com/tamarackbay/tamarackbay/internal/plainservice"
+	"github.com/tamarackbay/tamarackbay/internal/pool"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+	"github.com/tamarackbay/tamarackbay/internal/wire"
+)
+
+const abortTimeout = time.Second
+
+// enter checks that a request may run here and registers it.
+func (ag *Agent) enter(id string, attempt uint32, w *work) (func(), error) {
+	ag.mu.Lock()
+	state := ag.state
+	ag.mu.Unlock()
+	if state != pool.StateReady {
+		return nil, result.New(result.ServerDraining, "agent %s: the backend server is %s", ag.cfg.Server, state)
+	}
+	if w.isSuspect {
+		select {
+		case ag.suspect <- struct{}{}:
+		default:
+			return nil, result.New(result.ServerDraining, "agent %s: another suspect request runs", ag.cfg.Server)
+		}
+	}
+
+	leave := func() {
+		ag.end(w)
+		if w.isSuspect {
+			<-ag.suspect
+		}
+	}
+	if !ag.begin(w) {
+		leave()
+
+		return nil, result.New(result.ServerDraining, "agent %s: drains", ag.cfg.Server)
+	}
+	if !ag.guard.first(fmt.Sprintf("%s/%d", id, attempt)) {
+		leave()
+
+		return nil, result.New(result.AttemptRepeated, "agent %s: attempt %d of %s was given before", ag.cfg.Server, attempt, id).With(result.Unknown)
+	}
+
+	return leave, nil
+}
+
+func (ag *Agent) handleRun(ctx context.Context, st *peer.Stream) error {
+	var rq wire.RunRequest
+	if err := st.Request(&rq); err != nil {
+		return err
+	}
+	if ag.engine == nil || rq.GetModel() != ag.cfg.Model {
+		return result.New(result.UnknownModel, "agent %s: serves %q, not %q", ag.cfg.Server, ag.cfg.Model, rq.GetModel())
+	}
+
+	w := &work{fingerprint: rq.GetFingerprint(), isSuspect: rq.GetSuspect()}
+	leave, err := ag.enter(rq.GetRequestId(), rq.GetAttempt(), w)
+	if err != nil {
+		return err
+	}
+	defer leave()
+
+	before, known := ag.version()
+	if rq.GetSample() && !known {
+		return result.New(result.VersionUnknown, "agent %s: the weight version is not verified", ag.cfg.Server)
+	}
+
+	return ag.complete(ctx, st, &rq, w, before)
+}
+
+func (ag *Agent) version() (string, bool) {
+	ag.mu.Lock()
+	defer ag.mu.Unlock()
+
+	return ag.status.Version, ag.versionKnown
+}
+
+// complete runs a completion. Each part carries the version that wrote it; where
+// the engine does not say it, the versions before and after the run stand for all.
+func (ag *Agent) complete(ctx context.Context, st *peer.Stream, rq *wire.RunRequest, w *work, before string) error {
+	id := fmt.Sprintf("%s.%d", rq.GetRequestId(), rq.GetAttempt())
+	er := engine.Request{
+		ID: id, Model: rq.GetModel(), Prompt: rq.GetPrompt() + rq.GetResumeText(), MaxTokens: rq.GetMaxTokens(),
+		Temperature: rq.GetTemperature(), Seed: rq.GetSeed(), Priority: rq.GetPriority(),
+	}
+	if k := rq.GetCacheKey(); k != 0 {
+		er.CacheKey = fmt.Sprintf("%016x", k)
+	}
+	isSilent, isFirst := false, true
+	var last *wire.RunChunk
+	err := ag.engine.Complete(ctx, er, func(ch engine.Chunk) error {
+		if isFirst {
+			ag.count(rq.GetWorkspace(), 1, uint64(ch.PromptTokens))
+			isFirst = false
+		}
+		ag.count(rq.GetWorkspace(), 0, uint64(ch.Tokens))
+		w.tokens += ch.Tokens
+		rc := &wire.RunChunk{Text: ch.Text, Tokens: ch.Tokens, Version: ch.Version, Finish: ch.Finish, PromptTokens: ch.PromptTokens}
+		if rc.Version == "" {
+			isSilent, rc.Version = true, before
+		}
+		if rc.Finish != "" {
+			last = rc // sent once the versions are known
+
+			return nil
+		}
+
+		return st.Send(rc)
+	})
+	if err != nil {
+		ag.afterFailure(ctx, rq.GetSample() || rq.GetMaxTokens() > 0, id, err)
+
+		return err
+	}
+	if last == nil {
+		return result.New(result.BackendAnswerBroken, "agent %s: no finish reason", ag.cfg.Server).With(result.Unknown)
+	}
+	if isSilent {
+		if err := ag.closeBracket(ctx, st, before); err != nil {
+			return err
+		}
+	}
+
+	return st.Send(last)
+}
+
+// closeBracket asks a silent engine for its version after a run and names it too if it changed.
+func (ag *Agent) closeBracket(ctx context.Context, st *peer.Stream, before string) error {
+	after, err := ag.engine.Status(ctx)
+	if err != nil || after.Version == "" || after.State != engine.StateReady {
+		return result.New(result.VersionUnknown, "agent %s: the weight version after the run is not known", ag.cfg.Server).With(result.Ran)
+	}
+	if after.Version == before {
+		return nil
+	}
+
+	return st.Send(&wire.RunChunk{Version: after.Version, Mixed: true})
+}
+
+// afterFailure aborts what the engine may still run, and reports a crash before
+// the gateway hears of the failure.
+func (ag *Agent) afterFailure(ctx context.Context, mayRun bool, id string, err error) {
+	switch {
+	case result.Is(err, result.BackendCrashed) || result.Is(err, result.BackendUnreachable):
+		if ctx.Err() == nil {
+			ag.reportCrash()
+		}
+	case mayRun && ag.engine != nil:
+		actx, cancel := context.WithTimeout(context.Background(), abortTimeout)
+		defer cancel()
+		_ = ag.engine.Abort(actx, id) // the engine ends the request with its connection as well
+	}
+}
+
+func (ag *Agent) handleForward(ctx context.Context, st *peer.Stream) error {
+	var rq wire.ForwardRequest
+	if err := st.Request(&rq); err != nil {
+		return err
+	}
+	if ag.service == nil {
+		return result.New(result.UnknownRoute, "agent %s: serves no plain service", ag.cfg.Server)
+	}
+
+	w := &work{fingerprint: rq.GetFingerprint(), isSuspect: rq.GetSuspect()}
+	leave, err := ag.enter(rq.GetRequestId(), rq.GetAttempt(), w)
+	if err != nil {
+		return err
+	}
+	defer leave()
+
+	pr := plainservice.Request{
+		ID: rq.GetRequestId(), Method: rq.GetMethod(), Path: rq.GetPath(), Query: rq.GetQuery(),
+		Body: rq.GetBody(), IsRepeatable: rq.GetRepeatable(), Header: http.Header{},
+	}
+	for _, h := range rq.GetHeaders() {
+		pr.Header.Add(h.GetName(), h.GetValue())
+	}
+	err = ag.service.Do(ctx, pr, func(status int, h http.Header) error {
+		ag.count(rq.GetWorkspace(), 1, 0)
+		head := &wire.ForwardPart{Status: uint32(status)}
+		for name, values := range h {
+			if plainservice.IsHopByHop(name) {
+				continue
+			}
+			for _, v := range values {
+				head.Headers = append(head.Headers, &wire.Header{Name: name, Value: v})
+			}
+		}
+
+		return st.Send(head)
+	}, func(b []byte) error {
+		return st.Send(&wire.ForwardPart{Body: b})
+	})
+	if err != nil {
+		ag.afterFailure(ctx, false, rq.GetRequestId(), err)
+	}
+
+	return err
+}
--- /dev/null
+++ b/internal/consensus/leader.go
@@ -0,0 +1,420 @@
+package consensus
+
+import (
+	"slices"
+	"time"
+)
+
+// progress is what a leader knows of one follower.
+type progress struct {
+	match      uint64
+	next       uint64
+	heard      time.Duration
+	ackedRound uint64
+
+	sendingSnapshot bool
+	snapshot        Snapshot
+	snapshotOffset  uint64
+	snapshotSent    time.Duration
+}
+
+func (r *Replica) becomeLeader(now time.Duration) {
+	r.role, r.leader = RoleLeader, r.cfg.ID
+	r.progress = map[ReplicaID]*progress{}
+	r.round++
+	r.syncProgress(now)
+	r.appendOwn([]Entry{{Kind: EntryNoop}})
+	r.broadcast(now)
+}
+
+// syncProgress follows the membership: one progress for each other member.
+func (r *Replica) syncProgress(now time.Duration) {
+	m := r.log.membership()
+	for _, id := range m.All() {
+		if id != r.cfg.ID && r.progress[id] == nil {
+			r.progress[id] = &progress{next: r.log.lastIndex() + 1, heard: now}
+		}
+	}
+	for id := range r.progress {
+		if !m.IsVoter(id) && !m.IsLearner(id) {
+			delete(r.progress, id)
+		}
+	}
+}
+
+func (r *Replica) tickLeader(now time.Duration) {
+	if !r.quorumHeardSince(now - 2*r.cfg.ElectionTimeout) {
+		r.becomeFollower(now, r.hs.Term, "")
+
+		return
+	}
+	if r.transferTo != "" && now > r.transferAt+r.cfg.ElectionTimeout {
+		r.transferTo = ""
+	}
+	if now >= r.heartbeatDue {
+		r.round++
+		r.broadcast(now)
+	}
+}
+
+func (r *Replica) quorumHeardSince(since time.Duration) bool {
+	m, n := r.log.membership(), 0
+	for _, id := range m.Voters {
+		if id == r.cfg.ID || (r.progress[id] != nil && r.progress[id].heard >= since) {
+			n++
+		}
+	}
+
+	return n >= m.Quorum()
+}
+
+// broadcast sends every member what it lacks, or a heartbeat. Messages go out in
+// the order of the identities, so that a run with a fixed seed is repeatable.
+func (r *Replica) broadcast(now time.Duration) {
+	r.heartbeatDue = now + r.cfg.HeartbeatPeriod
+	for _, id := range r.peers() {
+		r.sendAppend(now, id, true)
+	}
+}
+
+func (r *Replica) peers() []ReplicaID {
+	ids := make([]ReplicaID, 0, len(r.progress))
+	for id := range r.progress {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+
+	return ids
+}
+
+func (r *Replica) sendAppend(now time.Duration, id ReplicaID, heartbeat bool) {
+	pr := r.progress[id]
+	if pr.sendingSnapshot {
+		if heartbeat && now > pr.snapshotSent+r.cfg.ElectionTimeout {
+			r.sendChunk(now, id, pr)
+		}
+		if heartbeat {
+			r.sendEmpty(id, r.log.snapIndex)
+		}
+
+		return
+	}
+	if pr.next <= r.log.snapIndex {
+		r.startSnapshot(now, id, pr)
+
+		return
+	}
+
+	var entries []Entry
+	if window := pr.match + r.cfg.MaxInFlight; pr.next <= window {
+		entries = r.log.slice(pr.next, r.cfg.MaxAppendBytes, window-pr.next+1)
+	}
+	if len(entries) == 0 && !heartbeat {
+		return
+	}
+
+	prev, _ := r.log.term(pr.next - 1)
+	r.sendEarly(Message{
+		Kind: MessageAppend, To: id, Index: pr.next - 1, LogTerm: prev,
+		Entries: entries, Commit: r.log.commit, Round: r.round,
+	})
+	pr.next += uint64(len(entries))
+}
+
+// sendEmpty keeps a follower that receives a snapshot from campaigning.
+func (r *Replica) sendEmpty(id ReplicaID, index uint64) {
+	t, _ := r.log.term(index)
+	r.sendEarly(Message{Kind: MessageAppend, To: id, Index: index, LogTerm: t, Round: r.round})
+}
+
+func (r *Replica) sendEarly(m Message) {
+	m.From, m.Group, m.Term = r.cfg.ID, r.cfg.Group, r.hs.Term
+	r.early = append(r.early, m)
+}
+
+func (r *Replica) startSnapshot(now time.Duration, id ReplicaID, pr *progress) {
+	sn, ok := r.cfg.LatestSnapshot()
+	if !ok || sn.Index < r.log.snapIndex {
+		return
+	}
+
+	pr.sendingSnapshot, pr.snapshotOffset, pr.snapshot = true, 0, sn
+	r.sendChunk(now, id, pr)
+}
+
+func (r *Replica) sendChunk(now time.Duration, id ReplicaID, pr *progress) {
+	pr.snapshotSent = now
+	from := min(pr.snapshotOffset, uint64(len(pr.snapshot.Data)))
+	end := min(from+uint64(r.cfg.ChunkBytes), uint64(len(pr.snapshot.Data)))
+	r.sendEarly(Message{
+		Kind: MessageSnapshot, To: id, Index: pr.snapshot.Index, LogTerm: pr.snapshot.Term,
+		Membership: pr.snapshot.Membership, SnapshotOffset: from, Chunk: pr.snapshot.Data[from:end],
+		SnapshotDone: end == uint64(len(pr.snapshot.Data)), Round: r.round,
+	})
+}
+
+func (r *Replica) onSnapshotReply(now time.Duration, m Message) {
+	pr := r.progress[m.From]
+	if r.role != RoleLeader || pr == nil {
+		return
+	}
+
+	pr.heard = now
+	if !pr.sendingSnapshot || m.Index != pr.snapshot.Index {
+		return
+	}
+	if m.SnapshotDone {
+		pr.sendingSnapshot, pr.snapshot = false, Snapshot{}
+		pr.match = max(pr.match, m.Index)
+		pr.next = pr.match + 1
+		r.sendAppend(now, m.From, true)
+
+		return
+	}
+	pr.snapshotOffset = m.SnapshotOffset
+	r.sendChunk(now, m.From, pr)
+}
+
+func (r *Replica) onAppendReply(now time.Duration, m Message) {
+	pr := r.progress[m.From]
+	if r.role != RoleLeader || pr == nil {
+		return
+	}
+
+	pr.heard = now
+	pr.ackedRound = max(pr.ackedRound, m.Round)
+	r.confirmReads()
+	if pr.sendingSnapshot {
+		return
+	}
+	if m.Reject {
+		pr.next = max(pr.match+1, min(m.Hint+1, r.log.lastIndex()+1))
+		r.sendAppend(now, m.From, false)
+
+		return
+	}
+
+	if m.Index > pr.match && m.Index <= r.log.lastIndex() {
+		pr.match = m.Index
+		pr.next = max(pr.next, pr.match+1)
+		r.advanceCommit(now)
+	}
+	r.sendAppend(now, m.From, false)
+	r.finishTransfer(m.From, pr)
+}
+
+func (r *Replica) finishTransfer(id ReplicaID, pr *progress) {
+	if r.transferTo == id && pr.match == r.log.lastIndex() {
+		r.send(Message{Kind: MessageTimeoutNow, To: id})
+	}
+}
+
+// advanceCommit commits what a quorum of voters has stored in this term.
+func (r *Replica) advanceCommit(now time.Duration) {
+	m := r.log.membership()
+	stored := make([]uint64, 0, len(m.Voters))
+	for _, id := range m.Voters {
+		switch {
+		case id == r.cfg.ID:
+			stored = append(stored, r.log.persisted)
+		case r.progress[id] != nil:
+			stored = append(stored, r.progress[id].match)
+		default:
+			stored = append(stored, 0)
+		}
+	}
+	slices.Sort(stored)
+
+	index := stored[len(stored)-m.Quorum()]
+	if t, ok := r.log.term(index); !ok || t != r.hs.Term || index <= r.log.commit {
+		return
+	}
+	r.log.commit = index
+	r.confirmReads()
+	if !m.IsVoter(r.cfg.ID) && r.log.membershipIndex() <= index {
+		r.becomeFollower(now, r.hs.Term, "")
+
+		return
+	}
+	for _, id := range r.peers() {
+		if pr := r.progress[id]; !pr.sendingSnapshot && pr.match == r.log.lastIndex() {
+			r.sendAppend(now, id, true)
+		}
+	}
+}
+
+func (r *Replica) appendOwn(entries []Entry) {
+	for i := range entries {
+		entries[i].Index = r.log.lastIndex() + 1 + uint64(i)
+		entries[i].Term = r.hs.Term
+	}
+	r.log.append(entries)
+}
+
+// Propose appends commands to the log and returns the position of the first.
+func (r *Replica) Propose(now time.Duration, commands [][]byte) (uint64, error) {
+	if r.role != RoleLeader {
+		return 0, ErrNotLeader
+	}
+	if r.transferTo != "" {
+		return 0, ErrTransferRunning
+	}
+
+	entries := make([]Entry, len(commands))
+	for i, c := range commands {
+		entries[i] = Entry{Kind: EntryCommand, Data: c}
+	}
+	r.appendOwn(entries)
+	for _, id := range r.peers() {
+		r.sendAppend(now, id, false)
+	}
+
+	return entries[0].Index, nil
+}
+
+// ProposeMembership appends a membership that differs from the one in force by one replica.
+func (r *Replica) ProposeMembership(now time.Duration, next Membership) (uint64, error) {
+	switch {
+	case r.role != RoleLeader:
+		return 0, ErrNotLeader
+	case r.log.membershipIndex() > r.log.commit || !r.committedInTerm():
+		return 0, ErrChangeInFlight
+	case len(next.Voters) == 0:
+		return 0, ErrLastVoter
+	case !r.oneStep(r.log.membership(), next):
+		return 0, ErrUnknownReplica
+	}
+	for _, id := range next.Voters {
+		if !r.log.membership().IsVoter(id) && !r.CaughtUp(id) {
+			return 0, ErrNotCaughtUp
+		}
+	}
+
+	r.appendOwn([]Entry{{Kind: EntryMembership, Data: encodeMembership(next)}})
+	r.syncProgress(now)
+	r.broadcast(now)
+
+	return r.log.lastIndex(), nil
+}
+
+// oneStep reports whether the sets of voters differ by at most one replica.
+func (r *Replica) oneStep(old, next Membership) bool {
+	n := 0
+	for _, id := range next.Voters {
+		if !old.IsVoter(id) {
+			n++
+		}
+	}
+	for _, id := range old.Voters {
+		if !next.IsVoter(id) {
+			n++
+		}
+	}
+
+	return n <= 1
+}
+
+func (r *Replica) committedInTerm() bool {
+	t, ok := r.log.term(r.log.commit)
+
+	return ok && t == r.hs.Term
+}
+
+// CaughtUp reports whether the follower id lacks few enough entries to vote.
+func (r *Replica) CaughtUp(id ReplicaID) bool {
+	pr := r.progress[id]
+
+	return pr != nil && pr.match > 0 && pr.match+maxPromotionLag >= r.log.lastIndex()
+}
+
+// HeardFrom returns when the leader last heard from the follower id.
+func (r *Replica) HeardFrom(id ReplicaID) (time.Duration, bool) {
+	pr := r.progress[id]
+	if pr == nil {
+		return 0, false
+	}
+
+	return pr.heard, true
+}
+
+// TransferLeadership asks the voter that holds most of the log to take over.
+func (r *Replica) TransferLeadership(now time.Duration) bool {
+	if r.role != RoleLeader {
+		return false
+	}
+
+	best := ReplicaID("")
+	for _, id := range r.log.membership().Voters {
+		pr := r.progress[id]
+		if pr == nil || now > pr.heard+r.cfg.ElectionTimeout {
+			continue
+		}
+		if best == "" || pr.match > r.progress[best].match {
+			best = id
+		}
+	}
+	if best == "" {
+		return false
+	}
+
+	r.transferTo, r.transferAt = best, now
+	r.finishTransfer(best, r.progress[best])
+
+	return true
+}
+
+// ReadIndex starts a read; a ReadState with the same context follows.
+func (r *Replica) ReadIndex(now time.Duration, context uint64) error {
+	if r.role != RoleLeader {
+		return ErrNotLeader
+	}
+
+	r.round++
+	index := uint64(0) // set once an entry of this term is committed
+	if r.committedInTerm() {
+		index = r.log.commit
+	}
+	r.reads = append(r.reads, pendingRead{context: context, index: index, round: r.round})
+	r.broadcast(now)
+	r.confirmReads()
+
+	return nil
+}
+
+func (r *Replica) confirmReads() {
+	if r.role != RoleLeader || len(r.reads) == 0 || !r.committedInTerm() {
+		return
+	}
+
+	m := r.log.membership()
+	rounds := make([]uint64, 0, len(m.Voters))
+	for _, id := range m.Voters {
+		switch {
+		case id == r.cfg.ID:
+			rounds = append(rounds, r.round)
+		case r.progress[id] != nil:
+			rounds = append(rounds, r.progress[id].ackedRound)
+		default:
+			rounds = append(rounds, 0)
+		}
+	}
+	slices.Sort(rounds)
+	acked := rounds[len(rounds)-m.Quorum()]
+
+	n := 0
+	for ; n < len(r.reads) && r.reads[n].round <= acked; n++ {
+		index := r.reads[n].index
+		if index == 0 {
+			index = r.log.commit
+		}
+		r.ready = append(r.ready, ReadState{Context: r.reads[n].context, Index: index, OK: true})
+	}
+	r.reads = r.reads[n:]
+}
+
+func (r *Replica) dropReads() {
+	for _, rd := range r.reads {
+		r.ready = append(r.ready, ReadState{Context: rd.context})
+	}
+	r.reads = nil
+}
--- /dev/null
+++ b/internal/consensus/replica.go
@@ -0,0 +1,270 @@
+package consensus
+
+import (
+	"errors"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Errors of proposals and membership changes.
+var (
+	ErrNotLeader       = errors.New("consensus: this replica is not the leader")
+	ErrChangeInFlight  = errors.New("consensus: a membership change is in flight")
+	ErrNotCaughtUp     = errors.New("consensus: the learner has not caught up")
+	ErrLastVoter       = errors.New("consensus: the last voter cannot be removed")
+	ErrUnknownReplica  = errors.New("consensus: the replica is not a member")
+	ErrTransferRunning = errors.New("consensus: leadership is being transferred")
+)
+
+// maxPromotionLag is the number of entries a learner may lack when it becomes a voter.
+const maxPromotionLag = 64
+
+// Replica is one member of a group. It is not safe for concurrent use.
+type Replica struct {
+	cfg    Config
+	hs     HardState
+	stored HardState // last one handed out
+	role   Role
+	leader ReplicaID
+	log    raftLog
+
+	electionDue  time.Duration
+	heartbeatDue time.Duration
+	heardLeader  time.Duration
+	heardOnce    bool
+	preVoting    bool
+	forced       bool
+	votes        map[ReplicaID]bool
+
+	progress   map[ReplicaID]*progress
+	round      uint64
+	reads      []pendingRead
+	transferTo ReplicaID
+	transferAt time.Duration
+
+	incoming *Snapshot // snapshot being received
+	install  *Snapshot // snapshot to hand out
+
+	early    []Message
+	messages []Message
+	ready    []ReadState
+}
+
+type pendingRead struct {
+	context uint64
+	index   uint64
+	round   uint64
+}
+
+// New returns a follower with the recovered state of cfg.
+func New(cfg Config, now time.Duration) *Replica {
+	cfg.Defaults()
+	r := &Replica{cfg: cfg, hs: cfg.HardState, stored: cfg.HardState, log: newRaftLog(cfg.Snapshot, cfg.Entries)}
+	r.resetElection(now)
+
+	return r
+}
+
+// ID returns the replica's identity.
+func (r *Replica) ID() ReplicaID { return r.cfg.ID }
+
+// Role returns the current role.
+func (r *Replica) Role() Role { return r.role }
+
+// Term returns the current term.
+func (r *Replica) Term() uint64 { return r.hs.Term }
+
+// Leader returns the leader of the term, or "" when none is known.
+func (r *Replica) Leader() ReplicaID { return r.leader }
+
+// Membership returns the membership in force here.
+func (r *Replica) Membership() Membership { return r.log.membership() }
+
+// Commit returns the highest position known as committed.
+func (r *Replica) Commit() uint64 { return r.log.commit }
+
+// LastIndex returns the last position of the log.
+func (r *Replica) LastIndex() uint64 { return r.log.lastIndex() }
+
+// SnapshotIndex returns the position that the last compaction reached.
+func (r *Replica) SnapshotIndex() uint64 { return r.log.snapIndex }
+
+// MembershipAt returns the membership that was in force at index.
+func (r *Replica) MembershipAt(index uint64) Membership {
+	m := r.log.memberships[0].membership
+	for _, at := range r.log.memberships {
+		if at.index <= index {
+			m = at.membership
+		}
+	}
+
+	return m
+}
+
+// TermAt returns the term of the entry at index, and false if it is not held.
+func (r *Replica) TermAt(index uint64) (uint64, bool) { return r.log.term(index) }
+
+// Compact drops the log up to index; a snapshot at index must be stored.
+func (r *Replica) Compact(index uint64) { r.log.compact(min(index, r.log.applied)) }
+
+// Tick lets time pass.
+func (r *Replica) Tick(now time.Duration) {
+	if r.role == RoleLeader {
+		r.tickLeader(now)
+
+		return
+	}
+
+	if now >= r.electionDue {
+		r.resetElection(now)
+		r.campaign(now, false)
+	}
+}
+
+// Step takes one message.
+func (r *Replica) Step(now time.Duration, m Message) {
+	if m.To != r.cfg.ID || m.Group != r.cfg.Group {
+		return
+	}
+
+	if m.Term > r.hs.Term && !r.followHigherTerm(now, m) {
+		return
+	}
+	if m.Term < r.hs.Term {
+		r.answerLowerTerm(m)
+
+		return
+	}
+
+	switch m.Kind {
+	case MessagePreVote:
+		r.onPreVote(now, m)
+	case MessageVote:
+		r.onVote(now, m)
+	case MessagePreVoteReply, MessageVoteReply:
+		r.onVoteReply(now, m)
+	case MessageAppend:
+		r.onAppend(now, m)
+	case MessageAppendReply:
+		r.onAppendReply(now, m)
+	case MessageSnapshot:
+		r.onSnapshot(now, m)
+	case MessageSnapshotReply:
+		r.onSnapshotReply(now, m)
+	case MessageTimeoutNow:
+		if r.isVoter() {
+			r.campaign(now, true)
+		}
+	}
+}
+
+// followHigherTerm moves to the term of m where m justifies it, and reports whether m is to be handled.
+func (r *Replica) followHigherTerm(now time.Duration, m Message) bool {
+	switch m.Kind {
+	case MessagePreVote:
+		return true
+	case MessagePreVoteReply:
+		if !m.Reject {
+			return true
+		}
+	case MessageVote:
+		if !m.Force && r.leaderIsAlive(now) {
+			return false
+		}
+	}
+
+	leader := ReplicaID("")
+	if m.Kind == MessageAppend || m.Kind == MessageSnapshot {
+		leader = m.From
+	}
+	r.becomeFollower(now, m.Term, leader)
+
+	return true
+}
+
+func (r *Replica) answerLowerTerm(m Message) {
+	switch m.Kind {
+	case MessageAppend, MessageSnapshot:
+		r.send(Message{Kind: MessageAppendReply, To: m.From, Reject: true, Round: m.Round, Hint: r.log.lastIndex()})
+	case MessagePreVote:
+		r.send(Message{Kind: MessagePreVoteReply, To: m.From, Reject: true})
+	}
+}
+
+// Ready returns what must be done next; the driver then calls Advance.
+func (r *Replica) Ready() Ready {
+	rd := Ready{Early: r.early, Messages: r.messages, Reads: r.ready, Snapshot: r.install}
+	r.early, r.messages, r.ready, r.install = nil, nil, nil, nil
+
+	if r.hs != r.stored {
+		hs := r.hs
+		rd.HardState, r.stored = &hs, hs
+	}
+	if r.log.emitted < r.log.lastIndex() {
+		tail := r.log.entries[r.log.emitted-r.log.snapIndex:]
+		rd.Entries = tail[:len(tail):len(tail)]
+		r.log.emitted = r.log.lastIndex()
+	}
+	if end := min(r.log.commit, r.log.emitted); end > r.log.applied {
+		rd.Committed = append([]Entry(nil), r.log.entries[r.log.applied-r.log.snapIndex:end-r.log.snapIndex]...)
+		r.log.applied = end
+	}
+
+	return rd
+}
+
+// Advance says that rd is stored.
+func (r *Replica) Advance(now time.Duration, rd Ready) {
+	if n := len(rd.Entries); n > 0 {
+		last := rd.Entries[n-1]
+		if t, ok := r.log.term(last.Index); ok && t == last.Term {
+			r.log.persisted = max(r.log.persisted, last.Index)
+		}
+	}
+
+	if r.role == RoleLeader {
+		r.advanceCommit(now)
+	}
+}
+
+func (r *Replica) isVoter() bool { return r.log.membership().IsVoter(r.cfg.ID) }
+
+func (r *Replica) resetElection(now time.Duration) {
+	t := int64(r.cfg.ElectionTimeout)
+	r.electionDue = now + r.cfg.ElectionTimeout + time.Duration(r.cfg.Random(t))
+}
+
+func (r *Replica) leaderIsAlive(now time.Duration) bool {
+	return r.heardOnce && r.leader != "" && now < r.heardLeader+r.cfg.ElectionTimeout
+}
+
+func (r *Replica) becomeFollower(now time.Duration, term uint64, leader ReplicaID) {
+	if term > r.hs.Term {
+		r.hs = HardState{Term: term}
+	}
+	if r.role == RoleLeader {
+		r.dropReads()
+	}
+
+	r.role, r.leader, r.preVoting = RoleFollower, leader, false
+	r.progress, r.transferTo = nil, ""
+	r.resetElection(now)
+}
+
+func (r *Replica) send(m Message) {
+	m.From, m.Group = r.cfg.ID, r.cfg.Group
+	if m.Term == 0 {
+		m.Term = r.hs.Term
+	}
+	r.messages = append(r.messages, m)
+}
+
+func encodeMembership(m Membership) []byte {
+	b, err := cbor.Marshal(m)
+	if err != nil {
+		panic(err) // two slices of strings always encode
+	}
+
+	return b
+}
--- /dev/null
+++ b/internal/declaration/trainer.go
@@ -0,0 +1,71 @@
+package declaration
+
+import "time"
+
+// Trainer says which model versions a trainer of a workspace draws from.
+type Trainer struct {
+	Workspace      string `json:"workspace"`
+	Model          string `json:"model"`
+	StalenessBound uint64 `json:"stalenessBound"` // versions, at most the model's own bound
+	StepTimeoutMs  int    `json:"stepTimeoutMs"`
+}
+
+// Defaults fills the fields left zero.
+func (tr *Trainer) Defaults() {
+	if tr.StepTimeoutMs == 0 {
+		tr.StepTimeoutMs = 360_000
+	}
+}
+
+// Validate checks the trainer called name.
+func (tr Trainer) Validate(name string, se *Set) error {
+	path := KindTrainer + "/" + name
+	if _, ok := se.Workspaces[tr.Workspace]; !ok {
+		return invalid(path, "workspace %q does not exist", tr.Workspace)
+	}
+	mo, ok := se.Models[tr.Model]
+	if !ok {
+		return invalid(path, "model %q does not exist", tr.Model)
+	}
+	if tr.StalenessBound > mo.StalenessBound {
+		return invalid(path, "stalenessBound %d is over the model's %d", tr.StalenessBound, mo.StalenessBound)
+	}
+	if tr.StepTimeoutMs < 1 {
+		return invalid(path, "stepTimeoutMs must be at least 1")
+	}
+
+	return nil
+}
+
+// StepTimeout returns how long a step may take.
+func (tr Trainer) StepTimeout() time.Duration {
+	return time.Duration(tr.StepTimeoutMs) * time.Millisecond
+}
+
+// Window says how usage is cut into windows. The one called "usage" is in force.
+type Window struct {
+	LengthSeconds int `json:"lengthSeconds"`
+	GraceSeconds  int `json:"graceSeconds"` // how long late counters may come before a window is closed
+}
+
+// WindowName is the name of the window that is in force.
+const WindowName = "usage"
+
+// Defaults fills the fields left zero.
+func (wi *Window) Defaults() {
+	if wi.LengthSeconds == 0 {
+		wi.LengthSeconds = 3600
+	}
+	if wi.GraceSeconds == 0 {
+		wi.GraceSeconds = 5
+	}
+}
+
+// Validate checks the window called name.
+func (wi Window) Validate(name string, _ *Set) error {
+	if wi.LengthSeconds < 1 || wi.GraceSeconds < 0 {
+		return invalid(KindWindow+"/"+name, "lengthSeconds must be at least 1 and graceSeconds not negative")
+	}
+
+	return nil
+}
--- /dev/null
+++ b/internal/demo/check.go
@@ -0,0 +1,368 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/tamarackbay/tamarackbay/internal/deployment"
+	"github.com/tamarackbay/tamarackbay/internal/fake"
+	"github.com/tamarackbay/tamarackbay/internal/usage"
+)
+
+// promise is one check over the records.
+type promise struct {
+	text  string
+	check func() error
+}
+
+// report prints the measures and the promises, and returns an error when one is broken.
+func (wo *world) report(ctx context.Context) error {
+	wo.say("waiting for the last usage window to be reported")
+	if err := wo.waitReports(ctx); err != nil {
+		wo.say("%v", err)
+	}
+	fmt.Fprintln(wo.out, "\nMeasures")
+	wo.measures()
+
+	fmt.Fprintln(wo.out, "\nPromises, checked from the records of the stand-ins")
+	broken := 0
+	for _, p := range []promise{
+		{"every sample names the weight versions that produced it", wo.checkVersions},
+		{"no sample is older than the staleness bound", wo.checkStaleness},
+		{"every sample reaches its trainer exactly once", wo.checkOnce},
+		{"no backend server sees a key", wo.checkKeys},
+		{"a withdrawn key stops working", wo.checkWithdrawn},
+		{"orders come from one process at a time", wo.checkOrders},
+		{"no window is reported twice with different figures, nor by an earlier holder", wo.checkReports},
+		{"usage is never above what the engines made", wo.checkUsage},
+		{"a request that may not be repeated runs at most once", wo.checkSingle},
+		{"the weight store's limit is kept", wo.checkStore},
+	} {
+		if err := p.check(); err != nil {
+			broken++
+			fmt.Fprintf(wo.out, "  BROKEN  %s: %v\n", p.text, err)
+
+			continue
+		}
+		fmt.Fprintf(wo.out, "  kept    %s\n", p.text)
+	}
+	if broken > 0 {
+		return fmt.Errorf("demo: %d promises were broken", broken)
+	}
+
+	return nil
+}
+
+func (wo *world) waitReports(ctx context.Context) error {
+	made := wo.madeTokens()
+
+	return deployment.Until(ctx, func() error {
+		if sum := wo.reported().Tokens; sum < made {
+			return fmt.Errorf("%d of %d tokens are reported so far", sum, made)
+		}
+
+		return nil
+	})
+}
+
+func (wo *world) measures() {
+	wo.mu.Lock()
+	defer wo.mu.Unlock()
+
+	total := wo.idle + wo.busy
+	fmt.Fprintf(wo.out, "  trainer idle time        %v of %v (%.0f%%)\n", wo.idle.Round(time.Millisecond), total.Round(time.Millisecond), 100*float64(wo.idle)/float64(total))
+	lag := map[int]int{}
+	for _, s := range wo.samples {
+		lag[s.latest-wo.oldest(&s)]++
+	}
+	var parts []string
+	for l := -2; l <= 3; l++ {
+		if lag[l] > 0 {
+			parts = append(parts, fmt.Sprintf("%d: %d", l, lag[l]))
+		}
+	}
+	fmt.Fprintf(wo.out, "  staleness                samples by versions behind at the request of their page: %s\n", strings.Join(parts, ", "))
+	wo.worst()
+	class := wo.set.Classes[wo.names.sampler]
+	seconds := wo.de.Ordering.ServerSeconds(wo.names.sampler)
+	fmt.Fprintf(wo.out, "  spending                 %.0f engine-seconds (%.4f at %g an hour) for %d tokens\n",
+		seconds, seconds/3600*class.PricePerHour, class.PricePerHour, wo.madeTokens())
+	fmt.Fprintf(wo.out, "  reports                  %d windows, latest %.1f s after the window's end\n", len(wo.byWindow()), wo.latestReport().Seconds())
+}
+
+func (wo *world) worst() {
+	type line struct {
+		name  string
+		share float64
+		p99   time.Duration
+		calls int
+	}
+	var lines []line
+	for n, cc := range wo.calls {
+		lines = append(lines, line{n, float64(cc.ok) / float64(max(cc.ok+cc.failed, 1)), percentile(cc.latencies, 0.99), cc.ok + cc.failed})
+	}
+	sort.Slice(lines, func(i, j int) bool {
+		if lines[i].share != lines[j].share {
+			return lines[i].share < lines[j].share
+		}
+
+		return lines[i].p99 > lines[j].p99
+	})
+	if len(lines) > 0 {
+		l := lines[0]
+		fmt.Fprintf(wo.out, "  worst-served workspace   %s: %.2f%% of %d calls served, p99 %v\n", l.name, 100*l.share, l.calls, l.p99.Round(time.Millisecond))
+	}
+}
+
+func sequence(version string) int {
+	n, _ := strconv.Atoi(strings.TrimPrefix(version, "v"))
+
+	return n
+}
+
+// oldest returns the sequence of the oldest version that the text itself names.
+func (wo *world) oldest(s *delivered) int {
+	low := 0
+	for _, tok := range strings.Fields(s.Text) {
+		v, _, _ := strings.Cut(tok, ":")
+		if n := sequence(v); low == 0 || n < low {
+			low = n
+		}
+	}
+
+	return low
+}
+
+// checkVersions compares the versions of each sample with its text, in which the
+// engine wrote the version with every token.
+func (wo *world) checkVersions() error {
+	for _, s := range wo.samples {
+		toks := strings.Fields(s.Text)
+		if len(toks) != s.Tokens {
+			return fmt.Errorf("sample %s has %d tokens and says %d", s.ID, len(toks), s.Tokens)
+		}
+		for i, tok := range toks {
+			v, _, _ := strings.Cut(tok, ":")
+			ok := false
+			for _, vr := range s.Versions {
+				ok = ok || (vr.Version == v && i >= vr.From && i < vr.To)
+			}
+			if !ok {
+				return fmt.Errorf("sample %s: token %d was written by %s, which its ranges %v do not say", s.ID, i, v, s.Versions)
+			}
+		}
+	}
+
+	return nil
+}
+
+func (wo *world) checkStaleness() error {
+	bound := int(wo.set.Trainers[wo.names.trainer].StalenessBound)
+	for _, s := range wo.samples {
+		if lag := s.latest - wo.oldest(&s); lag > bound {
+			return fmt.Errorf("sample %s is %d versions behind, the bound is %d", s.ID, lag, bound)
+		}
+	}
+
+	return nil
+}
+
+func (wo *world) checkOnce() error {
+	seen := map[string]int{}
+	for _, s := range wo.samples {
+		seen[s.ID]++
+	}
+	for id, n := range seen {
+		if n != 1 {
+			return fmt.Errorf("sample %s was delivered %d times", id, n)
+		}
+	}
+	if want := steps * groups * perGroup; len(seen) != want {
+		return fmt.Errorf("%d samples were delivered, %d were wanted", len(seen), want)
+	}
+
+	return nil
+}
+
+// checkKeys searches everything that a backend server received for every key.
+func (wo *world) checkKeys() error {
+	var seen strings.Builder
+	for _, sv := range wo.de.Services() {
+		for _, r := range sv.Runs() {
+			fmt.Fprintln(&seen, r.Path, r.Query, r.Header, r.Body)
+		}
+	}
+	for _, en := range wo.de.AllEngines() {
+		for _, r := range en.Runs() {
+			fmt.Fprintln(&seen, r.Headers, r.Prompt)
+		}
+	}
+	for _, s := range wo.secrets {
+		if strings.Contains(seen.String(), s) {
+			return fmt.Errorf("a secret reached a backend server")
+		}
+	}
+
+	return nil
+}
+
+func (wo *world) checkWithdrawn() error {
+	for _, sv := range wo.de.Services() {
+		for _, r := range sv.Runs() {
+			if strings.Contains(r.Path, "after-withdrawal") {
+				return fmt.Errorf("a backend server ran a request of the withdrawn key")
+			}
+		}
+	}
+	if wo.withdrawn > 0 || wo.refused == 0 {
+		return fmt.Errorf("%d gateways served it, %d refused it", wo.withdrawn, wo.refused)
+	}
+
+	return nil
+}
+
+// checkOrders looks for an order of an earlier holder after one of a later holder.
+func (wo *world) checkOrders() error {
+	var top uint64
+	starts := map[string]bool{}
+	for _, r := range wo.de.Ordering.Records() {
+		if r.Fencing < top {
+			return fmt.Errorf("order %s of %s has fencing number %d after %d", r.ID, r.Giver, r.Fencing, top)
+		}
+		top = r.Fencing
+		starts[r.ID] = true
+	}
+	for _, en := range wo.de.AllEngines() {
+		top = 0
+		for _, o := range en.Orders() {
+			if o.Taken && o.Fencing < top {
+				return fmt.Errorf("engine order %s of %s has fencing number %d after %d", o.ID, o.Giver, o.Fencing, top)
+			}
+			top = max(top, o.Fencing)
+		}
+	}
+	if len(starts) == 0 {
+		return fmt.Errorf("no order was given")
+	}
+
+	return nil
+}
+
+func (wo *world) byWindow() map[uint64][]fake.ReportRecord {
+	out := map[uint64][]fake.ReportRecord{}
+	for _, r := range wo.de.Usage.Records() {
+		out[r.Window] = append(out[r.Window], r)
+	}
+
+	return out
+}
+
+func (wo *world) checkReports() error {
+	if len(wo.byWindow()) == 0 {
+		return fmt.Errorf("nothing was reported")
+	}
+	for n, rs := range wo.byWindow() {
+		for _, r := range rs {
+			if r.Body != rs[0].Body {
+				return fmt.Errorf("window %d was reported with different figures", n)
+			}
+		}
+	}
+	var top uint64
+	for _, r := range wo.de.Usage.Records() {
+		if r.Fencing < top {
+			return fmt.Errorf("window %d was reported by an earlier holder", r.Window)
+		}
+		top = r.Fencing
+	}
+
+	return nil
+}
+
+func (wo *world) reported() usage.Figures {
+	var sum usage.Figures
+	for _, rs := range wo.byWindow() {
+		var re usage.Report
+		if err := json.Unmarshal([]byte(rs[0].Body), &re); err != nil {
+			continue
+		}
+		for _, li := range re.Lines {
+			sum.Tokens += li.Figures.Tokens + li.Adjustment.Tokens
+			sum.Requests += li.Figures.Requests + li.Adjustment.Requests
+		}
+	}
+
+	return sum
+}
+
+func (wo *world) latestReport() time.Duration {
+	var late time.Duration
+	for n, rs := range wo.byWindow() {
+		end := time.Unix(int64(n+1)*windowSeconds, 0)
+		late = max(late, rs[0].At.Sub(end))
+	}
+
+	return late
+}
+
+// madeTokens counts what the engines made, prompts and texts.
+func (wo *world) madeTokens() uint64 {
+	var sum uint64
+	for _, en := range wo.de.AllEngines() {
+		for _, r := range en.Runs() {
+			sum += uint64(r.Tokens)
+			if r.Tokens > 0 {
+				sum += uint64(len(strings.Fields(r.Prompt)))
+			}
+		}
+	}
+
+	return sum
+}
+
+func (wo *world) checkUsage() error {
+	made, sum := wo.madeTokens(), wo.reported().Tokens
+	if sum > made {
+		return fmt.Errorf("%d tokens were reported, the engines made %d", sum, made)
+	}
+	if float64(sum) < 0.9*float64(made) {
+		return fmt.Errorf("%d tokens were reported, the engines made %d", sum, made)
+	}
+
+	return nil
+}
+
+func (wo *world) checkSingle() error {
+	runs := map[string]int{}
+	for _, sv := range wo.de.Services() {
+		for _, r := range sv.Runs() {
+			if q, err := url.ParseQuery(r.Query); err == nil && q.Get("call") != "" {
+				runs[q.Get("call")]++
+			}
+		}
+	}
+	if len(runs) == 0 {
+		return fmt.Errorf("no such request ran")
+	}
+	for k, n := range runs {
+		if n > 1 {
+			return fmt.Errorf("request %s ran %d times", k, n)
+		}
+	}
+
+	return nil
+}
+
+func (wo *world) checkStore() error {
+	if n := wo.de.Store.Refused(); n > 0 {
+		return fmt.Errorf("%d fetches were over the limit", n)
+	}
+
+	return nil
+}
--- /dev/null
+++ b/internal/deployment/deployment.go
@@ -0,0 +1,524 @@
+// Package deployment runs a whole deployment in one process for the demo, the
+// experiments and the tests: real gateways and agents over loopback, and the
+// stand-ins of the outside systems, which keep the records that checks read.
+package deployment
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/tamarackbay/tamarackbay/internal/declaration"
+	"github.com/tamarackbay/tamarackbay/internal/fake"
+	"github.com/tamarackbay/tamarackbay/internal/logging"
+	"github.com/tamarackbay/tamarackbay/internal/program"
+	"github.com/tamarackbay/tamarackbay/internal/settings"
+	"github.com/tamarackbay/tamarackbay/pkg/client"
+)
+
+// OperatorToken is the operator's token of every deployment made here.
+const OperatorToken = "operator-of-the-demo"
+
+// Config describes a deployment.
+type Config struct {
+	Gateways     int
+	Folder       string // of the data folders, one below it for each gateway
+	Declarations *declaration.Set
+	Engine       fake.EngineConfig // Model is filled in from the class
+	ServiceDelay time.Duration
+	StoreLimit   int
+	Startup      time.Duration // of a backend server
+	NoOrdering   bool          // the test starts backend servers itself
+	NoUsage      bool
+	NoScorer     bool
+	Tune         func(se *settings.Gateway)
+	Log          log.Interface
+}
+
+// Deployment is a running deployment.
+type Deployment struct {
+	cfg      Config
+	Store    *fake.WeightStore
+	Scorer   *fake.Scorer
+	Ordering *fake.Ordering
+	Usage    *fake.UsageSink
+
+	mu       sync.Mutex
+	settings []settings.Gateway
+	gateways []*program.Gateway
+	engines  map[string]*fake.Engine
+	services map[string]*fake.Service
+	agents   map[string]*program.Agent
+	isClosed bool
+	past     []*fake.Engine // engines of backend servers that were given back
+}
+
+// domains are the failure domains of a deployment, one gateway in each in turn.
+var domains = []string{"a", "b", "c"}
+
+// FreeAddress returns a loopback address that is free now.
+func FreeAddress() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer ln.Close()
+
+	return ln.Addr().String(), nil
+}
+
+// Start starts the stand-ins and the gateways and applies the declarations.
+func Start(ctx context.Context, cfg Config) (*Deployment, error) {
+	if cfg.Log == nil {
+		cfg.Log = logging.Discard()
+	}
+	de := &Deployment{
+		cfg: cfg, engines: map[string]*fake.Engine{}, services: map[string]*fake.Service{}, agents: map[string]*program.Agent{},
+	}
+	if err := de.startOutside(); err != nil {
+		return nil, err
+	}
+	if err := de.plan(); err != nil {
+		return nil, err
+	}
+	for i := range cfg.Gateways {
+		if err := de.StartGateway(i); err != nil {
+			return nil, err
+		}
+	}
+	if cfg.Declarations == nil {
+		return de, nil
+	}
+
+	return de, de.Apply(ctx, cfg.Declarations)
+}
+
+func (de *Deployment) startOutside() error {
+	const any0 = "127.0.0.1:0"
+	var err error
+	if de.Store, err = fake.NewWeightStore(any0, max(de.cfg.StoreLimit, 1)); err != nil {
+		return err
+	}
+	if de.Scorer, err = fake.NewScorer(any0); err != nil {
+		return err
+	}
+	if de.Usage, err = fake.NewUsageSink(any0); err != nil {
+		return err
+	}
+	de.Ordering, err = fake.NewOrdering(any0, de.startOrdered, de.StopServer)
+
+	return err
+}
+
+// plan writes the settings of all gateways.
+func (de *Deployment) plan() error {
+	var fos []settings.Founder
+	for i := range de.cfg.Gateways {
+		var se settings.Gateway
+		settings.Defaults(&se)
+		for _, a := range []*string{&se.CallerAddress, &se.OperatorAddress, &se.PeerAddress} {
+			var err error
+			if *a, err = FreeAddress(); err != nil {
+				return err
+			}
+		}
+		se.Name = fmt.Sprintf("gateway-%d", i+1)
+		se.FailureDomain = domains[i%len(domains)]
+		se.DataFolder = filepath.Join(de.cfg.Folder, se.Name)
+		se.Operators = []settings.Operator{{Name: "demo", TokenHash: declaration.HashSecret(OperatorToken)}}
+		se.Outside = settings.Outside{WeightStore: de.Store.Address()}
+		if !de.cfg.NoScorer {
+			se.Outside.Scorer = de.Scorer.Address()
+		}
+		if !de.cfg.NoOrdering {
+			se.Outside.Ordering = de.Ordering.Address()
+		}
+		if !de.cfg.NoUsage {
+			se.Outside.Usage = de.Usage.Address()
+		}
+		se.Times.BalancerLagMs = 100
+		fos = append(fos, settings.Founder{Name: se.Name, Address: se.PeerAddress})
+		de.settings = append(de.settings, se)
+		de.gateways = append(de.gateways, nil)
+	}
+	for i := range de.settings {
+		de.settings[i].Founders = fos
+		if de.cfg.Tune != nil {
+			de.cfg.Tune(&de.settings[i])
+		}
+		if err := de.settings[i].Validate(); err != nil {
+			return err
+		}
+	}
+
+	return nil
+}
+
+// StartGateway starts gateway i, also after it was killed.
+func (de *Deployment) StartGateway(i int) error {
+	pg, err := program.StartGateway(de.settings[i], de.cfg.Log)
+	if err != nil {
+		return err
+	}
+	de.mu.Lock()
+	de.gateways[i] = pg
+	de.mu.Unlock()
+
+	return nil
+}
+
+// Gateway returns gateway i.
+func (de *Deployment) Gateway(i int) *program.Gateway {
+	de.mu.Lock()
+	defer de.mu.Unlock()
+
+	return de.gateways[i]
+}
+
+// KillGateway ends gateway i as a crash would.
+func (de *Deployment) KillGateway(i int) {
+	pg := de.Gateway(i)
+	pg.Kill()
+	<-pg.Done()
+}
+
+// EmptyDisk removes the data folder of gateway i, which must not run.
+func (de *Deployment) EmptyDisk(i int) error { return os.RemoveAll(de.settings[i].DataFolder) }
+
+// Settings returns the settings of gateway i.
+func (de *Deployment) Settings(i int) *settings.Gateway { return &de.settings[i] }
+
+// Leader returns the index of the gateway that leads the group, or -1.
+func (de *Deployment) Leader() int {
+	for i := range de.settings {
+		pg := de.Gateway(i)
+		if pg == nil {
+			continue
+		}
+		select {
+		case <-pg.Done():
+			continue
+		default:
+		}
+		if pg.Gateway().Group().Status().Role == "leader" {
+			return i
+		}
+	}
+
+	return -1
+}
+
+// URLs returns the callers' base URLs of all gateways.
+func (de *Deployment) URLs() []string {
+	out := make([]string, len(de.settings))
+	for i := range de.settings {
+		out[i] = "http://" + de.settings[i].CallerAddress
+	}
+
+	return out
+}
+
+// Client returns a client that uses every gateway, starting with gateway first.
+func (de *Deployment) Client(token string, first int) *client.Client {
+	u := de.URLs()
+	first %= len(u)
+
+	return client.New(client.Config{Gateways: append(u[first:len(u):len(u)], u[:first]...), Token: token})
+}
+
+// Operate calls the operators' interface of the first gateway that answers.
+func (de *Deployment) Operate(ctx context.Context, method, path string, in, out any) error {
+	var last error
+	for ctx.Err() == nil {
+		for i := range de.settings {
+			retry, err := de.operateAt(ctx, i, method, path, in, out)
+			if err == nil || !retry {
+				return err
+			}
+			last = err
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+
+	return fmt.Errorf("deployment: %w; last: %w", ctx.Err(), last)
+}
+
+// operateAt calls one gateway and tells whether the call may be made again.
+func (de *Deployment) operateAt(ctx context.Context, i int, method, path string, in, out any) (bool, error) {
+	b, err := json.Marshal(in)
+	if err != nil {
+		return false, err
+	}
+	rq, err := http.NewRequestWithContext(ctx, method, "http://"+de.settings[i].OperatorAddress+path, bytes.NewReader(b))
+	if err != nil {
+		return false, err
+	}
+	rq.Header.Set("Authorization", "Bearer "+OperatorToken)
+	rs, err := http.DefaultClient.Do(rq)
+	if err != nil {
+		return true, err
+	}
+	defer rs.Body.Close()
+	body, err := io.ReadAll(rs.Body)
+	if err != nil {
+		return true, err
+	}
+	if rs.StatusCode >= http.StatusBadRequest {
+		return rs.StatusCode >= http.StatusInternalServerError, fmt.Errorf("deployment: %s %s: status %d: %s", method, path, rs.StatusCode, body)
+	}
+	if out == nil {
+		return false, nil
+	}
+
+	return false, json.Unmarshal(body, out)
+}
+
+// Apply makes the configuration equal to set, keys left alone.
+func (de *Deployment) Apply(ctx context.Context, set *declaration.Set) error {
+	for {
+		var cur struct {
+			Version uint64           `json:"version"`
+			Set     *declaration.Set `json:"declarations"`
+		}
+		cur.Set = declaration.NewSet()
+		if err := de.Operate(ctx, http.MethodGet, "/v1/configuration", nil, &cur); err != nil {
+			return err
+		}
+		ops, err := declaration.Diff(cur.Set, set, false)
+		if err != nil || len(ops) == 0 {
+			return err
+		}
+		pa := declaration.Patch{ID: fmt.Sprintf("apply-%d-%d", cur.Version, time.Now().UnixNano()), Base: cur.Version, Ops: ops}
+		if err := de.Operate(ctx, http.MethodPost, "/v1/patches", pa, nil); err != nil {
+			return err
+		}
+	}
+}
+
+// IssueKey returns the ID and the token of a new key.
+func (de *Deployment) IssueKey(ctx context.Context, workspace string) (id, token string, err error) {
+	var out struct{ ID, Token string }
+	err = de.Operate(ctx, http.MethodPost, "/v1/keys", map[string]string{"workspace": workspace}, &out)
+
+	return out.ID, out.Token, err
+}
+
+// startOrdered is called by the ordering interface.
+func (de *Deployment) startOrdered(server, class, failureDomain, orderID string) {
+	time.Sleep(de.cfg.Startup)
+	cl, ok := de.cfg.Declarations.Classes[class]
+	if !ok {
+		return
+	}
+	if err := de.StartServer(server, class, cl, failureDomain, orderID); err != nil {
+		de.cfg.Log.WithError(err).Error("a backend server did not start")
+	}
+}
+
+// StartServer starts a backend server with its agent.
+func (de *Deployment) StartServer(server, class string, cl declaration.Class, failureDomain, orderID string) error {
+	var se settings.Agent
+	settings.Defaults(&se)
+	se.Server, se.Class, se.FailureDomain, se.Slots, se.Order = server, class, failureDomain, cl.Slots, orderID
+	se.Model, se.Service, se.ChecksFencing, se.Bind = cl.Model, cl.Service, cl.ChecksFencing, "127.0.0.1"
+	for i := range de.settings {
+		se.Gateways = append(se.Gateways, de.settings[i].PeerAddress)
+	}
+
+	de.mu.Lock()
+	defer de.mu.Unlock()
+	if de.isClosed {
+		return nil
+	}
+	if cl.Model != "" {
+		ec := de.cfg.Engine
+		ec.Model, ec.Slots, ec.ChecksFencing, ec.Store = cl.Model, cl.Slots, cl.ChecksFencing, de.Store
+		en, err := fake.NewEngine("127.0.0.1:0", ec)
+		if err != nil {
+			return err
+		}
+		de.engines[server], se.Address = en, en.Address()
+	} else {
+		sv, err := fake.NewService("127.0.0.1:0", de.cfg.ServiceDelay)
+		if err != nil {
+			return err
+		}
+		de.services[server], se.Address = sv, sv.Address()
+	}
+	pa, err := program.StartAgent(se, de.cfg.Log)
+	if err != nil {
+		return err
+	}
+	de.agents[server] = pa
+
+	return nil
+}
+
+// StopServer stops a backend server and its agent.
+func (de *Deployment) StopServer(server string) {
+	de.mu.Lock()
+	pa, en, sv := de.agents[server], de.engines[server], de.services[server]
+	delete(de.agents, server)
+	delete(de.engines, server)
+	if en != nil {
+		de.past = append(de.past, en)
+	}
+	de.mu.Unlock()
+	if pa != nil {
+		pa.Shutdown()
+	}
+	if en != nil {
+		en.Close()
+	}
+	if sv != nil {
+		sv.Close()
+	}
+}
+
+// KillServer ends a backend server and its agent as the loss of a VM would.
+func (de *Deployment) KillServer(server string) {
+	de.mu.Lock()
+	pa, en := de.agents[server], de.engines[server]
+	delete(de.agents, server)
+	delete(de.engines, server)
+	if en != nil {
+		de.past = append(de.past, en)
+	}
+	de.mu.Unlock()
+	if en != nil {
+		en.Close()
+	}
+	if pa != nil {
+		pa.Kill()
+	}
+}
+
+// Engines returns the engines that run, by name.
+func (de *Deployment) Engines() map[string]*fake.Engine {
+	de.mu.Lock()
+	defer de.mu.Unlock()
+
+	out := map[string]*fake.Engine{}
+	for n, en := range de.engines {
+		out[n] = en
+	}
+
+	return out
+}
+
+// AllEngines returns every engine that ever ran.
+func (de *Deployment) AllEngines() []*fake.Engine {
+	de.mu.Lock()
+	defer de.mu.Unlock()
+
+	out := append([]*fake.Engine(nil), de.past...)
+	for _, en := range de.engines {
+		out = append(out, en)
+	}
+
+	return out
+}
+
+// Services returns every plain service that ever ran.
+func (de *Deployment) Services() map[string]*fake.Service {
+	de.mu.Lock()
+	defer de.mu.Unlock()
+
+	out := map[string]*fake.Service{}
+	for n, sv := range de.services {
+		out[n] = sv
+	}
+
+	return out
+}
+
+// Agent returns the agent of a backend server.
+func (de *Deployment) Agent(server string) *program.Agent {
+	de.mu.Lock()
+	defer de.mu.Unlock()
+
+	return de.agents[server]
+}
+
+// WaitServers waits until every gateway that runs sees n ready backend servers
+// that serve, with a verified version where version is set.
+func (de *Deployment) WaitServers(ctx context.Context, serves string, n int, version string) error {
+	return Until(ctx, func() error {
+		for i := range de.settings {
+			pg := de.Gateway(i)
+			select {
+			case <-pg.Done():
+				continue
+			default:
+			}
+			ready := 0
+			po, ok := pg.Gateway().Pools()[serves]
+			if ok {
+				for _, in := range po.Infos() {
+					if in.State == "ready" && (version == "" || in.Version == version) {
+						ready++
+					}
+				}
+			}
+			if ready < n {
+				return fmt.Errorf("deployment: gateway %d sees %d of %d ready servers of %s at version %q", i+1, ready, n, serves, version)
+			}
+		}
+
+		return nil
+	})
+}
+
+// Until calls f until it returns nil or ctx ends, then returns its last error.
+func Until(ctx context.Context, f func() error) error {
+	for {
+		err := f()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-time.After(20 * time.Millisecond):
+		case <-ctx.Done():
+			return err
+		}
+	}
+}
+
+// Close ends everything.
+func (de *Deployment) Close() {
+	de.mu.Lock()
+	de.isClosed = true
+	gateways := append([]*program.Gateway(nil), de.gateways...)
+	agents := de.agents
+	de.agents = map[string]*program.Agent{}
+	de.mu.Unlock()
+	for _, pa := range agents {
+		pa.Kill()
+	}
+	for _, pg := range gateways {
+		if pg != nil {
+			pg.Kill()
+			<-pg.Done()
+		}
+	}
+	for _, en := range de.AllEngines() {
+		en.Close()
+	}
+	for _, sv := range de.Services() {
+		sv.Close()
+	}
+	de.Store.Close()
+	de.Scorer.Close()
+	de.Ordering.Close()
+	de.Usage.Close()
+}
--- /dev/null
+++ b/internal/fake/engine.go
@@ -0,0 +1,491 @@
+package fake
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-chi/chi/v5"
+)
+
+// CrashMark in a prompt makes a stand-in of an engine crash while it runs it.
+const CrashMark = "CRASH-THE-ENGINE"
+
+// EngineConfig describes a stand-in of a model engine.
+type EngineConfig struct {
+	Model         string
+	Version       string
+	Slots         int
+	TokenTime     time.Duration // one token of one request
+	PrefillTime   time.Duration // of a prompt that is not in the cache
+	SwapTime      time.Duration
+	CacheSize     int // prefixes
+	ChecksFencing bool
+	IsSilent      bool // chunks do not name their version
+	Downtime      time.Duration
+	Store         *WeightStore // asked for each load, nil for none
+	// Straggle makes one request in this many ten times slower, 0 for none.
+	Straggle int
+}
+
+// Run is the record of one request on an engine.
+type Run struct {
+	ID       string
+	Prompt   string
+	Tokens   int
+	Ended    bool
+	Started  time.Time
+	Headers  http.Header
+	Versions []string
+}
+
+// GivenOrder is the record of an order.
+type GivenOrder struct {
+	ID      string
+	Kind    string
+	Version string
+	Giver   string
+	Fencing uint64
+	At      time.Time
+	Taken   bool
+}
+
+// Engine is a stand-in of a model engine. The text of each token names the
+// version that wrote it, so that a sample can be checked against its own text.
+type Engine struct {
+	server
+	cfg   EngineConfig
+	slots chan struct{}
+
+	mu        sync.Mutex
+	instance  int
+	version   string
+	loaded    string
+	state     string
+	fencing   uint64
+	running   int
+	queued    int
+	runs      map[string]*Run
+	orders    []GivenOrder
+	failSwaps int
+	cache     map[string]uint64 // prefix to its last use
+	cacheSeq  uint64
+	events    []cacheEvent
+	crashes   int
+	down      chan struct{} // closed at a crash
+	tokens    uint64
+	count     int
+	late      time.Duration
+	isClosed  bool
+}
+
+type cacheEvent struct {
+	Sequence uint64 `json:"sequence"`
+	Key      string `json:"cache_key"`
+	Evicted  bool   `json:"evicted"`
+}
+
+// NewEngine starts a stand-in on address.
+func NewEngine(address string, cfg EngineConfig) (*Engine, error) {
+	en := &Engine{
+		cfg: cfg, slots: make(chan struct{}, max(cfg.Slots, 1)), version: cfg.Version, loaded: cfg.Version,
+		state: "ready", runs: map[string]*Run{}, cache: map[string]uint64{}, down: make(chan struct{}), instance: 1,
+	}
+	r := chi.NewRouter()
+	r.Post("/v1/completions", en.complete)
+	r.Get("/v1/status", en.status)
+	r.Post("/v1/weights/load", func(w http.ResponseWriter, r *http.Request) { en.order(w, r, "load") })
+	r.Post("/v1/weights/activate", func(w http.ResponseWriter, r *http.Request) { en.order(w, r, "activate") })
+	r.Get("/v1/cache_events", en.cacheEvents)
+	r.Post("/v1/abort", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, struct{}{}) })
+	en.handler = r
+
+	return en, en.start(address)
+}
+
+type completionBody struct {
+	ID        string `json:"request_id"`
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Seed      uint64 `json:"seed"`
+	CacheKey  string `json:"cache_key"`
+}
+
+// outputLength draws the length of an answer: most are short, some are long.
+func outputLength(rq *completionBody) int {
+	h := xxhash.Sum64String(fmt.Sprintf("%d/%s", rq.Seed, rq.Prompt))
+	u := float64(h%10_000) / 10_000
+	n := 4 + int(28*u*u*u*float64(rq.MaxTokens)/32)
+
+	return max(1, min(n, rq.MaxTokens))
+}
+
+func (en *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	var rq completionBody
+	if !readJSON(w, r, &rq) {
+		return
+	}
+	if rq.Model != en.cfg.Model || rq.MaxTokens < 1 {
+		writeJSON(w, http.StatusBadRequest, map[string]string{"error": "model or max_tokens"})
+
+		return
+	}
+
+	en.mu.Lock()
+	en.queued++
+	down := en.down
+	en.mu.Unlock()
+	select {
+	case en.slots <- struct{}{}:
+		defer func() { <-en.slots }()
+	case <-r.Context().Done():
+		en.mu.Lock()
+		en.queued--
+		en.mu.Unlock()
+
+		return
+	}
+	run := en.begin(&rq, r.Header)
+	defer en.finish(run)
+	en.generate(w, r, &rq, run, down)
+}
+
+func (en *Engine) begin(rq *completionBody, h http.Header) *Run {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+
+	en.queued--
+	en.running++
+	en.count++
+	run := &Run{ID: rq.ID, Prompt: rq.Prompt, Started: time.Now(), Headers: h.Clone()}
+	en.runs[fmt.Sprintf("%s#%d", rq.ID, en.count)] = run
+
+	return run
+}
+
+func (en *Engine) finish(run *Run) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+
+	en.running--
+	run.Ended = true
+}
+
+func (en *Engine) generate(w http.ResponseWriter, r *http.Request, rq *completionBody, run *Run, down chan struct{}) {
+	pace := en.cfg.TokenTime
+	en.mu.Lock()
+	if en.cfg.Straggle > 0 && en.count%en.cfg.Straggle == 0 {
+		pace *= 10
+	}
+	pace += en.late
+	en.mu.Unlock()
+	if !en.touchCache(rq.CacheKey) {
+		wait(r, down, en.cfg.PrefillTime)
+	}
+
+	w.Header().Set("Content-Type", "text/event-stream")
+	fl, _ := w.(http.Flusher)
+	n := outputLength(rq)
+	for i := range n {
+		if !wait(r, down, pace) {
+			return
+		}
+		if strings.Contains(rq.Prompt, CrashMark) {
+			en.Crash()
+
+			return
+		}
+		finish := ""
+		if i == n-1 {
+			finish = "stop"
+		}
+		if !en.emit(w, rq, run, finish) {
+			return
+		}
+		fl.Flush()
+	}
+	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
+	fl.Flush()
+}
+
+// wait lets time pass unless the caller goes or the engine crashes.
+func wait(r *http.Request, down chan struct{}, d time.Duration) bool {
+	if d <= 0 {
+		return r.Context().Err() == nil
+	}
+
+	select {
+	case <-time.After(d):
+		return true
+	case <-r.Context().Done():
+		return false
+	case <-down:
+		return false
+	}
+}
+
+func (en *Engine) emit(w http.ResponseWriter, rq *completionBody, run *Run, finish string) bool {
+	en.mu.Lock()
+	v := en.version
+	run.Tokens++
+	run.Versions = append(run.Versions, v)
+	en.tokens++
+	n := run.Tokens
+	en.mu.Unlock()
+
+	body := map[string]any{
+		"id":      rq.ID,
+		"choices": []map[string]any{{"text": fmt.Sprintf(" %s:%d", v, n), "finish_reason": finish}},
+		"usage":   map[string]int{"completion_tokens": 1, "prompt_tokens": promptTokens(rq.Prompt, n)},
+	}
+	if !en.cfg.IsSilent {
+		body["weight_version"] = v
+	}
+	b, err := json.Marshal(body)
+	if err != nil {
+		return false
+	}
+	_, err = fmt.Fprintf(w, "data: %s\n\n", b)
+
+	return err == nil
+}
+
+// promptTokens are counted with the first token alone.
+func promptTokens(prompt string, n int) int {
+	if n > 1 {
+		return 0
+	}
+
+	return len(strings.Fields(prompt))
+}
+
+func (en *Engine) touchCache(key string) bool {
+	if key == "" || en.cfg.CacheSize == 0 {
+		return false
+	}
+
+	en.mu.Lock()
+	defer en.mu.Unlock()
+
+	_, hit := en.cache[key]
+	if !hit {
+		if len(en.cache) >= en.cfg.CacheSize {
+			oldest := ""
+			for k, used := range en.cache {
+				if oldest == "" || used < en.cache[oldest] {
+					oldest = k
+				}
+			}
+			delete(en.cache, oldest)
+			en.event(oldest, true)
+		}
+		en.event(key, false)
+	}
+	en.cache[key] = uint64(time.Now().UnixNano())
+
+	return hit
+}
+
+func (en *Engine) event(key string, evicted bool) {
+	en.cacheSeq++
+	en.events = append(en.events, cacheEvent{Sequence: en.cacheSeq, Key: key, Evicted: evicted})
+	if len(en.events) > 1000 {
+		en.events = en.events[500:]
+	}
+}
+
+func (en *Engine) cacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	en.mu.Lock()
+	defer en.mu.Unlock()
+
+	out := []cacheEvent{}
+	for _, ev := range en.events {
+		if ev.Sequence > after {
+			out = append(out, ev)
+		}
+	}
+	writeJSON(w, http.StatusOK, map[string]any{"events": out})
+}
+
+func (en *Engine) status(w http.ResponseWriter, _ *http.Request) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+
+	writeJSON(w, http.StatusOK, map[string]any{
+		"instance": strconv.Itoa(en.instance), "state": en.state, "weight_version": en.version, "loaded_version": en.loaded,
+		"running": en.running, "queued": en.queued, "cache_sequence": en.cacheSeq,
+	})
+}
+
+type orderBody struct {
+	ID      string `json:"order_id"`
+	Version string `json:"version"`
+	Fencing uint64 `json:"fencing"`
+	Giver   string `json:"giver"`
+}
+
+func (en *Engine) order(w http.ResponseWriter, r *http.Request, kind string) {
+	var or orderBody
+	if !readJSON(w, r, &or) {
+		return
+	}
+
+	given := GivenOrder{ID: or.ID, Kind: kind, Version: or.Version, Giver: or.Giver, Fencing: or.Fencing, At: time.Now()}
+	en.mu.Lock()
+	if en.cfg.ChecksFencing && or.Fencing < en.fencing {
+		en.orders = append(en.orders, given)
+		en.mu.Unlock()
+		writeJSON(w, http.StatusPreconditionFailed, map[string]string{"error": "the fencing number is too low"})
+
+		return
+	}
+	given.Taken = true
+	en.fencing = max(en.fencing, or.Fencing)
+	en.orders = append(en.orders, given)
+	fails := en.failSwaps > 0
+	if fails {
+		en.failSwaps--
+	}
+	en.mu.Unlock()
+
+	status, text := en.carryOut(r, kind, or.Version, fails)
+	writeJSON(w, status, map[string]string{"result": text})
+}
+
+func (en *Engine) carryOut(r *http.Request, kind, version string, fails bool) (int, string) {
+	if kind == "load" {
+		if en.cfg.Store != nil {
+			done, ok := en.cfg.Store.fetch(en.cfg.Model, version)
+			if !ok {
+				return http.StatusServiceUnavailable, "the weight store refused"
+			}
+			defer done()
+		}
+		if !wait(r, nil, en.cfg.SwapTime) {
+			return http.StatusServiceUnavailable, "gone"
+		}
+	}
+	if fails {
+		return http.StatusInternalServerError, "the swap failed"
+	}
+
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	if kind == "load" {
+		en.loaded = version
+
+		return http.StatusOK, "loaded"
+	}
+	if en.loaded != version {
+		return http.StatusConflict, "not loaded"
+	}
+	en.version = version
+
+	return http.StatusOK, "active"
+}
+
+// Crash ends the engine at once, with all it runs. It comes back after its downtime as a new instance.
+func (en *Engine) Crash() {
+	en.mu.Lock()
+	if en.state == "down" || en.isClosed {
+		en.mu.Unlock()
+
+		return
+	}
+	en.state = "down"
+	en.crashes++
+	close(en.down)
+	en.mu.Unlock()
+
+	go func() {
+		en.kill()
+		time.Sleep(en.cfg.Downtime)
+		en.mu.Lock()
+		en.instance++
+		en.state, en.down = "ready", make(chan struct{})
+		en.cache = map[string]uint64{}
+		en.cacheSeq++ // a gap: what the cache held is lost
+		en.events = nil
+		closed := en.isClosed
+		en.mu.Unlock()
+		if !closed {
+			_ = en.start(en.Address()) // the address may be taken: the engine then stays lost
+		}
+	}()
+}
+
+// Close stops the engine for good.
+func (en *Engine) Close() {
+	en.mu.Lock()
+	en.isClosed = true
+	en.mu.Unlock()
+	en.server.Close()
+}
+
+// FailSwaps makes the next n orders fail.
+func (en *Engine) FailSwaps(n int) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+
+	en.failSwaps = n
+}
+
+// Slow adds d to each token from now on.
+func (en *Engine) Slow(d time.Duration) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+
+	en.late = d
+}
+
+// Runs returns the records of all requests.
+func (en *Engine) Runs() []Run {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+
+	out := make([]Run, 0, len(en.runs))
+	for _, r := range en.runs {
+		out = append(out, *r)
+	}
+
+	return out
+}
+
+// Orders returns the records of all orders.
+func (en *Engine) Orders() []GivenOrder {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+
+	return append([]GivenOrder(nil), en.orders...)
+}
+
+// Tokens returns the number of tokens generated.
+func (en *Engine) Tokens() uint64 {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+
+	return en.tokens
+}
+
+// Version returns the version that is served.
+func (en *Engine) Version() string {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+
+	return en.version
+}
+
+// Crashes returns how often the engine crashed.
+func (en *Engine) Crashes() int {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+
+	return en.crashes
+}
--- /dev/null
+++ b/internal/fake/platform.go
@@ -0,0 +1,353 @@
+package fake
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-chi/chi/v5"
+)
+
+// WeightStore is a stand-in of the rate-limited weight store.
+type WeightStore struct {
+	server
+	limit int
+
+	mu      sync.Mutex
+	active  int
+	peak    int
+	refused int
+}
+
+// NewWeightStore starts a stand-in that serves limit fetches at once.
+func NewWeightStore(address string, limit int) (*WeightStore, error) {
+	ws := &WeightStore{limit: limit}
+	r := chi.NewRouter()
+	r.Get("/v1/weights/{model}/{version}", func(w http.ResponseWriter, r *http.Request) {
+		writeJSON(w, http.StatusOK, map[string]any{
+			"model": chi.URLParam(r, "model"), "version": chi.URLParam(r, "version"), "bytes": 1 << 30, "maxConcurrent": limit,
+		})
+	})
+	ws.handler = r
+
+	return ws, ws.start(address)
+}
+
+// fetch takes one of the store's permits for an engine.
+func (ws *WeightStore) fetch(_, _ string) (func(), bool) {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+
+	if ws.active >= ws.limit {
+		ws.refused++
+
+		return nil, false
+	}
+	ws.active++
+	ws.peak = max(ws.peak, ws.active)
+
+	return func() {
+		ws.mu.Lock()
+		defer ws.mu.Unlock()
+		ws.active--
+	}, true
+}
+
+// Refused returns how many fetches were over the limit.
+func (ws *WeightStore) Refused() int {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+
+	return ws.refused
+}
+
+// Scorer is a stand-in of a service that scores samples.
+type Scorer struct {
+	server
+	mu    sync.Mutex
+	count int
+}
+
+// NewScorer starts a stand-in whose score is drawn from the text.
+func NewScorer(address string) (*Scorer, error) {
+	sc := &Scorer{}
+	r := chi.NewRouter()
+	r.Post("/v1/score", func(w http.ResponseWriter, r *http.Request) {
+		var rq struct{ Text string }
+		if !readJSON(w, r, &rq) {
+			return
+		}
+		sc.mu.Lock()
+		sc.count++
+		sc.mu.Unlock()
+		writeJSON(w, http.StatusOK, map[string]float64{"score": float64(xxhash.Sum64String(rq.Text)%1000) / 1000})
+	})
+	sc.handler = r
+
+	return sc, sc.start(address)
+}
+
+// OrderRecord is the record of one call to the ordering interface.
+type OrderRecord struct {
+	ID            string    `json:"orderId"`
+	Action        string    `json:"action"`
+	Class         string    `json:"class"`
+	FailureDomain string    `json:"failureDomain"`
+	Server        string    `json:"server"`
+	Fencing       uint64    `json:"fencing"`
+	Giver         string    `json:"giver"`
+	At            time.Time `json:"-"`
+	Repeated      bool      `json:"-"`
+}
+
+// RunningServer is a backend server that the platform bills.
+type RunningServer struct {
+	Name          string    `json:"server"`
+	OrderID       string    `json:"orderId"`
+	Class         string    `json:"class"`
+	FailureDomain string    `json:"failureDomain"`
+	From          time.Time `json:"-"`
+	Until         time.Time `json:"-"`
+}
+
+// Ordering is a stand-in of the interface that starts and stops backend servers.
+type Ordering struct {
+	server
+	start func(server, class, failureDomain, orderID string)
+	stop  func(server string)
+
+	mu       sync.Mutex
+	records  []OrderRecord
+	byOrder  map[string]string
+	servers  map[string]*RunningServer
+	past     []RunningServer
+	next     int
+	dropNext int
+	isDown   bool
+}
+
+// NewOrdering starts a stand-in that calls start and stop for each order carried out.
+func NewOrdering(address string, start func(server, class, failureDomain, orderID string), stop func(server string)) (*Ordering, error) {
+	or := &Ordering{start: start, stop: stop, byOrder: map[string]string{}, servers: map[string]*RunningServer{}}
+	r := chi.NewRouter()
+	r.Post("/v1/orders", or.order)
+	r.Get("/v1/servers", func(w http.ResponseWriter, _ *http.Request) {
+		or.mu.Lock()
+		defer or.mu.Unlock()
+		out := []RunningServer{}
+		for _, s := range or.servers {
+			out = append(out, *s)
+		}
+		writeJSON(w, http.StatusOK, map[string]any{"servers": out})
+	})
+	or.handler = r
+
+	return or, or.server.start(address)
+}
+
+func (or *Ordering) order(w http.ResponseWriter, r *http.Request) {
+	var rec OrderRecord
+	if !readJSON(w, r, &rec) {
+		return
+	}
+
+	or.mu.Lock()
+	rec.At = time.Now()
+	name, seen := or.byOrder[rec.ID]
+	rec.Repeated = seen
+	or.records = append(or.records, rec)
+	down := or.isDown
+	drop := or.dropNext > 0
+	if drop {
+		or.dropNext--
+	}
+	var act func()
+	if !seen && !down {
+		name, act = or.carryOut(&rec)
+		or.byOrder[rec.ID] = name
+	}
+	or.mu.Unlock()
+	if act != nil {
+		go act()
+	}
+	switch {
+	case down:
+		writeJSON(w, http.StatusServiceUnavailable, map[string]string{"error": "down"})
+	case drop:
+		panic(http.ErrAbortHandler) // the answer is lost
+	default:
+		writeJSON(w, http.StatusOK, map[string]string{"orderId": rec.ID, "state": "accepted", "server": name})
+	}
+}
+
+func (or *Ordering) carryOut(rec *OrderRecord) (string, func()) {
+	if rec.Action == "start" {
+		or.next++
+		name := fmt.Sprintf("%s-%s-%d", rec.Class, rec.FailureDomain, or.next)
+		or.servers[name] = &RunningServer{Name: name, OrderID: rec.ID, Class: rec.Class, FailureDomain: rec.FailureDomain, From: time.Now()}
+		c, d, id := rec.Class, rec.FailureDomain, rec.ID
+
+		return name, func() { or.start(name, c, d, id) }
+	}
+
+	s, ok := or.servers[rec.Server]
+	if !ok {
+		return rec.Server, nil
+	}
+	s.Until = time.Now()
+	or.past = append(or.past, *s)
+	delete(or.servers, rec.Server)
+
+	return rec.Server, func() { or.stop(s.Name) }
+}
+
+// Adopt bills a backend server that ran before the first order.
+func (or *Ordering) Adopt(name, class, failureDomain string) {
+	or.mu.Lock()
+	defer or.mu.Unlock()
+
+	or.servers[name] = &RunningServer{Name: name, Class: class, FailureDomain: failureDomain, From: time.Now()}
+}
+
+// DropAnswers loses the answers to the next n orders, which are carried out.
+func (or *Ordering) DropAnswers(n int) {
+	or.mu.Lock()
+	defer or.mu.Unlock()
+
+	or.dropNext = n
+}
+
+// Down makes the interface refuse everything, or serve again.
+func (or *Ordering) Down(isDown bool) {
+	or.mu.Lock()
+	defer or.mu.Unlock()
+
+	or.isDown = isDown
+}
+
+// Records returns all calls.
+func (or *Ordering) Records() []OrderRecord {
+	or.mu.Lock()
+	defer or.mu.Unlock()
+
+	return append([]OrderRecord(nil), or.records...)
+}
+
+// Running returns what is billed now.
+func (or *Ordering) Running() []RunningServer {
+	or.mu.Lock()
+	defer or.mu.Unlock()
+
+	out := make([]RunningServer, 0, len(or.servers))
+	for _, s := range or.servers {
+		out = append(out, *s)
+	}
+
+	return out
+}
+
+// ServerSeconds returns the time that backend servers of a class were billed for.
+func (or *Ordering) ServerSeconds(class string) float64 {
+	or.mu.Lock()
+	defer or.mu.Unlock()
+
+	sum := 0.0
+	for _, s := range or.past {
+		if s.Class == class {
+			sum += s.Until.Sub(s.From).Seconds()
+		}
+	}
+	for _, s := range or.servers {
+		if s.Class == class {
+			sum += time.Since(s.From).Seconds()
+		}
+	}
+
+	return sum
+}
+
+// ReportRecord is the record of one call to the usage interface.
+type ReportRecord struct {
+	Window  uint64
+	Body    string
+	Giver   string
+	Fencing uint64
+	At      time.Time
+}
+
+// UsageSink is a stand-in of the interface that takes usage reports.
+type UsageSink struct {
+	server
+	mu      sync.Mutex
+	records []ReportRecord
+	drop    int
+	isDown  bool
+}
+
+// NewUsageSink starts a stand-in.
+func NewUsageSink(address string) (*UsageSink, error) {
+	us := &UsageSink{}
+	r := chi.NewRouter()
+	r.Put("/v1/reports/{window}", us.report)
+	us.handler = r
+
+	return us, us.start(address)
+}
+
+func (us *UsageSink) report(w http.ResponseWriter, r *http.Request) {
+	window, err := strconv.ParseUint(chi.URLParam(r, "window"), 10, 64)
+	b, rerr := io.ReadAll(r.Body)
+	if err != nil || rerr != nil {
+		w.WriteHeader(http.StatusBadRequest)
+
+		return
+	}
+
+	fencing, _ := strconv.ParseUint(r.Header.Get("X-Fencing"), 10, 64)
+	us.mu.Lock()
+	down := us.isDown
+	if !down {
+		us.records = append(us.records, ReportRecord{Window: window, Body: string(b), Giver: r.Header.Get("X-Giver"), Fencing: fencing, At: time.Now()})
+	}
+	drop := us.drop > 0
+	if drop {
+		us.drop--
+	}
+	us.mu.Unlock()
+	switch {
+	case down:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case drop:
+		panic(http.ErrAbortHandler)
+	default:
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
+// DropAnswers loses the answers to the next n reports, which are taken.
+func (us *UsageSink) DropAnswers(n int) {
+	us.mu.Lock()
+	defer us.mu.Unlock()
+
+	us.drop = n
+}
+
+// Down makes the interface refuse everything, or serve again.
+func (us *UsageSink) Down(isDown bool) {
+	us.mu.Lock()
+	defer us.mu.Unlock()
+
+	us.isDown = isDown
+}
+
+// Records returns all reports.
+func (us *UsageSink) Records() []ReportRecord {
+	us.mu.Lock()
+	defer us.mu.Unlock()
+
+	return append([]ReportRecord(nil), us.records...)
+}
--- /dev/null
+++ b/internal/fake/service.go
@@ -0,0 +1,114 @@
+package fake
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// ServiceRun is the record of one request to a plain service.
+type ServiceRun struct {
+	ID     string
+	Method string
+	Path   string
+	Query  string
+	Header http.Header
+	Body   string
+	At     time.Time
+	Ended  bool
+}
+
+// Service is a stand-in of a plain service. It answers with what it was asked.
+type Service struct {
+	server
+	delay time.Duration
+
+	mu    sync.Mutex
+	runs  []*ServiceRun
+	crash bool
+}
+
+// Headers that make a stand-in of a plain service misbehave on one request.
+const (
+	HeaderCross = "X-Fake-Cross" // the answer names another request
+	HeaderShort = "X-Fake-Short" // the body is shorter than declared
+	HeaderDrop  = "X-Fake-Drop"  // the connection ends without an answer
+	HeaderDelay = "X-Fake-Delay" // a duration
+)
+
+// NewService starts a stand-in on address.
+func NewService(address string, delay time.Duration) (*Service, error) {
+	se := &Service{delay: delay}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("/", se.serve)
+	se.handler = mux
+
+	return se, se.start(address)
+}
+
+func (se *Service) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	run := &ServiceRun{
+		ID: r.Header.Get("X-Request-Id"), Method: r.Method, Path: r.URL.EscapedPath(), Query: r.URL.RawQuery,
+		Header: r.Header.Clone(), Body: string(body), At: time.Now(),
+	}
+	se.mu.Lock()
+	se.runs = append(se.runs, run)
+	se.mu.Unlock()
+
+	d := se.delay
+	if v, err := time.ParseDuration(r.Header.Get(HeaderDelay)); err == nil {
+		d = v
+	}
+	select {
+	case <-time.After(d):
+	case <-r.Context().Done():
+		return
+	}
+	if r.Header.Get(HeaderDrop) != "" {
+		panic(http.ErrAbortHandler)
+	}
+
+	id := run.ID
+	if r.Header.Get(HeaderCross) != "" {
+		id = "of-another-request"
+	}
+	w.Header().Set("X-Request-Id", id)
+	if r.Header.Get(HeaderShort) != "" {
+		w.Header().Set("Content-Length", "1000")
+		_, _ = w.Write([]byte("short"))
+
+		return
+	}
+	writeJSON(w, http.StatusOK, map[string]string{
+		"method": r.Method, "path": run.Path, "query": run.Query, "body": string(body), "id": run.ID,
+	})
+	se.mu.Lock()
+	run.Ended = true
+	se.mu.Unlock()
+}
+
+// Crash ends all connections and stays away for d.
+func (se *Service) Crash(d time.Duration) {
+	se.kill()
+	time.Sleep(d)
+	_ = se.start(se.Address()) // the address may be taken: the service then stays lost
+}
+
+// Runs returns the records of all requests.
+func (se *Service) Runs() []ServiceRun {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+
+	out := make([]ServiceRun, 0, len(se.runs))
+	for _, r := range se.runs {
+		out = append(out, *r)
+	}
+
+	return out
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,179 @@
+// Package fleet decides how many backend servers of a class are ordered in each
+// failure domain, from the work that runs and waits, start-up time and bounds,
+// with a reserve for the loss of failure domains and hysteresis. It is a core:
+// the state and the time are arguments.
+package fleet
+
+import (
+	"fmt"
+	"math"
+	"sort"
+	"time"
+
+	"github.com/tamarackbay/tamarackbay/internal/declaration"
+)
+
+// Server is a backend server that exists or was ordered.
+type Server struct {
+	Name          string // "" while an order is not answered
+	FailureDomain string
+	IsReady       bool
+	IsDraining    bool
+	Running       int
+}
+
+// Input is what one decision is made from.
+type Input struct {
+	Now     time.Duration
+	Class   declaration.Class
+	Bounds  declaration.Fleet
+	Servers []Server
+	Running int // requests in flight on all gateways
+	Waiting int // requests waiting on all gateways
+}
+
+// Decision orders backend servers. Why says it in words.
+type Decision struct {
+	Start []string // failure domains, one entry for each backend server
+	Stop  []string // names of backend servers
+	Want  int      // in all failure domains
+	Why   string
+}
+
+// Planner remembers the demand of one class.
+type Planner struct {
+	isLow    bool // fewer than there are would do
+	lowSince time.Duration
+	lowPeak  int // most that was wanted since
+}
+
+// NewPlanner returns a planner that knows nothing yet.
+func NewPlanner() *Planner { return &Planner{} }
+
+// Next decides what to order now.
+func (pl *Planner) Next(in Input) Decision {
+	demand := float64(in.Running + in.Waiting)
+	domains := len(in.Bounds.FailureDomains)
+	per := float64(in.Class.Slots) * in.Bounds.TargetLoad
+	need := int(math.Ceil(demand / per))
+	if s := in.Bounds.SpareDomains; s > 0 && (need > 0 || in.Bounds.MinPerDomain > 0) {
+		// What is left after the loss of s failure domains must still do.
+		need = int(math.Ceil(float64(max(need, 1)) * float64(domains) / float64(domains-s)))
+	}
+	low := in.Bounds.MinPerDomain * domains
+	want := min(max(need, low), in.Bounds.MaxPerDomain*domains)
+
+	counts := map[string]int{}
+	total := 0
+	for _, se := range in.Servers {
+		if !se.IsDraining {
+			counts[se.FailureDomain]++
+			total++
+		}
+	}
+	de := Decision{Want: want}
+	switch {
+	case want > total || pl.belowMinimum(in.Bounds, counts):
+		pl.isLow = false
+		de.Start = starts(in.Bounds, counts, max(want-total, 0))
+		de.Why = fmt.Sprintf("%d run and %d wait: %d wanted, %d there", in.Running, in.Waiting, want, total)
+	case want < total:
+		n := pl.shrink(in, want, total)
+		de.Stop = stops(in, counts, n)
+		de.Why = fmt.Sprintf("%d wanted, %d there, fewer were enough for %v", want, total, in.Now-pl.lowSince)
+	default:
+		pl.isLow = false
+		de.Why = fmt.Sprintf("%d wanted, %d there", want, total)
+	}
+
+	return de
+}
+
+func (pl *Planner) belowMinimum(bo declaration.Fleet, counts map[string]int) bool {
+	for _, d := range bo.FailureDomains {
+		if counts[d] < bo.MinPerDomain {
+			return true
+		}
+	}
+
+	return false
+}
+
+// starts spreads n new backend servers over the failure domains that have fewest,
+// and fills each up to its minimum.
+func starts(bo declaration.Fleet, counts map[string]int, n int) []string {
+	var out []string
+	have := map[string]int{}
+	for _, d := range bo.FailureDomains {
+		have[d] = counts[d]
+		for have[d] < bo.MinPerDomain {
+			out = append(out, d)
+			have[d]++
+		}
+	}
+	for len(out) < n {
+		best := ""
+		for _, d := range bo.FailureDomains {
+			if have[d] < bo.MaxPerDomain && (best == "" || have[d] < have[best]) {
+				best = d
+			}
+		}
+		if best == "" {
+			return out
+		}
+		have[best]++
+		out = append(out, best)
+	}
+
+	return out
+}
+
+// shrink returns how many to give back: what was never wanted for the whole idle
+// time, so that a short lull gives nothing back.
+func (pl *Planner) shrink(in Input, want, total int) int {
+	if !pl.isLow {
+		pl.isLow, pl.lowSince, pl.lowPeak = true, in.Now, want
+	}
+	pl.lowPeak = max(pl.lowPeak, want)
+	if in.Now < pl.lowSince+in.Bounds.Idle() {
+		return 0
+	}
+
+	n := total - pl.lowPeak
+	pl.lowSince, pl.lowPeak = in.Now, want
+
+	return n
+}
+
+// stops picks what to give back: from the failure domains that have most, the
+// backend servers with the least work, never below a domain's minimum.
+func stops(in Input, counts map[string]int, n int) []string {
+	cands := make([]Server, 0, len(in.Servers))
+	for _, se := range in.Servers {
+		if !se.IsDraining && se.Name != "" {
+			cands = append(cands, se)
+		}
+	}
+	var out []string
+	for len(out) < n {
+		sort.Slice(cands, func(i, j int) bool {
+			a, b := cands[i], cands[j]
+			if counts[a.FailureDomain] != counts[b.FailureDomain] {
+				return counts[a.FailureDomain] > counts[b.FailureDomain]
+			}
+			if a.Running != b.Running {
+				return a.Running < b.Running
+			}
+
+			return a.Name < b.Name
+		})
+		if len(cands) == 0 || counts[cands[0].FailureDomain] <= in.Bounds.MinPerDomain {
+			return out
+		}
+		counts[cands[0].FailureDomain]--
+		out = append(out, cands[0].Name)
+		cands = cands[1:]
+	}
+
+	return out
+}
--- /dev/null
+++ b/internal/gateway/complete.go
@@ -0,0 +1,309 @@
+package gateway
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/tamarackbay/tamarackbay/internal/agent"
+	"github.com/tamarackbay/tamarackbay/internal/declaration"
+	"github.com/tamarackbay/tamarackbay/internal/pool"
+	"github.com/tamarackbay/tamarackbay/internal/quarantine"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+	"github.com/tamarackbay/tamarackbay/internal/retry"
+	"github.com/tamarackbay/tamarackbay/internal/rollout"
+	"github.com/tamarackbay/tamarackbay/internal/wire"
+)
+
+// Completion asks a model for text.
+type Completion struct {
+	Workspace   string
+	Route       string
+	Model       string
+	Prompt      string
+	MaxTokens   uint32
+	Temperature float64
+	Seed        uint64
+	Class       string
+	Retries     int
+	Timeout     time.Duration
+	MinSequence uint64 // weight versions below it may not write any part
+	IsSample    bool
+	Exclude     []string
+	Placed      func(server string) // called for each attempt, may be nil
+}
+
+// Written is the result of a completion.
+type Written struct {
+	RequestID    string
+	Text         string
+	Finish       string
+	Tokens       uint32
+	PromptTokens uint32
+	Versions     []rollout.VersionRange
+	Server       string
+	Attempts     int
+}
+
+// Complete runs a completion; onPart is called for each part as it comes.
+func (ga *Gateway) Complete(ctx context.Context, co Completion, onPart func(requestID string, part *wire.RunChunk) error) (*Written, error) {
+	po := ga.poolOf(co.Model)
+	leave, err := ga.enter(co.Workspace, po.Gateways())
+	if err != nil {
+		return nil, err
+	}
+	defer leave()
+
+	return ga.complete(ctx, po, co, onPart)
+}
+
+// completeSample runs a sample of a step. Samples are not held to the rate of
+// their workspace: the step was admitted as a whole.
+func (ga *Gateway) completeSample(ctx context.Context, sa rollout.Attempt) (*rollout.Written, error) {
+	w, err := ga.complete(ctx, ga.poolOf(sa.Model), Completion{
+		Workspace: sa.Workspace, Route: "rollout", Model: sa.Model, Prompt: sa.Prompt, MaxTokens: sa.MaxTokens,
+		Temperature: sa.Temperature, Seed: sa.Seed, Class: declaration.ClassRollout, Retries: sa.Retries,
+		Timeout: sa.Timeout, MinSequence: sa.MinSequence, IsSample: true, Exclude: sa.Exclude,
+		Placed: sa.Placed,
+	}, nil)
+	if err != nil {
+		return nil, err
+	}
+
+	return &rollout.Written{
+		Text: w.Text, Finish: w.Finish, Tokens: w.Tokens, PromptTokens: w.PromptTokens, Versions: w.Versions,
+		Server: w.Server, RequestID: w.RequestID,
+	}, nil
+}
+
+// run is one completion on its way through attempts.
+type run struct {
+	ga          *Gateway
+	po          *pool.Pool
+	co          Completion
+	id          string
+	deadline    time.Duration
+	fingerprint string
+	suspect     bool
+	exclude     []string
+	onPart      func(requestID string, part *wire.RunChunk) error
+
+	text    strings.Builder
+	written Written
+}
+
+func (ga *Gateway) complete(ctx context.Context, po *pool.Pool, co Completion, onPart func(string, *wire.RunChunk) error) (*Written, error) {
+	ctx, cancel, deadline := ga.deadline(ctx, co.Timeout)
+	defer cancel()
+
+	rn := &run{
+		ga: ga, po: po, co: co, id: ga.newRequestID(), deadline: deadline, onPart: onPart, exclude: co.Exclude,
+		fingerprint: fingerprint(co.Model, co.Prompt, fmt.Sprint(co.MaxTokens)),
+	}
+	rn.written.RequestID = rn.id
+	key := co.Route + "/" + co.Workspace
+	ga.mu.Lock()
+	ga.budget.First(key)
+	ga.mu.Unlock()
+
+	for n := 1; ; n++ {
+		err := rn.attempt(ctx, uint32(n))
+		if err == nil {
+			rn.written.Attempts, rn.written.Text = n, rn.text.String()
+
+			return &rn.written, nil
+		}
+		if de := ga.decide(ctx, retry.Attempt{
+			Key: key, Number: n, MaxRetries: co.Retries, IsRepeatable: true, Err: result.From(err), Now: ga.now(), Deadline: deadline,
+		}); !de.Retry {
+			return nil, rn.settle(de.Err)
+		}
+	}
+}
+
+// settle says of a request with delivered parts that it ran.
+func (rn *run) settle(er *result.Error) *result.Error {
+	if rn.written.Tokens > 0 {
+		return er.With(result.Ran)
+	}
+
+	return er
+}
+
+// decide asks the budget about a failed attempt and waits for the delay.
+func (ga *Gateway) decide(ctx context.Context, at retry.Attempt) retry.Decision {
+	if er := causeOf(ctx); er != nil {
+		return retry.Decision{Err: er.With(at.Err.Execution)}
+	}
+
+	ga.mu.Lock()
+	de := ga.budget.Decide(at)
+	ga.mu.Unlock()
+	ga.cfg.Meter.Retried(de.Reason, de.Retry)
+	if !de.Retry || de.Delay == 0 {
+		return de
+	}
+	select {
+	case <-time.After(de.Delay):
+	case <-ctx.Done():
+		de.Retry = false
+	}
+
+	return de
+}
+
+// fingerprint names what a request would make a backend server do.
+func fingerprint(parts ...string) string {
+	h := sha256.New()
+	for _, p := range parts {
+		fmt.Fprintf(h, "%d:", len(p))
+		_, _ = io.WriteString(h, p)
+	}
+
+	return hex.EncodeToString(h.Sum(nil)[:12])
+}
+
+// quarantine refuses fingerprints that crashed backend servers twice, and marks suspects.
+func (ga *Gateway) quarantine(fp string, suspect *bool) error {
+	en, ok := ga.group.View().Quarantine[fp]
+	if !ok {
+		return nil
+	}
+	switch en.Verdict() {
+	case quarantine.Refused:
+		return result.New(result.Quarantined, "fingerprint %s was in flight when %d backend servers crashed", fp, len(en.Crashes))
+	case quarantine.Suspect:
+		*suspect = true
+	case quarantine.Clear:
+	}
+
+	return nil
+}
+
+// attempt runs one attempt on one backend server, going on from the tokens that
+// earlier attempts delivered.
+func (rn *run) attempt(ctx context.Context, n uint32) error {
+	if err := rn.ga.quarantine(rn.fingerprint, &rn.suspect); err != nil {
+		return err
+	}
+	wo := rn.ga.group.View().Set.Workspaces[rn.co.Workspace]
+	gr, err := rn.po.Acquire(ctx, pool.Ticket{
+		Workspace: rn.co.Workspace, Weight: max(wo.Weight, 0.001), Class: declaration.ClassRank(rn.co.Class),
+		Cost: float64(rn.co.MaxTokens) + float64(len(rn.co.Prompt))/64, Deadline: rn.deadline, MaxQueued: max(wo.MaxQueued, 1),
+		MinSequence: rn.co.MinSequence, NewestFirst: rn.co.IsSample, Prefix: xxhash.Sum64String(rn.co.Prompt),
+		IsSuspect: rn.suspect, Exclude: rn.exclude, Fingerprint: rn.fingerprint,
+	})
+	if err != nil {
+		if er := causeOf(ctx); er != nil {
+			return er
+		}
+
+		return err
+	}
+	rn.ga.cfg.Meter.Time("queue.wait", gr.Waited())
+
+	err = rn.stream(ctx, gr, n)
+	rn.finish(gr, err)
+
+	return err
+}
+
+// finish gives the slot back and remembers what a failure says of the server.
+func (rn *run) finish(gr *pool.Grant, err error) {
+	if err == nil {
+		gr.Release(pool.Succeeded)
+		if rn.suspect {
+			rn.ga.clearSuspect(rn.fingerprint)
+		}
+
+		return
+	}
+
+	er := result.From(err)
+	switch er.Code {
+	case result.WithdrawnKey, result.ExpiredKey, result.DeadlinePassed, result.BackendRefused, result.ServerDraining:
+		gr.Release(pool.Unused)
+	default:
+		gr.Release(pool.Failed)
+	}
+	if er.Code == result.BackendCrashed {
+		rn.suspect = true
+	}
+	rn.exclude = append(rn.exclude, gr.Server().Name())
+}
+
+// stream sends the attempt to the agent and takes the parts.
+func (rn *run) stream(ctx context.Context, gr *pool.Grant, n uint32) error {
+	st, err := gr.Server().Session().Open(ctx, agent.MethodRun, &wire.RunRequest{
+		RequestId: rn.id, Attempt: n, Workspace: rn.co.Workspace, Model: rn.co.Model, Prompt: rn.co.Prompt,
+		MaxTokens: rn.co.MaxTokens - min(rn.written.Tokens, rn.co.MaxTokens-1), Temperature: rn.co.Temperature, Seed: rn.co.Seed,
+		Priority: uint32(declaration.ClassRank(rn.co.Class)), ResumeText: rn.text.String(), ResumeTokens: rn.written.Tokens,
+		Sample: rn.co.IsSample, Fingerprint: rn.fingerprint, Suspect: rn.suspect, CacheKey: xxhash.Sum64String(rn.co.Prompt),
+	})
+	if err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, st.Close)
+	defer stop()
+	defer st.Close()
+
+	rn.written.Server = gr.Server().Name()
+	if rn.co.Placed != nil {
+		rn.co.Placed(rn.written.Server)
+	}
+	for {
+		var part wire.RunChunk
+		err := st.Recv(&part)
+		if errors.Is(err, io.EOF) {
+			if rn.written.Finish == "" {
+				return result.New(result.BackendAnswerBroken, "the answer has no end").With(result.Ran)
+			}
+
+			return nil
+		}
+		if err != nil {
+			if er := causeOf(ctx); er != nil {
+				return er.With(result.Unknown)
+			}
+			if ctx.Err() != nil {
+				return result.New(result.DeadlinePassed, "the deadline passed while the request ran").With(result.Unknown)
+			}
+
+			return err
+		}
+		if err := rn.take(&part); err != nil {
+			return err
+		}
+	}
+}
+
+func (rn *run) take(part *wire.RunChunk) error {
+	wr := &rn.written
+	switch {
+	case part.GetMixed():
+		wr.Versions = append(wr.Versions, rollout.VersionRange{Version: part.GetVersion(), From: 0, To: wr.Tokens})
+
+		return nil
+	case part.GetTokens() > 0:
+		wr.Versions = rollout.AddRange(wr.Versions, part.GetVersion(), wr.Tokens, wr.Tokens+part.GetTokens())
+	}
+	rn.text.WriteString(part.GetText())
+	wr.Tokens += part.GetTokens()
+	wr.PromptTokens = max(wr.PromptTokens, part.GetPromptTokens())
+	wr.Finish = part.GetFinish()
+	if rn.onPart == nil {
+		return nil
+	}
+	if err := rn.onPart(rn.id, part); err != nil {
+		return result.New(result.DeadlinePassed, "the caller has gone: %v", err).With(result.Unknown)
+	}
+
+	return nil
+}
--- /dev/null
+++ b/internal/gateway/forward.go
@@ -0,0 +1,389 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/tamarackbay/tamarackbay/internal/agent"
+	"github.com/tamarackbay/tamarackbay/internal/call"
+	"github.com/tamarackbay/tamarackbay/internal/declaration"
+	"github.com/tamarackbay/tamarackbay/internal/machine"
+	"github.com/tamarackbay/tamarackbay/internal/plainservice"
+	"github.com/tamarackbay/tamarackbay/internal/pool"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+	"github.com/tamarackbay/tamarackbay/internal/retry"
+	"github.com/tamarackbay/tamarackbay/internal/wire"
+)
+
+// Forward is a request to a plain service.
+type Forward struct {
+	Caller         Caller
+	RouteName      string
+	Route          declaration.Route
+	Method         string
+	Path           string // escaped, after the route's name
+	Query          string
+	Header         http.Header
+	Body           []byte
+	IdempotencyKey string
+	Timeout        time.Duration
+}
+
+// Reply is the answer of a plain service on its way to the caller.
+type Reply struct {
+	Head func(requestID string, status int, h http.Header)
+	Body func(b []byte) error
+}
+
+// privateHeaders carry keys or belong to this hop and never reach a backend server.
+var privateHeaders = []string{
+	"Authorization", "X-Api-Key", "Api-Key", "Cookie", "X-Timeout-Ms", "X-Workspace", "Forwarded", "X-Forwarded-For",
+}
+
+// maxRecordedBody bounds the answers that are recorded for resends.
+const maxRecordedBody = 256 << 10
+
+// Forward runs a request to a plain service.
+func (ga *Gateway) Forward(ctx context.Context, fo Forward, rep Reply) error {
+	po := ga.poolOf(fo.Route.Service)
+	leave, err := ga.enter(fo.Caller.Workspace, po.Gateways())
+	if err != nil {
+		return err
+	}
+	defer leave()
+
+	if err := scrub(&fo); err != nil {
+		return err
+	}
+	ctx, cancel, deadline := ga.deadline(ctx, fo.Timeout)
+	defer cancel()
+
+	f := &forward{ga: ga, po: po, fo: fo, rep: rep, id: ga.newRequestID(), deadline: deadline}
+	f.fingerprint = fingerprint(fo.Route.Service, fo.Method, fo.Path, fo.Query, string(fo.Body))
+	if fo.Route.Repeatable || fo.IdempotencyKey == "" {
+		return f.run(ctx)
+	}
+
+	return f.runOnce(ctx)
+}
+
+// scrub removes what only this hop may see, and refuses a request that carries
+// the caller's key where it cannot be removed.
+func scrub(fo *Forward) error {
+	h := http.Header{}
+	for name, values := range fo.Header {
+		if plainservice.IsHopByHop(name) || isPrivate(name) || isListed(fo.Header.Values("Connection"), name) {
+			continue
+		}
+		for _, v := range values {
+			if !holdsSecret(v, fo.Caller.Secret) {
+				h.Add(name, v)
+			}
+		}
+	}
+	fo.Header = h
+	if s := fo.Caller.Secret; s != "" {
+		if holdsSecret(fo.Query, s) || holdsSecret(fo.Path, s) || bytes.Contains(fo.Body, []byte(s)) {
+			return result.New(result.KeyInRequest, "the caller's key stands in the path, the query or the body")
+		}
+	}
+
+	return nil
+}
+
+func isPrivate(name string) bool {
+	for _, p := range privateHeaders {
+		if p == name {
+			return true
+		}
+	}
+
+	return false
+}
+
+// isListed reports whether a Connection header names the header as hop-by-hop.
+func isListed(connection []string, name string) bool {
+	for _, line := range connection {
+		for _, n := range strings.Split(line, ",") {
+			if strings.EqualFold(strings.TrimSpace(n), name) {
+				return true
+			}
+		}
+	}
+
+	return false
+}
+
+func holdsSecret(s, secret string) bool { return secret != "" && strings.Contains(s, secret) }
+
+// forward is one request to a plain service on its way through attempts.
+type forward struct {
+	ga          *Gateway
+	po          *pool.Pool
+	fo          Forward
+	rep         Reply
+	id          string
+	deadline    time.Duration
+	fingerprint string
+	suspect     bool
+	exclude     []string
+	headSent    bool
+}
+
+// run makes attempts until one ends the request.
+func (f *forward) run(ctx context.Context) error {
+	key := f.fo.RouteName + "/" + f.fo.Caller.Workspace
+	f.ga.mu.Lock()
+	f.ga.budget.First(key)
+	f.ga.mu.Unlock()
+
+	for n := 1; ; n++ {
+		err := f.attempt(ctx, uint32(n))
+		if err == nil {
+			return nil
+		}
+		er := result.From(err)
+		if f.headSent {
+			return er.With(result.Ran) // the caller has seen a part: its connection ends short
+		}
+		de := f.ga.decide(ctx, retry.Attempt{
+			Key: key, Number: n, MaxRetries: f.fo.Route.Retries, IsRepeatable: f.fo.Route.Repeatable,
+			Err: er, Now: f.ga.now(), Deadline: f.deadline,
+		})
+		if !de.Retry {
+			return de.Err
+		}
+	}
+}
+
+func (f *forward) attempt(ctx context.Context, n uint32) error {
+	if err := f.ga.quarantine(f.fingerprint, &f.suspect); err != nil {
+		return err
+	}
+	wo := f.ga.group.View().Set.Workspaces[f.fo.Caller.Workspace]
+	gr, err := f.po.Acquire(ctx, pool.Ticket{
+		Workspace: f.fo.Caller.Workspace, Weight: max(wo.Weight, 0.001), Class: declaration.ClassRank(f.fo.Route.Class),
+		Cost: 1, Deadline: f.deadline, MaxQueued: max(wo.MaxQueued, 1), IsSuspect: f.suspect, Exclude: f.exclude,
+		Fingerprint: f.fingerprint,
+	})
+	if err != nil {
+		if er := causeOf(ctx); er != nil {
+			return er
+		}
+
+		return err
+	}
+
+	err = f.send(ctx, gr, n)
+	f.finish(gr, err)
+
+	return err
+}
+
+func (f *forward) finish(gr *pool.Grant, err error) {
+	if err == nil {
+		gr.Release(pool.Succeeded)
+		if f.suspect {
+			f.ga.clearSuspect(f.fingerprint)
+		}
+
+		return
+	}
+
+	er := result.From(err)
+	oc := pool.Failed
+	if er.Code == result.ServerDraining || er.Code == result.WithdrawnKey || er.Code == result.DeadlinePassed {
+		oc = pool.Unused
+	}
+	gr.Release(oc)
+	f.suspect = f.suspect || er.Code == result.BackendCrashed
+	f.exclude = append(f.exclude, gr.Server().Name())
+}
+
+func (f *forward) send(ctx context.Context, gr *pool.Grant, n uint32) error {
+	rq := &wire.ForwardRequest{
+		RequestId: f.id, Attempt: n, Workspace: f.fo.Caller.Workspace, Method: f.fo.Method, Path: f.fo.Path,
+		Query: f.fo.Query, Body: f.fo.Body, Repeatable: f.fo.Route.Repeatable, Fingerprint: f.fingerprint, Suspect: f.suspect,
+	}
+	for name, values := range f.fo.Header {
+		for _, v := range values {
+			rq.Headers = append(rq.Headers, &wire.Header{Name: name, Value: v})
+		}
+	}
+	st, err := gr.Server().Session().Open(ctx, agent.MethodForward, rq)
+	if err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, st.Close)
+	defer stop()
+	defer st.Close()
+
+	return f.receive(ctx, st.Recv)
+}
+
+// receive takes the answer. The head is passed on with the first part, so that an
+// answer that breaks before it can be tried again.
+func (f *forward) receive(ctx context.Context, recv func(m message) error) error {
+	var head wire.ForwardPart
+	for {
+		var part wire.ForwardPart
+		err := recv(&part)
+		if errors.Is(err, io.EOF) {
+			if head.GetStatus() == 0 {
+				return result.New(result.BackendAnswerBroken, "the answer has no head").With(result.Unknown)
+			}
+			f.passHead(&head)
+
+			return nil
+		}
+		if err != nil {
+			if er := causeOf(ctx); er != nil {
+				return er.With(result.Unknown)
+			}
+			if ctx.Err() != nil {
+				return result.New(result.DeadlinePassed, "the deadline passed while the request ran").With(result.Unknown)
+			}
+
+			return err
+		}
+		if part.GetStatus() != 0 {
+			head = wire.ForwardPart{Status: part.GetStatus(), Headers: part.GetHeaders()}
+
+			continue
+		}
+		f.passHead(&head)
+		if err := f.rep.Body(part.GetBody()); err != nil {
+			return result.New(result.DeadlinePassed, "the caller has gone: %v", err).With(result.Unknown)
+		}
+	}
+}
+
+func (f *forward) passHead(head *wire.ForwardPart) {
+	if f.headSent {
+		return
+	}
+
+	f.headSent = true
+	h := http.Header{}
+	for _, hd := range head.GetHeaders() {
+		h.Add(hd.GetName(), hd.GetValue())
+	}
+	f.rep.Head(f.id, int(head.GetStatus()), h)
+}
+
+// runOnce runs a request that may not be repeated under its idempotency key. The
+// intent is committed before anything is sent, so that a resend through any
+// gateway gets the recorded answer or learns that the first run may have happened.
+func (f *forward) runOnce(ctx context.Context) error {
+	key := f.fo.Caller.Workspace + "/" + f.fo.RouteName + "/" + f.fo.IdempotencyKey
+	var re call.Record
+	err := f.ga.group.Propose(ctx, machine.KindBeginCall, call.Begin{
+		Key: key, Digest: f.fingerprint, Owner: f.id, Gateway: f.ga.cfg.Settings.PeerAddress,
+	}, &re)
+	if err != nil {
+		return result.From(err).With(result.NotRun) // nothing was sent under this request
+	}
+	if re.Owner != f.id {
+		return f.replay(ctx, &re)
+	}
+
+	f.ga.noteCall(f.id, true)
+	defer f.ga.noteCall(f.id, false)
+	rec := &recorder{rep: f.rep}
+	f.rep = rec.reply()
+	err = f.run(ctx)
+	// The outcome is committed even if the caller has gone meanwhile.
+	cctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endCallTimeout)
+	defer cancel()
+	switch {
+	case err == nil && !rec.tooLarge:
+		end := call.End{Key: key, Owner: f.id, Status: rec.status, Headers: rec.headers, Body: rec.body.Bytes()}
+		if perr := f.ga.group.Propose(cctx, machine.KindEndCall, end, nil); perr != nil {
+			f.ga.cfg.Meter.Count("calls.endLost")
+		}
+		rec.flush(f.id)
+	case err == nil:
+		rec.flush(f.id)
+	case result.From(err).Execution == result.NotRun && !f.headSent:
+		if perr := f.ga.group.Propose(cctx, machine.KindAbandonCall, call.Abandon{Key: key, Owner: f.id}, nil); perr != nil {
+			f.ga.cfg.Meter.Count("calls.abandonLost")
+		}
+	}
+
+	return err
+}
+
+const endCallTimeout = 3 * time.Second
+
+// replay answers a resend from the record of the first request.
+func (f *forward) replay(ctx context.Context, re *call.Record) error {
+	if re.State == call.Done {
+		f.ga.cfg.Meter.Count("calls.replayed")
+		h := http.Header{}
+		for _, hd := range re.Headers {
+			h.Add(hd.Name, hd.Value)
+		}
+		h.Set("X-Replayed", "true")
+		f.rep.Head(re.Owner, re.Status, h)
+
+		return f.rep.Body(re.Body)
+	}
+	if f.ga.isRunning(ctx, re) {
+		return result.New(result.CallInFlight, "the first request with this idempotency key runs on another connection").
+			With(result.Unknown).After(time.Second)
+	}
+
+	return result.New(result.CallOutcomeUnknown, "the first request with this idempotency key may have run").With(result.Unknown)
+}
+
+// recorder keeps an answer until it is committed; a large one passes through.
+type recorder struct {
+	rep      Reply
+	status   int
+	headers  []call.Header
+	header   http.Header
+	body     bytes.Buffer
+	tooLarge bool
+	flushed  bool
+	id       string
+}
+
+func (re *recorder) reply() Reply {
+	return Reply{
+		Head: func(id string, status int, h http.Header) {
+			re.id, re.status, re.header = id, status, h
+			for name, values := range h {
+				for _, v := range values {
+					re.headers = append(re.headers, call.Header{Name: name, Value: v})
+				}
+			}
+		},
+		Body: func(b []byte) error {
+			if re.tooLarge {
+				return re.rep.Body(b)
+			}
+			re.body.Write(b)
+			if re.body.Len() > maxRecordedBody {
+				re.tooLarge = true
+				re.flush(re.id)
+			}
+
+			return nil
+		},
+	}
+}
+
+// flush passes on what was kept.
+func (re *recorder) flush(id string) {
+	if re.flushed {
+		return
+	}
+	re.flushed = true
+	re.rep.Head(id, re.status, re.header)
+	_ = re.rep.Body(re.body.Bytes()) // a caller that has gone fetches the record with its key
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,298 @@
+// Package gateway joins the cores and the group into what an entry VM runs: it
+// authenticates callers, places their requests on backend servers, drives rollout
+// steps and, under leases, orders backend servers, swaps weights and reports usage.
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/tamarackbay/tamarackbay/internal/admission"
+	"github.com/tamarackbay/tamarackbay/internal/agent"
+	"github.com/tamarackbay/tamarackbay/internal/group"
+	"github.com/tamarackbay/tamarackbay/internal/lease"
+	"github.com/tamarackbay/tamarackbay/internal/machine"
+	"github.com/tamarackbay/tamarackbay/internal/meter"
+	"github.com/tamarackbay/tamarackbay/internal/ordering"
+	"github.com/tamarackbay/tamarackbay/internal/peer"
+	"github.com/tamarackbay/tamarackbay/internal/pool"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+	"github.com/tamarackbay/tamarackbay/internal/retry"
+	"github.com/tamarackbay/tamarackbay/internal/rollout"
+	"github.com/tamarackbay/tamarackbay/internal/scheduler"
+	"github.com/tamarackbay/tamarackbay/internal/scorer"
+	"github.com/tamarackbay/tamarackbay/internal/settings"
+	"github.com/tamarackbay/tamarackbay/internal/storage"
+	"github.com/tamarackbay/tamarackbay/internal/usagesink"
+	"github.com/tamarackbay/tamarackbay/internal/weightstore"
+	"github.com/tamarackbay/tamarackbay/internal/wire"
+)
+
+// Config builds a Gateway.
+type Config struct {
+	Settings   settings.Gateway
+	Files      storage.Files
+	Log        log.Interface
+	Meter      *meter.Meter
+	WallMs     func() int64
+	PeerConfig peer.Config // TLS and bind; hello and handlers are filled in
+}
+
+// Gateway is one gateway process without its listeners for callers and operators.
+type Gateway struct {
+	cfg      Config
+	instance uint64
+	start    time.Time
+	requests atomic.Uint64
+
+	group    *group.Group
+	listener *peer.Listener
+	rollouts *rollout.Driver
+
+	mu      sync.Mutex
+	pools   map[string]*pool.Pool
+	limiter *admission.Limiter
+	budget  *retry.Budget
+	active  map[*activeRequest]struct{}
+	calls   map[string]struct{} // requests that may not be repeated and run here
+	fleet   map[string]string   // class to the reason of the last decision
+
+	stopping atomic.Bool
+	stopped  chan struct{} // closed when the lease duties must let go
+
+	store    *weightstore.Client
+	ordering *ordering.Client
+	sink     *usagesink.Client
+}
+
+// New loads the state and listens for peers.
+func New(cfg Config) (*Gateway, error) {
+	se := cfg.Settings
+	ga := &Gateway{
+		cfg: cfg, instance: rand.Uint64(), start: time.Now(), pools: map[string]*pool.Pool{},
+		limiter: admission.NewLimiter(), active: map[*activeRequest]struct{}{}, fleet: map[string]string{}, calls: map[string]struct{}{},
+		budget:  retry.NewBudget(retry.Config{NoBudget: se.Policy.NoBudget}, rand.Float64),
+		stopped: make(chan struct{}),
+	}
+	pc := cfg.PeerConfig
+	pc.Hello = &wire.Hello{
+		Name: se.Name, Role: "gateway", FailureDomain: se.FailureDomain, Address: se.PeerAddress,
+		Instance: ga.instance, Protocol: peer.ProtocolVersion,
+	}
+	pc.Mux = peer.Mux{}
+
+	var err error
+	ga.group, err = group.New(group.Config{
+		Name: se.Name, Address: se.PeerAddress, FailureDomain: se.FailureDomain, DataFolder: se.DataFolder,
+		Founders: founders(se.Founders), Upstreams: se.Upstreams, Peer: pc, Files: cfg.Files,
+		Election: settings.Duration(se.Times.ElectionMs), Heartbeat: settings.Duration(se.Times.HeartbeatMs),
+		FreshnessBound: settings.Duration(se.Times.FreshnessMs), ReplaceAfter: settings.Duration(se.Times.ReplaceAfterMs),
+		WallMs: cfg.WallMs, Log: cfg.Log,
+	})
+	if err != nil {
+		return nil, err
+	}
+	ga.openOutside()
+	ga.rollouts = rollout.New(ga.rolloutConfig())
+
+	for _, mux := range []peer.Mux{ga.group.Handlers(), ga.serverHandlers(), ga.rollouts.Handlers()} {
+		for m, h := range mux {
+			pc.Mux[m] = h
+		}
+	}
+	ga.listener, err = peer.Listen(se.PeerAddress, pc)
+
+	return ga, err
+}
+
+func founders(in []settings.Founder) []group.Founder {
+	out := make([]group.Founder, len(in))
+	for i, fo := range in {
+		out[i] = group.Founder(fo)
+	}
+
+	return out
+}
+
+func (ga *Gateway) openOutside() {
+	ou, bind := ga.cfg.Settings.Outside, ga.cfg.PeerConfig.Bind
+	if ou.WeightStore != "" {
+		ga.store = weightstore.New(ou.WeightStore, bind)
+	}
+	if ou.Ordering != "" {
+		ga.ordering = ordering.New(ou.Ordering, bind)
+	}
+	if ou.Usage != "" {
+		ga.sink = usagesink.New(ou.Usage, bind)
+	}
+}
+
+func (ga *Gateway) rolloutConfig() rollout.Config {
+	se := ga.cfg.Settings
+	rc := rollout.Config{
+		Identity: fmt.Sprintf("%s|%016x", se.PeerAddress, ga.instance), Group: ga.group, Complete: ga.completeSample,
+		Latest: ga.latestSequence, Now: ga.now, NoHedging: se.Policy.NoHedging, Meter: ga.cfg.Meter, Log: ga.cfg.Log,
+		FailureDomain: se.FailureDomain,
+	}
+	if se.Outside.Scorer != "" {
+		rc.Score = scorer.New(se.Outside.Scorer, ga.cfg.PeerConfig.Bind).Score
+	}
+
+	return rc
+}
+
+func (ga *Gateway) now() time.Duration { return time.Since(ga.start) }
+
+// Group returns the gateway's part in the group.
+func (ga *Gateway) Group() *group.Group { return ga.group }
+
+// Rollouts returns the driver of steps.
+func (ga *Gateway) Rollouts() *rollout.Driver { return ga.rollouts }
+
+// Meter returns the counters.
+func (ga *Gateway) Meter() *meter.Meter { return ga.cfg.Meter }
+
+// Settings returns the settings.
+func (ga *Gateway) Settings() settings.Gateway { return ga.cfg.Settings }
+
+// PeerAddress returns the address that peers connect to.
+func (ga *Gateway) PeerAddress() string { return ga.listener.Address() }
+
+// Run takes part until ctx ends; StopDuties comes first in a graceful end.
+func (ga *Gateway) Run(ctx context.Context) error {
+	defer ga.listener.Close()
+
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var wg sync.WaitGroup
+	run := func(f func()) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			f()
+		}()
+	}
+
+	run(func() { _ = ga.listener.Serve() })
+	run(func() { ga.rollouts.Run(ctx) })
+	for _, jo := range ga.jobs() {
+		run(func() { jo.loop(ctx) })
+	}
+	if ga.group.HasDisk() {
+		for _, du := range ga.duties() {
+			run(func() { du.run(ctx) })
+		}
+	}
+	err := ga.group.Run(ctx)
+	cancel()
+	ga.listener.Close()
+	wg.Wait()
+
+	return err
+}
+
+// StopDuties releases the leases and gives the lead of the group away.
+func (ga *Gateway) StopDuties(ctx context.Context) {
+	if ga.stopping.CompareAndSwap(false, true) {
+		close(ga.stopped)
+	}
+	for ctx.Err() == nil && ga.holdsLease() {
+		time.Sleep(dutyPeriod / 4)
+	}
+	ga.group.TransferLeadership(ctx)
+}
+
+func (ga *Gateway) holdsLease() bool {
+	holds := false
+	ga.group.Read(func(ma *machine.Machine) {
+		for _, n := range []string{agent.LeaseFleet, agent.LeaseWeights, machine.UsageLease} {
+			holds = holds || ma.Leases().Get(n).Holder == ga.holder()
+		}
+	})
+
+	return holds
+}
+
+func (ga *Gateway) holder() string { return fmt.Sprintf("%s/%016x", ga.cfg.Settings.Name, ga.instance) }
+
+func (ga *Gateway) terms() lease.Terms {
+	te := lease.DefaultTerms()
+	te.Duration = settings.Duration(ga.cfg.Settings.Times.LeaseMs)
+	te.MaxCall = settings.Duration(ga.cfg.Settings.Times.MaxCallMs)
+
+	return te
+}
+
+// poolOf returns the pool of a model or plain service.
+func (ga *Gateway) poolOf(serves string) *pool.Pool {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+
+	po, ok := ga.pools[serves]
+	if !ok {
+		se := ga.cfg.Settings
+		po = pool.New(pool.Config{
+			Name: serves, FailureDomain: se.FailureDomain, Queue: admission.Config{IsFair: !se.Policy.NoFairness},
+			Scheduler: scheduler.Config{Policy: se.Policy.Scheduler}, Now: ga.now, Meter: ga.cfg.Meter,
+			SequenceOf: func(version string) uint64 { return ga.sequenceOf(serves, version) },
+		})
+		ga.pools[serves] = po
+	}
+
+	return po
+}
+
+// Pools returns all pools by what they serve.
+func (ga *Gateway) Pools() map[string]*pool.Pool {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+
+	out := make(map[string]*pool.Pool, len(ga.pools))
+	for k, v := range ga.pools {
+		out[k] = v
+	}
+
+	return out
+}
+
+func (ga *Gateway) sequenceOf(model, version string) uint64 {
+	v, ok := ga.group.View().Set.FindVersion(model, version)
+	if !ok {
+		return 0
+	}
+
+	return v.Sequence
+}
+
+func (ga *Gateway) latestSequence(model string) uint64 {
+	v, _ := ga.group.View().Set.LatestVersion(model)
+
+	return v.Sequence
+}
+
+// newRequestID returns an ID that no other request has.
+func (ga *Gateway) newRequestID() string {
+	return fmt.Sprintf("%016x-%x", ga.instance, ga.requests.Add(1))
+}
+
+// Ready returns why the balancer should not send callers here, or nil.
+func (ga *Gateway) Ready() error {
+	if ga.stopping.Load() {
+		return result.New(result.ShuttingDown, "gateway %s: shuts down", ga.cfg.Settings.Name)
+	}
+
+	return ga.group.Fresh()
+}
+
+// BeginShutdown makes the health check fail; new work is still taken.
+func (ga *Gateway) BeginShutdown() {
+	if ga.stopping.CompareAndSwap(false, true) {
+		close(ga.stopped)
+	}
+}
--- /dev/null
+++ b/internal/gateway/operator.go
@@ -0,0 +1,135 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/tamarackbay/tamarackbay/internal/declaration"
+	"github.com/tamarackbay/tamarackbay/internal/machine"
+	"github.com/tamarackbay/tamarackbay/internal/quarantine"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+)
+
+// patchTries is how often a change made by the product itself is made anew
+// against a newer version.
+const patchTries = 20
+
+// Patch takes an operator's patch.
+func (ga *Gateway) Patch(ctx context.Context, pa declaration.Patch) (declaration.Answer, error) {
+	var an declaration.Answer
+	err := ga.group.Propose(ctx, machine.KindPatch, pa, &an)
+
+	return an, err
+}
+
+// change makes a patch against the current version, and anew when another one came first.
+func (ga *Gateway) change(ctx context.Context, author string, ops func(set *declaration.Set) ([]declaration.Op, error)) (declaration.Answer, error) {
+	base := ga.group.View().Version
+	for n := range patchTries {
+		list, err := ops(ga.group.View().Set)
+		if err != nil || len(list) == 0 {
+			return declaration.Answer{Version: base}, err
+		}
+		an, err := ga.Patch(ctx, declaration.Patch{
+			ID: fmt.Sprintf("%s-%d", ga.newRequestID(), n), Base: base, Author: author, Ops: list,
+		})
+		if !result.Is(err, result.PatchVersionOld) {
+			return an, err
+		}
+		if err := ga.waitVersion(ctx, an.Version); err != nil {
+			return an, err
+		}
+		base = ga.group.View().Version
+	}
+
+	return declaration.Answer{}, result.New(result.PatchVersionOld, "the configuration changed %d times in between", patchTries)
+}
+
+// waitVersion waits until the view of this process has reached a version.
+func (ga *Gateway) waitVersion(ctx context.Context, version uint64) error {
+	for {
+		changed := ga.group.Changed()
+		if ga.group.View().Version >= version {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return result.New(result.GroupTimeout, "version %d has not arrived here", version)
+		}
+	}
+}
+
+// IssueKey makes a key of a workspace and returns its ID and its token, which is
+// shown this once.
+func (ga *Gateway) IssueKey(ctx context.Context, author, workspace, note string, expiresMs int64) (id, token string, err error) {
+	id, secret, token, err := declaration.NewKey()
+	if err != nil {
+		return "", "", err
+	}
+	ke := declaration.Key{Workspace: workspace, Hash: declaration.HashSecret(secret), ExpiresMs: expiresMs, Note: note}
+	_, err = ga.change(ctx, author, func(*declaration.Set) ([]declaration.Op, error) {
+		return setOp(declaration.KindKey, id, ke)
+	})
+
+	return id, token, err
+}
+
+// WithdrawKey ends a key.
+func (ga *Gateway) WithdrawKey(ctx context.Context, author, id string) (declaration.Answer, error) {
+	return ga.change(ctx, author, func(set *declaration.Set) ([]declaration.Op, error) {
+		ke, ok := set.Keys[id]
+		if !ok {
+			return nil, result.New(result.UnknownObject, "key %s does not exist", id)
+		}
+		if ke.Withdrawn {
+			return nil, nil
+		}
+		ke.Withdrawn = true
+
+		return setOp(declaration.KindKey, id, ke)
+	})
+}
+
+// PushVersion declares a new weight version of a model for a trainer.
+func (ga *Gateway) PushVersion(ctx context.Context, workspace, model, name, source string) (declaration.Version, error) {
+	var ve declaration.Version
+	_, err := ga.change(ctx, "trainer of "+workspace, func(set *declaration.Set) ([]declaration.Op, error) {
+		if !ownsTrainer(set, workspace, model) {
+			return nil, result.New(result.RouteNotAllowed, "workspace %s has no trainer of model %s", workspace, model)
+		}
+		if old, ok := set.FindVersion(model, name); ok {
+			ve = old
+
+			return nil, nil
+		}
+		latest, _ := set.LatestVersion(model)
+		ve = declaration.Version{Model: model, Name: name, Sequence: latest.Sequence + 1, Source: source}
+
+		return setOp(declaration.KindVersion, declaration.VersionPath(model, name), ve)
+	})
+
+	return ve, err
+}
+
+func ownsTrainer(set *declaration.Set, workspace, model string) bool {
+	for _, tr := range set.Trainers {
+		if tr.Workspace == workspace && tr.Model == model {
+			return true
+		}
+	}
+
+	return false
+}
+
+func setOp(kind, name string, v any) ([]declaration.Op, error) {
+	b, err := json.Marshal(v)
+
+	return []declaration.Op{{Path: kind + "/" + name, Value: b}}, err
+}
+
+// ReleaseFingerprint ends a quarantine.
+func (ga *Gateway) ReleaseFingerprint(ctx context.Context, fp string) error {
+	return ga.group.Propose(ctx, machine.KindRelease, quarantine.Release{Fingerprint: fp}, nil)
+}
--- /dev/null
+++ b/internal/gateway/servers.go
@@ -0,0 +1,200 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tamarackbay/tamarackbay/internal/agent"
+	"github.com/tamarackbay/tamarackbay/internal/call"
+	"github.com/tamarackbay/tamarackbay/internal/declaration"
+	"github.com/tamarackbay/tamarackbay/internal/machine"
+	"github.com/tamarackbay/tamarackbay/internal/peer"
+	"github.com/tamarackbay/tamarackbay/internal/quarantine"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+	"github.com/tamarackbay/tamarackbay/internal/usage"
+	"github.com/tamarackbay/tamarackbay/internal/wire"
+)
+
+type message = proto.Message
+
+// Methods of calls between gateways.
+const (
+	methodDemand  = "gateway.demand"
+	methodRunning = "gateway.running"
+)
+
+const clearTimeout = 2 * time.Second
+
+// serverHandlers returns the calls of agents and other gateways.
+func (ga *Gateway) serverHandlers() peer.Mux {
+	return peer.Mux{
+		agent.MethodAnnounce: ga.handleAnnounce,
+		agent.MethodLoad:     ga.handleLoad,
+		agent.MethodUsage:    ga.handleUsage,
+		agent.MethodCrash:    ga.handleCrash,
+		agent.MethodFencing:  ga.handleFencing,
+		methodDemand:         ga.handleDemand,
+		methodRunning:        ga.handleRunning,
+	}
+}
+
+func (ga *Gateway) windowSeconds() uint32 {
+	wi, ok := ga.group.View().Set.Windows[declaration.WindowName]
+	if !ok {
+		wi.Defaults()
+	}
+
+	return uint32(wi.LengthSeconds)
+}
+
+func (ga *Gateway) handleAnnounce(_ context.Context, st *peer.Stream) error {
+	var an wire.Announce
+	if err := st.Request(&an); err != nil {
+		return err
+	}
+	if an.GetServer() == "" || an.GetModel()+an.GetService() == "" {
+		return result.New(result.InvalidField, "announce: server and what it serves must be set")
+	}
+
+	se := st.Session()
+	po := ga.poolOf(an.GetModel() + an.GetService())
+	po.Announce(&an, se)
+	go func() {
+		<-se.Done()
+		po.Gone(an.GetServer(), an.GetIncarnation(), se)
+	}()
+
+	return st.Send(&wire.AnnounceReply{WindowSeconds: ga.windowSeconds()})
+}
+
+func (ga *Gateway) handleLoad(_ context.Context, st *peer.Stream) error {
+	var lo wire.Load
+	if err := st.Request(&lo); err != nil {
+		return err
+	}
+
+	resync := false
+	for _, po := range ga.Pools() {
+		if _, ok := po.Find(lo.GetServer()); ok {
+			resync = po.Load(&lo, int(lo.GetGateways()))
+		}
+	}
+
+	return st.Send(&wire.LoadReply{Resync: resync, WindowSeconds: ga.windowSeconds()})
+}
+
+func (ga *Gateway) handleUsage(ctx context.Context, st *peer.Stream) error {
+	var rq wire.UsageRequest
+	if err := st.Request(&rq); err != nil {
+		return err
+	}
+
+	var fo usage.Fold
+	for _, co := range rq.GetCounters() {
+		fo.Counters = append(fo.Counters, usage.Counter{
+			Agent: rq.GetAgent(), Incarnation: co.GetIncarnation(), Workspace: co.GetWorkspace(), Window: co.GetWindow(),
+			Figures: usage.Figures{Requests: co.GetRequests(), Tokens: co.GetTokens()},
+		})
+	}
+
+	return ga.group.Propose(ctx, machine.KindFoldUsage, fo, nil)
+}
+
+func (ga *Gateway) handleCrash(ctx context.Context, st *peer.Stream) error {
+	var rq wire.CrashRequest
+	if err := st.Request(&rq); err != nil {
+		return err
+	}
+	ga.cfg.Meter.Count("servers.crashed")
+
+	return ga.group.Propose(ctx, machine.KindCrash, quarantine.Crash{Server: rq.GetServer(), Fingerprints: rq.GetFingerprints()}, nil)
+}
+
+// clearSuspect tells the group that a suspect has run to its end.
+func (ga *Gateway) clearSuspect(fp string) {
+	if _, ok := ga.group.View().Quarantine[fp]; !ok {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), clearTimeout)
+		defer cancel()
+		if err := ga.group.Propose(ctx, machine.KindCleared, quarantine.Cleared{Fingerprint: fp}, nil); err == nil {
+			ga.cfg.Meter.Count("quarantine.cleared")
+		}
+	}()
+}
+
+func (ga *Gateway) handleFencing(ctx context.Context, st *peer.Stream) error {
+	var rq wire.FencingRequest
+	if err := st.Request(&rq); err != nil {
+		return err
+	}
+	if !ga.group.HasDisk() {
+		return result.New(result.NotLeader, "gateway %s: holds no leases", ga.cfg.Settings.Name)
+	}
+	if err := ga.group.Barrier(ctx); err != nil {
+		return err
+	}
+
+	var rep wire.FencingReply
+	ga.group.Read(func(ma *machine.Machine) { rep.Fencing = ma.Leases().Get(rq.GetLease()).Fencing })
+
+	return st.Send(&rep)
+}
+
+// handleDemand answers with the demand on one pool since the last call.
+func (ga *Gateway) handleDemand(_ context.Context, st *peer.Stream) error {
+	var rq wire.QueryRequest
+	if err := st.Request(&rq); err != nil {
+		return err
+	}
+	de := ga.poolOf(rq.GetKind()).Demand()
+
+	return st.Send(&wire.Load{Running: uint32(de.Running), Queued: uint32(de.Waiting)})
+}
+
+// noteCall remembers which requests that may not be repeated run here.
+func (ga *Gateway) noteCall(id string, runs bool) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+
+	if runs {
+		ga.calls[id] = struct{}{}
+	} else {
+		delete(ga.calls, id)
+	}
+}
+
+func (ga *Gateway) runsCall(id string) bool {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+
+	_, ok := ga.calls[id]
+
+	return ok
+}
+
+func (ga *Gateway) handleRunning(_ context.Context, st *peer.Stream) error {
+	var rq wire.QueryRequest
+	if err := st.Request(&rq); err != nil {
+		return err
+	}
+	if !ga.runsCall(rq.GetKind()) {
+		return result.New(result.UnknownObject, "call %s does not run here", rq.GetKind())
+	}
+
+	return nil
+}
+
+// isRunning asks the gateway of a call whether it still runs.
+func (ga *Gateway) isRunning(ctx context.Context, re *call.Record) bool {
+	if re.Gateway == ga.cfg.Settings.PeerAddress {
+		return ga.runsCall(re.Owner)
+	}
+	cctx, cancel := context.WithTimeout(ctx, clearTimeout)
+	defer cancel()
+
+	return ga.group.Call(cctx, re.Gateway, methodRunning, &wire.QueryRequest{Kind: re.Owner}, &wire.Empty{}) == nil
+}
--- /dev/null
+++ b/internal/gateway/usage.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/tamarackbay/tamarackbay/internal/declaration"
+	"github.com/tamarackbay/tamarackbay/internal/machine"
+	"github.com/tamarackbay/tamarackbay/internal/usage"
+)
+
+const millisPerSecond = 1000
+
+// reportUsage closes windows that are over and reports closed ones, oldest first.
+// The figures are committed before they are sent, and only they are ever sent.
+func (ga *Gateway) reportUsage(ctx context.Context, held hold) {
+	if ga.sink == nil {
+		return
+	}
+	wi, ok := ga.group.View().Set.Windows[declaration.WindowName]
+	if !ok {
+		return
+	}
+
+	var closed uint64
+	var unreported []uint64
+	ga.group.Read(func(ma *machine.Machine) {
+		closed, unreported = ma.Usage().Closed(), ma.Usage().Unreported()
+	})
+	over := uint64((ga.cfg.WallMs()/millisPerSecond-int64(wi.GraceSeconds))/int64(wi.LengthSeconds)) - 1
+	fencing, ok := held()
+	if !ok {
+		return
+	}
+	if over > closed {
+		if err := ga.group.Propose(ctx, machine.KindCloseWindow, usage.Close{Window: over, Fencing: fencing}, nil); err != nil {
+			return
+		}
+	}
+	for _, n := range unreported {
+		if !ga.sendReport(ctx, held, n) {
+			return
+		}
+	}
+}
+
+func (ga *Gateway) sendReport(ctx context.Context, held hold, window uint64) bool {
+	var re usage.Report
+	err := error(nil)
+	ga.group.Read(func(ma *machine.Machine) { re, err = ma.Usage().Report(window) })
+	if err != nil {
+		return false
+	}
+	b, err := json.Marshal(re)
+	if err != nil {
+		return false
+	}
+
+	cctx, cancel := context.WithTimeout(ctx, ga.terms().MaxCall)
+	defer cancel()
+	fencing, ok := held()
+	if !ok {
+		return false
+	}
+	if err := ga.sink.Send(cctx, window, b, ga.holder(), fencing); err != nil {
+		ga.cfg.Meter.Count("reports.failed")
+
+		return false
+	}
+	ga.cfg.Meter.Count("reports.sent")
+
+	return ga.group.Propose(ctx, machine.KindReported, usage.Reported{Window: window, Fencing: fencing}, nil) == nil
+}
--- /dev/null
+++ b/internal/gateway/weights.go
@@ -0,0 +1,182 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/tamarackbay/tamarackbay/internal/agent"
+	"github.com/tamarackbay/tamarackbay/internal/declaration"
+	"github.com/tamarackbay/tamarackbay/internal/machine"
+	"github.com/tamarackbay/tamarackbay/internal/order"
+	"github.com/tamarackbay/tamarackbay/internal/pool"
+	"github.com/tamarackbay/tamarackbay/internal/weights"
+	"github.com/tamarackbay/tamarackbay/internal/wire"
+)
+
+const (
+	swapTimeout     = 2 * time.Minute
+	describeTimeout = time.Second
+)
+
+// weightsDuty brings the engines of each model to its latest version.
+type weightsDuty struct {
+	ga *Gateway
+
+	mu       sync.Mutex
+	planners map[string]*weights.Planner
+	permits  map[string]int // by version, what the store serves at once; 0 unknown
+	orders   uint64
+	fencing  uint64
+}
+
+func newWeightsDuty(ga *Gateway) *weightsDuty {
+	return &weightsDuty{ga: ga, planners: map[string]*weights.Planner{}, permits: map[string]int{}}
+}
+
+func (wd *weightsDuty) work(ctx context.Context, held hold) {
+	fencing, ok := held()
+	if !ok {
+		return
+	}
+	if fencing != wd.fencing {
+		wd.startTerm(ctx, fencing)
+	}
+
+	set := wd.ga.group.View().Set
+	for name, mo := range set.Models {
+		latest, ok := set.LatestVersion(name)
+		if !ok {
+			continue
+		}
+		wave := wd.wave(ctx, mo, latest)
+		if wave == 0 {
+			continue
+		}
+		var engines []weights.Engine
+		for _, in := range wd.ga.poolOf(name).Infos() {
+			engines = append(engines, weights.Engine{
+				Server: in.Server, FailureDomain: in.FailureDomain, Version: in.Version, LoadedVersion: in.LoadedVersion,
+				IsReady: in.State == pool.StateReady, Running: in.Running,
+			})
+		}
+		wd.mu.Lock()
+		pl := wd.planner(name)
+		actions := pl.Next(wd.ga.now(), latest.Name, engines, wave)
+		wd.mu.Unlock()
+		for _, ac := range actions {
+			go wd.carryOut(ctx, held, name, mo, ac)
+		}
+	}
+}
+
+// startTerm settles what an earlier holder left open: orders to engines are
+// idempotent and the engines' own word says how they ended.
+func (wd *weightsDuty) startTerm(ctx context.Context, fencing uint64) {
+	var open []order.Intent
+	wd.ga.group.Read(func(ma *machine.Machine) { open = ma.Orders().Unsettled() })
+	for _, in := range open {
+		if in.Lease == agent.LeaseWeights && in.Fencing < fencing {
+			_ = wd.ga.group.Propose(ctx, machine.KindSettleIntent, order.Settle{
+				ID: in.ID, Lease: agent.LeaseWeights, Fencing: fencing, Outcome: "left by an earlier holder",
+			}, nil) // the intent stays open until the next term otherwise
+		}
+	}
+	wd.mu.Lock()
+	wd.fencing, wd.planners = fencing, map[string]*weights.Planner{}
+	wd.mu.Unlock()
+}
+
+// planner returns the planner of a model; wd.mu is held.
+func (wd *weightsDuty) planner(model string) *weights.Planner {
+	pl, ok := wd.planners[model]
+	if !ok {
+		pl = weights.NewPlanner()
+		wd.planners[model] = pl
+	}
+
+	return pl
+}
+
+// wave returns how many engines may load at once, 0 while the store does not know the version.
+func (wd *weightsDuty) wave(ctx context.Context, mo declaration.Model, ve declaration.Version) int {
+	if wd.ga.store == nil {
+		return mo.SwapWave
+	}
+
+	wd.mu.Lock()
+	n := wd.permits[ve.Model+"@"+ve.Name]
+	wd.mu.Unlock()
+	if n == 0 {
+		cctx, cancel := context.WithTimeout(ctx, describeTimeout)
+		defer cancel()
+		in, err := wd.ga.store.Describe(cctx, ve.Model, ve.Name)
+		if err != nil {
+			wd.ga.cfg.Meter.Count("weightStore.failed")
+
+			return 0
+		}
+		n = max(in.MaxConcurrent, 1)
+		wd.mu.Lock()
+		wd.permits[ve.Model+"@"+ve.Name] = n
+		wd.mu.Unlock()
+	}
+
+	return min(n, mo.SwapWave)
+}
+
+// carryOut commits the intent of an order, gives it through the agent and settles it.
+func (wd *weightsDuty) carryOut(ctx context.Context, held hold, model string, mo declaration.Model, ac weights.Action) {
+	err := wd.give(ctx, held, model, mo, ac)
+	wd.mu.Lock()
+	wd.planner(model).Done(wd.ga.now(), ac.Server, err == nil)
+	wd.mu.Unlock()
+	if err != nil {
+		wd.ga.cfg.Meter.Count("swaps.failed")
+		wd.ga.cfg.Log.WithFields(log.Fields{"server": ac.Server, "order": ac.Kind, "version": ac.Version}).WithError(err).Warn("order failed")
+	}
+}
+
+func (wd *weightsDuty) give(ctx context.Context, held hold, model string, mo declaration.Model, ac weights.Action) error {
+	se, ok := wd.ga.poolOf(model).Find(ac.Server)
+	fencing, holds := held()
+	if !ok || !holds {
+		return lost(agent.LeaseWeights)
+	}
+
+	wd.mu.Lock()
+	wd.orders++
+	id := fmt.Sprintf("w%d-%d", fencing, wd.orders)
+	wd.mu.Unlock()
+	in := order.Intent{
+		ID: id, Lease: agent.LeaseWeights, Fencing: fencing, Kind: ac.Kind, Server: ac.Server, Model: model, Version: ac.Version,
+	}
+	if err := wd.ga.group.Propose(ctx, machine.KindOpenIntent, order.Open{Intent: in}, nil); err != nil {
+		return err
+	}
+	// The process may have been paused since: the lease is looked at again right before the order.
+	if f, ok := held(); !ok || f != fencing {
+		return lost(agent.LeaseWeights)
+	}
+
+	cctx, cancel := context.WithTimeout(ctx, swapTimeout)
+	defer cancel()
+	err := se.Session().Call(cctx, agent.MethodOrder, &wire.Order{
+		OrderId: id, Kind: ac.Kind, Model: model, Version: ac.Version, Fencing: fencing, Giver: wd.ga.holder(),
+		Drain: mo.SwapMode == declaration.SwapDrain,
+	}, &wire.OrderReply{})
+	outcome := "done"
+	if err != nil {
+		outcome = err.Error()
+	}
+	if serr := wd.ga.group.Propose(ctx, machine.KindSettleIntent, order.Settle{
+		ID: id, Lease: agent.LeaseWeights, Fencing: fencing, Outcome: outcome,
+	}, nil); serr != nil {
+		wd.ga.cfg.Meter.Count("intents.unsettled")
+	}
+
+	return err
+}
--- /dev/null
+++ b/internal/group/feed.go
@@ -0,0 +1,219 @@
+package group
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/fxamacker/cbor/v2"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tamarackbay/tamarackbay/internal/machine"
+	"github.com/tamarackbay/tamarackbay/internal/peer"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+	"github.com/tamarackbay/tamarackbay/internal/wire"
+)
+
+type message = proto.Message
+
+const (
+	feedWait    = 500 * time.Millisecond // a feed answers at the latest after it
+	feedTimeout = 2 * time.Second
+)
+
+func (gr *Group) upstreams() []string {
+	if len(gr.cfg.Upstreams) > 0 {
+		return gr.cfg.Upstreams
+	}
+
+	out := make([]string, 0, len(gr.cfg.Founders))
+	for _, fo := range gr.cfg.Founders {
+		out = append(out, fo.Address)
+	}
+
+	return out
+}
+
+// callUpstream calls the current upstream of a subscriber and moves to the next one when it fails.
+func (gr *Group) callUpstream(ctx context.Context, method string, req, rep message) error {
+	ups := gr.upstreams()
+	if len(ups) == 0 {
+		return result.New(result.NoLeader, "group: no upstream is configured")
+	}
+	gr.mu.Lock()
+	i := gr.upstream
+	gr.mu.Unlock()
+
+	err := gr.callAddress(ctx, ups[i%len(ups)], method, req, rep)
+	if err != nil && isRetriable(err) {
+		gr.mu.Lock()
+		if gr.upstream == i {
+			gr.upstream++
+		}
+		gr.mu.Unlock()
+	}
+
+	return err
+}
+
+// follow keeps a subscriber's view and freshness stamp.
+func (gr *Group) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := gr.followOnce(ctx); err != nil {
+			select {
+			case <-time.After(retryMax):
+			case <-ctx.Done():
+			}
+		}
+	}
+}
+
+func (gr *Group) followOnce(ctx context.Context) error {
+	at := gr.now()
+	vi := gr.View()
+	cctx, cancel := context.WithTimeout(ctx, feedTimeout)
+	defer cancel()
+
+	var rep wire.FeedReply
+	req := &wire.FeedRequest{Version: vi.Version, Revision: vi.Revision, WaitMs: uint32(feedWait.Milliseconds())}
+	if err := gr.callUpstream(cctx, methodFeed, req, &rep); err != nil {
+		return err
+	}
+	if rep.GetRevision() < vi.Revision {
+		// The upstream knows less than this process: its configuration would be a step back.
+		return result.New(result.StaleProcess, "group: the upstream is at %d, this process at %d", rep.GetRevision(), vi.Revision)
+	}
+
+	next, err := viewAfter(vi, &rep)
+	if err != nil {
+		gr.cfg.Log.WithFields(log.Fields{"error": err.Error()}).Error("the feed could not be read")
+
+		return err
+	}
+	if next != vi {
+		gr.setView(next)
+	}
+	// The answer was made after the request was sent, so the stamp is never too young.
+	if age := time.Duration(rep.GetAgeMs()) * time.Millisecond; at > age {
+		gr.confirm(at - age)
+	}
+
+	return nil
+}
+
+func viewAfter(vi *View, rep *wire.FeedReply) (*View, error) {
+	if rep.GetFull() {
+		if len(rep.GetDeltas()) != 1 {
+			return nil, result.New(result.Internal, "group: a full feed holds %d parts", len(rep.GetDeltas()))
+		}
+		var fu machine.Full
+		if err := decode(rep.GetDeltas()[0], &fu); err != nil {
+			return nil, err
+		}
+
+		return newView(fu)
+	}
+	if len(rep.GetDeltas()) == 0 {
+		return vi, nil
+	}
+
+	ds := make([]machine.Delta, len(rep.GetDeltas()))
+	for i, b := range rep.GetDeltas() {
+		if err := decode(b, &ds[i]); err != nil {
+			return nil, err
+		}
+	}
+
+	return vi.with(ds)
+}
+
+// handleFeed answers what changed since the subscriber's position, at once or
+// after a change. Any process may serve it, so that feeds form a tree.
+func (gr *Group) handleFeed(ctx context.Context, st *peer.Stream) error {
+	var req wire.FeedRequest
+	if err := st.Request(&req); err != nil {
+		return err
+	}
+
+	select {
+	case gr.feedLimit <- struct{}{}:
+		defer func() { <-gr.feedLimit }()
+	default:
+		return result.New(result.QueueFull, "group: %d subscribers wait here", maxFeeds)
+	}
+
+	gr.waitBeyond(ctx, req.GetRevision(), time.Duration(req.GetWaitMs())*time.Millisecond)
+	age, ok := gr.Age()
+	if !ok {
+		return result.New(result.NoLeader, "group: nothing heard from the group yet")
+	}
+	rep, err := gr.feedReply(req.GetRevision())
+	if err != nil {
+		return err
+	}
+	rep.AgeMs = uint32(age.Milliseconds()) + 1
+
+	return st.Send(rep)
+}
+
+func (gr *Group) waitBeyond(ctx context.Context, revision uint64, d time.Duration) {
+	timer := time.NewTimer(min(d, feedWait))
+	defer timer.Stop()
+
+	for {
+		changed := gr.Changed()
+		if gr.View().Revision > revision {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (gr *Group) feedReply(revision uint64) (*wire.FeedReply, error) {
+	// The age was read before the view: the view is at least as young.
+	vi := gr.View()
+	rep := &wire.FeedReply{Version: vi.Version, Revision: vi.Revision}
+	if vi.Revision <= revision {
+		return rep, nil
+	}
+
+	var ds []machine.Delta
+	ok := false
+	gr.Read(func(ma *machine.Machine) {
+		if ds, ok = ma.Since(revision); ok {
+			ds = append([]machine.Delta(nil), ds...)
+		}
+	})
+	if ok && revision > 0 {
+		for _, d := range ds {
+			if d.Revision > vi.Revision {
+				break
+			}
+			b, err := cbor.Marshal(d)
+			if err != nil {
+				return nil, err
+			}
+			rep.Deltas = append(rep.Deltas, b)
+		}
+
+		return rep, nil
+	}
+
+	ops, err := vi.Set.Ops()
+	if err != nil {
+		return nil, err
+	}
+	b, err := cbor.Marshal(machine.Full{Revision: vi.Revision, Version: vi.Version, Ops: ops, Quarantine: vi.Quarantine})
+	if err != nil {
+		return nil, err
+	}
+	rep.Full, rep.Deltas = true, [][]byte{b}
+
+	return rep, nil
+}
--- /dev/null
+++ b/internal/group/group.go
@@ -0,0 +1,352 @@
+// Package group runs a process's part in a replication group: a replica where
+// the process has a data folder, otherwise a subscriber that follows the
+// configuration and forwards commands.
+package group
+
+import (
+	"context"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/tamarackbay/tamarackbay/internal/consensus"
+	"github.com/tamarackbay/tamarackbay/internal/machine"
+	"github.com/tamarackbay/tamarackbay/internal/peer"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+	"github.com/tamarackbay/tamarackbay/internal/storage"
+	"github.com/tamarackbay/tamarackbay/internal/wire"
+)
+
+// MainGroup is the group that holds everything in today's deployments.
+const MainGroup consensus.GroupID = 1
+
+// Founder is a process that forms the cluster when all founders are empty.
+type Founder struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+}
+
+// Config describes a process's part in a group.
+type Config struct {
+	Name           string
+	Address        string // of the own peer listener
+	FailureDomain  string
+	DataFolder     string // "" for a subscriber
+	Founders       []Founder
+	Upstreams      []string // a subscriber's sources; the founders where empty
+	Peer           peer.Config
+	Files          storage.Files
+	Election       time.Duration
+	Heartbeat      time.Duration
+	FreshnessBound time.Duration
+	ReplaceAfter   time.Duration // how long a voter may be silent before a spare takes its place
+	WallMs         func() int64
+	Log            log.Interface
+}
+
+// Group is a process's part in a group.
+type Group struct {
+	cfg      Config
+	identity identity
+	start    time.Time
+
+	ctx  context.Context
+	stop context.CancelFunc
+	tr   *transport
+	node atomic.Pointer[node]
+
+	view    atomic.Pointer[View]
+	freshAt atomic.Int64 // time.Duration since start, 0 before the first confirmation
+
+	mu        sync.Mutex
+	changed   chan struct{} // closed and replaced with each new view
+	addresses map[consensus.ReplicaID]string
+	upstream  int
+	feedLimit chan struct{}
+}
+
+// maxFeeds bounds the subscribers that wait on one process.
+const maxFeeds = 4096
+
+// New loads the identity. Handlers may be served before Run.
+func New(cfg Config) (*Group, error) {
+	gr := &Group{
+		cfg: cfg, start: time.Now(), changed: make(chan struct{}),
+		addresses: map[consensus.ReplicaID]string{}, feedLimit: make(chan struct{}, maxFeeds),
+	}
+	vi, err := newView(machine.Full{})
+	if err != nil {
+		return nil, err
+	}
+	gr.view.Store(vi)
+	gr.ctx, gr.stop = context.WithCancel(context.Background())
+	if cfg.DataFolder != "" {
+		if gr.identity, err = loadIdentity(cfg.Files, cfg.DataFolder, cfg.Name); err != nil {
+			return nil, err
+		}
+		gr.cfg.Peer.Hello.Replica = string(gr.identity.Replica)
+	}
+	gr.tr = newTransport(gr.ctx, gr.cfg.Peer, cfg.Address)
+
+	return gr, nil
+}
+
+func (gr *Group) now() time.Duration { return time.Since(gr.start) }
+
+// HasDisk reports whether this process runs a replica.
+func (gr *Group) HasDisk() bool { return gr.cfg.DataFolder != "" }
+
+// View returns the configuration as known here.
+func (gr *Group) View() *View { return gr.view.Load() }
+
+// Changed returns a channel that is closed with the next view.
+func (gr *Group) Changed() <-chan struct{} {
+	gr.mu.Lock()
+	defer gr.mu.Unlock()
+
+	return gr.changed
+}
+
+func (gr *Group) setView(vi *View) {
+	gr.view.Store(vi)
+	gr.mu.Lock()
+	close(gr.changed)
+	gr.changed = make(chan struct{})
+	gr.mu.Unlock()
+}
+
+// Age returns how old the knowledge of this process is, and false if it has none.
+func (gr *Group) Age() (time.Duration, bool) {
+	at := gr.freshAt.Load()
+
+	return gr.now() - time.Duration(at), at > 0
+}
+
+// Fresh returns an error when the process must refuse new work.
+func (gr *Group) Fresh() error {
+	age, ok := gr.Age()
+	switch {
+	case !ok:
+		return result.New(result.StaleProcess, "group: nothing heard from the group yet").After(time.Second)
+	case age > gr.cfg.FreshnessBound:
+		return result.New(result.StaleProcess, "group: nothing heard for %v, the bound is %v", age.Round(time.Millisecond), gr.cfg.FreshnessBound).After(time.Second)
+	}
+
+	return nil
+}
+
+func (gr *Group) confirm(at time.Duration) {
+	for {
+		old := gr.freshAt.Load()
+		if int64(at) <= old || gr.freshAt.CompareAndSwap(old, int64(at)) {
+			return
+		}
+	}
+}
+
+// Run takes part in the group until ctx ends. An error of the disk or of the
+// identity ends it early: the process must then exit.
+func (gr *Group) Run(ctx context.Context) error {
+	defer gr.tr.wg.Wait()
+	defer gr.stop()
+
+	if !gr.HasDisk() {
+		gr.follow(ctx)
+
+		return nil
+	}
+	if err := gr.form(ctx); err != nil || ctx.Err() != nil {
+		return err
+	}
+
+	n, err := gr.openNode()
+	if err != nil {
+		return err
+	}
+	n.replayView(gr)
+	gr.node.Store(n)
+
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, duty := range []func(context.Context){gr.confirmDuty, gr.membershipDuty, gr.registerDuty} {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			duty(ctx)
+		}()
+	}
+	err = n.run(ctx)
+	cancel()
+	wg.Wait()
+
+	return err
+}
+
+func (gr *Group) openNode() (*node, error) {
+	gr.cfg.Log.WithFields(log.Fields{"replica": gr.identity.Replica, "cluster": gr.identity.Cluster}).Info("replica starts")
+
+	return openNode(nodeConfig{
+		id: gr.identity.Replica, group: MainGroup,
+		bootstrap: consensus.Membership{Voters: gr.identity.Bootstrap},
+		files:     gr.cfg.Files, dir: filepath.Join(gr.cfg.DataFolder, "group-1"),
+		election: gr.cfg.Election, heartbeat: gr.cfg.Heartbeat, wallMs: gr.cfg.WallMs,
+		send:    func(m consensus.Message) { gr.tr.send(gr.addressOf(m.To), m) },
+		onApply: gr.onApply,
+	})
+}
+
+func (n *node) replayView(gr *Group) {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+
+	gr.refreshView(n.machine)
+}
+
+// onApply runs on the node's loop after entries were applied.
+func (gr *Group) onApply(uint64) {
+	n := gr.node.Load()
+	if n == nil {
+		return
+	}
+	gr.refreshView(n.machine)
+}
+
+func (gr *Group) refreshView(ma *machine.Machine) {
+	vi := gr.View()
+	if ma.Revision() <= vi.Revision {
+		return
+	}
+
+	next, err := gr.nextView(ma, vi)
+	if err != nil {
+		gr.cfg.Log.WithError(err).Error("the configuration could not be read")
+
+		return
+	}
+	gr.setView(next)
+}
+
+func (gr *Group) nextView(ma *machine.Machine, vi *View) (*View, error) {
+	if ds, ok := ma.Since(vi.Revision); ok {
+		if next, err := vi.with(ds); err == nil {
+			return next, nil
+		}
+	}
+
+	fu, err := ma.Full()
+	if err != nil {
+		return nil, err
+	}
+
+	return newView(fu)
+}
+
+// addressOf returns where a replica can be reached, or "".
+func (gr *Group) addressOf(id consensus.ReplicaID) string {
+	gr.mu.Lock()
+	a, ok := gr.addresses[id]
+	gr.mu.Unlock()
+	if ok {
+		return a
+	}
+
+	if n := gr.node.Load(); n != nil && n.mu.TryRLock() {
+		re, ok := n.machine.Replicas()[id]
+		n.mu.RUnlock()
+		if ok {
+			return re.Address
+		}
+	}
+	name := string(id)
+	if i := strings.LastIndexByte(name, '-'); i > 0 {
+		name = name[:i]
+	}
+	for _, fo := range gr.cfg.Founders {
+		if fo.Name == name {
+			return fo.Address
+		}
+	}
+
+	return ""
+}
+
+func (gr *Group) learnAddress(he *wire.Hello) {
+	if he.GetReplica() == "" || he.GetAddress() == "" {
+		return
+	}
+
+	gr.mu.Lock()
+	gr.addresses[consensus.ReplicaID(he.GetReplica())] = he.GetAddress()
+	gr.mu.Unlock()
+}
+
+// Status returns the state of the replica, all zero on a subscriber.
+func (gr *Group) Status() Status {
+	if n := gr.node.Load(); n != nil {
+		return n.getStatus()
+	}
+
+	return Status{}
+}
+
+// Cluster returns the ID of the cluster, "" before it is formed.
+func (gr *Group) Cluster() string { return gr.identity.Cluster }
+
+// Read runs f on the state machine as applied here, and returns false on a subscriber.
+func (gr *Group) Read(f func(ma *machine.Machine)) bool {
+	n := gr.node.Load()
+	if n == nil {
+		return false
+	}
+
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	f(n.machine)
+
+	return true
+}
+
+// Applied returns a channel that is closed when further entries are applied here, nil on a subscriber.
+func (gr *Group) Applied() <-chan struct{} {
+	n := gr.node.Load()
+	if n == nil {
+		return nil
+	}
+
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+
+	return n.applied
+}
+
+// TransferLeadership gives the lead away before the process stops.
+func (gr *Group) TransferLeadership(ctx context.Context) {
+	n := gr.node.Load()
+	if n == nil || n.getStatus().Role != consensus.RoleLeader.String() {
+		return
+	}
+
+	_ = n.do(ctx, func(now time.Duration, re *consensus.Replica) error {
+		re.TransferLeadership(now)
+
+		return nil
+	})
+	for ctx.Err() == nil && n.getStatus().Role == consensus.RoleLeader.String() {
+		time.Sleep(tickPeriod)
+	}
+}
+
+// decode reads a CBOR payload.
+func decode(b []byte, v any) error {
+	if err := cbor.Unmarshal(b, v); err != nil {
+		return result.New(result.Internal, "group: %v", err)
+	}
+
+	return nil
+}
--- /dev/null
+++ b/internal/group/membership.go
@@ -0,0 +1,353 @@
+package group
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/tamarackbay/tamarackbay/internal/consensus"
+	"github.com/tamarackbay/tamarackbay/internal/machine"
+	"github.com/tamarackbay/tamarackbay/internal/peer"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+	"github.com/tamarackbay/tamarackbay/internal/wire"
+)
+
+const (
+	formPeriod       = 200 * time.Millisecond
+	askTimeout       = time.Second
+	membershipPeriod = 250 * time.Millisecond
+	registerPeriod   = time.Second
+	supersededAfter  = time.Second // silence after which a replica of the same name counts instead
+)
+
+func (gr *Group) handleIdentity(_ context.Context, st *peer.Stream) error {
+	gr.mu.Lock()
+	id := gr.identity
+	gr.mu.Unlock()
+
+	return st.Send(&wire.IdentityReply{
+		Name: id.Name, Replica: string(id.Replica), Cluster: id.Cluster, Formed: id.isFormed(),
+		BootstrapNames: toStrings(id.Bootstrap), HasDisk: gr.HasDisk(),
+	})
+}
+
+// form finds the cluster or forms it. Only the first founder decides on the
+// members, when every founder answers and all are empty; the others take its word.
+func (gr *Group) form(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if gr.identity.isFormed() {
+			return gr.checkCluster(ctx)
+		}
+		done, err := gr.formOnce(ctx)
+		if done || err != nil {
+			return err
+		}
+		select {
+		case <-time.After(formPeriod):
+		case <-ctx.Done():
+		}
+	}
+
+	return nil
+}
+
+func (gr *Group) ask(ctx context.Context, address string) (*wire.IdentityReply, error) {
+	actx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+
+	var rep wire.IdentityReply
+	err := gr.callAddress(actx, address, methodIdentity, &wire.Empty{}, &rep)
+
+	return &rep, err
+}
+
+// checkCluster refuses to start beside founders of another cluster.
+func (gr *Group) checkCluster(ctx context.Context) error {
+	for _, fo := range gr.cfg.Founders {
+		if fo.Address == gr.cfg.Address {
+			continue
+		}
+		rep, err := gr.ask(ctx, fo.Address)
+		if err == nil && rep.GetFormed() && rep.GetCluster() != gr.identity.Cluster {
+			return result.New(result.DataFolderForeign, "group: %s: of cluster %s, but %s is in cluster %s",
+				gr.cfg.DataFolder, gr.identity.Cluster, fo.Name, rep.GetCluster())
+		}
+	}
+
+	return nil
+}
+
+func (gr *Group) formOnce(ctx context.Context) (bool, error) {
+	var empty []consensus.ReplicaID
+	for _, fo := range gr.cfg.Founders {
+		if fo.Address == gr.cfg.Address {
+			empty = append(empty, gr.identity.Replica)
+
+			continue
+		}
+		rep, err := gr.ask(ctx, fo.Address)
+		if err != nil {
+			continue
+		}
+		if rep.GetFormed() {
+			return gr.adopt(ctx, fo.Address, rep)
+		}
+		if rep.GetHasDisk() {
+			empty = append(empty, consensus.ReplicaID(rep.GetReplica()))
+		}
+	}
+
+	isFirst := len(gr.cfg.Founders) > 0 && gr.cfg.Founders[0].Address == gr.cfg.Address
+	if !isFirst || len(empty) < len(gr.cfg.Founders) {
+		return false, nil
+	}
+	slices.Sort(empty)
+
+	return true, gr.become(clusterID(empty), empty)
+}
+
+func (gr *Group) become(cluster string, bootstrap []consensus.ReplicaID) error {
+	gr.mu.Lock()
+	defer gr.mu.Unlock()
+
+	id := gr.identity
+	id.Cluster, id.Bootstrap = cluster, bootstrap
+	if err := id.save(gr.cfg.Files, gr.cfg.DataFolder); err != nil {
+		return err
+	}
+	gr.identity = id
+	gr.cfg.Log.WithFields(log.Fields{"cluster": cluster, "bootstrap": bootstrap}).Info("cluster known")
+
+	return nil
+}
+
+// adopt starts as the voter that the first founder named, or joins as a learner.
+func (gr *Group) adopt(ctx context.Context, address string, rep *wire.IdentityReply) (bool, error) {
+	bootstrap := toReplicas(rep.GetBootstrapNames())
+	if !slices.Contains(bootstrap, gr.identity.Replica) {
+		jctx, cancel := context.WithTimeout(ctx, askTimeout)
+		defer cancel()
+		req := &wire.JoinRequest{
+			Name: gr.cfg.Name, Replica: string(gr.identity.Replica),
+			Address: gr.cfg.Address, FailureDomain: gr.cfg.FailureDomain,
+		}
+		if err := gr.callAddress(jctx, address, methodJoin, req, &wire.Empty{}); err != nil {
+			return false, nil // asked again after formPeriod
+		}
+	}
+
+	return true, gr.become(rep.GetCluster(), bootstrap)
+}
+
+func (gr *Group) handleJoin(ctx context.Context, st *peer.Stream) error {
+	var req wire.JoinRequest
+	if err := st.Request(&req); err != nil {
+		return err
+	}
+
+	n := gr.node.Load()
+	if n == nil {
+		return result.New(result.NotLeader, "group: the replica has not started")
+	}
+	if n.getStatus().Role != consensus.RoleLeader.String() {
+		if st.Session().Remote().GetReplica() != req.GetReplica() {
+			return result.New(result.NotLeader, "group: this replica does not lead")
+		}
+
+		return gr.callLeader(ctx, methodJoin, &req, &wire.Empty{})
+	}
+
+	id := consensus.ReplicaID(req.GetReplica())
+	reg := machine.Register{Replica: id, Name: req.GetName(), Address: req.GetAddress(), FailureDomain: req.GetFailureDomain()}
+	if err := gr.Propose(ctx, machine.KindRegister, reg, nil); err != nil {
+		return err
+	}
+
+	return n.do(ctx, func(now time.Duration, re *consensus.Replica) error {
+		m := re.Membership()
+		if m.IsVoter(id) || m.IsLearner(id) {
+			return nil
+		}
+		if _, err := re.ProposeMembership(now, m.WithLearner(id)); err != nil {
+			return result.New(result.MembershipRefused, "group: join of %s: %v", id, err)
+		}
+
+		return nil
+	})
+}
+
+// registerDuty tells the group where this replica can be reached.
+func (gr *Group) registerDuty(ctx context.Context) {
+	for ctx.Err() == nil {
+		want := machine.Register{
+			Replica: gr.identity.Replica, Name: gr.cfg.Name, Address: gr.cfg.Address, FailureDomain: gr.cfg.FailureDomain,
+		}
+		known := false
+		gr.Read(func(ma *machine.Machine) { known = ma.Replicas()[want.Replica] == want })
+		if !known {
+			_ = gr.Propose(ctx, machine.KindRegister, want, nil) // tried again after registerPeriod
+		}
+		select {
+		case <-time.After(registerPeriod):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// membershipDuty repairs the membership while this replica leads.
+func (gr *Group) membershipDuty(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-time.After(membershipPeriod):
+		case <-ctx.Done():
+			return
+		}
+		n := gr.node.Load()
+		if n.getStatus().Role != consensus.RoleLeader.String() {
+			continue
+		}
+
+		names := map[consensus.ReplicaID]string{}
+		gr.Read(func(ma *machine.Machine) {
+			for id, re := range ma.Replicas() {
+				names[id] = re.Name
+			}
+		})
+		_ = n.do(ctx, func(now time.Duration, re *consensus.Replica) error {
+			next, why := repair(now, re, names, gr.cfg.ReplaceAfter, len(gr.identity.Bootstrap))
+			if why == "" {
+				return nil
+			}
+			if _, err := re.ProposeMembership(now, next); err != nil {
+				return err
+			}
+			gr.cfg.Log.WithFields(log.Fields{"why": why, "voters": next.Voters, "learners": next.Learners}).Info("membership changes")
+
+			return nil
+		})
+	}
+}
+
+// repair returns the next membership that brings the group nearer to target
+// living voters, with the reason, or "" when nothing is to be done. A spare is
+// promoted before the dead voter is removed.
+func repair(now time.Duration, re *consensus.Replica, names map[consensus.ReplicaID]string, after time.Duration, target int) (consensus.Membership, string) {
+	m := re.Membership()
+	isDead := func(id consensus.ReplicaID) bool {
+		heard, ok := re.HeardFrom(id)
+
+		return id != re.ID() && ok && (now > heard+after || isSuperseded(now, id, re, names))
+	}
+
+	living := 0
+	var dead, spare consensus.ReplicaID
+	for _, id := range m.Voters {
+		if isDead(id) {
+			dead = id
+		} else {
+			living++
+		}
+	}
+	for _, id := range m.Learners {
+		if isDead(id) {
+			continue
+		}
+		if re.CaughtUp(id) {
+			spare = id
+
+			break
+		}
+	}
+
+	switch {
+	case living < target && spare != "":
+		return m.WithVoter(spare), "promote " + string(spare)
+	case dead != "" && living >= target:
+		return m.Without(dead), "remove " + string(dead)
+	}
+	for _, id := range m.Learners {
+		if isDead(id) {
+			return m.Without(id), "remove " + string(id)
+		}
+	}
+
+	return m, ""
+}
+
+// isSuperseded reports whether a replica of the same name is heard while id is
+// silent, which happens when a data folder was emptied.
+func isSuperseded(now time.Duration, id consensus.ReplicaID, re *consensus.Replica, names map[consensus.ReplicaID]string) bool {
+	heard, ok := re.HeardFrom(id)
+	if !ok || now < heard+supersededAfter {
+		return false
+	}
+
+	name := nameOf(id, names)
+	for _, other := range re.Membership().All() {
+		at, ok := re.HeardFrom(other)
+		if other != id && nameOf(other, names) == name && (other == re.ID() || (ok && at > heard)) {
+			return true
+		}
+	}
+
+	return false
+}
+
+func nameOf(id consensus.ReplicaID, names map[consensus.ReplicaID]string) string {
+	if n, ok := names[id]; ok {
+		return n
+	}
+	s := string(id)
+	if i := strings.LastIndexByte(s, '-'); i > 0 {
+		return s[:i]
+	}
+
+	return s
+}
+
+// Actions of ChangeMember.
+const (
+	MemberPromote = "promote"
+	MemberRemove  = "remove"
+)
+
+// ChangeMember promotes a learner or removes a replica by an operator's order.
+func (gr *Group) ChangeMember(ctx context.Context, action string, id consensus.ReplicaID) error {
+	n := gr.node.Load()
+	if n == nil || n.getStatus().Role != consensus.RoleLeader.String() {
+		req := &wire.QueryRequest{Kind: action, Payload: []byte(id)}
+		if !gr.HasDisk() {
+			return gr.callUpstream(ctx, methodMember, req, &wire.Empty{})
+		}
+
+		return gr.callLeader(ctx, methodMember, req, &wire.Empty{})
+	}
+
+	return n.do(ctx, func(now time.Duration, re *consensus.Replica) error {
+		m := re.Membership()
+		if !m.IsVoter(id) && !m.IsLearner(id) {
+			return result.New(result.UnknownObject, "group: %s is not a member", id)
+		}
+		next := m.Without(id)
+		if action == MemberPromote {
+			next = m.WithVoter(id)
+		}
+		if _, err := re.ProposeMembership(now, next); err != nil {
+			return result.New(result.MembershipRefused, "group: %s %s: %v", action, id, err)
+		}
+
+		return nil
+	})
+}
+
+func (gr *Group) handleMember(ctx context.Context, st *peer.Stream) error {
+	var req wire.QueryRequest
+	if err := st.Request(&req); err != nil {
+		return err
+	}
+
+	return gr.ChangeMember(ctx, req.GetKind(), consensus.ReplicaID(req.GetPayload()))
+}
--- /dev/null
+++ b/internal/group/propose.go
@@ -0,0 +1,338 @@
+package group
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/tamarackbay/tamarackbay/internal/consensus"
+	"github.com/tamarackbay/tamarackbay/internal/machine"
+	"github.com/tamarackbay/tamarackbay/internal/peer"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+	"github.com/tamarackbay/tamarackbay/internal/step"
+	"github.com/tamarackbay/tamarackbay/internal/wire"
+)
+
+const (
+	proposeTimeout = 5 * time.Second
+	confirmPeriod  = 250 * time.Millisecond
+	confirmTimeout = time.Second
+	retryMin       = 10 * time.Millisecond
+	retryMax       = 60 * time.Millisecond
+	sessionWait    = 500 * time.Millisecond
+)
+
+// Methods of calls between processes of a group.
+const (
+	methodPropose       = "group.propose"
+	methodProposeLeader = "group.proposeAtLeader"
+	methodReadIndex     = "group.readIndex"
+	methodIdentity      = "group.identity"
+	methodJoin          = "group.join"
+	methodFeed          = "group.feed"
+	methodMember        = "group.member"
+	methodQuery         = "group.query"
+)
+
+// Handlers returns the calls that other processes may make.
+func (gr *Group) Handlers() peer.Mux {
+	return peer.Mux{
+		methodConsensus: gr.handleConsensus,
+		methodPropose: func(ctx context.Context, st *peer.Stream) error {
+			return gr.handlePropose(ctx, st, true)
+		},
+		methodProposeLeader: func(ctx context.Context, st *peer.Stream) error {
+			return gr.handlePropose(ctx, st, false)
+		},
+		methodReadIndex: gr.handleReadIndex,
+		methodIdentity:  gr.handleIdentity,
+		methodJoin:      gr.handleJoin,
+		methodFeed:      gr.handleFeed,
+		methodMember:    gr.handleMember,
+		methodQuery:     gr.handleQuery,
+	}
+}
+
+func (gr *Group) handleConsensus(_ context.Context, st *peer.Stream) error {
+	he := st.Session().Remote()
+	if he.GetReplica() == "" {
+		return result.New(result.DataFolderForeign, "group: %s is no replica", he.GetName())
+	}
+
+	gr.learnAddress(he)
+	for {
+		st.SetDeadline(time.Now().Add(rawStreamTimeout))
+		var w wire.ConsensusMessage
+		if err := st.Read(&w); err != nil {
+			return err
+		}
+		n := gr.node.Load()
+		if n == nil {
+			continue
+		}
+		m := fromWire(&w)
+		select {
+		case n.inbox <- event{message: &m}:
+		case <-gr.ctx.Done():
+			return nil
+		}
+	}
+}
+
+// Propose commits a command and decodes its reply into out. It tries again while
+// the leader changes: every command is idempotent.
+func (gr *Group) Propose(ctx context.Context, kind machine.Kind, body, out any) error {
+	command, err := machine.Encode(kind, body)
+	if err != nil {
+		return err
+	}
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, proposeTimeout)
+		defer cancel()
+	}
+
+	for {
+		rep, err := gr.proposeOnce(ctx, command)
+		if err == nil {
+			return machine.DecodeReply(rep, out)
+		}
+		if !isRetriable(err) {
+			return err
+		}
+
+		select {
+		case <-time.After(retryMin + rand.N(retryMax-retryMin)):
+		case <-ctx.Done():
+			return result.New(result.GroupTimeout, "group: %v", err).With(result.Unknown)
+		}
+	}
+}
+
+func isRetriable(err error) bool {
+	for _, c := range []result.Code{
+		result.NotLeader, result.NoLeader, result.BackendUnreachable, result.StreamCut, result.ShuttingDown,
+	} {
+		if result.Is(err, c) {
+			return true
+		}
+	}
+
+	return false
+}
+
+func (gr *Group) proposeOnce(ctx context.Context, command []byte) ([]byte, error) {
+	if n := gr.node.Load(); n != nil && n.getStatus().Role == consensus.RoleLeader.String() {
+		return n.proposeLocal(ctx, append([]byte(nil), command...))
+	}
+
+	var rep wire.ProposeReply
+	req := &wire.ProposeRequest{Command: command}
+	if !gr.HasDisk() {
+		if err := gr.callUpstream(ctx, methodPropose, req, &rep); err != nil {
+			return nil, err
+		}
+
+		return rep.GetResult(), nil
+	}
+	if err := gr.callLeader(ctx, methodProposeLeader, req, &rep); err != nil {
+		return nil, err
+	}
+
+	return rep.GetResult(), nil
+}
+
+// callLeader calls the replica that leads, if it is another one.
+func (gr *Group) callLeader(ctx context.Context, method string, req, rep message) error {
+	n := gr.node.Load()
+	if n == nil {
+		return result.New(result.NoLeader, "group: the replica has not started")
+	}
+	st := n.getStatus()
+	if st.Leader == "" || st.Leader == st.Replica {
+		return result.New(result.NoLeader, "group: no leader is known")
+	}
+	a := gr.addressOf(st.Leader)
+	if a == "" {
+		return result.New(result.NoLeader, "group: the address of %s is not known", st.Leader)
+	}
+
+	return gr.callAddress(ctx, a, method, req, rep)
+}
+
+func (gr *Group) callAddress(ctx context.Context, address, method string, req, rep message) error {
+	wctx, cancel := context.WithTimeout(ctx, sessionWait)
+	defer cancel()
+	se, err := gr.tr.session(wctx, address)
+	if err != nil {
+		return err
+	}
+
+	return se.Call(ctx, method, req, rep)
+}
+
+func (gr *Group) handlePropose(ctx context.Context, st *peer.Stream, mayForward bool) error {
+	var req wire.ProposeRequest
+	if err := st.Request(&req); err != nil {
+		return err
+	}
+
+	n := gr.node.Load()
+	if n == nil {
+		return result.New(result.NotLeader, "group: the replica has not started")
+	}
+	if n.getStatus().Role == consensus.RoleLeader.String() {
+		rep, err := n.proposeLocal(ctx, req.GetCommand())
+		if err != nil {
+			return err
+		}
+
+		return st.Send(&wire.ProposeReply{Result: rep})
+	}
+	if !mayForward {
+		return result.New(result.NotLeader, "group: this replica does not lead")
+	}
+
+	var rep wire.ProposeReply
+	if err := gr.callLeader(ctx, methodProposeLeader, &req, &rep); err != nil {
+		return err
+	}
+
+	return st.Send(&rep)
+}
+
+// readIndex asks the leader for a position that covers all that is committed.
+func (gr *Group) readIndex(ctx context.Context) (uint64, error) {
+	n := gr.node.Load()
+	if n == nil {
+		return 0, result.New(result.NoLeader, "group: the replica has not started")
+	}
+	if n.getStatus().Role == consensus.RoleLeader.String() {
+		return n.readLocal(ctx)
+	}
+
+	var rep wire.ReadIndexReply
+	if err := gr.callLeader(ctx, methodReadIndex, &wire.Empty{}, &rep); err != nil {
+		return 0, err
+	}
+
+	return rep.GetIndex(), nil
+}
+
+func (gr *Group) handleReadIndex(ctx context.Context, st *peer.Stream) error {
+	n := gr.node.Load()
+	if n == nil {
+		return result.New(result.NotLeader, "group: the replica has not started")
+	}
+	i, err := n.readLocal(ctx)
+	if err != nil {
+		return err
+	}
+
+	return st.Send(&wire.ReadIndexReply{Index: i})
+}
+
+// Barrier returns once everything committed before the call is applied here.
+func (gr *Group) Barrier(ctx context.Context) error {
+	at := gr.now()
+	i, err := gr.readIndex(ctx)
+	if err != nil {
+		return err
+	}
+	if err := gr.node.Load().waitApplied(ctx, i); err != nil {
+		return err
+	}
+	gr.confirm(at)
+
+	return nil
+}
+
+// confirmDuty keeps the freshness stamp of a replica young.
+func (gr *Group) confirmDuty(ctx context.Context) {
+	for ctx.Err() == nil {
+		cctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+		err := gr.Barrier(cctx)
+		cancel()
+		wait := confirmPeriod
+		if err != nil {
+			wait = retryMax
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// Call calls another gateway by its peer address.
+func (gr *Group) Call(ctx context.Context, address, method string, req, rep message) error {
+	if address == gr.cfg.Address {
+		return result.New(result.Internal, "group: %s is this process", address)
+	}
+
+	return gr.callAddress(ctx, address, method, req, rep)
+}
+
+// Others returns the peer addresses of other gateways that are connected, those of
+// other failure domains first.
+func (gr *Group) Others(failureDomain string) []string {
+	domains := map[string]string{}
+	for _, fo := range gr.cfg.Founders {
+		domains[fo.Address] = ""
+	}
+	gr.Read(func(ma *machine.Machine) {
+		for _, re := range ma.Replicas() {
+			domains[re.Address] = re.FailureDomain
+		}
+	})
+	var far, near []string
+	for a, d := range domains {
+		if a == gr.cfg.Address || gr.tr.outbox(a).link.Session() == nil {
+			continue
+		}
+		if d == failureDomain {
+			near = append(near, a)
+		} else {
+			far = append(far, a)
+		}
+	}
+
+	return append(far, near...)
+}
+
+// QueryStep returns a step as the leader's ledger has it.
+func (gr *Group) QueryStep(ctx context.Context, key string) (*step.Step, error) {
+	var rep wire.ProposeReply
+	req := &wire.QueryRequest{Kind: "step", Payload: []byte(key)}
+	if err := gr.callUpstream(ctx, methodQuery, req, &rep); err != nil {
+		return nil, err
+	}
+
+	var st step.Step
+
+	return &st, decode(rep.GetResult(), &st)
+}
+
+// handleQuery answers from the state as applied here.
+func (gr *Group) handleQuery(_ context.Context, st *peer.Stream) error {
+	var req wire.QueryRequest
+	if err := st.Request(&req); err != nil {
+		return err
+	}
+
+	var b []byte
+	err := error(result.New(result.NotLeader, "group: this process has no ledger"))
+	gr.Read(func(ma *machine.Machine) {
+		var s *step.Step
+		if s, err = ma.Steps().Get(string(req.GetPayload())); err == nil {
+			b, err = cbor.Marshal(s)
+		}
+	})
+	if err != nil {
+		return err
+	}
+
+	return st.Send(&wire.ProposeReply{Result: b})
+}
--- /dev/null
+++ b/internal/group/transport.go
@@ -0,0 +1,169 @@
+package group
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/tamarackbay/tamarackbay/internal/consensus"
+	"github.com/tamarackbay/tamarackbay/internal/peer"
+	"github.com/tamarackbay/tamarackbay/internal/wire"
+)
+
+const (
+	peerRing         = 512 // messages waiting for one peer; further ones are dropped
+	rawStreamTimeout = 24 * time.Hour
+	rawWriteTimeout  = 5 * time.Second
+	methodConsensus  = "raw.consensus"
+)
+
+// transport carries messages to the other replicas, one link and one goroutine an address.
+type transport struct {
+	cfg  peer.Config
+	own  string // own address, never dialled
+	ctx  context.Context
+	mu   sync.Mutex
+	outs map[string]*outbox
+	wg   sync.WaitGroup
+}
+
+type outbox struct {
+	link *peer.Link
+	ring chan *wire.ConsensusMessage
+}
+
+func newTransport(ctx context.Context, cfg peer.Config, own string) *transport {
+	return &transport{cfg: cfg, own: own, ctx: ctx, outs: map[string]*outbox{}}
+}
+
+func (tr *transport) outbox(address string) *outbox {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+
+	ob, ok := tr.outs[address]
+	if ok {
+		return ob
+	}
+
+	ob = &outbox{link: peer.NewLink(address, tr.cfg, nil), ring: make(chan *wire.ConsensusMessage, peerRing)}
+	tr.outs[address] = ob
+	tr.wg.Add(2)
+	go func() {
+		defer tr.wg.Done()
+		ob.link.Run(tr.ctx)
+	}()
+	go func() {
+		defer tr.wg.Done()
+		ob.drain(tr.ctx)
+	}()
+
+	return ob
+}
+
+// session returns the open session to address.
+func (tr *transport) session(ctx context.Context, address string) (*peer.Session, error) {
+	return tr.outbox(address).link.Wait(ctx)
+}
+
+// send hands a message over; it is dropped when the peer's ring is full.
+func (tr *transport) send(address string, m consensus.Message) {
+	if address == "" || address == tr.own {
+		return
+	}
+
+	select {
+	case tr.outbox(address).ring <- toWire(m):
+	default:
+	}
+}
+
+// drain writes the messages of one peer to a raw stream.
+func (ob *outbox) drain(ctx context.Context) {
+	var st *peer.Stream
+	defer func() {
+		if st != nil {
+			st.Close()
+		}
+	}()
+
+	for {
+		var m *wire.ConsensusMessage
+		select {
+		case m = <-ob.ring:
+		case <-ctx.Done():
+			return
+		}
+
+		if st == nil {
+			se := ob.link.Session()
+			if se == nil {
+				continue // the protocol sends again what matters
+			}
+			octx, cancel := context.WithTimeout(ctx, rawStreamTimeout)
+			var err error
+			st, err = se.Open(octx, methodConsensus, &wire.Empty{})
+			cancel()
+			if err != nil {
+				st = nil
+
+				continue
+			}
+		}
+		st.SetDeadline(time.Now().Add(rawWriteTimeout))
+		if err := st.Write(m); err != nil {
+			st.Close()
+			st = nil
+		}
+	}
+}
+
+func toWire(m consensus.Message) *wire.ConsensusMessage {
+	w := &wire.ConsensusMessage{
+		Kind: uint32(m.Kind), Group: uint32(m.Group), From: string(m.From), To: string(m.To), Term: m.Term,
+		Index: m.Index, LogTerm: m.LogTerm, Commit: m.Commit, Round: m.Round, Reject: m.Reject, Force: m.Force,
+		Hint: m.Hint, SnapshotOffset: m.SnapshotOffset, SnapshotDone: m.SnapshotDone, Chunk: m.Chunk,
+		Voters: toStrings(m.Membership.Voters), Learners: toStrings(m.Membership.Learners),
+	}
+	for i := range m.Entries {
+		en := &m.Entries[i]
+		w.Entries = append(w.Entries, &wire.Entry{Index: en.Index, Term: en.Term, Kind: uint32(en.Kind), Data: en.Data})
+	}
+
+	return w
+}
+
+func fromWire(w *wire.ConsensusMessage) consensus.Message {
+	m := consensus.Message{
+		Kind: consensus.MessageKind(w.GetKind()), Group: consensus.GroupID(w.GetGroup()),
+		From: consensus.ReplicaID(w.GetFrom()), To: consensus.ReplicaID(w.GetTo()), Term: w.GetTerm(),
+		Index: w.GetIndex(), LogTerm: w.GetLogTerm(), Commit: w.GetCommit(), Round: w.GetRound(),
+		Reject: w.GetReject(), Force: w.GetForce(), Hint: w.GetHint(), SnapshotOffset: w.GetSnapshotOffset(),
+		SnapshotDone: w.GetSnapshotDone(), Chunk: w.GetChunk(),
+		Membership: consensus.Membership{Voters: toReplicas(w.GetVoters()), Learners: toReplicas(w.GetLearners())},
+	}
+	for _, en := range w.GetEntries() {
+		m.Entries = append(m.Entries, consensus.Entry{
+			Index: en.GetIndex(), Term: en.GetTerm(), Kind: consensus.EntryKind(en.GetKind()), Data: en.GetData(),
+		})
+	}
+
+	return m
+}
+
+func toStrings(ids []consensus.ReplicaID) []string {
+	out := make([]string, len(ids))
+	for i, id := range ids {
+		out[i] = string(id)
+	}
+
+	return out
+}
+
+func toReplicas(ids []string) []consensus.ReplicaID {
+	out := make([]consensus.ReplicaID, len(ids))
+	for i, id := range ids {
+		out[i] = consensus.ReplicaID(id)
+	}
+
+	return out
+}
--- /dev/null
+++ b/internal/handlers/caller.go
@@ -0,0 +1,171 @@
+package handlers
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/tamarackbay/tamarackbay/internal/gateway"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+	"github.com/tamarackbay/tamarackbay/internal/settings"
+)
+
+// Callers serves callers and trainers.
+type Callers struct {
+	ga *gateway.Gateway
+}
+
+// NewCallers returns the router of the callers' listener.
+func NewCallers(ga *gateway.Gateway) http.Handler {
+	ca := &Callers{ga: ga}
+	r := chi.NewRouter()
+	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	r.Get("/readyz", ca.ready)
+	r.Post("/v1/completions", ca.withCaller(ca.completions))
+	r.Post("/v1/chat/completions", ca.withCaller(ca.chat))
+	r.Post("/v1/steps", ca.withCaller(ca.openStep))
+	r.Get("/v1/steps/{step}/pages/{page}", ca.withCaller(ca.page))
+	r.Post("/v1/steps/{step}/pages/{page}/ack", ca.withCaller(ca.ack))
+	r.Post("/v1/models/{model}/versions", ca.withCaller(ca.pushVersion))
+	r.HandleFunc("/r/{route}", ca.forward)
+	r.HandleFunc("/r/{route}/*", ca.forward)
+	r.NotFound(func(w http.ResponseWriter, r *http.Request) {
+		ca.refuse(w, result.New(result.UnknownRoute, "path %s is not served", r.URL.Path))
+	})
+	r.MethodNotAllowed(func(w http.ResponseWriter, r *http.Request) {
+		ca.refuse(w, result.New(result.MethodNotAllowed, "%s does not take %s", r.URL.Path, r.Method))
+	})
+
+	return r
+}
+
+// refuse counts and answers an error.
+func (ca *Callers) refuse(w http.ResponseWriter, err error) {
+	ca.ga.Meter().Refused(err)
+	writeError(w, err)
+}
+
+func (ca *Callers) ready(w http.ResponseWriter, _ *http.Request) {
+	if err := ca.ga.Ready(); err != nil {
+		writeError(w, err)
+
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// withCaller authenticates a request and ends it with its key.
+func (ca *Callers) withCaller(next func(w http.ResponseWriter, r *http.Request, cl gateway.Caller)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		cl, err := ca.ga.Authenticate(bearer(r))
+		if err != nil {
+			ca.refuse(w, err)
+
+			return
+		}
+		ctx, done := ca.ga.Watch(r.Context(), cl)
+		defer done()
+		next(w, r.WithContext(ctx), cl)
+	}
+}
+
+func (ca *Callers) bodyTimeout() time.Duration {
+	return settings.Duration(ca.ga.Settings().Times.BodyMs)
+}
+
+// forward serves plain services under /r/{route}.
+func (ca *Callers) forward(w http.ResponseWriter, r *http.Request) {
+	name := chi.URLParam(r, "route")
+	ro, err := ca.ga.Route(name)
+	if err != nil {
+		// Without a key nobody learns which routes exist.
+		if _, aerr := ca.ga.Authenticate(bearer(r)); aerr != nil {
+			err = aerr
+		}
+		ca.refuse(w, err)
+
+		return
+	}
+
+	cl := gateway.Caller{Workspace: ro.OpenWorkspace}
+	if ro.Open {
+		err = ca.ga.Group().Fresh()
+	} else {
+		cl, err = ca.ga.Authenticate(bearer(r))
+	}
+	if err == nil {
+		err = gateway.MayUse(ro, name, cl.Workspace)
+	}
+	if err == nil && ro.Service == "" {
+		err = result.New(result.UnknownRoute, "route %q serves a model: use /v1/completions", name)
+	}
+	if err != nil {
+		ca.refuse(w, err)
+
+		return
+	}
+	timeout, err := callerTimeout(r, ro.Timeout())
+	if err != nil {
+		ca.refuse(w, err)
+
+		return
+	}
+	body, err := readBody(w, r, int64(ro.MaxBodyBytes), ca.bodyTimeout())
+	if err != nil {
+		ca.refuse(w, err)
+
+		return
+	}
+
+	ctx, done := ca.ga.Watch(r.Context(), cl)
+	defer done()
+	rw := &replyWriter{w: w}
+	err = ca.ga.Forward(ctx, gateway.Forward{
+		Caller: cl, RouteName: name, Route: ro, Method: r.Method, Path: pathAfterRoute(r, name), Query: r.URL.RawQuery,
+		Header: r.Header, Body: body, IdempotencyKey: r.Header.Get("Idempotency-Key"), Timeout: timeout,
+	}, gateway.Reply{Head: rw.head, Body: rw.body})
+	if err == nil {
+		return
+	}
+	ca.ga.Meter().Refused(err)
+	if rw.sent {
+		// The caller has a part: only a broken connection tells that it is not whole.
+		panic(http.ErrAbortHandler)
+	}
+	writeError(w, err)
+}
+
+// pathAfterRoute returns the escaped path behind /r/{route}.
+func pathAfterRoute(r *http.Request, name string) string {
+	p := strings.TrimPrefix(r.URL.EscapedPath(), "/r/"+name)
+	if !strings.HasPrefix(p, "/") {
+		p = "/" + p
+	}
+
+	return p
+}
+
+// replyWriter passes an answer on part by part.
+type replyWriter struct {
+	w    http.ResponseWriter
+	sent bool
+}
+
+func (rw *replyWriter) head(requestID string, status int, h http.Header) {
+	rw.sent = true
+	for name, values := range h {
+		rw.w.Header()[name] = values
+	}
+	rw.w.Header().Set("X-Request-Id", requestID)
+	rw.w.WriteHeader(status)
+}
+
+func (rw *replyWriter) body(b []byte) error {
+	if _, err := rw.w.Write(b); err != nil {
+		return err
+	}
+
+	return http.NewResponseController(rw.w).Flush()
+}
