--- /dev/null
+++ b/internal/handlers/completion.go
@@ -0,0 +1,240 @@
+package handlers
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/tamarackbay/tamarackbay/internal/gateway"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+	"github.com/tamarackbay/tamarackbay/internal/rollout"
+	"github.com/tamarackbay/tamarackbay/internal/wire"
+)
+
+const (
+	maxCompletionBody = 4 << 20
+	maxTokensLimit    = 131_072
+	defaultMaxTokens  = 256
+)
+
+// completionRequest is the usual completion call. Fields of the usual interface
+// that change nothing here are accepted and ignored.
+type completionRequest struct {
+	Model       string        `json:"model"`
+	Prompt      string        `json:"prompt"`
+	Messages    []chatMessage `json:"messages"`
+	MaxTokens   uint32        `json:"max_tokens"`
+	Temperature float64       `json:"temperature"`
+	Seed        uint64        `json:"seed"`
+	Stream      bool          `json:"stream"`
+	N           int           `json:"n"`
+	User        string        `json:"user"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type completionChoice struct {
+	Index        int          `json:"index"`
+	Text         *string      `json:"text,omitempty"`
+	Message      *chatMessage `json:"message,omitempty"`
+	Delta        *chatMessage `json:"delta,omitempty"`
+	FinishReason *string      `json:"finish_reason"`
+}
+
+type completionUsage struct {
+	PromptTokens     uint32 `json:"prompt_tokens"`
+	CompletionTokens uint32 `json:"completion_tokens"`
+	TotalTokens      uint32 `json:"total_tokens"`
+}
+
+type completionReply struct {
+	ID             string                 `json:"id"`
+	Object         string                 `json:"object"`
+	Created        int64                  `json:"created"`
+	Model          string                 `json:"model"`
+	Choices        []completionChoice     `json:"choices"`
+	Usage          *completionUsage       `json:"usage,omitempty"`
+	WeightVersions []rollout.VersionRange `json:"weight_versions,omitempty"`
+}
+
+func (ca *Callers) completions(w http.ResponseWriter, r *http.Request, cl gateway.Caller) {
+	ca.complete(w, r, cl, false)
+}
+
+func (ca *Callers) chat(w http.ResponseWriter, r *http.Request, cl gateway.Caller) {
+	ca.complete(w, r, cl, true)
+}
+
+func (ca *Callers) complete(w http.ResponseWriter, r *http.Request, cl gateway.Caller, isChat bool) {
+	rq, co, err := ca.parseCompletion(w, r, cl, isChat)
+	if err != nil {
+		ca.refuse(w, err)
+
+		return
+	}
+	if rq.Stream {
+		ca.streamCompletion(w, r, co, isChat)
+
+		return
+	}
+
+	wr, err := ca.ga.Complete(r.Context(), co, nil)
+	if err != nil {
+		ca.refuse(w, err)
+
+		return
+	}
+	w.Header().Set("X-Request-Id", wr.RequestID)
+	writeJSON(w, http.StatusOK, wholeReply(wr, co.Model, isChat))
+}
+
+func (ca *Callers) parseCompletion(w http.ResponseWriter, r *http.Request, cl gateway.Caller, isChat bool) (completionRequest, gateway.Completion, error) {
+	var rq completionRequest
+	var co gateway.Completion
+	b, err := readBody(w, r, maxCompletionBody, ca.bodyTimeout())
+	if err != nil {
+		return rq, co, err
+	}
+	if cl.Secret != "" && strings.Contains(string(b), cl.Secret) {
+		return rq, co, result.New(result.KeyInRequest, "the caller's key stands in the body")
+	}
+	if err := decodeJSON(b, &rq); err != nil {
+		return rq, co, err
+	}
+	if isChat {
+		rq.Prompt = chatPrompt(rq.Messages)
+	}
+	if rq.MaxTokens == 0 {
+		rq.MaxTokens = defaultMaxTokens
+	}
+	switch {
+	case rq.Prompt == "":
+		return rq, co, result.New(result.InvalidField, "prompt or messages must be set")
+	case rq.MaxTokens > maxTokensLimit:
+		return rq, co, result.New(result.InvalidField, "max_tokens %d is over %d", rq.MaxTokens, maxTokensLimit)
+	case rq.N > 1:
+		return rq, co, result.New(result.InvalidField, "n %d: one answer a request", rq.N)
+	case rq.Temperature < 0 || rq.Temperature > 10:
+		return rq, co, result.New(result.InvalidField, "temperature %g is not between 0 and 10", rq.Temperature)
+	}
+
+	name, ro, err := ca.ga.RouteOfModel(rq.Model, cl.Workspace)
+	if err != nil {
+		return rq, co, err
+	}
+	timeout, err := callerTimeout(r, ro.Timeout())
+
+	return rq, gateway.Completion{
+		Workspace: cl.Workspace, Route: name, Model: rq.Model, Prompt: rq.Prompt, MaxTokens: rq.MaxTokens,
+		Temperature: rq.Temperature, Seed: rq.Seed, Class: ro.Class, Retries: ro.Retries, Timeout: timeout,
+	}, err
+}
+
+// chatPrompt writes messages as one prompt, a line for each.
+func chatPrompt(ms []chatMessage) string {
+	var sb strings.Builder
+	for _, m := range ms {
+		fmt.Fprintf(&sb, "%s: %s\n", m.Role, m.Content)
+	}
+	if sb.Len() > 0 {
+		sb.WriteString("assistant:")
+	}
+
+	return sb.String()
+}
+
+func objectName(isChat, isChunk bool) string {
+	switch {
+	case isChat && isChunk:
+		return "chat.completion.chunk"
+	case isChat:
+		return "chat.completion"
+	}
+
+	return "text_completion"
+}
+
+func wholeReply(wr *gateway.Written, model string, isChat bool) completionReply {
+	ch := completionChoice{FinishReason: &wr.Finish}
+	if isChat {
+		ch.Message = &chatMessage{Role: "assistant", Content: wr.Text}
+	} else {
+		ch.Text = &wr.Text
+	}
+
+	return completionReply{
+		ID: wr.RequestID, Object: objectName(isChat, false), Created: time.Now().Unix(), Model: model,
+		Choices: []completionChoice{ch}, Usage: usageOf(wr), WeightVersions: wr.Versions,
+	}
+}
+
+func usageOf(wr *gateway.Written) *completionUsage {
+	return &completionUsage{
+		PromptTokens: wr.PromptTokens, CompletionTokens: wr.Tokens, TotalTokens: wr.PromptTokens + wr.Tokens,
+	}
+}
+
+// streamCompletion sends each part as it comes. An error after the first part is
+// sent as an event, and the end mark does not follow.
+func (ca *Callers) streamCompletion(w http.ResponseWriter, r *http.Request, co gateway.Completion, isChat bool) {
+	started := false
+	send := func(v any) error {
+		b, err := json.Marshal(v)
+		if err != nil {
+			return err
+		}
+		if _, err := fmt.Fprintf(w, "data: %s\n\n", b); err != nil {
+			return err
+		}
+
+		return http.NewResponseController(w).Flush()
+	}
+	wr, err := ca.ga.Complete(r.Context(), co, func(id string, part *wire.RunChunk) error {
+		if !started {
+			started = true
+			w.Header().Set("Content-Type", "text/event-stream")
+			w.Header().Set("X-Request-Id", id)
+			w.WriteHeader(http.StatusOK)
+		}
+
+		return send(partReply(id, co.Model, part, isChat))
+	})
+	switch {
+	case err != nil && !started:
+		ca.refuse(w, err)
+	case err != nil:
+		ca.ga.Meter().Refused(err)
+		_ = send(newErrorBody(result.From(err))) // the connection may be the cause
+	default:
+		last := completionReply{
+			ID: wr.RequestID, Object: objectName(isChat, true), Created: time.Now().Unix(), Model: co.Model,
+			Choices: []completionChoice{}, Usage: usageOf(wr), WeightVersions: wr.Versions,
+		}
+		if send(last) == nil {
+			_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
+			_ = http.NewResponseController(w).Flush()
+		}
+	}
+}
+
+func partReply(id, model string, part *wire.RunChunk, isChat bool) completionReply {
+	text := part.GetText()
+	ch := completionChoice{}
+	if isChat {
+		ch.Delta = &chatMessage{Role: "assistant", Content: text}
+	} else {
+		ch.Text = &text
+	}
+	if f := part.GetFinish(); f != "" {
+		ch.FinishReason = &f
+	}
+
+	return completionReply{
+		ID: id, Object: objectName(isChat, true), Created: time.Now().Unix(), Model: model, Choices: []completionChoice{ch},
+	}
+}
--- /dev/null
+++ b/internal/handlers/http.go
@@ -0,0 +1,110 @@
+// Package handlers serves the HTTP interfaces of callers, trainers and operators.
+// The handlers are thin: the gateway does the work.
+package handlers
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/tamarackbay/tamarackbay/internal/result"
+)
+
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Code      result.Code `json:"code"`
+	Name      string      `json:"name"`
+	Message   string      `json:"message"`
+	Execution string      `json:"execution"`
+}
+
+func newErrorBody(er *result.Error) errorBody {
+	return errorBody{Error: errorDetail{
+		Code: er.Code, Name: result.Lookup(er.Code).Name, Message: er.Message, Execution: er.Execution.String(),
+	}}
+}
+
+// writeError answers with a numbered error.
+func writeError(w http.ResponseWriter, err error) {
+	er := result.From(err)
+	if er.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int((er.RetryAfter+time.Second-1)/time.Second)))
+		w.Header().Set("Retry-After-Ms", strconv.FormatInt(er.RetryAfter.Milliseconds(), 10))
+	}
+	writeJSON(w, result.Lookup(er.Code).Status, newErrorBody(er))
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v) // the client has gone if this fails
+}
+
+// readBody reads a whole request body within a size and a time.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64, timeout time.Duration) ([]byte, error) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(timeout))
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+
+	var tooLarge *http.MaxBytesError
+	var ne net.Error
+	switch {
+	case err == nil:
+		return b, nil
+	case errors.As(err, &tooLarge):
+		return nil, result.New(result.BodyTooLarge, "the body is over %d bytes", limit)
+	case errors.Is(err, os.ErrDeadlineExceeded) || (errors.As(err, &ne) && ne.Timeout()):
+		return nil, result.New(result.BodyTooSlow, "the body did not arrive within %v", timeout)
+	}
+
+	return nil, result.New(result.MalformedBody, "body: %v", err)
+}
+
+// decodeJSON reads a body that must be one JSON object without unknown fields.
+func decodeJSON(b []byte, v any) error {
+	de := json.NewDecoder(strings.NewReader(string(b)))
+	de.DisallowUnknownFields()
+	if err := de.Decode(v); err != nil {
+		return result.New(result.MalformedBody, "body: %v", err)
+	}
+	if _, err := de.Token(); !errors.Is(err, io.EOF) {
+		return result.New(result.MalformedBody, "body: text after the end of the object")
+	}
+
+	return nil
+}
+
+// bearer returns the token of a request.
+func bearer(r *http.Request) string {
+	t, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return ""
+	}
+
+	return strings.TrimSpace(t)
+}
+
+const timeoutHeader = "X-Timeout-Ms"
+
+// callerTimeout returns the shorter of a route's timeout and the caller's own.
+func callerTimeout(r *http.Request, timeout time.Duration) (time.Duration, error) {
+	v := r.Header.Get(timeoutHeader)
+	if v == "" {
+		return timeout, nil
+	}
+	ms, err := strconv.Atoi(v)
+	if err != nil || ms < 1 {
+		return 0, result.New(result.InvalidField, "header %s: %q is not a number of milliseconds", timeoutHeader, v)
+	}
+
+	return min(timeout, time.Duration(ms)*time.Millisecond), nil
+}
--- /dev/null
+++ b/internal/handlers/operator.go
@@ -0,0 +1,269 @@
+package handlers
+
+import (
+	"crypto/subtle"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/tamarackbay/tamarackbay/internal/consensus"
+	"github.com/tamarackbay/tamarackbay/internal/declaration"
+	"github.com/tamarackbay/tamarackbay/internal/gateway"
+	"github.com/tamarackbay/tamarackbay/internal/group"
+	"github.com/tamarackbay/tamarackbay/internal/lease"
+	"github.com/tamarackbay/tamarackbay/internal/machine"
+	"github.com/tamarackbay/tamarackbay/internal/order"
+	"github.com/tamarackbay/tamarackbay/internal/pool"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+)
+
+// Operators serves operators and the collection of metrics.
+type Operators struct {
+	ga *gateway.Gateway
+}
+
+// NewOperators returns the router of the operators' listener.
+func NewOperators(ga *gateway.Gateway) http.Handler {
+	op := &Operators{ga: ga}
+	r := chi.NewRouter()
+	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	r.Get("/metrics", op.metrics)
+	r.Get("/v1/configuration", op.withOperator(op.configuration))
+	r.Post("/v1/patches", op.withOperator(op.patch))
+	r.Get("/v1/history", op.withOperator(op.history))
+	r.Post("/v1/keys", op.withOperator(op.issueKey))
+	r.Post("/v1/keys/{key}/withdraw", op.withOperator(op.withdrawKey))
+	r.Get("/v1/status", op.withOperator(op.status))
+	r.Get("/v1/explain", op.withOperator(op.explain))
+	r.Get("/v1/members", op.withOperator(op.members))
+	r.Post("/v1/members/{replica}/{action}", op.withOperator(op.changeMember))
+	r.Get("/v1/quarantine", op.withOperator(op.quarantine))
+	r.Post("/v1/quarantine/{fingerprint}/release", op.withOperator(op.release))
+	r.NotFound(func(w http.ResponseWriter, r *http.Request) {
+		op.refuse(w, result.New(result.UnknownRoute, "path %s is not served", r.URL.Path))
+	})
+
+	return r
+}
+
+func (op *Operators) refuse(w http.ResponseWriter, err error) {
+	op.ga.Meter().Refused(err)
+	writeError(w, err)
+}
+
+// withOperator checks the operator's token against every operator's hash, so that
+// the time taken does not tell whose prefix matched.
+func (op *Operators) withOperator(next func(w http.ResponseWriter, r *http.Request, operator string)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		h := declaration.HashSecret(bearer(r))
+		name := ""
+		for _, o := range op.ga.Settings().Operators {
+			if subtle.ConstantTimeCompare([]byte(h), []byte(o.TokenHash)) == 1 {
+				name = o.Name
+			}
+		}
+		if name == "" {
+			op.refuse(w, result.New(result.OperatorForbidden, "the operator's token is missing or wrong"))
+
+			return
+		}
+		next(w, r, name)
+	}
+}
+
+func (op *Operators) metrics(w http.ResponseWriter, r *http.Request) {
+	if strings.Contains(r.Header.Get("Accept"), "application/json") || r.URL.Query().Get("format") == "json" {
+		w.Header().Set("Content-Type", "application/json")
+		op.ga.Meter().WriteJSON(w)
+
+		return
+	}
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	_ = op.ga.Meter().WriteText(w) // the collector has gone if this fails
+}
+
+type configurationReply struct {
+	Version uint64           `json:"version"`
+	Set     *declaration.Set `json:"declarations"`
+}
+
+func (op *Operators) configuration(w http.ResponseWriter, r *http.Request, _ string) {
+	if err := op.ga.Group().Fresh(); err != nil {
+		op.refuse(w, err)
+
+		return
+	}
+	vi := op.ga.Group().View()
+	if path := r.URL.Query().Get("path"); path != "" {
+		v, err := vi.Set.Get(path)
+		if err != nil {
+			op.refuse(w, err)
+
+			return
+		}
+		writeJSON(w, http.StatusOK, map[string]any{"version": vi.Version, "path": path, "value": v})
+
+		return
+	}
+	writeJSON(w, http.StatusOK, configurationReply{Version: vi.Version, Set: vi.Set})
+}
+
+func (op *Operators) patch(w http.ResponseWriter, r *http.Request, operator string) {
+	b, err := readBody(w, r, maxCompletionBody, defaultPageWait)
+	if err != nil {
+		op.refuse(w, err)
+
+		return
+	}
+	var pa declaration.Patch
+	if err := decodeJSON(b, &pa); err != nil {
+		op.refuse(w, err)
+
+		return
+	}
+	pa.Author = operator
+	an, err := op.ga.Patch(r.Context(), pa)
+	if err != nil {
+		op.refuse(w, err)
+
+		return
+	}
+	writeJSON(w, http.StatusOK, an)
+}
+
+func (op *Operators) history(w http.ResponseWriter, r *http.Request, _ string) {
+	n, err := strconv.Atoi(r.URL.Query().Get("n"))
+	if err != nil || n < 1 {
+		n = 20
+	}
+	var out []declaration.Change
+	if !op.ga.Group().Read(func(ma *machine.Machine) { out = ma.Book().History(n) }) {
+		op.refuse(w, result.New(result.NotLeader, "this gateway has no disk: ask one that has"))
+
+		return
+	}
+	writeJSON(w, http.StatusOK, map[string]any{"changes": out})
+}
+
+type keyRequest struct {
+	Workspace string `json:"workspace"`
+	Note      string `json:"note"`
+	ExpiresMs int64  `json:"expiresMs"`
+}
+
+func (op *Operators) issueKey(w http.ResponseWriter, r *http.Request, operator string) {
+	b, err := readBody(w, r, maxSmallBody, defaultPageWait)
+	if err != nil {
+		op.refuse(w, err)
+
+		return
+	}
+	var rq keyRequest
+	if err := decodeJSON(b, &rq); err != nil {
+		op.refuse(w, err)
+
+		return
+	}
+	id, token, err := op.ga.IssueKey(r.Context(), operator, rq.Workspace, rq.Note, rq.ExpiresMs)
+	if err != nil {
+		op.refuse(w, err)
+
+		return
+	}
+	writeJSON(w, http.StatusOK, map[string]string{"id": id, "token": token})
+}
+
+func (op *Operators) withdrawKey(w http.ResponseWriter, r *http.Request, operator string) {
+	an, err := op.ga.WithdrawKey(r.Context(), operator, chi.URLParam(r, "key"))
+	if err != nil {
+		op.refuse(w, err)
+
+		return
+	}
+	writeJSON(w, http.StatusOK, an)
+}
+
+type statusReply struct {
+	Gateway string                 `json:"gateway"`
+	Cluster string                 `json:"cluster"`
+	Version uint64                 `json:"version"`
+	AgeMs   int64                  `json:"ageMs"`
+	Ready   bool                   `json:"ready"`
+	Replica group.Status           `json:"replica"`
+	Servers []pool.Info            `json:"servers"`
+	Leases  map[string]lease.Lease `json:"leases"`
+	Open    []order.Intent         `json:"openOrders"`
+	Steps   int                    `json:"steps"`
+}
+
+func (op *Operators) status(w http.ResponseWriter, _ *http.Request, _ string) {
+	gr := op.ga.Group()
+	age, _ := gr.Age()
+	rep := statusReply{
+		Gateway: op.ga.Settings().Name, Cluster: gr.Cluster(), Version: gr.View().Version, AgeMs: age.Milliseconds(),
+		Ready: op.ga.Ready() == nil, Replica: gr.Status(), Servers: []pool.Info{}, Leases: map[string]lease.Lease{},
+		Steps: op.ga.Rollouts().Running(),
+	}
+	for _, po := range op.ga.Pools() {
+		rep.Servers = append(rep.Servers, po.Infos()...)
+	}
+	gr.Read(func(ma *machine.Machine) {
+		for n, le := range ma.Leases().Leases() {
+			rep.Leases[n] = le
+		}
+		rep.Open = ma.Orders().Unsettled()
+	})
+	writeJSON(w, http.StatusOK, rep)
+}
+
+func (op *Operators) explain(w http.ResponseWriter, _ *http.Request, _ string) {
+	writeJSON(w, http.StatusOK, map[string]any{"fleet": op.ga.ExplainFleet()})
+}
+
+type memberReply struct {
+	machine.Register
+	Voter bool `json:"voter"`
+}
+
+func (op *Operators) members(w http.ResponseWriter, _ *http.Request, _ string) {
+	st := op.ga.Group().Status()
+	out := []memberReply{}
+	op.ga.Group().Read(func(ma *machine.Machine) {
+		for _, id := range st.Membership.All() {
+			re := ma.Replicas()[id]
+			re.Replica = id
+			out = append(out, memberReply{Register: re, Voter: st.Membership.IsVoter(id)})
+		}
+	})
+	writeJSON(w, http.StatusOK, map[string]any{"leader": st.Leader, "members": out})
+}
+
+func (op *Operators) changeMember(w http.ResponseWriter, r *http.Request, _ string) {
+	action := chi.URLParam(r, "action")
+	if action != group.MemberPromote && action != group.MemberRemove {
+		op.refuse(w, result.New(result.InvalidField, "action %q is not one of promote, remove", action))
+
+		return
+	}
+	if err := op.ga.Group().ChangeMember(r.Context(), action, consensus.ReplicaID(chi.URLParam(r, "replica"))); err != nil {
+		op.refuse(w, err)
+
+		return
+	}
+	writeJSON(w, http.StatusOK, struct{}{})
+}
+
+func (op *Operators) quarantine(w http.ResponseWriter, _ *http.Request, _ string) {
+	writeJSON(w, http.StatusOK, map[string]any{"fingerprints": op.ga.Group().View().Quarantine})
+}
+
+func (op *Operators) release(w http.ResponseWriter, r *http.Request, _ string) {
+	if err := op.ga.ReleaseFingerprint(r.Context(), chi.URLParam(r, "fingerprint")); err != nil {
+		op.refuse(w, err)
+
+		return
+	}
+	writeJSON(w, http.StatusOK, struct{}{})
+}
--- /dev/null
+++ b/internal/httpcall/httpcall.go
@@ -0,0 +1,104 @@
+// Package httpcall holds what the adapters of outside interfaces share: clients
+// that dial from the process's own address, small JSON calls, and the judgement
+// whether a failed call can have run.
+package httpcall
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/tamarackbay/tamarackbay/internal/result"
+)
+
+const (
+	dialTimeout      = time.Second
+	idleTimeout      = 30 * time.Second
+	maxIdlePerServer = 256
+	maxAnswerBytes   = 16 << 20
+	maxErrorBytes    = 512
+)
+
+// NewClient returns a client that dials from the IP number bind. Without
+// keepAlive each request has a connection of its own, so that the library never
+// sends one a second time.
+func NewClient(bind string, keepAlive bool) *http.Client {
+	nd := &net.Dialer{Timeout: dialTimeout}
+	if bind != "" {
+		nd.LocalAddr = &net.TCPAddr{IP: net.ParseIP(bind)}
+	}
+
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext: nd.DialContext, DisableKeepAlives: !keepAlive, MaxIdleConnsPerHost: maxIdlePerServer,
+			IdleConnTimeout: idleTimeout, DisableCompression: true, Proxy: nil,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// Failure returns the numbered error of a call that got no answer.
+func Failure(what string, err error) *result.Error {
+	var op *net.OpError
+	switch {
+	case errors.As(err, &op) && op.Op == "dial":
+		return result.New(result.BackendUnreachable, "%s: %v", what, err)
+	case errors.Is(err, context.DeadlineExceeded):
+		return result.New(result.BackendTimeout, "%s: %v", what, err).With(result.Unknown)
+	case errors.Is(err, context.Canceled):
+		return result.New(result.DeadlinePassed, "%s: the caller has gone", what).With(result.Unknown)
+	}
+
+	return result.New(result.BackendCrashed, "%s: %v", what, err).With(result.Unknown)
+}
+
+// Refusal returns the numbered error of an answer with an error status.
+func Refusal(what string, rs *http.Response) *result.Error {
+	b, _ := io.ReadAll(io.LimitReader(rs.Body, maxErrorBytes))
+
+	return result.New(result.BackendRefused, "%s: status %d: %s", what, rs.StatusCode, bytes.TrimSpace(b))
+}
+
+// JSON sends in as JSON, if it is not nil, and decodes the answer into out. The
+// status of the answer is returned with every error that an answer had.
+func JSON(ctx context.Context, hc *http.Client, method, url string, in, out any) (int, error) {
+	var body io.Reader = http.NoBody
+	if in != nil {
+		b, err := json.Marshal(in)
+		if err != nil {
+			return 0, err
+		}
+		body = bytes.NewReader(b)
+	}
+	rq, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return 0, err
+	}
+	rq.Header.Set("Content-Type", "application/json")
+	what := method + " " + rq.URL.Path
+
+	rs, err := hc.Do(rq)
+	if err != nil {
+		return 0, Failure(what, err)
+	}
+	defer rs.Body.Close()
+
+	if rs.StatusCode >= http.StatusMultipleChoices {
+		return rs.StatusCode, Refusal(what, rs)
+	}
+	if out == nil {
+		_, _ = io.Copy(io.Discard, io.LimitReader(rs.Body, maxAnswerBytes))
+
+		return rs.StatusCode, nil
+	}
+	if err := json.NewDecoder(io.LimitReader(rs.Body, maxAnswerBytes)).Decode(out); err != nil {
+		return rs.StatusCode, result.New(result.BackendAnswerBroken, "%s: %v", what, err).With(result.Unknown)
+	}
+
+	return rs.StatusCode, nil
+}
--- /dev/null
+++ b/internal/lease/lease.go
@@ -0,0 +1,241 @@
+// Package lease grants work that only one process may do at a time. A lease
+// carries a fencing number that never falls. Whether a lease has run out is never
+// judged by the replicated state: a candidate watches the renewal number with its
+// own monotonic clock and names the one it saw, so that a renewal in between
+// refuses it.
+package lease
+
+import (
+	"time"
+
+	"github.com/tamarackbay/tamarackbay/internal/result"
+)
+
+// Lease is the replicated state of one lease.
+type Lease struct {
+	Name    string `cbor:"1,keyasint" json:"name"`
+	Holder  string `cbor:"2,keyasint" json:"holder"` // "" when released
+	Fencing uint64 `cbor:"3,keyasint" json:"fencing"`
+	Renewal uint64 `cbor:"4,keyasint" json:"renewal"`
+	Nonce   string `cbor:"5,keyasint" json:"-"` // of the command that took it
+}
+
+// Acquire asks for a lease whose last observed state it names.
+type Acquire struct {
+	Name        string `cbor:"1,keyasint"`
+	Holder      string `cbor:"2,keyasint"`
+	SeenFencing uint64 `cbor:"3,keyasint"`
+	SeenRenewal uint64 `cbor:"4,keyasint"`
+	Nonce       string `cbor:"5,keyasint"`
+}
+
+// Renew prolongs a lease.
+type Renew struct {
+	Name    string `cbor:"1,keyasint"`
+	Fencing uint64 `cbor:"2,keyasint"`
+	Renewal uint64 `cbor:"3,keyasint"` // the number that this renewal sets
+}
+
+// Release gives a lease up at once.
+type Release struct {
+	Name    string `cbor:"1,keyasint"`
+	Fencing uint64 `cbor:"2,keyasint"`
+}
+
+// Table holds all leases of a group.
+type Table struct {
+	leases map[string]Lease
+}
+
+// NewTable returns the table that holds leases.
+func NewTable(leases map[string]Lease) *Table {
+	if leases == nil {
+		leases = map[string]Lease{}
+	}
+
+	return &Table{leases: leases}
+}
+
+// Leases returns all leases for a snapshot.
+func (ta *Table) Leases() map[string]Lease { return ta.leases }
+
+// Get returns the lease called name, all zero if nobody ever held it.
+func (ta *Table) Get(name string) Lease {
+	le := ta.leases[name]
+	le.Name = name
+
+	return le
+}
+
+// Acquire gives the lease to a new holder and raises the fencing number.
+func (ta *Table) Acquire(ac Acquire) (Lease, error) {
+	le := ta.Get(ac.Name)
+	if le.Nonce == ac.Nonce && ac.Nonce != "" {
+		return le, nil // the same command again
+	}
+	if le.Fencing != ac.SeenFencing || le.Renewal != ac.SeenRenewal {
+		return le, result.New(result.LeaseTaken, "lease %s: held by %q under fencing number %d", ac.Name, le.Holder, le.Fencing)
+	}
+
+	le = Lease{Name: ac.Name, Holder: ac.Holder, Fencing: le.Fencing + 1, Renewal: le.Renewal + 1, Nonce: ac.Nonce}
+	ta.leases[ac.Name] = le
+
+	return le, nil
+}
+
+// Renew raises the renewal number for the holder.
+func (ta *Table) Renew(re Renew) (Lease, error) {
+	le := ta.Get(re.Name)
+	if err := ta.Check(re.Name, re.Fencing); err != nil {
+		return le, err
+	}
+
+	le.Renewal = max(le.Renewal, re.Renewal)
+	ta.leases[re.Name] = le
+
+	return le, nil
+}
+
+// Release frees the lease; the next holder need not wait.
+func (ta *Table) Release(re Release) (Lease, error) {
+	le := ta.Get(re.Name)
+	if le.Fencing == re.Fencing && le.Holder != "" {
+		le.Holder = ""
+		le.Renewal++
+		ta.leases[re.Name] = le
+	}
+
+	return le, nil
+}
+
+// Check returns an error unless the lease is held under this fencing number.
+func (ta *Table) Check(name string, fencing uint64) error {
+	le := ta.leases[name]
+	if le.Holder == "" || le.Fencing != fencing {
+		return result.New(result.LeaseLost, "lease %s: fencing number %d, the current one is %d", name, fencing, le.Fencing)
+	}
+
+	return nil
+}
+
+// Terms are the times of a lease.
+type Terms struct {
+	Duration time.Duration // how long a holder may act after it sent a renewal
+	MaxCall  time.Duration // longest outside call of a holder
+	Drift    float64       // largest relative clock drift between two processes
+}
+
+// DefaultTerms returns the terms of today's deployments.
+func DefaultTerms() Terms {
+	return Terms{Duration: 3 * time.Second, MaxCall: time.Second, Drift: 0.01}
+}
+
+// Wait returns how long a candidate must see no renewal before it may acquire.
+func (te Terms) Wait() time.Duration {
+	return time.Duration(float64(te.Duration+te.MaxCall) * (1 + 2*te.Drift))
+}
+
+// Keeper decides for one process when to acquire, renew and stop. It is a core:
+// time is an argument and actions are returned.
+type Keeper struct {
+	name   string
+	holder string
+	terms  Terms
+	nonce  func() string
+
+	seen     Lease
+	seenAt   time.Duration
+	observed bool
+
+	held    bool
+	fencing uint64
+	renewal uint64
+	until   time.Duration // the own lease ends here
+	pending bool
+	sentAt  time.Duration
+	stopped bool
+}
+
+// Action is what the duty around a Keeper must propose.
+type Action struct {
+	Acquire *Acquire
+	Renew   *Renew
+	Release *Release
+}
+
+// NewKeeper returns a keeper of the lease called name for the process holder.
+func NewKeeper(name, holder string, terms Terms, nonce func() string) *Keeper {
+	return &Keeper{name: name, holder: holder, terms: terms, nonce: nonce}
+}
+
+// Observe takes the state of the lease as applied here.
+func (ke *Keeper) Observe(now time.Duration, le Lease) {
+	if !ke.observed || le.Fencing != ke.seen.Fencing || le.Renewal != ke.seen.Renewal || le.Holder != ke.seen.Holder {
+		ke.seen, ke.seenAt, ke.observed = le, now, true
+	}
+	if ke.held && le.Fencing > ke.fencing {
+		ke.held = false
+	}
+}
+
+// Next returns the action that is due.
+func (ke *Keeper) Next(now time.Duration) (Action, bool) {
+	if ke.pending || !ke.observed {
+		return Action{}, false
+	}
+	if ke.held && ke.stopped {
+		ke.held = false
+
+		return Action{Release: &Release{Name: ke.name, Fencing: ke.fencing}}, true
+	}
+	if ke.stopped {
+		return Action{}, false
+	}
+	if ke.held && now < ke.until {
+		if ke.until-now > 2*ke.terms.Duration/3 {
+			return Action{}, false
+		}
+		// Each send names a new number: a candidate must see every renewal that
+		// the holder counts its lease from.
+		ke.renewal++
+		ke.pending, ke.sentAt = true, now
+
+		return Action{Renew: &Renew{Name: ke.name, Fencing: ke.fencing, Renewal: ke.renewal}}, true
+	}
+
+	ke.held = false
+	if ke.seen.Holder != "" && now < ke.seenAt+ke.terms.Wait() {
+		return Action{}, false
+	}
+	ke.pending, ke.sentAt = true, now
+
+	return Action{Acquire: &Acquire{
+		Name: ke.name, Holder: ke.holder, SeenFencing: ke.seen.Fencing, SeenRenewal: ke.seen.Renewal, Nonce: ke.nonce(),
+	}}, true
+}
+
+// Answered takes the answer to the last acquire or renew.
+func (ke *Keeper) Answered(now time.Duration, le Lease, err error) {
+	ke.pending = false
+	if err != nil {
+		if result.Is(err, result.LeaseLost) || result.Is(err, result.LeaseTaken) {
+			ke.held = false
+			ke.seen, ke.seenAt = le, now
+		}
+
+		return
+	}
+
+	ke.held, ke.fencing, ke.renewal = true, le.Fencing, max(ke.renewal, le.Renewal)
+	ke.until = ke.sentAt + ke.terms.Duration
+	ke.seen, ke.seenAt = le, now
+}
+
+// Held returns the fencing number, and false unless an outside call that takes
+// at most MaxCall may start now.
+func (ke *Keeper) Held(now time.Duration) (uint64, bool) {
+	return ke.fencing, ke.held && !ke.stopped && now < ke.until
+}
+
+// Stop makes the keeper release the lease at the next call of Next.
+func (ke *Keeper) Stop() { ke.stopped = true }
--- /dev/null
+++ b/internal/machine/machine.go
@@ -0,0 +1,354 @@
+// Package machine is the replicated state machine of a group. It applies the
+// commands of the log to the books of each noun and never reads a clock: time
+// enters as a field of the command.
+package machine
+
+import (
+	"encoding/binary"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/tamarackbay/tamarackbay/internal/call"
+	"github.com/tamarackbay/tamarackbay/internal/consensus"
+	"github.com/tamarackbay/tamarackbay/internal/declaration"
+	"github.com/tamarackbay/tamarackbay/internal/lease"
+	"github.com/tamarackbay/tamarackbay/internal/order"
+	"github.com/tamarackbay/tamarackbay/internal/quarantine"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+	"github.com/tamarackbay/tamarackbay/internal/step"
+	"github.com/tamarackbay/tamarackbay/internal/usage"
+)
+
+// Register tells where a replica can be reached.
+type Register struct {
+	Replica       consensus.ReplicaID `cbor:"1,keyasint" json:"replica"`
+	Name          string              `cbor:"2,keyasint" json:"name"`
+	Address       string              `cbor:"3,keyasint" json:"address"`
+	FailureDomain string              `cbor:"4,keyasint" json:"failureDomain"`
+}
+
+// Delta is one change that subscribers follow. Revision is its position in the log.
+type Delta struct {
+	Revision   uint64                      `cbor:"1,keyasint"`
+	Change     *declaration.Change         `cbor:"2,keyasint,omitempty"`
+	Quarantine map[string]quarantine.Entry `cbor:"3,keyasint,omitempty"`
+}
+
+// maxDeltas is the number of changes that a subscriber may lag behind before it takes everything anew.
+const maxDeltas = 4096
+
+// Machine is the state of a group after the entries applied so far. It is not
+// safe for concurrent use.
+type Machine struct {
+	applied    uint64
+	atMs       int64
+	book       *declaration.Book
+	leases     *lease.Table
+	orders     *order.Log
+	steps      *step.Ledger
+	calls      *call.Ledger
+	usage      *usage.Book
+	quarantine *quarantine.Book
+	replicas   map[consensus.ReplicaID]Register
+
+	deltas      []Delta
+	deltasAfter uint64 // every change after this position is in deltas
+	revision    uint64
+}
+
+// New returns the state before the first entry.
+func New() *Machine {
+	ma, err := restore(image{})
+	if err != nil {
+		panic(err) // the empty image is valid
+	}
+
+	return ma
+}
+
+// image is a Machine in a snapshot.
+type image struct {
+	Applied    uint64                           `cbor:"1,keyasint"`
+	AtMs       int64                            `cbor:"2,keyasint"`
+	Book       declaration.Image                `cbor:"3,keyasint"`
+	Leases     map[string]lease.Lease           `cbor:"4,keyasint"`
+	Orders     order.Image                      `cbor:"5,keyasint"`
+	Steps      map[string]*step.Step            `cbor:"6,keyasint"`
+	Calls      call.Image                       `cbor:"7,keyasint"`
+	Usage      usage.Image                      `cbor:"8,keyasint"`
+	Quarantine map[string]quarantine.Entry      `cbor:"9,keyasint"`
+	Replicas   map[consensus.ReplicaID]Register `cbor:"10,keyasint"`
+	Revision   uint64                           `cbor:"11,keyasint"`
+}
+
+// Snapshot returns the whole state.
+func (ma *Machine) Snapshot() ([]byte, error) {
+	bo, err := ma.book.Image()
+	if err != nil {
+		return nil, err
+	}
+
+	return cbor.Marshal(image{
+		Applied: ma.applied, AtMs: ma.atMs, Book: bo, Leases: ma.leases.Leases(), Orders: ma.orders.Image(),
+		Steps: ma.steps.Steps(), Calls: ma.calls.Image(), Usage: ma.usage.Image(),
+		Quarantine: ma.quarantine.Entries(), Replicas: ma.replicas, Revision: ma.revision,
+	})
+}
+
+// Restore returns the state of a snapshot.
+func Restore(data []byte) (*Machine, error) {
+	var im image
+	if err := cbor.Unmarshal(data, &im); err != nil {
+		return nil, result.New(result.DataFolderDamaged, "machine: snapshot: %v", err)
+	}
+
+	return restore(im)
+}
+
+func restore(im image) (*Machine, error) {
+	bo, err := declaration.NewBookFrom(im.Book)
+	if err != nil {
+		return nil, err
+	}
+	if im.Replicas == nil {
+		im.Replicas = map[consensus.ReplicaID]Register{}
+	}
+
+	return &Machine{
+		applied: im.Applied, atMs: im.AtMs, book: bo, leases: lease.NewTable(im.Leases),
+		orders: order.NewLog(im.Orders), steps: step.NewLedger(im.Steps), calls: call.NewLedger(im.Calls),
+		usage: usage.NewBook(im.Usage), quarantine: quarantine.NewBook(im.Quarantine), replicas: im.Replicas,
+		deltasAfter: im.Applied, revision: im.Revision,
+	}, nil
+}
+
+// Applied returns the position of the last entry applied.
+func (ma *Machine) Applied() uint64 { return ma.applied }
+
+// Revision returns the position of the last change that subscribers follow.
+func (ma *Machine) Revision() uint64 { return ma.revision }
+
+// Book returns the configuration.
+func (ma *Machine) Book() *declaration.Book { return ma.book }
+
+// Leases returns the leases.
+func (ma *Machine) Leases() *lease.Table { return ma.leases }
+
+// Orders returns the intents of orders.
+func (ma *Machine) Orders() *order.Log { return ma.orders }
+
+// Steps returns the ledger of rollouts.
+func (ma *Machine) Steps() *step.Ledger { return ma.steps }
+
+// Calls returns the ledger of calls that may not be repeated.
+func (ma *Machine) Calls() *call.Ledger { return ma.calls }
+
+// Usage returns the windows of usage.
+func (ma *Machine) Usage() *usage.Book { return ma.usage }
+
+// Quarantine returns the fingerprints under quarantine.
+func (ma *Machine) Quarantine() *quarantine.Book { return ma.quarantine }
+
+// Replicas returns where the replicas can be reached.
+func (ma *Machine) Replicas() map[consensus.ReplicaID]Register { return ma.replicas }
+
+// Skip notes an entry that holds no command.
+func (ma *Machine) Skip(index uint64) { ma.applied = index }
+
+// Apply applies the command at index and returns its encoded reply.
+func (ma *Machine) Apply(index uint64, command []byte) []byte {
+	ma.applied = index
+	if len(command) < commandHeaderBytes {
+		return encodeReply(nil, result.New(result.Internal, "machine: command of %d bytes", len(command)))
+	}
+
+	ma.atMs = max(ma.atMs, int64(binary.LittleEndian.Uint64(command[1:])))
+	h, ok := handlers[Kind(command[0])]
+	if !ok {
+		return encodeReply(nil, result.New(result.Internal, "machine: unknown command kind %d", command[0]))
+	}
+
+	return encodeReply(h(ma, command[commandHeaderBytes:]))
+}
+
+// handle decodes the body of a command and applies it.
+func handle[T any](apply func(ma *Machine, body T) (any, error)) func(ma *Machine, raw []byte) (any, error) {
+	return func(ma *Machine, raw []byte) (any, error) {
+		var body T
+		if err := cbor.Unmarshal(raw, &body); err != nil {
+			return nil, result.New(result.Internal, "machine: command: %v", err)
+		}
+
+		return apply(ma, body)
+	}
+}
+
+var handlers = map[Kind]func(ma *Machine, raw []byte) (any, error){
+	KindPatch:        handle((*Machine).patch),
+	KindAcquireLease: handle(func(ma *Machine, c lease.Acquire) (any, error) { return ma.leases.Acquire(c) }),
+	KindRenewLease:   handle(func(ma *Machine, c lease.Renew) (any, error) { return ma.leases.Renew(c) }),
+	KindReleaseLease: handle(func(ma *Machine, c lease.Release) (any, error) { return ma.leases.Release(c) }),
+	KindOpenIntent:   handle((*Machine).openIntent),
+	KindSettleIntent: handle((*Machine).settleIntent),
+	KindOpenStep: handle(func(ma *Machine, c step.Open) (any, error) {
+		st, err := ma.steps.Open(c, ma.atMs)
+		if err != nil {
+			return nil, err
+		}
+
+		return *st, nil
+	}),
+	KindWins:     handle(func(ma *Machine, c step.Wins) (any, error) { return ma.steps.Wins(c) }),
+	KindFormPage: handle((*Machine).formPage),
+	KindAckPage:  handle(func(ma *Machine, c step.Ack) (any, error) { return ma.steps.Ack(c, ma.atMs) }),
+	KindLost:     handle(func(ma *Machine, c step.Lost) (any, error) { return nil, ma.steps.Lost(c) }),
+	KindDrive: handle(func(ma *Machine, c step.Drive) (any, error) {
+		st, err := ma.steps.Drive(c)
+		if err != nil {
+			return nil, err
+		}
+
+		return *st, nil
+	}),
+	KindBeginCall: handle(func(ma *Machine, c call.Begin) (any, error) { return ma.calls.Begin(c, ma.atMs) }),
+	KindEndCall:   handle(func(ma *Machine, c call.End) (any, error) { return nil, ma.calls.End(c) }),
+	KindAbandonCall: handle(func(ma *Machine, c call.Abandon) (any, error) {
+		ma.calls.Abandon(c)
+
+		return nil, nil
+	}),
+	KindFoldUsage:   handle(func(ma *Machine, c usage.Fold) (any, error) { return ma.usage.Fold(c), nil }),
+	KindCloseWindow: handle((*Machine).closeWindow),
+	KindReported:    handle((*Machine).reported),
+	KindCrash:       handle((*Machine).crash),
+	KindCleared: handle(func(ma *Machine, c quarantine.Cleared) (any, error) {
+		ma.quarantine.Cleared(c)
+		ma.noteQuarantine([]string{c.Fingerprint})
+
+		return nil, nil
+	}),
+	KindRelease: handle(func(ma *Machine, c quarantine.Release) (any, error) {
+		if !ma.quarantine.Release(c) {
+			return nil, result.New(result.UnknownObject, "quarantine: no fingerprint %s", c.Fingerprint)
+		}
+		ma.noteQuarantine([]string{c.Fingerprint})
+
+		return nil, nil
+	}),
+	KindRegister: handle(func(ma *Machine, c Register) (any, error) {
+		ma.replicas[c.Replica] = c
+
+		return nil, nil
+	}),
+}
+
+func (ma *Machine) patch(pa declaration.Patch) (any, error) {
+	before := ma.book.Version()
+	an := ma.book.Apply(pa, ma.atMs)
+	if ma.book.Version() != before {
+		ma.note(Delta{Change: &ma.book.History(1)[0]})
+	}
+
+	return an, an.Err()
+}
+
+func (ma *Machine) openIntent(op order.Open) (any, error) {
+	if err := ma.leases.Check(op.Intent.Lease, op.Intent.Fencing); err != nil {
+		return nil, err
+	}
+	op.Intent.AtMs = ma.atMs
+
+	return ma.orders.Open(op), nil
+}
+
+func (ma *Machine) settleIntent(se order.Settle) (any, error) {
+	if err := ma.leases.Check(se.Lease, se.Fencing); err != nil {
+		return nil, err
+	}
+
+	return ma.orders.Settle(se)
+}
+
+func (ma *Machine) formPage(fp step.FormPage) (any, error) {
+	st, err := ma.steps.Get(fp.Key)
+	if err != nil {
+		return nil, err
+	}
+	latest, _ := ma.book.Set().LatestVersion(st.Model)
+
+	return ma.steps.FormPage(fp, latest.Sequence, ma.atMs)
+}
+
+// UsageLease is the lease of the process that closes and reports windows.
+const UsageLease = "usage"
+
+func (ma *Machine) closeWindow(cl usage.Close) (any, error) {
+	if err := ma.leases.Check(UsageLease, cl.Fencing); err != nil {
+		return nil, err
+	}
+	ma.usage.Close(cl)
+
+	return nil, nil
+}
+
+func (ma *Machine) reported(re usage.Reported) (any, error) {
+	if err := ma.leases.Check(UsageLease, re.Fencing); err != nil {
+		return nil, err
+	}
+
+	return nil, ma.usage.Reported(re)
+}
+
+func (ma *Machine) crash(cr quarantine.Crash) (any, error) {
+	ma.quarantine.Crash(cr, ma.atMs)
+	ma.noteQuarantine(cr.Fingerprints)
+
+	return nil, nil
+}
+
+func (ma *Machine) noteQuarantine(fingerprints []string) {
+	d := Delta{Quarantine: map[string]quarantine.Entry{}}
+	for _, fp := range fingerprints {
+		d.Quarantine[fp] = ma.quarantine.Entries()[fp]
+	}
+	ma.note(d)
+}
+
+func (ma *Machine) note(d Delta) {
+	d.Revision = ma.applied
+	ma.revision = ma.applied
+	ma.deltas = append(ma.deltas, d)
+	if n := len(ma.deltas); n > maxDeltas {
+		ma.deltasAfter = ma.deltas[0].Revision
+		ma.deltas = ma.deltas[1:]
+	}
+}
+
+// Since returns the changes after a position, and false if they are not all held.
+func (ma *Machine) Since(revision uint64) ([]Delta, bool) {
+	if revision < ma.deltasAfter && ma.revision > revision {
+		return nil, false
+	}
+
+	n := len(ma.deltas)
+	for n > 0 && ma.deltas[n-1].Revision > revision {
+		n--
+	}
+
+	return ma.deltas[n:], true
+}
+
+// Full is everything that subscribers follow.
+type Full struct {
+	Revision   uint64                      `cbor:"1,keyasint"`
+	Version    uint64                      `cbor:"2,keyasint"`
+	Ops        []declaration.Op            `cbor:"3,keyasint"`
+	Quarantine map[string]quarantine.Entry `cbor:"4,keyasint"`
+}
+
+// Full returns everything that subscribers follow.
+func (ma *Machine) Full() (Full, error) {
+	ops, err := ma.book.Set().Ops()
+
+	return Full{Revision: ma.revision, Version: ma.book.Version(), Ops: ops, Quarantine: ma.quarantine.Entries()}, err
+}
--- /dev/null
+++ b/internal/meter/meter.go
@@ -0,0 +1,90 @@
+// Package meter counts what a process does. Each refusal and retry reason has a
+// counter of its own.
+package meter
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/tamarackbay/tamarackbay/internal/result"
+)
+
+const sampleSize = 1028
+
+// Meter holds the counters of one process.
+type Meter struct {
+	reg metrics.Registry
+}
+
+// New returns a meter on which the counter of every refusal reason stands at 0.
+func New() *Meter {
+	me := &Meter{reg: metrics.NewRegistry()}
+	for _, en := range result.Table() {
+		me.counter("refused." + en.Name)
+	}
+
+	return me
+}
+
+func (me *Meter) counter(name string) metrics.Counter {
+	return metrics.GetOrRegisterCounter(name, me.reg)
+}
+
+// Count adds one to a counter.
+func (me *Meter) Count(name string) { me.counter(name).Inc(1) }
+
+// Add adds n to a counter.
+func (me *Meter) Add(name string, n int64) { me.counter(name).Inc(n) }
+
+// Value returns a counter's value.
+func (me *Meter) Value(name string) int64 { return me.counter(name).Count() }
+
+// Refused counts a refusal by its reason.
+func (me *Meter) Refused(err error) { me.Count("refused." + result.Lookup(result.From(err).Code).Name) }
+
+// Retried counts a retry, or why there was none.
+func (me *Meter) Retried(reason string, isRetry bool) {
+	if isRetry {
+		me.Count("retry." + reason)
+	} else {
+		me.Count("noRetry." + reason)
+	}
+}
+
+// Gauge sets a value.
+func (me *Meter) Gauge(name string, v int64) { metrics.GetOrRegisterGauge(name, me.reg).Update(v) }
+
+// Time notes a duration.
+func (me *Meter) Time(name string, d time.Duration) {
+	metrics.GetOrRegisterHistogram(name, me.reg, metrics.NewExpDecaySample(sampleSize, 0.015)).Update(d.Microseconds())
+}
+
+// WriteJSON writes all metrics as one JSON object.
+func (me *Meter) WriteJSON(w io.Writer) { metrics.WriteJSONOnce(me.reg, w) }
+
+// WriteText writes all metrics in the text form that Prometheus reads.
+func (me *Meter) WriteText(w io.Writer) error {
+	var lines []string
+	me.reg.Each(func(name string, v any) {
+		n := "tamarackbay_" + strings.NewReplacer(".", "_", "-", "_").Replace(name)
+		switch m := v.(type) {
+		case metrics.Counter:
+			lines = append(lines, fmt.Sprintf("# TYPE %s counter\n%s %d\n", n, n, m.Count()))
+		case metrics.Gauge:
+			lines = append(lines, fmt.Sprintf("# TYPE %s gauge\n%s %d\n", n, n, m.Value()))
+		case metrics.Histogram:
+			s := m.Snapshot()
+			lines = append(lines, fmt.Sprintf("# TYPE %s summary\n%s{quantile=\"0.5\"} %g\n%s{quantile=\"0.99\"} %g\n%s_count %d\n%s_sum %d\n",
+				n, n, s.Percentile(0.5), n, s.Percentile(0.99), n, s.Count(), n, s.Sum()))
+		}
+	})
+	sort.Strings(lines)
+	_, err := io.WriteString(w, strings.Join(lines, ""))
+
+	return err
+}
--- /dev/null
+++ b/internal/order/order.go
@@ -0,0 +1,130 @@
+// Package order keeps the intents of outside orders. An intent is committed
+// before the call it stands for, so that a successor can settle it under the same ID.
+package order
+
+import (
+	"slices"
+	"sort"
+
+	"github.com/tamarackbay/tamarackbay/internal/result"
+)
+
+// Kinds of orders.
+const (
+	KindStart    = "start"    // order a backend server from the platform
+	KindStop     = "stop"     // give a backend server back
+	KindLoad     = "load"     // load weights on an engine
+	KindActivate = "activate" // serve the loaded weights
+)
+
+// Intent is an order that may have been given.
+type Intent struct {
+	ID            string `cbor:"1,keyasint" json:"id"`
+	Lease         string `cbor:"2,keyasint" json:"lease"`
+	Fencing       uint64 `cbor:"3,keyasint" json:"fencing"`
+	Kind          string `cbor:"4,keyasint" json:"kind"`
+	Class         string `cbor:"5,keyasint" json:"class,omitempty"`
+	FailureDomain string `cbor:"6,keyasint" json:"failureDomain,omitempty"`
+	Server        string `cbor:"7,keyasint" json:"server,omitempty"`
+	Model         string `cbor:"8,keyasint" json:"model,omitempty"`
+	Version       string `cbor:"9,keyasint" json:"version,omitempty"`
+	AtMs          int64  `cbor:"10,keyasint" json:"atMs"`
+	Settled       bool   `cbor:"11,keyasint" json:"settled"`
+	Outcome       string `cbor:"12,keyasint" json:"outcome,omitempty"`
+}
+
+// Open asks to commit an intent under a lease.
+type Open struct {
+	Intent Intent `cbor:"1,keyasint"`
+}
+
+// Settle says how the order ended.
+type Settle struct {
+	ID      string `cbor:"1,keyasint"`
+	Lease   string `cbor:"2,keyasint"`
+	Fencing uint64 `cbor:"3,keyasint"`
+	Outcome string `cbor:"4,keyasint"`
+	Server  string `cbor:"5,keyasint"`
+}
+
+// maxSettled is the number of settled intents that are kept to answer resends.
+const maxSettled = 2_000
+
+// Log holds the intents of a group.
+type Log struct {
+	intents map[string]Intent
+	settled []string // oldest first
+}
+
+// Image is a Log in a snapshot.
+type Image struct {
+	Intents map[string]Intent `cbor:"1,keyasint"`
+	Settled []string          `cbor:"2,keyasint"`
+}
+
+// NewLog returns the log of an image.
+func NewLog(im Image) *Log {
+	if im.Intents == nil {
+		im.Intents = map[string]Intent{}
+	}
+
+	return &Log{intents: im.Intents, settled: im.Settled}
+}
+
+// Image returns the log's content for a snapshot.
+func (lo *Log) Image() Image { return Image{Intents: lo.intents, Settled: lo.settled} }
+
+// Open commits an intent. The caller has checked the lease.
+func (lo *Log) Open(op Open) Intent {
+	if in, ok := lo.intents[op.Intent.ID]; ok {
+		return in
+	}
+
+	lo.intents[op.Intent.ID] = op.Intent
+
+	return op.Intent
+}
+
+// Settle records the outcome of an order.
+func (lo *Log) Settle(se Settle) (Intent, error) {
+	in, ok := lo.intents[se.ID]
+	if !ok {
+		return in, result.New(result.UnknownObject, "order %s: no such intent", se.ID)
+	}
+	if in.Settled {
+		return in, nil
+	}
+
+	in.Settled, in.Outcome = true, se.Outcome
+	if se.Server != "" {
+		in.Server = se.Server
+	}
+	lo.intents[se.ID] = in
+	lo.settled = append(lo.settled, se.ID)
+	if len(lo.settled) > maxSettled {
+		delete(lo.intents, lo.settled[0])
+		lo.settled = slices.Delete(lo.settled, 0, 1)
+	}
+
+	return in, nil
+}
+
+// Unsettled returns the intents whose outcome is not known, by ID.
+func (lo *Log) Unsettled() []Intent {
+	var out []Intent
+	for _, in := range lo.intents {
+		if !in.Settled {
+			out = append(out, in)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+
+	return out
+}
+
+// Get returns the intent with the ID.
+func (lo *Log) Get(id string) (Intent, bool) {
+	in, ok := lo.intents[id]
+
+	return in, ok
+}
--- /dev/null
+++ b/internal/peer/link.go
@@ -0,0 +1,296 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/tamarackbay/tamarackbay/internal/result"
+	"github.com/tamarackbay/tamarackbay/internal/wire"
+)
+
+// ProtocolVersion is sent in each Hello; processes of another one are refused.
+const ProtocolVersion = 1
+
+const (
+	methodHello   = "hello"
+	dialTimeout   = 2 * time.Second
+	redialPeriod  = 250 * time.Millisecond
+	acceptBackoff = 50 * time.Millisecond
+)
+
+// Config describes the own end of sessions.
+type Config struct {
+	Hello     *wire.Hello
+	Mux       Mux
+	Bind      string // IP number that is dialled from, "" for any
+	ServerTLS *tls.Config
+	ClientTLS *tls.Config
+	// OnSession is called for each session that another process opened, before its first call.
+	OnSession func(se *Session)
+}
+
+// Listener accepts sessions.
+type Listener struct {
+	cfg Config
+	ln  net.Listener
+
+	mu       sync.Mutex
+	sessions map[*Session]struct{}
+	closed   bool
+}
+
+// Listen opens the address, an IP number with a port.
+func Listen(address string, cfg Config) (*Listener, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, result.New(result.AddressInUse, "peer: listen on %s: %v", address, err)
+	}
+	if cfg.ServerTLS != nil {
+		ln = tls.NewListener(ln, cfg.ServerTLS)
+	}
+
+	return &Listener{cfg: cfg, ln: ln, sessions: map[*Session]struct{}{}}, nil
+}
+
+// Address returns the address that is listened on.
+func (li *Listener) Address() string { return li.ln.Addr().String() }
+
+// Serve accepts sessions until Close.
+func (li *Listener) Serve() error {
+	for {
+		conn, err := li.ln.Accept()
+		if err != nil {
+			if li.isClosed() {
+				return nil
+			}
+			time.Sleep(acceptBackoff)
+
+			continue
+		}
+		go li.accept(conn)
+	}
+}
+
+func (li *Listener) isClosed() bool {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+
+	return li.closed
+}
+
+func (li *Listener) accept(conn net.Conn) {
+	se, err := newSession(conn, false, li.cfg.Mux)
+	if err != nil {
+		_ = conn.Close()
+
+		return
+	}
+	if !li.add(se) {
+		se.Close()
+
+		return
+	}
+	defer li.remove(se)
+
+	if err := li.greet(se); err != nil {
+		se.Close()
+
+		return
+	}
+	if li.cfg.OnSession != nil {
+		go li.cfg.OnSession(se)
+	}
+	se.serve()
+}
+
+// greet answers the first call of a session, which must be the hello.
+func (li *Listener) greet(se *Session) error {
+	timer := time.AfterFunc(dialTimeout, se.Close)
+	defer timer.Stop()
+
+	ys, err := se.ys.AcceptStream()
+	if err != nil {
+		return err
+	}
+	defer ys.Close()
+
+	hello := make(chan *wire.Hello, 1)
+	first := &Session{ys: se.ys, done: se.done, mux: Mux{methodHello: func(_ context.Context, st *Stream) error {
+		var he wire.Hello
+		if err := st.Request(&he); err != nil {
+			return err
+		}
+		if he.GetProtocol() != ProtocolVersion {
+			return result.New(result.Internal, "peer: protocol %d, this process speaks %d", he.GetProtocol(), ProtocolVersion)
+		}
+		hello <- &he
+
+		return st.Send(li.cfg.Hello)
+	}}}
+	first.handle(ys)
+
+	select {
+	case he := <-hello:
+		se.remote = he
+
+		return nil
+	default:
+		return result.New(result.Internal, "peer: the first call was not a hello")
+	}
+}
+
+func (li *Listener) add(se *Session) bool {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+
+	if li.closed {
+		return false
+	}
+	li.sessions[se] = struct{}{}
+
+	return true
+}
+
+func (li *Listener) remove(se *Session) {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+
+	delete(li.sessions, se)
+}
+
+// Close stops listening and ends all sessions.
+func (li *Listener) Close() {
+	li.mu.Lock()
+	li.closed = true
+	sessions := make([]*Session, 0, len(li.sessions))
+	for se := range li.sessions {
+		sessions = append(sessions, se)
+	}
+	li.mu.Unlock()
+
+	_ = li.ln.Close()
+	for _, se := range sessions {
+		se.Close()
+	}
+}
+
+// Dial opens a session to address.
+func Dial(ctx context.Context, address string, cfg Config) (*Session, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+
+	nd := net.Dialer{}
+	if cfg.Bind != "" {
+		nd.LocalAddr = &net.TCPAddr{IP: net.ParseIP(cfg.Bind)}
+	}
+	conn, err := nd.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, result.New(result.BackendUnreachable, "peer: dial %s: %v", address, err)
+	}
+	if cfg.ClientTLS != nil {
+		tc := tls.Client(conn, cfg.ClientTLS)
+		if err := tc.HandshakeContext(ctx); err != nil {
+			_ = conn.Close()
+
+			return nil, result.New(result.BackendUnreachable, "peer: TLS with %s: %v", address, err)
+		}
+		conn = tc
+	}
+
+	se, err := newSession(conn, true, cfg.Mux)
+	if err != nil {
+		_ = conn.Close()
+
+		return nil, err
+	}
+	var he wire.Hello
+	if err := se.Call(ctx, methodHello, cfg.Hello, &he); err != nil {
+		se.Close()
+
+		return nil, err
+	}
+	se.remote = &he
+	go se.serve()
+
+	return se, nil
+}
+
+// Link keeps one session to an address open, dialling again when it ends.
+type Link struct {
+	cfg     Config
+	address string
+	onUp    func(se *Session)
+
+	mu      sync.Mutex
+	session *Session
+	changed chan struct{}
+}
+
+// NewLink returns a link; onUp may be nil and is called with each new session.
+func NewLink(address string, cfg Config, onUp func(se *Session)) *Link {
+	return &Link{cfg: cfg, address: address, onUp: onUp, changed: make(chan struct{})}
+}
+
+// Run keeps the session open until ctx ends.
+func (li *Link) Run(ctx context.Context) {
+	defer li.set(nil)
+
+	for ctx.Err() == nil {
+		se, err := Dial(ctx, li.address, li.cfg)
+		if err == nil {
+			li.set(se)
+			if li.onUp != nil {
+				go li.onUp(se)
+			}
+			select {
+			case <-se.Done():
+			case <-ctx.Done():
+				se.Close()
+			}
+			li.set(nil)
+		}
+
+		select {
+		case <-ctx.Done():
+		case <-time.After(redialPeriod):
+		}
+	}
+}
+
+func (li *Link) set(se *Session) {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+
+	li.session = se
+	close(li.changed)
+	li.changed = make(chan struct{})
+}
+
+// Session returns the open session, or nil.
+func (li *Link) Session() *Session {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+
+	return li.session
+}
+
+// Wait returns the session once it is open.
+func (li *Link) Wait(ctx context.Context) (*Session, error) {
+	for {
+		li.mu.Lock()
+		se, changed := li.session, li.changed
+		li.mu.Unlock()
+		if se != nil {
+			return se, nil
+		}
+
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, result.New(result.BackendUnreachable, "peer: no session to %s: %v", li.address, ctx.Err())
+		}
+	}
+}
--- /dev/null
+++ b/internal/pool/pool.go
@@ -0,0 +1,505 @@
+// Package pool holds the backend servers that serve one model or plain service,
+// as this gateway sees them, and the requests that wait for one. It joins the
+// cores of admission and scheduling; the lock of a pool is held for microseconds.
+package pool
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/tamarackbay/tamarackbay/internal/admission"
+	"github.com/tamarackbay/tamarackbay/internal/meter"
+	"github.com/tamarackbay/tamarackbay/internal/peer"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+	"github.com/tamarackbay/tamarackbay/internal/scheduler"
+	"github.com/tamarackbay/tamarackbay/internal/wire"
+)
+
+const (
+	// LapseAfter is how long an agent may be silent before its backend server gets no new work.
+	LapseAfter        = 2 * time.Second
+	maxPrefixes       = 200_000
+	maxServerPrefixes = 20_000
+)
+
+// Config builds a Pool.
+type Config struct {
+	Name          string
+	FailureDomain string
+	Queue         admission.Config
+	Scheduler     scheduler.Config
+	Now           func() time.Duration
+	Meter         *meter.Meter
+	// SequenceOf returns the sequence of a weight version, 0 when it is not declared.
+	SequenceOf func(version string) uint64
+}
+
+// Pool is safe for concurrent use.
+type Pool struct {
+	cfg Config
+
+	mu       sync.Mutex
+	queue    *admission.Queue
+	sched    *scheduler.Scheduler
+	servers  []*Server
+	cands    []scheduler.Candidate // same order as servers
+	byName   map[string]int
+	prefixes map[uint64]string // prefix to the server that holds it, a hint
+	gateways int
+	arrived  float64 // cost pushed since the last Demand
+}
+
+// New returns an empty pool.
+func New(cfg Config) *Pool {
+	return &Pool{
+		cfg: cfg, queue: admission.NewQueue(cfg.Queue), sched: scheduler.New(cfg.Scheduler, rand.IntN),
+		byName: map[string]int{}, prefixes: map[uint64]string{}, gateways: 1,
+	}
+}
+
+// Ticket asks for a backend server.
+type Ticket struct {
+	Workspace   string
+	Weight      float64
+	Class       int
+	Cost        float64 // estimated tokens, 1 for plain services
+	Deadline    time.Duration
+	MaxQueued   int
+	MinSequence uint64
+	NewestFirst bool
+	Prefix      uint64 // 0 for none
+	IsSuspect   bool
+	Exclude     []string // servers that failed the request
+	Fingerprint string
+}
+
+// Grant is the right to send one request to a backend server.
+type Grant struct {
+	pool        *Pool
+	server      *Server
+	ticket      Ticket
+	once        sync.Once
+	grantedAt   time.Duration
+	waitingTook time.Duration
+}
+
+// Server returns the backend server.
+func (gr *Grant) Server() *Server { return gr.server }
+
+// Waited returns how long the request waited in the queue.
+func (gr *Grant) Waited() time.Duration { return gr.waitingTook }
+
+// waiting is the payload of a queued item.
+type waiting struct {
+	ticket Ticket
+	answer chan *Grant // nil grant: expired
+}
+
+// Acquire waits until the request may be sent.
+func (po *Pool) Acquire(ctx context.Context, ti Ticket) (*Grant, error) {
+	w := &waiting{ticket: ti, answer: make(chan *Grant, 1)}
+	it := &admission.Item{
+		Workspace: ti.Workspace, Weight: ti.Weight, Class: ti.Class, Cost: ti.Cost,
+		Deadline: ti.Deadline, MaxQueued: ti.MaxQueued, Payload: w,
+	}
+	po.mu.Lock()
+	if err := po.possible(&ti); err != nil {
+		po.mu.Unlock()
+
+		return nil, err
+	}
+	po.arrived += ti.Cost
+	if err := po.queue.Push(po.cfg.Now(), it); err != nil {
+		po.mu.Unlock()
+
+		return nil, err
+	}
+	po.pump()
+	po.mu.Unlock()
+
+	select {
+	case gr := <-w.answer:
+		return po.granted(gr)
+	case <-ctx.Done():
+	}
+
+	po.mu.Lock()
+	isWaiting := po.queue.Remove(it)
+	po.mu.Unlock()
+	if !isWaiting {
+		if gr := <-w.answer; gr != nil {
+			gr.Release(Unused)
+		}
+	}
+
+	return nil, result.New(result.DeadlinePassed, "pool %s: the request was given up while it waited", po.cfg.Name)
+}
+
+func (po *Pool) granted(gr *Grant) (*Grant, error) {
+	if gr == nil {
+		return nil, result.New(result.DeadlinePassed, "pool %s: the deadline passed while the request waited", po.cfg.Name)
+	}
+
+	return gr, nil
+}
+
+// possible refuses at once what no backend server could run.
+func (po *Pool) possible(ti *Ticket) error {
+	ready, eligible := 0, 0
+	for i := range po.cands {
+		if !po.cands[i].IsReady {
+			continue
+		}
+		ready++
+		if po.cands[i].Sequence >= ti.MinSequence {
+			eligible++
+		}
+	}
+	switch {
+	case ready == 0:
+		return result.New(result.NoBackendServer, "pool %s: none of %d backend servers is ready", po.cfg.Name, len(po.cands)).After(time.Second)
+	case eligible == 0:
+		return result.New(result.NoEligibleVersion, "pool %s: no backend server runs version %d or later", po.cfg.Name, ti.MinSequence).After(time.Second)
+	}
+
+	return nil
+}
+
+// pump grants waiting requests as long as one fits.
+func (po *Pool) pump() {
+	now := po.cfg.Now()
+	for {
+		chosen := scheduler.NoCandidate
+		it := po.queue.Pop(now, func(it *admission.Item) bool {
+			chosen = po.pick(now, &it.Payload.(*waiting).ticket)
+
+			return chosen != scheduler.NoCandidate
+		}, func(it *admission.Item) {
+			it.Payload.(*waiting).answer <- nil
+		})
+		if it == nil {
+			return
+		}
+		po.grant(now, it, chosen)
+	}
+}
+
+func (po *Pool) pick(now time.Duration, ti *Ticket) int {
+	rq := scheduler.Request{
+		MinSequence: ti.MinSequence, NewestFirst: ti.NewestFirst, FailureDomain: po.cfg.FailureDomain,
+		Affinity: -1, Tokens: int(ti.Cost), IsSuspect: ti.IsSuspect, Gateways: po.gateways,
+	}
+	if name, ok := po.prefixes[ti.Prefix]; ok && ti.Prefix != 0 {
+		if i, ok := po.byName[name]; ok {
+			rq.Affinity = i
+		}
+	}
+	if len(ti.Exclude) > 0 {
+		rq.Exclude = make([]int, 0, len(ti.Exclude))
+		for _, name := range ti.Exclude {
+			if i, ok := po.byName[name]; ok && len(po.cands) > 1 {
+				rq.Exclude = append(rq.Exclude, i)
+			}
+		}
+	}
+
+	return po.sched.Pick(now, po.cands, &rq)
+}
+
+func (po *Pool) grant(now time.Duration, it *admission.Item, i int) {
+	w := it.Payload.(*waiting)
+	se := po.servers[i]
+	gr := &Grant{pool: po, server: se, ticket: w.ticket, grantedAt: now, waitingTook: now - it.Arrived}
+	se.inFlight[gr] = struct{}{}
+	po.cands[i].Mine++
+	po.cands[i].Tokens += int(it.Cost)
+	if w.ticket.IsSuspect {
+		se.suspects++
+		po.cands[i].IsExclusive = true
+	}
+	if w.ticket.Prefix != 0 && len(po.prefixes) < maxPrefixes {
+		po.prefixes[w.ticket.Prefix] = se.Name()
+		se.prefixes[w.ticket.Prefix] = struct{}{}
+	}
+	w.answer <- gr
+}
+
+// Outcome tells how a granted request ended.
+type Outcome uint8
+
+// Outcomes of a granted request.
+const (
+	Unused    Outcome = iota // nothing was sent
+	Succeeded                // the backend server answered, whatever its answer
+	Failed                   // the backend server failed the request
+)
+
+// Release gives the slot back.
+func (gr *Grant) Release(oc Outcome) {
+	gr.once.Do(func() { gr.pool.release(gr, oc) })
+}
+
+func (po *Pool) release(gr *Grant, oc Outcome) {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+
+	now := po.cfg.Now()
+	delete(gr.server.inFlight, gr)
+	if oc == Succeeded {
+		po.queue.Served(now, gr.ticket.Cost)
+	}
+	i, ok := po.byName[gr.server.Name()]
+	if ok && po.servers[i] == gr.server {
+		ca := &po.cands[i]
+		ca.Mine--
+		ca.Tokens -= int(gr.ticket.Cost)
+		if gr.ticket.IsSuspect {
+			gr.server.suspects--
+			ca.IsExclusive = gr.server.suspects > 0
+		}
+		switch oc {
+		case Succeeded:
+			po.sched.Succeeded(ca)
+		case Failed:
+			po.sched.Failed(now, po.cands, i)
+		case Unused:
+		}
+	}
+	po.pump()
+}
+
+// Announce adds a backend server or its new incarnation.
+func (po *Pool) Announce(an *wire.Announce, session *peer.Session) {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+
+	now := po.cfg.Now()
+	if i, ok := po.byName[an.GetServer()]; ok {
+		if po.servers[i].Incarnation() == an.GetIncarnation() {
+			po.servers[i].session, po.servers[i].announce, po.servers[i].heard = session, an, now
+
+			return
+		}
+		po.removeAt(i)
+	}
+
+	po.byName[an.GetServer()] = len(po.servers)
+	po.servers = append(po.servers, &Server{
+		announce: an, session: session, heard: now, firstSeen: now,
+		inFlight: map[*Grant]struct{}{}, prefixes: map[uint64]struct{}{},
+	})
+	po.cands = append(po.cands, scheduler.Candidate{Slots: int(an.GetSlots()), FailureDomain: an.GetFailureDomain(), ReadySince: now})
+}
+
+// Load takes a load report. It returns true when cache events are missing and
+// the agent should send all of them anew.
+func (po *Pool) Load(lo *wire.Load, gateways int) bool {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+
+	i, ok := po.byName[lo.GetServer()]
+	if !ok || po.servers[i].Incarnation() != lo.GetIncarnation() || lo.GetSequence() <= po.servers[i].sequence {
+		return false
+	}
+
+	se, ca, now := po.servers[i], &po.cands[i], po.cfg.Now()
+	se.load, se.heard, se.sequence = lo, now, lo.GetSequence()
+	po.gateways = max(gateways, 1)
+	isReady := lo.GetState() == StateReady
+	if isReady && !ca.IsReady {
+		ca.ReadySince = now
+		if len(po.servers) == 1 || now-se.firstSeen < time.Second {
+			ca.ReadySince = now - time.Hour // no slow start for those that were there before this gateway
+		}
+	}
+	ca.IsReady = isReady
+	ca.Running = int(lo.GetRunning())
+	ca.MineReported = min(ca.Mine, ca.Running)
+	ca.Sequence = po.cfg.SequenceOf(lo.GetVersion())
+	resync := po.takeCacheEvents(se, lo.GetCacheEvents())
+	po.pump()
+
+	return resync
+}
+
+func (po *Pool) takeCacheEvents(se *Server, events []*wire.CacheEvent) bool {
+	for _, ev := range events {
+		if ev.GetSequence() <= se.cacheSeq {
+			continue
+		}
+		if se.cacheSeq != 0 && ev.GetSequence() != se.cacheSeq+1 {
+			po.cfg.Meter.Count("cacheEvents.gap")
+			po.forgetPrefixes(se)
+			se.cacheSeq = 0
+
+			return true
+		}
+		se.cacheSeq = ev.GetSequence()
+		switch {
+		case ev.GetEvicted():
+			if po.prefixes[ev.GetPrefix()] == se.Name() {
+				delete(po.prefixes, ev.GetPrefix())
+			}
+			delete(se.prefixes, ev.GetPrefix())
+		case len(po.prefixes) < maxPrefixes && len(se.prefixes) < maxServerPrefixes:
+			po.prefixes[ev.GetPrefix()] = se.Name()
+			se.prefixes[ev.GetPrefix()] = struct{}{}
+		}
+	}
+
+	return false
+}
+
+func (po *Pool) forgetPrefixes(se *Server) {
+	for p := range se.prefixes {
+		if po.prefixes[p] == se.Name() {
+			delete(po.prefixes, p)
+		}
+	}
+	se.prefixes = map[uint64]struct{}{}
+}
+
+// Gone removes a backend server whose agent's session ended.
+func (po *Pool) Gone(name string, incarnation uint64, session *peer.Session) {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+
+	i, ok := po.byName[name]
+	if ok && po.servers[i].Incarnation() == incarnation && po.servers[i].session == session {
+		po.removeAt(i)
+	}
+}
+
+func (po *Pool) removeAt(i int) {
+	se, last := po.servers[i], len(po.servers)-1
+	po.forgetPrefixes(se)
+	delete(po.byName, se.Name())
+	if i != last {
+		po.servers[i], po.cands[i] = po.servers[last], po.cands[last]
+		po.byName[po.servers[i].Name()] = i
+	}
+	po.servers, po.cands = po.servers[:last], po.cands[:last]
+}
+
+// Sweep takes silent backend servers out and expires waiting requests.
+func (po *Pool) Sweep() {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+
+	now := po.cfg.Now()
+	for i, se := range po.servers {
+		if now > se.heard+LapseAfter {
+			po.cands[i].IsReady = false
+		}
+		if se.load != nil {
+			po.cands[i].Sequence = po.cfg.SequenceOf(se.load.GetVersion())
+		}
+	}
+	po.pump()
+}
+
+// Drain stops new work for a backend server at once, before its agent reports it.
+func (po *Pool) Drain(name string) {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+
+	if i, ok := po.byName[name]; ok {
+		po.cands[i].IsReady = false
+	}
+}
+
+// InFlight returns the fingerprints of the requests that this gateway runs on a
+// backend server: the suspects alone if there are any.
+func (po *Pool) InFlight(se *Server) []string {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+
+	var all, suspects []string
+	for gr := range se.inFlight {
+		if gr.ticket.Fingerprint == "" {
+			continue
+		}
+		all = append(all, gr.ticket.Fingerprint)
+		if gr.ticket.IsSuspect {
+			suspects = append(suspects, gr.ticket.Fingerprint)
+		}
+	}
+	if len(suspects) > 0 {
+		return suspects
+	}
+
+	return all
+}
+
+// Demand is what the fleet sizes a pool by.
+type Demand struct {
+	Waiting     int     // requests
+	WaitingCost float64 // tokens, or requests of a plain service
+	Arrived     float64 // cost since the last call
+	Running     int     // in flight from this gateway
+}
+
+// Demand returns the demand since the last call.
+func (po *Pool) Demand() Demand {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+
+	de := Demand{Waiting: po.queue.Len(), WaitingCost: po.queue.Cost(), Arrived: po.arrived}
+	po.arrived = 0
+	for i := range po.cands {
+		de.Running += po.cands[i].Mine
+	}
+
+	return de
+}
+
+// Gateways returns the number of gateways that share the backend servers.
+func (po *Pool) Gateways() int {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+
+	return po.gateways
+}
+
+// Find returns a backend server by name.
+func (po *Pool) Find(name string) (*Server, bool) {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+
+	i, ok := po.byName[name]
+	if !ok {
+		return nil, false
+	}
+
+	return po.servers[i], true
+}
+
+// Infos describes the backend servers.
+func (po *Pool) Infos() []Info {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+
+	now := po.cfg.Now()
+	out := make([]Info, 0, len(po.servers))
+	for i, se := range po.servers {
+		an := se.announce
+		in := Info{
+			Server: se.Name(), Incarnation: se.Incarnation(), Class: an.GetClass(), Serves: an.GetModel() + an.GetService(),
+			FailureDomain: an.GetFailureDomain(), State: StateStarting, Slots: int(an.GetSlots()),
+			InFlight: po.cands[i].Mine, Order: an.GetOrder(), HeardAgoMs: (now - se.heard).Milliseconds(),
+			Failures: po.cands[i].Failures, ChecksFencing: an.GetChecksFencing(),
+		}
+		if se.load != nil {
+			in.State, in.Version, in.LoadedVersion = se.load.GetState(), se.load.GetVersion(), se.load.GetLoadedVersion()
+			in.Running = int(se.load.GetRunning())
+		}
+		if now > se.heard+LapseAfter {
+			in.State = StateSuspect
+		}
+		out = append(out, in)
+	}
+
+	return out
+}
--- /dev/null
+++ b/internal/program/program.go
@@ -0,0 +1,240 @@
+// Package program runs the whole of a gateway or an agent: the process's parts in
+// run groups that stop together, in the order of a graceful shutdown.
+package program
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/gravitational/trace"
+
+	"github.com/tamarackbay/tamarackbay/internal/agent"
+	"github.com/tamarackbay/tamarackbay/internal/gateway"
+	"github.com/tamarackbay/tamarackbay/internal/handlers"
+	"github.com/tamarackbay/tamarackbay/internal/meter"
+	"github.com/tamarackbay/tamarackbay/internal/peer"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+	"github.com/tamarackbay/tamarackbay/internal/settings"
+	"github.com/tamarackbay/tamarackbay/internal/storage"
+	"github.com/tamarackbay/tamarackbay/internal/wire"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	handOverTimeout   = 3 * time.Second
+)
+
+// Gateway is a running gateway process with its listeners.
+type Gateway struct {
+	se       settings.Gateway
+	log      log.Interface
+	gateway  *gateway.Gateway
+	callers  *http.Server
+	ops      *http.Server
+	callerLn net.Listener
+	opLn     net.Listener
+
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+	done   chan struct{}
+	mu     sync.Mutex
+	err    error
+}
+
+// StartGateway opens the listeners and starts the gateway.
+func StartGateway(se settings.Gateway, lo log.Interface) (*Gateway, error) {
+	callerTLS, peerServer, peerClient, err := se.TLS.Configs()
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	ga, err := gateway.New(gateway.Config{
+		Settings: se, Files: storage.OSFiles(), Log: lo, Meter: meter.New(),
+		WallMs:     func() int64 { return time.Now().UnixMilli() },
+		PeerConfig: peer.Config{Bind: hostOf(se.PeerAddress), ServerTLS: peerServer, ClientTLS: peerClient},
+	})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+
+	pg := &Gateway{se: se, log: lo, gateway: ga, done: make(chan struct{})}
+	if pg.callerLn, err = listen(se.CallerAddress, callerTLS); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if pg.opLn, err = listen(se.OperatorAddress, callerTLS); err != nil {
+		_ = pg.callerLn.Close()
+
+		return nil, trace.Wrap(err)
+	}
+	pg.callers = newServer(handlers.NewCallers(ga), se.MaxHeaderBytes)
+	pg.ops = newServer(handlers.NewOperators(ga), se.MaxHeaderBytes)
+	pg.start()
+
+	return pg, nil
+}
+
+func hostOf(address string) string {
+	h, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return ""
+	}
+	if ip := net.ParseIP(h); ip == nil || ip.IsUnspecified() {
+		return ""
+	}
+
+	return h
+}
+
+func listen(address string, tc *tls.Config) (net.Listener, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, result.New(result.AddressInUse, "program: listen on %s: %v", address, err)
+	}
+	if tc != nil {
+		ln = tls.NewListener(ln, tc)
+	}
+
+	return ln, nil
+}
+
+func newServer(h http.Handler, maxHeader int) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		ErrorLog: nil,
+	}
+}
+
+func (pg *Gateway) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	pg.cancel = cancel
+	run := func(name string, f func() error) {
+		pg.wg.Add(1)
+		go func() {
+			defer pg.wg.Done()
+			if err := f(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+				pg.fail(name, err)
+			}
+		}()
+	}
+	run("callers", func() error { return pg.callers.Serve(pg.callerLn) })
+	run("operators", func() error { return pg.ops.Serve(pg.opLn) })
+	run("gateway", func() error { return pg.gateway.Run(ctx) })
+	go func() {
+		pg.wg.Wait()
+		close(pg.done)
+	}()
+	pg.log.WithFields(log.Fields{
+		"callers": pg.callerLn.Addr().String(), "operators": pg.opLn.Addr().String(), "peers": pg.gateway.PeerAddress(),
+	}).Info("gateway serves")
+}
+
+// fail ends the process's parts after one of them broke.
+func (pg *Gateway) fail(name string, err error) {
+	pg.mu.Lock()
+	if pg.err == nil {
+		pg.err = trace.Wrap(err, name)
+	}
+	pg.mu.Unlock()
+	pg.log.WithError(err).WithField("part", name).Error("the gateway stops")
+	pg.Kill()
+}
+
+// Gateway returns the gateway itself.
+func (pg *Gateway) Gateway() *gateway.Gateway { return pg.gateway }
+
+// Done is closed when all parts have ended.
+func (pg *Gateway) Done() <-chan struct{} { return pg.done }
+
+// Err returns why the process ended by itself, or nil.
+func (pg *Gateway) Err() error {
+	pg.mu.Lock()
+	defer pg.mu.Unlock()
+
+	return pg.err
+}
+
+// Kill ends everything at once, as a crash would.
+func (pg *Gateway) Kill() {
+	pg.cancel()
+	_ = pg.callers.Close()
+	_ = pg.ops.Close()
+}
+
+// Shutdown ends gracefully: the health check fails first, work is taken until the
+// balancer has moved on, leases and the lead are handed over, what runs finishes.
+func (pg *Gateway) Shutdown() {
+	pg.log.Info("shutdown begins")
+	pg.gateway.BeginShutdown()
+	time.Sleep(settings.Duration(pg.se.Times.BalancerLagMs))
+
+	hctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	pg.gateway.StopDuties(hctx)
+	cancel()
+
+	dctx, cancel := context.WithTimeout(context.Background(), settings.Duration(pg.se.Times.DrainMs))
+	defer cancel()
+	if err := pg.callers.Shutdown(dctx); err != nil {
+		pg.log.WithError(err).Warn("requests were still running at the end of the drain")
+	}
+	pg.Kill()
+	<-pg.done
+	pg.log.Info("shutdown done")
+}
+
+// Agent is a running agent process.
+type Agent struct {
+	se     settings.Agent
+	log    log.Interface
+	agent  *agent.Agent
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// StartAgent starts an agent.
+func StartAgent(se settings.Agent, lo log.Interface) (*Agent, error) {
+	_, _, peerClient, err := se.TLS.Configs()
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	ag := agent.New(agent.Config{
+		Server: se.Server, Class: se.Class, Model: se.Model, Service: se.Service, Address: se.Address, Bind: se.Bind,
+		FailureDomain: se.FailureDomain, Slots: se.Slots, ChecksFencing: se.ChecksFencing, Order: se.Order,
+		Gateways: se.Gateways, Log: lo, Meter: meter.New(), WallSeconds: func() int64 { return time.Now().Unix() },
+		Peer: peer.Config{
+			Bind: se.Bind, ClientTLS: peerClient,
+			Hello: &wire.Hello{Name: se.Server, Role: "agent", FailureDomain: se.FailureDomain, Protocol: peer.ProtocolVersion},
+		},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	pa := &Agent{se: se, log: lo, agent: ag, cancel: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(pa.done)
+		ag.Run(ctx)
+	}()
+	lo.WithFields(log.Fields{"server": se.Server, "gateways": strings.Join(se.Gateways, " ")}).Info("agent serves")
+
+	return pa, nil
+}
+
+// Kill ends the agent at once, as a crash would.
+func (pa *Agent) Kill() {
+	pa.cancel()
+	<-pa.done
+}
+
+// Shutdown drains the backend server, then ends.
+func (pa *Agent) Shutdown() {
+	pa.log.Info("drain begins")
+	ctx, cancel := context.WithTimeout(context.Background(), settings.Duration(pa.se.DrainMs))
+	defer cancel()
+	pa.agent.Drain(ctx)
+	pa.Kill()
+	pa.log.Info("drain done")
+}
--- /dev/null
+++ b/internal/rollout/driver.go
@@ -0,0 +1,197 @@
+package rollout
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/tamarackbay/tamarackbay/internal/group"
+	"github.com/tamarackbay/tamarackbay/internal/machine"
+	"github.com/tamarackbay/tamarackbay/internal/meter"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+	"github.com/tamarackbay/tamarackbay/internal/step"
+	"github.com/tamarackbay/tamarackbay/internal/wire"
+)
+
+// Config builds a Driver.
+type Config struct {
+	Identity      string // address and instance, joined by |
+	FailureDomain string
+	Group         *group.Group
+	Complete      func(ctx context.Context, at Attempt) (*Written, error)
+	Score         func(ctx context.Context, sampleID, prompt, text string) (float64, error) // nil for no scorer
+	Latest        func(model string) uint64
+	Now           func() time.Duration
+	NoHedging     bool
+	Meter         *meter.Meter
+	Log           log.Interface
+}
+
+// Driver drives the steps that were opened at, or moved to, this gateway.
+type Driver struct {
+	cfg   Config
+	store *store
+
+	mu    sync.Mutex
+	ctx   context.Context
+	steps map[string]*stepRun
+	wg    sync.WaitGroup
+}
+
+const (
+	sweepPeriod    = time.Second
+	payloadTTL     = 15 * time.Minute // on a gateway that cannot read the ledger
+	callTimeout    = time.Second
+	ledgerTimeout  = 5 * time.Second
+	drivingPeriod  = 500 * time.Millisecond
+	defaultPage    = 256
+	maxPage        = 2048
+	pageLinger     = 30 * time.Millisecond
+	pollPeriod     = 100 * time.Millisecond
+	maxStepSamples = 65_536
+)
+
+// New returns a driver.
+func New(cfg Config) *Driver {
+	return &Driver{cfg: cfg, store: newStore(), steps: map[string]*stepRun{}, ctx: context.Background()}
+}
+
+// Run drops payloads that are not needed any more until ctx ends.
+func (dr *Driver) Run(ctx context.Context) {
+	dr.mu.Lock()
+	dr.ctx = ctx
+	dr.mu.Unlock()
+	for ctx.Err() == nil {
+		select {
+		case <-time.After(sweepPeriod):
+		case <-ctx.Done():
+		}
+		dr.sweep()
+	}
+	dr.wg.Wait()
+}
+
+func (dr *Driver) sweep() {
+	dr.store.mu.Lock()
+	keys := make([]string, 0, len(dr.store.steps))
+	for k := range dr.store.steps {
+		keys = append(keys, k)
+	}
+	dr.store.mu.Unlock()
+
+	needed := map[string]map[string]struct{}{}
+	hasLedger := dr.cfg.Group.Read(func(ma *machine.Machine) {
+		for _, k := range keys {
+			needed[k] = map[string]struct{}{}
+			st, err := ma.Steps().Get(k)
+			if err != nil {
+				continue
+			}
+			for i := range st.Samples {
+				if s := st.Samples[i].State; s == step.Won || s == step.Paged {
+					needed[k][st.Samples[i].Digest] = struct{}{}
+				}
+			}
+		}
+	})
+	old := dr.store.idle(dr.cfg.Now(), payloadTTL)
+	quiet := dr.store.idle(dr.cfg.Now(), 2*sweepPeriod) // a payload comes before its win is committed
+	for _, k := range keys {
+		switch {
+		case hasLedger && slices.Contains(quiet, k):
+			dr.store.keep(k, needed[k])
+		case slices.Contains(old, k):
+			dr.store.keep(k, nil)
+		}
+	}
+}
+
+func (dr *Driver) isDriving(key string) bool {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+
+	_, ok := dr.steps[key]
+
+	return ok
+}
+
+// Running returns the number of steps driven here.
+func (dr *Driver) Running() int {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+
+	return len(dr.steps)
+}
+
+// Open opens a step and starts to drive it.
+func (dr *Driver) Open(ctx context.Context, st step.Step) (*step.Step, error) {
+	n := 0
+	for _, g := range st.Groups {
+		n += g.Samples
+	}
+	if n == 0 || n > maxStepSamples {
+		return nil, result.New(result.InvalidField, "step %s: %d samples, at most %d", st.ID, n, maxStepSamples)
+	}
+
+	st.Driver = dr.cfg.Identity
+	var opened step.Step
+	if err := dr.cfg.Group.Propose(ctx, machine.KindOpenStep, step.Open{Step: st}, &opened); err != nil {
+		return nil, err
+	}
+	if opened.Driver == dr.cfg.Identity && opened.DoneMs == 0 {
+		dr.drive(&opened)
+	}
+
+	return &opened, nil
+}
+
+func (dr *Driver) drive(st *step.Step) {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+
+	if _, ok := dr.steps[st.Key()]; ok || dr.ctx.Err() != nil {
+		return
+	}
+	sr := newStepRun(dr, st)
+	dr.steps[st.Key()] = sr
+	dr.wg.Add(1)
+	go func() {
+		defer dr.wg.Done()
+		sr.run(dr.ctx)
+		dr.mu.Lock()
+		delete(dr.steps, st.Key())
+		dr.mu.Unlock()
+	}()
+}
+
+// takeOver makes this gateway drive a step whose driver does not answer.
+func (dr *Driver) takeOver(ctx context.Context, key, from string) {
+	if from == dr.cfg.Identity && dr.isDriving(key) {
+		return
+	}
+	if from != dr.cfg.Identity && dr.driverLives(ctx, key, from) {
+		return
+	}
+
+	var st step.Step
+	err := dr.cfg.Group.Propose(ctx, machine.KindDrive, step.Drive{Key: key, From: from, To: dr.cfg.Identity}, &st)
+	if err != nil || st.Driver != dr.cfg.Identity || st.DoneMs > 0 {
+		return
+	}
+	dr.cfg.Meter.Count("steps.takenOver")
+	dr.cfg.Log.WithFields(log.Fields{"step": key, "from": from}).Info("step taken over")
+	dr.drive(&st)
+}
+
+func (dr *Driver) driverLives(ctx context.Context, key, driver string) bool {
+	address, _, _ := strings.Cut(driver, "|")
+	cctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := dr.cfg.Group.Call(cctx, address, methodDriving, &wire.PayloadRequest{Step: key}, &wire.Empty{})
+
+	return err == nil
+}
--- /dev/null
+++ b/internal/rollout/page.go
@@ -0,0 +1,245 @@
+package rollout
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/tamarackbay/tamarackbay/internal/machine"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+	"github.com/tamarackbay/tamarackbay/internal/step"
+	"github.com/tamarackbay/tamarackbay/internal/wire"
+)
+
+func (dr *Driver) address() string {
+	a, _, _ := strings.Cut(dr.cfg.Identity, "|")
+
+	return a
+}
+
+// Page returns the bytes of a page, waiting until ctx ends for samples. The same
+// page is always the same bytes.
+func (dr *Driver) Page(ctx context.Context, workspace, id string, number uint64, limit int) ([]byte, error) {
+	if limit <= 0 {
+		limit = defaultPage
+	}
+	key := step.Key(workspace, id)
+	fp := step.FormPage{Key: key, Number: number, Max: min(limit, maxPage)}
+	lastCheck := time.Duration(0)
+	for {
+		if dr.worthAsking(fp) {
+			var rep step.PageReply
+			err := dr.cfg.Group.Propose(ctx, machine.KindFormPage, fp, &rep)
+			dr.cfg.Meter.Add("samples.stale", int64(rep.Stale))
+			if err == nil {
+				return dr.assemble(ctx, key, id, rep)
+			}
+			if !result.Is(err, result.PageNotReady) {
+				return nil, err
+			}
+		}
+		if now := dr.cfg.Now(); now > lastCheck+drivingPeriod {
+			lastCheck = now
+			dr.checkDriver(ctx, key)
+		}
+		select {
+		case <-time.After(pageLinger):
+		case <-ctx.Done():
+			return nil, result.New(result.PageNotReady, "step %s: page %d is not ready", id, number).After(pageLinger)
+		}
+	}
+}
+
+// worthAsking reports whether a proposal would form or return a page, as far as
+// the local ledger knows; without one it is always worth it.
+func (dr *Driver) worthAsking(fp step.FormPage) bool {
+	worth := true
+	dr.cfg.Group.Read(func(ma *machine.Machine) {
+		st, err := ma.Steps().Get(fp.Key)
+		if err != nil || fp.Number != uint64(len(st.Pages))+1 {
+			return // an answer or an error the group must give
+		}
+		won, pending := 0, 0
+		for i := range st.Samples {
+			switch st.Samples[i].State {
+			case step.Won:
+				won++
+			case step.Pending:
+				pending++
+			case step.Paged, step.Delivered:
+			}
+		}
+		late := time.Now().UnixMilli() > st.DeadlineMs
+		worth = won >= fp.Max || won >= pending || pending == 0 || late || won > 0 && won*4 > len(st.Samples)
+	})
+
+	return worth
+}
+
+// checkDriver takes the step over when its driver does not answer.
+func (dr *Driver) checkDriver(ctx context.Context, key string) {
+	driver := ""
+	ok := dr.cfg.Group.Read(func(ma *machine.Machine) {
+		if st, err := ma.Steps().Get(key); err == nil && st.DoneMs == 0 {
+			driver = st.Driver
+		}
+	})
+	if !ok {
+		if st, err := dr.cfg.Group.QueryStep(ctx, key); err == nil && st.DoneMs == 0 {
+			driver = st.Driver
+		}
+	}
+	if driver != "" {
+		dr.takeOver(ctx, key, driver)
+	}
+}
+
+// assemble collects the payloads of a page from their holders.
+func (dr *Driver) assemble(ctx context.Context, key, id string, rep step.PageReply) ([]byte, error) {
+	found := map[string][]byte{}
+	wanted := map[string][]string{} // holder to digests
+	for _, sa := range rep.Samples {
+		if b := dr.store.get(key, sa.Digest); b != nil {
+			found[sa.Digest] = b
+
+			continue
+		}
+		for _, h := range sa.Holders {
+			if h != dr.address() {
+				wanted[h] = append(wanted[h], sa.Digest)
+			}
+		}
+	}
+	for holder, digests := range wanted {
+		dr.fetch(ctx, key, holder, digests, found)
+	}
+
+	lost := step.Lost{Key: key}
+	var buf bytes.Buffer
+	head, err := json.Marshal(id)
+	if err != nil {
+		return nil, err
+	}
+	buf.WriteString(`{"step":`)
+	buf.Write(head)
+	buf.WriteString(`,"page":`)
+	buf.WriteString(jsonNumber(rep.Number))
+	buf.WriteString(`,"samples":[`)
+	for i, sa := range rep.Samples {
+		b, ok := found[sa.Digest]
+		if !ok {
+			lost.Samples = append(lost.Samples, dr.indexOf(ctx, key, sa.ID))
+			lost.Digests = append(lost.Digests, sa.Digest)
+
+			continue
+		}
+		if i > 0 {
+			buf.WriteByte(',')
+		}
+		buf.Write(b)
+	}
+	buf.WriteString("]}")
+	if len(lost.Samples) == 0 {
+		return buf.Bytes(), nil
+	}
+
+	return nil, dr.reportLost(ctx, lost, rep.Samples)
+}
+
+func jsonNumber(n uint64) string {
+	b, _ := json.Marshal(n)
+
+	return string(b)
+}
+
+func (dr *Driver) fetch(ctx context.Context, key, holder string, digests []string, found map[string][]byte) {
+	cctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+
+	var rep wire.PayloadReply
+	rq := &wire.PayloadRequest{Step: key, Samples: digests}
+	if err := dr.cfg.Group.Call(cctx, holder, methodPayloads, rq, &rep); err != nil {
+		return
+	}
+	for i, b := range rep.GetPayloads() {
+		if i < len(digests) && len(b) > 0 && digestOf(b) == digests[i] {
+			found[digests[i]] = b
+		}
+	}
+}
+
+func (dr *Driver) indexOf(ctx context.Context, key, sampleID string) int {
+	index := -1
+	find := func(st *step.Step) {
+		for i := range st.Samples {
+			if st.Samples[i].ID == sampleID {
+				index = i
+			}
+		}
+	}
+	if dr.cfg.Group.Read(func(ma *machine.Machine) {
+		if st, err := ma.Steps().Get(key); err == nil {
+			find(st)
+		}
+	}) {
+		return index
+	}
+	if st, err := dr.cfg.Group.QueryStep(ctx, key); err == nil {
+		find(st)
+	}
+
+	return index
+}
+
+// reportLost sends samples back whose holders answer that they have no payload or
+// are gone. A holder that is only slow is asked again by the next fetch.
+func (dr *Driver) reportLost(ctx context.Context, lost step.Lost, samples []step.Sample) error {
+	byDigest := map[string]step.Sample{}
+	for _, sa := range samples {
+		byDigest[sa.Digest] = sa
+	}
+	sure := step.Lost{Key: lost.Key}
+	for i, d := range lost.Digests {
+		if dr.allGone(ctx, lost.Key, byDigest[d]) {
+			sure.Samples = append(sure.Samples, lost.Samples[i])
+			sure.Digests = append(sure.Digests, d)
+		}
+	}
+	if len(sure.Samples) > 0 {
+		dr.cfg.Meter.Add("payloads.lost", int64(len(sure.Samples)))
+		if err := dr.cfg.Group.Propose(ctx, machine.KindLost, sure, nil); err != nil {
+			return err
+		}
+	}
+
+	return result.New(result.PayloadLost, "step %s: %d samples of the page are made again", lost.Key, len(lost.Samples)).After(time.Second)
+}
+
+// allGone reports whether no holder will ever answer with the payload: each says
+// that it has none, or cannot be reached.
+func (dr *Driver) allGone(ctx context.Context, key string, sa step.Sample) bool {
+	for _, h := range sa.Holders {
+		if h == dr.address() {
+			continue // looked at before
+		}
+		cctx, cancel := context.WithTimeout(ctx, callTimeout)
+		var rep wire.PayloadReply
+		err := dr.cfg.Group.Call(cctx, h, methodPayloads, &wire.PayloadRequest{Step: key, Samples: []string{sa.Digest}}, &rep)
+		cancel()
+		if err == nil && len(rep.GetPayloads()) == 1 && len(rep.GetPayloads()[0]) > 0 {
+			return false
+		}
+	}
+
+	return true
+}
+
+// Ack says that the trainer has a page.
+func (dr *Driver) Ack(ctx context.Context, workspace, id string, number uint64) (remaining int, err error) {
+	var rep step.PageReply
+	err = dr.cfg.Group.Propose(ctx, machine.KindAckPage, step.Ack{Key: step.Key(workspace, id), Number: number}, &rep)
+
+	return rep.Remaining, err
+}
--- /dev/null
+++ b/internal/rollout/steprun.go
@@ -0,0 +1,458 @@
+package rollout
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/tamarackbay/tamarackbay/internal/machine"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+	"github.com/tamarackbay/tamarackbay/internal/step"
+	"github.com/tamarackbay/tamarackbay/internal/wire"
+)
+
+const (
+	watchPeriod    = 50 * time.Millisecond
+	remoteWatch    = 250 * time.Millisecond
+	batchPeriod    = 5 * time.Millisecond
+	sampleRetryMin = 50 * time.Millisecond
+	sampleRetryMax = time.Second
+	sampleRetries  = 2
+	scoreTimeout   = 5 * time.Second
+	scoreTries     = 3
+	hedgeShare     = 0.1  // of a step's samples that may still run when races start
+	hedgeBudget    = 0.05 // of a step's samples that may be raced
+	hedgeFactor    = 2.0  // times the 90th percentile of the durations so far
+	hedgeFloor     = 100 * time.Millisecond
+	maxConcurrent  = 4096
+)
+
+// stepRun drives one step.
+type stepRun struct {
+	dr  *Driver
+	st  *step.Step
+	sem chan struct{}
+	win chan win
+
+	mu        sync.Mutex
+	samples   []sampleRun // by index
+	durations []time.Duration
+	hedges    int
+	left      int
+}
+
+type sampleRun struct {
+	running  int // attempts in flight
+	attempt  uint32
+	started  time.Duration
+	server   string
+	won      bool
+	cancel   context.CancelFunc
+	isHedged bool
+}
+
+// win is a whole sample on its way into the ledger.
+type win struct {
+	win     step.Win
+	payload []byte
+}
+
+func newStepRun(dr *Driver, st *step.Step) *stepRun {
+	sr := &stepRun{
+		dr: dr, st: st, sem: make(chan struct{}, maxConcurrent), win: make(chan win, 1024),
+		samples: make([]sampleRun, len(st.Samples)),
+	}
+	for i := range st.Samples {
+		sr.samples[i].attempt = st.Samples[i].Attempt
+		sr.samples[i].won = st.Samples[i].State != step.Pending
+	}
+
+	return sr
+}
+
+// run launches attempts until the step is delivered, over its deadline or driven elsewhere.
+func (sr *stepRun) run(ctx context.Context) {
+	left := time.Until(time.UnixMilli(sr.st.DeadlineMs))
+	ctx, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+
+	var wg sync.WaitGroup
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		sr.commitDuty(ctx)
+	}()
+	for ctx.Err() == nil {
+		pending, state := sr.pending(ctx)
+		if state == stepEnded {
+			break
+		}
+		if state == stepKnown {
+			sr.launch(ctx, pending, &wg)
+			sr.hedge(ctx, &wg)
+		}
+		wait := watchPeriod
+		if !sr.dr.cfg.Group.HasDisk() {
+			wait = remoteWatch
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+		}
+	}
+	cancel()
+	wg.Wait()
+}
+
+type stepState uint8
+
+const (
+	stepUnknown stepState = iota
+	stepKnown
+	stepEnded
+)
+
+// pending returns the samples that want an attempt, with the lowest attempt that may win.
+func (sr *stepRun) pending(ctx context.Context) ([]wanted, stepState) {
+	var out []wanted
+	state := stepUnknown
+	read := func(st *step.Step) {
+		state = stepKnown
+		if st.DoneMs > 0 || st.Driver != sr.dr.cfg.Identity {
+			state = stepEnded
+
+			return
+		}
+		for i := range st.Samples {
+			if st.Samples[i].State == step.Pending {
+				out = append(out, wanted{i, st.Samples[i].Attempt})
+			}
+		}
+	}
+	if sr.dr.cfg.Group.Read(func(ma *machine.Machine) {
+		if st, err := ma.Steps().Get(sr.st.Key()); err == nil {
+			read(st)
+		}
+	}) {
+		return out, state
+	}
+
+	st, err := sr.dr.cfg.Group.QueryStep(ctx, sr.st.Key())
+	if err == nil {
+		read(st)
+	}
+
+	return out, state
+}
+
+// wanted is a sample that wants an attempt, and the lowest one that may win.
+type wanted struct {
+	index   int
+	attempt uint32
+}
+
+// launch starts an attempt for each pending sample that has none.
+func (sr *stepRun) launch(ctx context.Context, pending []wanted, wg *sync.WaitGroup) {
+	sr.mu.Lock()
+	defer sr.mu.Unlock()
+
+	sr.left = len(pending)
+	for _, p := range pending {
+		sa := &sr.samples[p.index]
+		if p.attempt > sa.attempt {
+			// The ledger sent the sample back: it was too old, or its payload was lost.
+			sa.won, sa.attempt = false, p.attempt
+		}
+		if sa.won || sa.running > 0 {
+			continue
+		}
+		sctx, cancel := context.WithCancel(ctx)
+		sa.cancel, sa.isHedged = cancel, false
+		sr.start(sctx, p.index, nil, wg)
+	}
+}
+
+// start runs one attempt loop; sr.mu is held.
+func (sr *stepRun) start(ctx context.Context, i int, exclude []string, wg *sync.WaitGroup) {
+	sa := &sr.samples[i]
+	sa.running++
+	attempt := sa.attempt
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		defer func() {
+			sr.mu.Lock()
+			sr.samples[i].running--
+			sr.mu.Unlock()
+		}()
+		sr.make(ctx, i, attempt, exclude)
+	}()
+}
+
+// make runs a sample until an attempt is whole, the sample is won or the step ends.
+func (sr *stepRun) make(ctx context.Context, i int, attempt uint32, exclude []string) {
+	select {
+	case sr.sem <- struct{}{}:
+		defer func() { <-sr.sem }()
+	case <-ctx.Done():
+		return
+	}
+
+	for wait := sampleRetryMin; ctx.Err() == nil; wait = min(2*wait, sampleRetryMax) {
+		done, err := sr.attempt(ctx, i, attempt, exclude)
+		if done {
+			return
+		}
+		if err != nil && ctx.Err() == nil {
+			sr.dr.cfg.Meter.Count("samples.again." + result.Lookup(result.From(err).Code).Name)
+		}
+		d := wait
+		if er := result.From(err); er.RetryAfter > 0 && er.RetryAfter < sampleRetryMax {
+			d = er.RetryAfter
+		}
+		select {
+		case <-time.After(d):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// minSequence returns the oldest weight version that a sample may still be written by.
+func (sr *stepRun) minSequence() uint64 {
+	latest := sr.dr.cfg.Latest(sr.st.Model)
+	low := uint64(1)
+	if latest > sr.st.Staleness {
+		low = latest - sr.st.Staleness
+	}
+
+	return max(low, sr.st.MinVersion)
+}
+
+func (sr *stepRun) attempt(ctx context.Context, i int, attempt uint32, exclude []string) (bool, error) {
+	sa := sr.st.Samples[i]
+	gr := sr.st.Groups[sa.Group]
+	startedMs := time.Now().UnixMilli()
+	wr, err := sr.dr.cfg.Complete(ctx, Attempt{
+		Workspace: sr.st.Workspace, Model: sr.st.Model, Prompt: gr.Prompt, MaxTokens: uint32(gr.MaxTokens),
+		Temperature: gr.Heat, Seed: xxhash.Sum64String(sa.ID), Retries: sampleRetries,
+		Timeout: time.Until(time.UnixMilli(sr.st.DeadlineMs)), MinSequence: sr.minSequence(), Exclude: exclude,
+		Placed: func(server string) { sr.placed(i, server) },
+	})
+	re := record{ID: sa.ID, Group: gr.ID, Attempt: attempt, StartedMs: startedMs}
+	if err != nil {
+		er := result.From(err)
+		if er.Code != result.Quarantined && er.Code != result.BackendRefused {
+			return false, err
+		}
+		re.Failure = &failure{Code: er.Code, Name: result.Lookup(er.Code).Name, Message: er.Message}
+		wr = &Written{}
+	}
+
+	sequence, err := sr.oldest(wr)
+	if err != nil {
+		return false, err
+	}
+	if sequence < sr.minSequence() {
+		return false, result.New(result.NoEligibleVersion, "sample %s: written by version %d, which is too old by now", sa.ID, sequence)
+	}
+	if re.Failure == nil {
+		if re.Score, err = sr.score(ctx, sa.ID, gr.Prompt, wr.Text); err != nil {
+			return false, err
+		}
+	}
+	re.Text, re.Finish, re.Tokens, re.PromptTokens, re.Versions = wr.Text, wr.Finish, wr.Tokens, wr.PromptTokens, wr.Versions
+	re.EndedMs = time.Now().UnixMilli()
+
+	return sr.submit(ctx, i, attempt, re, sequence)
+}
+
+// placed notes where an attempt runs and that its time starts now.
+func (sr *stepRun) placed(i int, server string) {
+	sr.mu.Lock()
+	defer sr.mu.Unlock()
+
+	if sa := &sr.samples[i]; !sa.isHedged {
+		sa.server, sa.started = server, sr.dr.cfg.Now()
+	}
+}
+
+// oldest returns the sequence of the oldest version that wrote a part. Text whose
+// versions are not all known is worth nothing to a trainer.
+func (sr *stepRun) oldest(wr *Written) (uint64, error) {
+	if len(wr.Versions) == 0 {
+		return sr.dr.cfg.Latest(sr.st.Model), nil
+	}
+
+	set := sr.dr.cfg.Group.View().Set
+	low := uint64(0)
+	for _, vr := range wr.Versions {
+		v, ok := set.FindVersion(sr.st.Model, vr.Version)
+		if !ok {
+			return 0, result.New(result.VersionUnknown, "step %s: %s wrote with version %q, which is not declared", sr.st.ID, wr.Server, vr.Version)
+		}
+		if low == 0 || v.Sequence < low {
+			low = v.Sequence
+		}
+	}
+
+	return low, nil
+}
+
+func (sr *stepRun) score(ctx context.Context, id, prompt, text string) (*float64, error) {
+	if sr.dr.cfg.Score == nil {
+		return nil, nil //nolint:nilnil // no scorer is configured: the sample has no score
+	}
+
+	var err error
+	for range scoreTries {
+		cctx, cancel := context.WithTimeout(ctx, scoreTimeout)
+		var s float64
+		s, err = sr.dr.cfg.Score(cctx, id, prompt, text)
+		cancel()
+		if err == nil {
+			return &s, nil
+		}
+		sr.dr.cfg.Meter.Count("scores.again")
+	}
+
+	return nil, err
+}
+
+// submit hands a whole sample to the commit duty and ends the other attempts.
+func (sr *stepRun) submit(ctx context.Context, i int, attempt uint32, re record, sequence uint64) (bool, error) {
+	payload, digest, err := encodeRecord(re)
+	if err != nil {
+		return false, err
+	}
+	if err := sr.dr.store.put(sr.dr.cfg.Now(), sr.st.Key(), digest, payload); err != nil {
+		return false, err
+	}
+
+	sr.mu.Lock()
+	sa := &sr.samples[i]
+	if sa.won || attempt < sa.attempt {
+		sr.mu.Unlock()
+
+		return true, nil
+	}
+	sa.won = true
+	cancel := sa.cancel
+	sr.durations = append(sr.durations, sr.dr.cfg.Now()-sa.started)
+	sr.mu.Unlock()
+
+	w := win{payload: payload, win: step.Win{
+		Sample: i, Attempt: attempt, Digest: digest, Sequence: sequence, Holders: []string{sr.dr.address()},
+	}}
+	select {
+	case sr.win <- w:
+	case <-ctx.Done():
+	}
+	cancel() // after the win is queued: a racing attempt ends
+
+	return true, nil
+}
+
+// hedge races the last samples of a step that take much longer than the others did.
+func (sr *stepRun) hedge(ctx context.Context, wg *sync.WaitGroup) {
+	if sr.dr.cfg.NoHedging {
+		return
+	}
+
+	sr.mu.Lock()
+	defer sr.mu.Unlock()
+
+	n := len(sr.samples)
+	if float64(sr.left) > max(1, hedgeShare*float64(n)) || len(sr.durations) < n/2 || len(sr.durations) == 0 {
+		return
+	}
+	sorted := slices.Clone(sr.durations)
+	slices.Sort(sorted)
+	limit := max(time.Duration(hedgeFactor*float64(sorted[len(sorted)*9/10])), hedgeFloor)
+	now := sr.dr.cfg.Now()
+	for i := range sr.samples {
+		sa := &sr.samples[i]
+		if sa.won || sa.running != 1 || sa.isHedged || sa.started == 0 || now < sa.started+limit {
+			continue
+		}
+		if sr.hedges >= max(2, int(hedgeBudget*float64(n))) {
+			sr.dr.cfg.Meter.Count("hedges.overBudget")
+
+			return
+		}
+		sr.hedges++
+		sa.isHedged = true
+		sr.dr.cfg.Meter.Count("hedges.started")
+		hctx, cancel := context.WithCancel(ctx)
+		first := sa.cancel
+		sa.cancel = func() { first(); cancel() }
+		sr.start(hctx, i, []string{sa.server}, wg)
+	}
+}
+
+// commitDuty gives payloads to a second holder and commits wins, many at once.
+func (sr *stepRun) commitDuty(ctx context.Context) {
+	for {
+		var batch []win
+		select {
+		case w := <-sr.win:
+			batch = append(batch, w)
+		case <-ctx.Done():
+			return
+		}
+		timer := time.NewTimer(batchPeriod)
+	gather:
+		for len(batch) < cap(sr.win) {
+			select {
+			case w := <-sr.win:
+				batch = append(batch, w)
+			case <-timer.C:
+				break gather
+			}
+		}
+		timer.Stop()
+		sr.commit(ctx, batch)
+	}
+}
+
+func (sr *stepRun) commit(ctx context.Context, batch []win) {
+	holder := sr.dr.hold(ctx, sr.st.Key(), batch)
+	ws := step.Wins{Key: sr.st.Key()}
+	for _, w := range batch {
+		if holder != "" {
+			w.win.Holders = append(w.win.Holders, holder)
+		}
+		ws.Wins = append(ws.Wins, w.win)
+	}
+	for ctx.Err() == nil {
+		cctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
+		err := sr.dr.cfg.Group.Propose(cctx, machine.KindWins, ws, nil)
+		cancel()
+		if err == nil || result.Is(err, result.UnknownStep) {
+			return
+		}
+		sr.dr.cfg.Meter.Count("wins.again")
+	}
+}
+
+// hold gives the payloads of a batch to another gateway, one of another failure
+// domain first, and returns its address, or "" when none takes them.
+func (dr *Driver) hold(ctx context.Context, key string, batch []win) string {
+	rq := &wire.HoldRequest{Step: key}
+	for _, w := range batch {
+		rq.Payloads = append(rq.Payloads, w.payload)
+	}
+	for _, a := range dr.cfg.Group.Others(dr.cfg.FailureDomain) {
+		cctx, cancel := context.WithTimeout(ctx, callTimeout)
+		err := dr.cfg.Group.Call(cctx, a, methodHold, rq, &wire.Empty{})
+		cancel()
+		if err == nil {
+			return a
+		}
+	}
+	dr.cfg.Meter.Count("payloads.oneHolder")
+
+	return ""
+}
--- /dev/null
+++ b/internal/rollout/store.go
@@ -0,0 +1,147 @@
+package rollout
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/tamarackbay/tamarackbay/internal/peer"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+	"github.com/tamarackbay/tamarackbay/internal/wire"
+)
+
+// Methods of calls between gateways.
+const (
+	methodHold     = "rollout.hold"
+	methodPayloads = "rollout.payloads"
+	methodDriving  = "rollout.driving"
+)
+
+// maxStoreBytes bounds the payloads that one gateway holds.
+const maxStoreBytes = 1 << 30
+
+// store holds payloads by step and digest until the ledger needs them no more.
+type store struct {
+	mu    sync.Mutex
+	steps map[string]*stepPayloads
+	bytes int
+}
+
+type stepPayloads struct {
+	byDigest map[string][]byte
+	at       time.Duration // of the last payload
+}
+
+func newStore() *store { return &store{steps: map[string]*stepPayloads{}} }
+
+func (st *store) put(now time.Duration, step, digest string, payload []byte) error {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+
+	if st.bytes+len(payload) > maxStoreBytes {
+		return result.New(result.QueueFull, "rollout: payloads of %d bytes are held", st.bytes)
+	}
+	sp, ok := st.steps[step]
+	if !ok {
+		sp = &stepPayloads{byDigest: map[string][]byte{}}
+		st.steps[step] = sp
+	}
+	sp.at = now
+	if _, ok := sp.byDigest[digest]; !ok {
+		sp.byDigest[digest] = payload
+		st.bytes += len(payload)
+	}
+
+	return nil
+}
+
+func (st *store) get(step, digest string) []byte {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+
+	sp, ok := st.steps[step]
+	if !ok {
+		return nil
+	}
+
+	return sp.byDigest[digest]
+}
+
+// keep drops every payload of a step but those that needed names.
+func (st *store) keep(step string, needed map[string]struct{}) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+
+	sp, ok := st.steps[step]
+	if !ok {
+		return
+	}
+	for d, b := range sp.byDigest {
+		if _, ok := needed[d]; !ok {
+			st.bytes -= len(b)
+			delete(sp.byDigest, d)
+		}
+	}
+	if len(sp.byDigest) == 0 {
+		delete(st.steps, step)
+	}
+}
+
+// idle returns the steps that got no payload for d.
+func (st *store) idle(now, d time.Duration) []string {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+
+	var out []string
+	for k, sp := range st.steps {
+		if now > sp.at+d {
+			out = append(out, k)
+		}
+	}
+
+	return out
+}
+
+// Handlers returns the calls that other gateways may make.
+func (dr *Driver) Handlers() peer.Mux {
+	return peer.Mux{methodHold: dr.handleHold, methodPayloads: dr.handlePayloads, methodDriving: dr.handleDriving}
+}
+
+func (dr *Driver) handleHold(_ context.Context, st *peer.Stream) error {
+	var rq wire.HoldRequest
+	if err := st.Request(&rq); err != nil {
+		return err
+	}
+	for _, b := range rq.GetPayloads() {
+		if err := dr.store.put(dr.cfg.Now(), rq.GetStep(), digestOf(b), b); err != nil {
+			return err
+		}
+	}
+
+	return nil
+}
+
+func (dr *Driver) handlePayloads(_ context.Context, st *peer.Stream) error {
+	var rq wire.PayloadRequest
+	if err := st.Request(&rq); err != nil {
+		return err
+	}
+	rep := &wire.PayloadReply{}
+	for _, d := range rq.GetSamples() {
+		rep.Payloads = append(rep.Payloads, dr.store.get(rq.GetStep(), d))
+	}
+
+	return st.Send(rep)
+}
+
+func (dr *Driver) handleDriving(_ context.Context, st *peer.Stream) error {
+	var rq wire.PayloadRequest
+	if err := st.Request(&rq); err != nil {
+		return err
+	}
+	if !dr.isDriving(rq.GetStep()) {
+		return result.New(result.UnknownStep, "rollout: step %s is not driven here", rq.GetStep())
+	}
+
+	return nil
+}
--- /dev/null
+++ b/internal/settings/tls.go
@@ -0,0 +1,101 @@
+package settings
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/tamarackbay/tamarackbay/internal/result"
+)
+
+const reloadPeriod = time.Second
+
+// certificate is read again when its file changes.
+type certificate struct {
+	files   TLS
+	mu      sync.Mutex
+	checked time.Time
+	changed time.Time
+	cert    *tls.Certificate
+}
+
+func (ce *certificate) get() (*tls.Certificate, error) {
+	ce.mu.Lock()
+	defer ce.mu.Unlock()
+
+	if ce.cert != nil && time.Since(ce.checked) < reloadPeriod {
+		return ce.cert, nil
+	}
+	ce.checked = time.Now()
+	fi, err := os.Stat(ce.files.Certificate)
+	if err == nil && ce.cert != nil && fi.ModTime().Equal(ce.changed) {
+		return ce.cert, nil
+	}
+	c, lerr := tls.LoadX509KeyPair(ce.files.Certificate, ce.files.Key)
+	if lerr != nil {
+		if ce.cert != nil {
+			return ce.cert, nil // keep serving while the files are being replaced
+		}
+
+		return nil, lerr
+	}
+	ce.cert = &c
+	if err == nil {
+		ce.changed = fi.ModTime()
+	}
+
+	return ce.cert, nil
+}
+
+// Configs returns the TLS configurations for callers and for sessions between
+// own processes, all nil when TLS is not set.
+func (t TLS) Configs() (caller, peerServer, peerClient *tls.Config, err error) {
+	if !t.IsSet() {
+		return nil, nil, nil, nil
+	}
+
+	ce := &certificate{files: t}
+	if _, err := ce.get(); err != nil {
+		return nil, nil, nil, result.New(result.InvalidSettings, "settings: tls: %v", err)
+	}
+	pem, err := os.ReadFile(t.CA)
+	if err != nil {
+		return nil, nil, nil, result.New(result.InvalidSettings, "settings: tls: %v", err)
+	}
+	ca := x509.NewCertPool()
+	if !ca.AppendCertsFromPEM(pem) {
+		return nil, nil, nil, result.New(result.InvalidSettings, "settings: tls: %s holds no certificate", t.CA)
+	}
+
+	get := func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return ce.get() }
+	getClient := func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return ce.get() }
+	caller = &tls.Config{MinVersion: tls.VersionTLS12, GetCertificate: get}
+	peerServer = &tls.Config{
+		MinVersion: tls.VersionTLS13, GetCertificate: get, ClientCAs: ca, ClientAuth: tls.RequireAndVerifyClientCert,
+	}
+	peerClient = &tls.Config{
+		MinVersion: tls.VersionTLS13, GetClientCertificate: getClient, RootCAs: ca, InsecureSkipVerify: true, //nolint:gosec // the chain is verified below; IP numbers need not stand in certificates
+		VerifyConnection: func(cs tls.ConnectionState) error { return verifyChain(cs, ca) },
+	}
+
+	return caller, peerServer, peerClient, nil
+}
+
+// verifyChain checks that the other end's certificate comes from the deployment's authority.
+func verifyChain(cs tls.ConnectionState, ca *x509.CertPool) error {
+	if len(cs.PeerCertificates) == 0 {
+		return result.New(result.OperatorForbidden, "tls: the peer shows no certificate")
+	}
+
+	inter := x509.NewCertPool()
+	for _, c := range cs.PeerCertificates[1:] {
+		inter.AddCert(c)
+	}
+	_, err := cs.PeerCertificates[0].Verify(x509.VerifyOptions{
+		Roots: ca, Intermediates: inter, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny},
+	})
+
+	return err
+}
--- /dev/null
+++ b/internal/step/step.go
@@ -0,0 +1,369 @@
+// Package step holds the ledger of rollouts: which samples a step wants, which
+// attempt of each has won, and which page delivers it. A sample is fixed when the
+// step is opened, has one winner at a time, and stands on one acknowledged page.
+package step
+
+import (
+	"fmt"
+
+	"github.com/tamarackbay/tamarackbay/internal/result"
+)
+
+// State of a sample.
+type State uint8
+
+// States of a sample, in the order they are passed through.
+const (
+	Pending   State = iota // wants an attempt
+	Won                    // an attempt has won and waits for a page
+	Paged                  // stands on a page that is not acknowledged
+	Delivered              // stands on an acknowledged page
+)
+
+// Group is a prompt with the number of samples wanted of it.
+type Group struct {
+	ID        string  `cbor:"1,keyasint" json:"id"`
+	Prompt    string  `cbor:"2,keyasint" json:"prompt"`
+	Samples   int     `cbor:"3,keyasint" json:"samples"`
+	MaxTokens int     `cbor:"4,keyasint" json:"maxTokens"`
+	Heat      float64 `cbor:"5,keyasint" json:"temperature"`
+}
+
+// Sample is one sample of a step.
+type Sample struct {
+	ID       string   `cbor:"1,keyasint"`
+	Group    int      `cbor:"2,keyasint"`
+	State    State    `cbor:"3,keyasint"`
+	Attempt  uint32   `cbor:"4,keyasint"` // the lowest attempt that may win
+	Digest   string   `cbor:"5,keyasint"` // SHA-256 of the payload
+	Sequence uint64   `cbor:"6,keyasint"` // of the oldest weight version that wrote it
+	Holders  []string `cbor:"7,keyasint"` // gateways that hold the payload
+}
+
+// Page lists the samples of one delivery.
+type Page struct {
+	Number  uint64   `cbor:"1,keyasint"`
+	Samples []int    `cbor:"2,keyasint"`
+	Digests []string `cbor:"3,keyasint"`
+	Acked   bool     `cbor:"4,keyasint"`
+}
+
+// Step is one step of a trainer.
+type Step struct {
+	ID         string   `cbor:"1,keyasint"`
+	Workspace  string   `cbor:"2,keyasint"`
+	Trainer    string   `cbor:"3,keyasint"`
+	Model      string   `cbor:"4,keyasint"`
+	Digest     string   `cbor:"5,keyasint"` // of the request that opened it
+	Staleness  uint64   `cbor:"6,keyasint"`
+	MinVersion uint64   `cbor:"7,keyasint"`
+	DeadlineMs int64    `cbor:"8,keyasint"` // Unix time
+	Groups     []Group  `cbor:"9,keyasint"`
+	Samples    []Sample `cbor:"10,keyasint"`
+	Pages      []Page   `cbor:"11,keyasint"` // the last one may wait for its acknowledgement
+	Driver     string   `cbor:"12,keyasint"` // process that runs the attempts
+	OpenedMs   int64    `cbor:"13,keyasint"`
+	DoneMs     int64    `cbor:"14,keyasint"` // 0 while samples are missing
+}
+
+// Key returns the name of the step among those of all workspaces.
+func (st *Step) Key() string { return Key(st.Workspace, st.ID) }
+
+// Key returns the ledger's name of a workspace's step.
+func Key(workspace, id string) string { return workspace + "/" + id }
+
+// Open opens a step.
+type Open struct {
+	Step Step `cbor:"1,keyasint"`
+}
+
+// Win says that an attempt of a sample is whole.
+type Win struct {
+	Sample   int      `cbor:"1,keyasint"`
+	Attempt  uint32   `cbor:"2,keyasint"`
+	Digest   string   `cbor:"3,keyasint"`
+	Sequence uint64   `cbor:"4,keyasint"`
+	Holders  []string `cbor:"5,keyasint"`
+}
+
+// Wins commits several wins of one step.
+type Wins struct {
+	Key  string `cbor:"1,keyasint"`
+	Wins []Win  `cbor:"2,keyasint"`
+}
+
+// FormPage asks for page Number with at most Max samples.
+type FormPage struct {
+	Key    string `cbor:"1,keyasint"`
+	Number uint64 `cbor:"2,keyasint"`
+	Max    int    `cbor:"3,keyasint"`
+}
+
+// Ack says that the trainer has the page.
+type Ack struct {
+	Key    string `cbor:"1,keyasint"`
+	Number uint64 `cbor:"2,keyasint"`
+}
+
+// Lost says that the payloads of samples are lost with their holders.
+type Lost struct {
+	Key     string   `cbor:"1,keyasint"`
+	Samples []int    `cbor:"2,keyasint"`
+	Digests []string `cbor:"3,keyasint"` // the payloads that are lost
+}
+
+// Drive makes a process the driver of a step whose driver was From.
+type Drive struct {
+	Key  string `cbor:"1,keyasint"`
+	From string `cbor:"2,keyasint"`
+	To   string `cbor:"3,keyasint"`
+}
+
+// PageReply answers FormPage and Ack.
+type PageReply struct {
+	Number    uint64   `cbor:"1,keyasint"`
+	Samples   []Sample `cbor:"2,keyasint"`
+	Remaining int      `cbor:"3,keyasint"` // samples that are on no page yet
+	Stale     int      `cbor:"4,keyasint"` // samples sent back since they were too old
+	Driver    string   `cbor:"5,keyasint"`
+}
+
+// Ledger holds the steps of a group.
+type Ledger struct {
+	steps map[string]*Step
+}
+
+// keepDoneMs is how long a finished step is kept to answer resends.
+const keepDoneMs = 10 * 60 * 1000
+
+// NewLedger returns the ledger that holds steps.
+func NewLedger(steps map[string]*Step) *Ledger {
+	if steps == nil {
+		steps = map[string]*Step{}
+	}
+
+	return &Ledger{steps: steps}
+}
+
+// Steps returns all steps; they must not be changed.
+func (le *Ledger) Steps() map[string]*Step { return le.steps }
+
+// Get returns a step of the ledger.
+func (le *Ledger) Get(key string) (*Step, error) {
+	st, ok := le.steps[key]
+	if !ok {
+		return nil, result.New(result.UnknownStep, "step %s: not open", key)
+	}
+
+	return st, nil
+}
+
+// Open adds a step. The same step again changes nothing, another one under its name is refused.
+func (le *Ledger) Open(op Open, atMs int64) (*Step, error) {
+	le.dropOld(atMs)
+	if st, ok := le.steps[op.Step.Key()]; ok {
+		if st.Digest != op.Step.Digest {
+			return nil, result.New(result.StepConflict, "step %s: opened before with other content", st.Key())
+		}
+
+		return st, nil
+	}
+
+	st := op.Step
+	st.OpenedMs = atMs
+	st.Samples = nil
+	for g, gr := range st.Groups {
+		for i := range gr.Samples {
+			st.Samples = append(st.Samples, Sample{ID: fmt.Sprintf("%s.%s.%d", st.ID, gr.ID, i), Group: g, Attempt: 1})
+		}
+	}
+	le.steps[st.Key()] = &st
+
+	return &st, nil
+}
+
+func (le *Ledger) dropOld(atMs int64) {
+	for k, st := range le.steps {
+		end := max(st.DoneMs, st.DeadlineMs)
+		if atMs > end+keepDoneMs {
+			delete(le.steps, k)
+		}
+	}
+}
+
+// Wins commits winners. A sample that has one already keeps it; the reply lists those taken.
+func (le *Ledger) Wins(wi Wins) ([]int, error) {
+	st, err := le.Get(wi.Key)
+	if err != nil {
+		return nil, err
+	}
+
+	var taken []int
+	for _, w := range wi.Wins {
+		if w.Sample < 0 || w.Sample >= len(st.Samples) {
+			return nil, result.New(result.SampleNotAccepted, "step %s: no sample %d", wi.Key, w.Sample)
+		}
+
+		sa := &st.Samples[w.Sample]
+		if sa.State != Pending || w.Attempt < sa.Attempt {
+			continue
+		}
+		sa.State, sa.Attempt = Won, w.Attempt
+		sa.Digest, sa.Sequence, sa.Holders = w.Digest, w.Sequence, w.Holders
+		taken = append(taken, w.Sample)
+	}
+
+	return taken, nil
+}
+
+// reset makes a sample want a new attempt.
+func (sa *Sample) reset() {
+	sa.State, sa.Digest, sa.Holders = Pending, "", nil
+	sa.Attempt++
+}
+
+// FormPage forms page fp.Number, or returns it when it was formed before. The
+// staleness of each sample is judged here, against latest.
+func (le *Ledger) FormPage(fp FormPage, latest uint64, atMs int64) (PageReply, error) {
+	st, err := le.Get(fp.Key)
+	if err != nil {
+		return PageReply{}, err
+	}
+
+	n := uint64(len(st.Pages))
+	switch {
+	case fp.Number == 0:
+		return PageReply{}, result.New(result.InvalidField, "step %s: pages are numbered from 1", fp.Key)
+	case fp.Number < n || (fp.Number == n && st.Pages[n-1].Acked):
+		return PageReply{}, result.New(result.StepOver, "step %s: page %d is acknowledged", fp.Key, fp.Number)
+	case fp.Number == n:
+		return st.reply(st.Pages[n-1], 0), nil
+	case fp.Number > n+1 || (n > 0 && !st.Pages[n-1].Acked):
+		return PageReply{}, result.New(result.PageFromFuture, "step %s: page %d is wanted, page %d is not acknowledged", fp.Key, fp.Number, n)
+	}
+
+	return st.formNext(fp, latest, atMs)
+}
+
+func (st *Step) formNext(fp FormPage, latest uint64, atMs int64) (PageReply, error) {
+	pg := Page{Number: fp.Number}
+	stale, pending := 0, 0
+	for i := range st.Samples {
+		sa := &st.Samples[i]
+		if sa.State == Won && (sa.Sequence+st.Staleness < latest || sa.Sequence < st.MinVersion) {
+			sa.reset()
+			stale++
+		}
+		if sa.State == Pending {
+			pending++
+		}
+		if sa.State != Won || len(pg.Samples) >= fp.Max {
+			continue
+		}
+		sa.State = Paged
+		pg.Samples = append(pg.Samples, i)
+		pg.Digests = append(pg.Digests, sa.Digest)
+	}
+	if len(pg.Samples) > 0 {
+		st.Pages = append(st.Pages, pg)
+
+		return st.reply(pg, stale), nil
+	}
+
+	rep := PageReply{Stale: stale, Remaining: pending, Driver: st.Driver}
+	switch {
+	case pending == 0:
+		return rep, result.New(result.StepOver, "step %s: all samples are delivered", st.Key())
+	case atMs > st.DeadlineMs:
+		return rep, result.New(result.StepOver, "step %s: its deadline passed with %d samples missing", st.Key(), pending)
+	}
+
+	return rep, result.New(result.PageNotReady, "step %s: no sample is ready for page %d", st.Key(), fp.Number)
+}
+
+func (st *Step) reply(pg Page, stale int) PageReply {
+	rep := PageReply{Number: pg.Number, Stale: stale, Driver: st.Driver}
+	for _, i := range pg.Samples {
+		rep.Samples = append(rep.Samples, st.Samples[i])
+	}
+	for i := range st.Samples {
+		if st.Samples[i].State == Pending || st.Samples[i].State == Won {
+			rep.Remaining++
+		}
+	}
+
+	return rep
+}
+
+// Ack marks a page as delivered.
+func (le *Ledger) Ack(ac Ack, atMs int64) (PageReply, error) {
+	st, err := le.Get(ac.Key)
+	if err != nil {
+		return PageReply{}, err
+	}
+	if ac.Number == 0 || ac.Number > uint64(len(st.Pages)) {
+		return PageReply{}, result.New(result.PageNeverSent, "step %s: page %d was never sent", ac.Key, ac.Number)
+	}
+
+	pg := &st.Pages[ac.Number-1]
+	if !pg.Acked {
+		pg.Acked = true
+		for _, i := range pg.Samples {
+			st.Samples[i].State = Delivered
+			st.Samples[i].Holders = nil
+		}
+	}
+
+	rep := st.reply(Page{Number: ac.Number}, 0)
+	if rep.Remaining == 0 && st.DoneMs == 0 {
+		st.DoneMs = atMs
+	}
+
+	return rep, nil
+}
+
+// Lost sends samples back whose payloads no holder has any more. A page that held
+// one of them is formed anew when it is fetched again: a trainer fetches again
+// only what it did not receive whole.
+func (le *Ledger) Lost(lo Lost) error {
+	st, err := le.Get(lo.Key)
+	if err != nil {
+		return err
+	}
+
+	paged := false
+	for n, i := range lo.Samples {
+		if i < 0 || i >= len(st.Samples) || n >= len(lo.Digests) {
+			return result.New(result.SampleNotAccepted, "step %s: no sample %d", lo.Key, i)
+		}
+		sa := &st.Samples[i]
+		if sa.Digest != lo.Digests[n] || (sa.State != Won && sa.State != Paged) {
+			continue
+		}
+		paged = paged || sa.State == Paged
+		sa.reset()
+	}
+	if n := len(st.Pages); paged && n > 0 && !st.Pages[n-1].Acked {
+		for _, i := range st.Pages[n-1].Samples {
+			if st.Samples[i].State == Paged {
+				st.Samples[i].State = Won
+			}
+		}
+		st.Pages = st.Pages[:n-1]
+	}
+
+	return nil
+}
+
+// Drive changes the driver of a step.
+func (le *Ledger) Drive(dr Drive) (*Step, error) {
+	st, err := le.Get(dr.Key)
+	if err != nil {
+		return nil, err
+	}
+	if st.Driver == dr.From {
+		st.Driver = dr.To
+	}
+
+	return st, nil
+}
--- /dev/null
+++ b/internal/storage/files.go
@@ -0,0 +1,127 @@
+// Package storage keeps a group's log and snapshots under the data folder. What
+// it returned as stored survives a crash: files and their folders are synced.
+package storage
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+	"sort"
+)
+
+// File is an open file that is appended to.
+type File struct {
+	Write func(b []byte) (int, error)
+	Sync  func() error
+	Close func() error
+}
+
+// Files are the file operations that the package uses; tests put faulty ones in.
+type Files struct {
+	MkdirAll func(dir string) error
+	Append   func(path string) (File, error)
+	Create   func(path string) (File, error)
+	Read     func(path string) ([]byte, error)
+	Rename   func(from, to string) error
+	Remove   func(path string) error
+	Truncate func(path string, size int64) error
+	SyncDir  func(dir string) error
+	List     func(dir string) ([]string, error)
+}
+
+// OSFiles returns the operations of the operating system.
+func OSFiles() Files {
+	return Files{
+		MkdirAll: func(dir string) error { return os.MkdirAll(dir, 0o700) },
+		Append: func(path string) (File, error) {
+			return openFile(path, os.O_WRONLY|os.O_CREATE|os.O_APPEND)
+		},
+		Create: func(path string) (File, error) {
+			return openFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC)
+		},
+		Read:     os.ReadFile,
+		Rename:   os.Rename,
+		Remove:   os.Remove,
+		Truncate: truncate,
+		SyncDir:  syncDir,
+		List:     list,
+	}
+}
+
+func openFile(path string, flag int) (File, error) {
+	f, err := os.OpenFile(path, flag, 0o600)
+	if err != nil {
+		return File{}, err
+	}
+
+	return File{Write: f.Write, Sync: f.Sync, Close: f.Close}, nil
+}
+
+func truncate(path string, size int64) error {
+	f, err := os.OpenFile(path, os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+
+	if err := f.Truncate(size); err != nil {
+		return err
+	}
+
+	return f.Sync()
+}
+
+func syncDir(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+
+	return d.Sync()
+}
+
+func list(dir string) ([]string, error) {
+	des, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, err
+	}
+
+	names := make([]string, 0, len(des))
+	for _, de := range des {
+		names = append(names, de.Name())
+	}
+	sort.Strings(names)
+
+	return names, nil
+}
+
+// WriteAtomic replaces the file at path by b, so that a crash leaves the old or the new one.
+func (fi Files) WriteAtomic(path string, b []byte) error {
+	tmp := path + ".tmp"
+	f, err := fi.Create(tmp)
+	if err != nil {
+		return err
+	}
+	if n, err := f.Write(b); err != nil || n < len(b) {
+		_ = f.Close()
+		if err == nil {
+			err = io.ErrShortWrite
+		}
+
+		return err
+	}
+	if err := f.Sync(); err != nil {
+		_ = f.Close()
+
+		return err
+	}
+	if err := f.Close(); err != nil {
+		return err
+	}
+	if err := fi.Rename(tmp, path); err != nil {
+		return err
+	}
+
+	return fi.SyncDir(filepath.Dir(path))
+}
--- /dev/null
+++ b/internal/storage/record.go
@@ -0,0 +1,64 @@
+package storage
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+)
+
+const (
+	recordHeaderBytes = 8
+	maxRecordBytes    = 64 << 20
+	tailScanBytes     = 1 << 20
+)
+
+// Kinds of records in a log segment.
+const (
+	recordHeader byte = iota + 1
+	recordEntry
+	recordHardState
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// appendRecord appends length, CRC32C, kind and body.
+func appendRecord(dst []byte, kind byte, body []byte) []byte {
+	var h [recordHeaderBytes]byte
+	binary.LittleEndian.PutUint32(h[:4], uint32(len(body)+1))
+	c := crc32.Update(crc32.Checksum([]byte{kind}, castagnoli), castagnoli, body)
+	binary.LittleEndian.PutUint32(h[4:], c)
+	dst = append(dst, h[:]...)
+	dst = append(dst, kind)
+
+	return append(dst, body...)
+}
+
+// readRecord returns the record at the start of b and its size, or false if there is no whole one.
+func readRecord(b []byte) (kind byte, body []byte, size int, ok bool) {
+	if len(b) < recordHeaderBytes+1 {
+		return 0, nil, 0, false
+	}
+
+	n := int(binary.LittleEndian.Uint32(b))
+	if n < 1 || n > maxRecordBytes || len(b)-recordHeaderBytes < n {
+		return 0, nil, 0, false
+	}
+
+	data := b[recordHeaderBytes : recordHeaderBytes+n]
+	if crc32.Checksum(data, castagnoli) != binary.LittleEndian.Uint32(b[4:]) {
+		return 0, nil, 0, false
+	}
+
+	return data[0], data[1:], recordHeaderBytes + n, true
+}
+
+// hasRecordAfter reports whether a whole record starts anywhere behind the first byte of b.
+// A torn write leaves none; damage in the middle of a file does.
+func hasRecordAfter(b []byte) bool {
+	for i := 1; i < len(b) && i < tailScanBytes; i++ {
+		if _, _, _, ok := readRecord(b[i:]); ok {
+			return true
+		}
+	}
+
+	return false
+}
--- /dev/null
+++ b/internal/storage/store.go
@@ -0,0 +1,393 @@
+package storage
+
+import (
+	"fmt"
+	"io"
+	"path/filepath"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/tamarackbay/tamarackbay/internal/consensus"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+)
+
+// FormatVersion is the version of the files that this package writes.
+const FormatVersion = 1
+
+const segmentBytes = 16 << 20
+
+type fileHeader struct {
+	Format int               `cbor:"1,keyasint"`
+	Group  consensus.GroupID `cbor:"2,keyasint"`
+	First  uint64            `cbor:"3,keyasint"` // no entry at or below it is needed from older segments once compacted
+}
+
+type segment struct {
+	name string
+	last uint64 // highest entry written to it
+}
+
+// Store holds the log and snapshot of one group. It is not safe for concurrent use.
+type Store struct {
+	files    Files
+	dir      string
+	group    consensus.GroupID
+	current  File
+	size     int
+	sequence int
+	segments []segment
+	hs       consensus.HardState
+	snapshot consensus.Snapshot
+	buf      []byte
+	broken   error
+}
+
+// Recovered is what a Store found on the disk.
+type Recovered struct {
+	HardState consensus.HardState
+	Snapshot  consensus.Snapshot
+	Entries   []consensus.Entry
+	TornBytes int
+}
+
+// Open reads the folder dir and starts a new segment.
+func Open(files Files, dir string, group consensus.GroupID) (*Store, *Recovered, error) {
+	if err := files.MkdirAll(dir); err != nil {
+		return nil, nil, writeError(dir, err)
+	}
+
+	st := &Store{files: files, dir: dir, group: group}
+	names, err := files.List(dir)
+	if err != nil {
+		return nil, nil, writeError(dir, err)
+	}
+
+	re := &Recovered{}
+	if err := st.readSnapshots(names, re); err != nil {
+		return nil, nil, err
+	}
+	if err := st.readSegments(names, re); err != nil {
+		return nil, nil, err
+	}
+	st.hs, st.snapshot = re.HardState, re.Snapshot
+	if err := st.startSegment(); err != nil {
+		return nil, nil, err
+	}
+
+	return st, re, nil
+}
+
+func writeError(path string, err error) error {
+	return result.New(result.DataFolderWrite, "storage: %s: %v", path, err)
+}
+
+func damaged(path string, offset int, what string) error {
+	return result.New(result.DataFolderDamaged, "storage: %s: offset %d: %s", path, offset, what)
+}
+
+func (st *Store) readSnapshots(names []string, re *Recovered) error {
+	for _, name := range names {
+		if !strings.HasPrefix(name, "snapshot-") || strings.HasSuffix(name, ".tmp") {
+			continue
+		}
+
+		path := filepath.Join(st.dir, name)
+		b, err := st.files.Read(path)
+		if err != nil {
+			return writeError(path, err)
+		}
+		sn, err := decodeSnapshot(path, b)
+		if err != nil {
+			return err
+		}
+		if sn.Index >= re.Snapshot.Index {
+			re.Snapshot = sn
+		}
+	}
+
+	return nil
+}
+
+func decodeSnapshot(path string, b []byte) (consensus.Snapshot, error) {
+	var sn consensus.Snapshot
+	kind, body, size, ok := readRecord(b)
+	if !ok || kind != recordHeader {
+		return sn, damaged(path, 0, "no valid header")
+	}
+	if err := checkHeader(path, body); err != nil {
+		return sn, err
+	}
+
+	kind, body, _, ok = readRecord(b[size:])
+	if !ok || kind != recordEntry {
+		return sn, damaged(path, size, "the snapshot is not whole")
+	}
+	if err := cbor.Unmarshal(body, &sn); err != nil {
+		return sn, damaged(path, size, err.Error())
+	}
+
+	return sn, nil
+}
+
+func checkHeader(path string, body []byte) error {
+	var h fileHeader
+	if err := cbor.Unmarshal(body, &h); err != nil {
+		return damaged(path, 0, err.Error())
+	}
+	if h.Format > FormatVersion {
+		return result.New(result.DataFolderNewer, "storage: %s: format %d, this program knows %d", path, h.Format, FormatVersion)
+	}
+
+	return nil
+}
+
+func (st *Store) readSegments(names []string, re *Recovered) error {
+	var logs []string
+	for _, name := range names {
+		if strings.HasPrefix(name, "log-") {
+			logs = append(logs, name)
+		}
+	}
+
+	for i, name := range logs {
+		if err := st.readSegment(name, i == len(logs)-1, re); err != nil {
+			return err
+		}
+	}
+
+	return nil
+}
+
+func (st *Store) readSegment(name string, isLast bool, re *Recovered) error {
+	path := filepath.Join(st.dir, name)
+	b, err := st.files.Read(path)
+	if err != nil {
+		return writeError(path, err)
+	}
+	if _, err := fmt.Sscanf(name, "log-%d", &st.sequence); err != nil {
+		return damaged(path, 0, "not the name of a segment")
+	}
+
+	sg := segment{name: name}
+	for off := 0; off < len(b); {
+		kind, body, size, ok := readRecord(b[off:])
+		if !ok {
+			if !isLast || hasRecordAfter(b[off:]) {
+				return damaged(path, off, "a record in the middle of the log is not valid")
+			}
+			re.TornBytes += len(b) - off
+			if err := st.files.Truncate(path, int64(off)); err != nil {
+				return writeError(path, err)
+			}
+
+			break
+		}
+		if err := st.takeRecord(path, off, kind, body, &sg, re); err != nil {
+			return err
+		}
+		off += size
+	}
+	st.segments = append(st.segments, sg)
+
+	return nil
+}
+
+func (st *Store) takeRecord(path string, off int, kind byte, body []byte, sg *segment, re *Recovered) error {
+	switch kind {
+	case recordHeader:
+		return checkHeader(path, body)
+	case recordHardState:
+		if err := cbor.Unmarshal(body, &re.HardState); err != nil {
+			return damaged(path, off, err.Error())
+		}
+	case recordEntry:
+		var en consensus.Entry
+		if err := cbor.Unmarshal(body, &en); err != nil {
+			return damaged(path, off, err.Error())
+		}
+		sg.last = max(sg.last, en.Index)
+		if en.Index <= re.Snapshot.Index {
+			return nil
+		}
+
+		at := en.Index - re.Snapshot.Index - 1
+		if at > uint64(len(re.Entries)) {
+			return damaged(path, off, fmt.Sprintf("entry %d follows a gap", en.Index))
+		}
+		re.Entries = append(re.Entries[:at], en)
+	default:
+		return damaged(path, off, fmt.Sprintf("record of unknown kind %d", kind))
+	}
+
+	return nil
+}
+
+func (st *Store) startSegment() error {
+	if st.current.Close != nil {
+		_ = st.current.Close()
+	}
+
+	st.sequence++
+	name := fmt.Sprintf("log-%016d", st.sequence)
+	path := filepath.Join(st.dir, name)
+	f, err := st.files.Append(path)
+	if err != nil {
+		return writeError(path, err)
+	}
+
+	st.current, st.size = f, 0
+	st.segments = append(st.segments, segment{name: name})
+	h, err := cbor.Marshal(fileHeader{Format: FormatVersion, Group: st.group, First: st.snapshot.Index})
+	if err != nil {
+		return writeError(path, err)
+	}
+	b := appendRecord(nil, recordHeader, h)
+	if st.hs != (consensus.HardState{}) {
+		if b, err = appendCBOR(b, recordHardState, st.hs); err != nil {
+			return writeError(path, err)
+		}
+	}
+	if err := st.write(b); err != nil {
+		return err
+	}
+	if err := st.files.SyncDir(st.dir); err != nil {
+		return st.fail(err)
+	}
+
+	return nil
+}
+
+func appendCBOR(dst []byte, kind byte, v any) ([]byte, error) {
+	body, err := cbor.Marshal(v)
+	if err != nil {
+		return nil, err
+	}
+
+	return appendRecord(dst, kind, body), nil
+}
+
+func (st *Store) fail(err error) error {
+	st.broken = writeError(st.dir, err)
+
+	return st.broken
+}
+
+func (st *Store) write(b []byte) error {
+	n, err := st.current.Write(b)
+	if err == nil && n < len(b) {
+		err = io.ErrShortWrite
+	}
+	if err != nil {
+		return st.fail(err)
+	}
+	if err := st.current.Sync(); err != nil {
+		return st.fail(err)
+	}
+	st.size += n
+
+	return nil
+}
+
+// Save stores what rd asks for with one sync. After an error the store refuses all further work.
+func (st *Store) Save(rd *consensus.Ready) error {
+	if st.broken != nil {
+		return st.broken
+	}
+	if rd.Snapshot != nil {
+		if err := st.SaveSnapshot(*rd.Snapshot, true); err != nil {
+			return err
+		}
+	}
+	if rd.HardState == nil && len(rd.Entries) == 0 {
+		return nil
+	}
+
+	var err error
+	b := st.buf[:0]
+	if rd.HardState != nil {
+		st.hs = *rd.HardState
+		if b, err = appendCBOR(b, recordHardState, st.hs); err != nil {
+			return st.fail(err)
+		}
+	}
+	sg := &st.segments[len(st.segments)-1]
+	for i := range rd.Entries {
+		if b, err = appendCBOR(b, recordEntry, &rd.Entries[i]); err != nil {
+			return st.fail(err)
+		}
+		sg.last = max(sg.last, rd.Entries[i].Index)
+	}
+	st.buf = b
+	if err := st.write(b); err != nil {
+		return err
+	}
+	if st.size > segmentBytes {
+		return st.startSegment()
+	}
+
+	return nil
+}
+
+// SaveSnapshot stores sn. A received snapshot replaces the log as a whole.
+func (st *Store) SaveSnapshot(sn consensus.Snapshot, received bool) error {
+	if st.broken != nil {
+		return st.broken
+	}
+
+	h, err := cbor.Marshal(fileHeader{Format: FormatVersion, Group: st.group})
+	if err != nil {
+		return st.fail(err)
+	}
+	b, err := appendCBOR(appendRecord(nil, recordHeader, h), recordEntry, sn)
+	if err != nil {
+		return st.fail(err)
+	}
+	path := filepath.Join(st.dir, fmt.Sprintf("snapshot-%016d", sn.Index))
+	if err := st.files.WriteAtomic(path, b); err != nil {
+		return st.fail(err)
+	}
+
+	old := st.snapshot
+	st.snapshot = sn
+	if received {
+		if err := st.startSegment(); err != nil {
+			return err
+		}
+	}
+	if old.Index > 0 && old.Index != sn.Index {
+		if err := st.files.Remove(filepath.Join(st.dir, fmt.Sprintf("snapshot-%016d", old.Index))); err != nil {
+			return st.fail(err)
+		}
+	}
+
+	return st.dropSegments(received)
+}
+
+// dropSegments removes the segments that the snapshot covers, oldest first.
+func (st *Store) dropSegments(all bool) error {
+	for len(st.segments) > 1 && (all || st.segments[0].last <= st.snapshot.Index) {
+		if err := st.files.Remove(filepath.Join(st.dir, st.segments[0].name)); err != nil {
+			return st.fail(err)
+		}
+		st.segments = st.segments[1:]
+	}
+
+	return st.syncDirOrFail()
+}
+
+func (st *Store) syncDirOrFail() error {
+	if err := st.files.SyncDir(st.dir); err != nil {
+		return st.fail(err)
+	}
+
+	return nil
+}
+
+// LatestSnapshot returns the stored snapshot, and false if there is none.
+func (st *Store) LatestSnapshot() (consensus.Snapshot, bool) {
+	return st.snapshot, st.snapshot.Index > 0
+}
+
+// Close closes the current segment.
+func (st *Store) Close() error { return st.current.Close() }
--- /dev/null
+++ b/internal/usagesink/usagesink.go
@@ -0,0 +1,53 @@
+// Package usagesink is the adapter of the platform's interface that takes usage
+// reports. docs/interfaces/usage.md states the protocol.
+package usagesink
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+
+	"github.com/tamarackbay/tamarackbay/internal/httpcall"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+)
+
+// Client talks to the usage interface.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// New returns a client of the interface at an IP number with a port.
+func New(address, bind string) *Client {
+	return &Client{base: "http://" + address, http: httpcall.NewClient(bind, true)}
+}
+
+// Headers of a report.
+const (
+	GiverHeader   = "X-Giver"
+	FencingHeader = "X-Fencing"
+)
+
+// Send reports a window. The same window is always sent with the same bytes, so
+// that a report sent again changes nothing.
+func (cl *Client) Send(ctx context.Context, window uint64, report []byte, giver string, fencing uint64) error {
+	rq, err := http.NewRequestWithContext(ctx, http.MethodPut, fmt.Sprintf("%s/v1/reports/%d", cl.base, window), bytes.NewReader(report))
+	if err != nil {
+		return err
+	}
+	rq.Header.Set("Content-Type", "application/json")
+	rq.Header.Set(GiverHeader, giver)
+	rq.Header.Set(FencingHeader, fmt.Sprint(fencing))
+
+	rs, err := cl.http.Do(rq)
+	if err != nil {
+		return httpcall.Failure("usage interface", err)
+	}
+	defer rs.Body.Close()
+	if rs.StatusCode >= http.StatusMultipleChoices {
+		return result.From(httpcall.Refusal("usage interface", rs)).With(result.Ran)
+	}
+
+	return nil
+}
--- /dev/null
+++ b/internal/weights/weights.go
@@ -0,0 +1,120 @@
+// Package weights plans the swap of a model's engines to a new version, in waves
+// that the weight store allows: load first, activate second, go on after
+// failures. It is a core: the state and the time are arguments.
+package weights
+
+import (
+	"sort"
+	"time"
+)
+
+// Engine is what the planner sees of one engine.
+type Engine struct {
+	Server        string
+	FailureDomain string
+	Version       string
+	LoadedVersion string
+	IsReady       bool
+	Running       int
+}
+
+// Kinds of actions.
+const (
+	Load     = "load"
+	Activate = "activate"
+)
+
+// Action is one order to be given to an engine.
+type Action struct {
+	Kind    string
+	Server  string
+	Version string
+}
+
+// Planner remembers what runs and what failed for one model.
+type Planner struct {
+	target   string
+	running  map[string]string // server to the kind of its order in flight
+	failedAt map[string]time.Duration
+	failures map[string]int
+}
+
+const (
+	retryBase = 500 * time.Millisecond
+	retryMax  = 10 * time.Second
+)
+
+// NewPlanner returns a planner that knows nothing yet.
+func NewPlanner() *Planner {
+	return &Planner{running: map[string]string{}, failedAt: map[string]time.Duration{}, failures: map[string]int{}}
+}
+
+// Next returns the orders to give now so that all engines come to serve target.
+// At most wave engines load at once; engines whose requests run longest wait
+// while idle ones go first, so that the least work sees a change of version.
+func (pl *Planner) Next(now time.Duration, target string, engines []Engine, wave int) []Action {
+	if target != pl.target {
+		// A newer version overtakes a rollout: failures of the old one do not count.
+		pl.target = target
+		clear(pl.failedAt)
+		clear(pl.failures)
+	}
+	if target == "" {
+		return nil
+	}
+
+	var out []Action
+	loading := 0
+	for _, kind := range pl.running {
+		if kind == Load {
+			loading++
+		}
+	}
+	sorted := append([]Engine(nil), engines...)
+	sort.Slice(sorted, func(i, j int) bool {
+		if sorted[i].Running != sorted[j].Running {
+			return sorted[i].Running < sorted[j].Running
+		}
+
+		return sorted[i].Server < sorted[j].Server
+	})
+	for _, en := range sorted {
+		if !en.IsReady || en.Version == target || pl.running[en.Server] != "" || pl.mustWait(now, en.Server) {
+			continue
+		}
+		switch {
+		case en.LoadedVersion == target:
+			out = append(out, Action{Kind: Activate, Server: en.Server, Version: target})
+		case loading < wave:
+			loading++
+			out = append(out, Action{Kind: Load, Server: en.Server, Version: target})
+		}
+	}
+	for _, a := range out {
+		pl.running[a.Server] = a.Kind
+	}
+
+	return out
+}
+
+func (pl *Planner) mustWait(now time.Duration, server string) bool {
+	n := pl.failures[server]
+	if n == 0 {
+		return false
+	}
+	d := min(retryBase<<min(n-1, 10), retryMax)
+
+	return now < pl.failedAt[server]+d
+}
+
+// Done takes the end of an order.
+func (pl *Planner) Done(now time.Duration, server string, ok bool) {
+	delete(pl.running, server)
+	if ok {
+		delete(pl.failures, server)
+
+		return
+	}
+	pl.failures[server]++
+	pl.failedAt[server] = now
+}
--- /dev/null
+++ b/pkg/client/client.go
@@ -0,0 +1,330 @@
+// Package client calls tamarackbay for callers and trainers. It moves to another
+// gateway when one fails, comes back when told to, and resends only what may be
+// sent again.
+package client
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	minBackoff     = 20 * time.Millisecond
+	maxBackoff     = 2 * time.Second
+	maxAnswerBytes = 256 << 20
+	pageWait       = 2 * time.Second
+)
+
+// Config describes the gateways and the caller.
+type Config struct {
+	Gateways []string // base URLs such as http://192.0.2.1:8080, or the balancer's alone
+	Token    string   // key of the workspace
+	HTTP     *http.Client
+}
+
+// Client is safe for concurrent use.
+type Client struct {
+	cfg  Config
+	next atomic.Uint32
+}
+
+// New returns a client.
+func New(cfg Config) *Client {
+	if cfg.HTTP == nil {
+		cfg.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	}
+
+	return &Client{cfg: cfg}
+}
+
+// Error is a numbered refusal; docs/codes.md lists the codes.
+type Error struct {
+	Code       int           `json:"code"`
+	Name       string        `json:"name"`
+	Message    string        `json:"message"`
+	Execution  string        `json:"execution"` // notRun, ran or unknown
+	Status     int           `json:"-"`
+	RetryAfter time.Duration `json:"-"`
+}
+
+// Error returns the name, the code and the message.
+func (er *Error) Error() string {
+	return fmt.Sprintf("%s (%d): %s [%s]", er.Name, er.Code, er.Message, er.Execution)
+}
+
+// Names of refusals that the client handles itself.
+const (
+	nameStepOver = "stepOver"
+)
+
+func (cl *Client) base() string {
+	return cl.cfg.Gateways[int(cl.next.Load())%len(cl.cfg.Gateways)]
+}
+
+// once sends one request to the current gateway. The body of a good answer is returned whole.
+func (cl *Client) once(ctx context.Context, method, path string, body []byte, h http.Header) (*http.Response, []byte, error) {
+	rs, err := cl.open(ctx, method, path, body, h)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer rs.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(rs.Body, maxAnswerBytes))
+	if err != nil {
+		cl.next.Add(1)
+
+		return nil, nil, fmt.Errorf("client: %s %s: the answer is not whole: %w", method, path, err)
+	}
+
+	return rs, b, nil
+}
+
+func (cl *Client) open(ctx context.Context, method, path string, body []byte, h http.Header) (*http.Response, error) {
+	rq, err := http.NewRequestWithContext(ctx, method, cl.base()+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	for n, v := range h {
+		rq.Header[n] = v
+	}
+	if cl.cfg.Token != "" {
+		rq.Header.Set("Authorization", "Bearer "+cl.cfg.Token)
+	}
+	rs, err := cl.cfg.HTTP.Do(rq)
+	if err != nil {
+		cl.next.Add(1)
+
+		return nil, err
+	}
+	if rs.StatusCode < http.StatusBadRequest {
+		return rs, nil
+	}
+	defer rs.Body.Close()
+
+	return nil, cl.readError(rs)
+}
+
+func (cl *Client) readError(rs *http.Response) error {
+	var eb struct {
+		Error Error `json:"error"`
+	}
+	b, _ := io.ReadAll(io.LimitReader(rs.Body, 1<<20))
+	if err := json.Unmarshal(b, &eb); err != nil || eb.Error.Code == 0 {
+		eb.Error = Error{Name: "status", Message: fmt.Sprintf("status %d: %s", rs.StatusCode, b), Execution: "unknown"}
+	}
+	eb.Error.Status = rs.StatusCode
+	if ms, err := strconv.Atoi(rs.Header.Get("Retry-After-Ms")); err == nil {
+		eb.Error.RetryAfter = time.Duration(ms) * time.Millisecond
+	}
+	switch eb.Error.Name {
+	case "staleProcess", "shuttingDown", "noLeader", "groupTimeout":
+		cl.next.Add(1) // another gateway may do better
+	}
+
+	return &eb.Error
+}
+
+// isTemporary reports whether the same request may succeed later. Requests sent
+// through it are idempotent.
+func isTemporary(err error) bool {
+	var er *Error
+	if !errors.As(err, &er) {
+		return true
+	}
+
+	return er.Status == http.StatusTooManyRequests || er.Status >= http.StatusInternalServerError
+}
+
+// again repeats an idempotent call until it ends or ctx does.
+func (cl *Client) again(ctx context.Context, call func() error) error {
+	for wait := minBackoff; ; wait = min(2*wait, maxBackoff) {
+		err := call()
+		if err == nil || !isTemporary(err) {
+			return err
+		}
+		d := wait
+		var er *Error
+		if errors.As(err, &er) && er.RetryAfter > 0 {
+			d = er.RetryAfter
+		}
+		select {
+		case <-time.After(d):
+		case <-ctx.Done():
+			return fmt.Errorf("client: %w; last: %w", ctx.Err(), err)
+		}
+	}
+}
+
+func (cl *Client) post(ctx context.Context, path string, in, out any) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return err
+	}
+
+	return cl.again(ctx, func() error {
+		_, b, err := cl.once(ctx, http.MethodPost, path, body, http.Header{"Content-Type": {"application/json"}})
+		if err != nil || out == nil {
+			return err
+		}
+
+		return json.Unmarshal(b, out)
+	})
+}
+
+// CompletionRequest asks a model for text.
+type CompletionRequest struct {
+	Model       string  `json:"model"`
+	Prompt      string  `json:"prompt"`
+	MaxTokens   int     `json:"max_tokens,omitempty"`
+	Temperature float64 `json:"temperature,omitempty"`
+	Seed        uint64  `json:"seed,omitempty"`
+	Stream      bool    `json:"stream,omitempty"`
+}
+
+// VersionRange says which tokens a weight version wrote: From inclusive, To exclusive.
+type VersionRange struct {
+	Version string `json:"version"`
+	From    int    `json:"from"`
+	To      int    `json:"to"`
+}
+
+// Completion is a text with the weight versions that wrote it.
+type Completion struct {
+	ID       string
+	Text     string
+	Tokens   int
+	Versions []VersionRange
+}
+
+type completionBody struct {
+	ID      string `json:"id"`
+	Choices []struct {
+		Text string `json:"text"`
+	} `json:"choices"`
+	Usage struct {
+		CompletionTokens int `json:"completion_tokens"`
+	} `json:"usage"`
+	Versions []VersionRange `json:"weight_versions"`
+	Error    *Error         `json:"error"`
+}
+
+// Complete returns a whole completion.
+func (cl *Client) Complete(ctx context.Context, rq CompletionRequest) (*Completion, error) {
+	rq.Stream = false
+	var cb completionBody
+	if err := cl.post(ctx, "/v1/completions", rq, &cb); err != nil {
+		return nil, err
+	}
+
+	co := &Completion{ID: cb.ID, Tokens: cb.Usage.CompletionTokens, Versions: cb.Versions}
+	if len(cb.Choices) > 0 {
+		co.Text = cb.Choices[0].Text
+	}
+
+	return co, nil
+}
+
+// Stream calls onText for each part of a completion. It returns an error unless
+// the end mark was seen.
+func (cl *Client) Stream(ctx context.Context, rq CompletionRequest, onText func(string)) (*Completion, error) {
+	rq.Stream = true
+	body, err := json.Marshal(rq)
+	if err != nil {
+		return nil, err
+	}
+	rs, err := cl.open(ctx, http.MethodPost, "/v1/completions", body, http.Header{"Content-Type": {"application/json"}})
+	if err != nil {
+		return nil, err
+	}
+	defer rs.Body.Close()
+
+	co := &Completion{}
+	sc := bufio.NewScanner(rs.Body)
+	for sc.Scan() {
+		data, ok := strings.CutPrefix(sc.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return co, nil
+		}
+		var cb completionBody
+		if err := json.Unmarshal([]byte(data), &cb); err != nil {
+			return co, fmt.Errorf("client: stream: %w", err)
+		}
+		if cb.Error != nil {
+			return co, cb.Error
+		}
+		for _, ch := range cb.Choices {
+			co.Text += ch.Text
+			onText(ch.Text)
+		}
+		if len(cb.Versions) > 0 {
+			co.ID, co.Versions, co.Tokens = cb.ID, cb.Versions, cb.Usage.CompletionTokens
+		}
+	}
+
+	return co, fmt.Errorf("client: the stream ended before its end mark: %w", errors.Join(sc.Err(), io.ErrUnexpectedEOF))
+}
+
+// Call sends a request to a plain service. With an idempotency key the request is
+// sent again after a lost answer, without one only after a refusal that says it
+// has not run.
+func (cl *Client) Call(ctx context.Context, method, route, path string, body []byte, idempotencyKey string) ([]byte, error) {
+	h := http.Header{}
+	if idempotencyKey != "" {
+		h.Set("Idempotency-Key", idempotencyKey)
+	}
+
+	var out []byte
+	err := cl.again(ctx, func() error {
+		_, b, err := cl.once(ctx, method, "/r/"+route+path, body, h)
+		out = b
+		var er *Error
+		switch {
+		case err == nil:
+			return nil
+		case errors.As(err, &er) && (er.Execution == "notRun" || er.Name == "callInFlight"):
+			if er.Name == "callInFlight" {
+				er.Status = http.StatusServiceUnavailable // its answer can be fetched once it is there
+			}
+
+			return err
+		case idempotencyKey != "" && !errors.As(err, &er):
+			return err
+		}
+
+		return &finalError{err}
+	})
+	var fe *finalError
+	if errors.As(err, &fe) {
+		return nil, fe.err
+	}
+
+	return out, err
+}
+
+// finalError ends the repetition of a request that may have run.
+type finalError struct{ err error }
+
+func (fe *finalError) Error() string { return fe.err.Error() }
+
+// As makes a finalError look like a refusal that is not temporary.
+func (fe *finalError) As(target any) bool {
+	if er, ok := target.(**Error); ok {
+		*er = &Error{Name: "final", Status: http.StatusConflict}
+
+		return true
+	}
+
+	return false
+}
