Check the store over crashes, faults of the disk and damaged files

Cause: what Save returned for must be there after any crash, and nothing tried it. Change: the tests run the store on a disk in memory that forgets what was not synced, writes short, fails syncs and flips bits; a fuzz target feeds arbitrary segments.

--- /dev/null
+++ b/internal/storage/fuzz_test.go
@@ -0,0 +1,27 @@
+package storage_test
+
+import (
+	"testing"
+
+	"github.com/tamarackbay/tamarackbay/internal/storage"
+)
+
+// FuzzOpen feeds arbitrary bytes as a log segment: the store recovers or refuses,
+// it never panics, and what it recovers has no gap.
+func FuzzOpen(f *testing.F) {
+	f.Add(storage.EncodeHeader(1))
+	f.Add([]byte{1, 0, 0, 0, 9, 9, 9, 9, 2})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		d := newDisk()
+		d.files[dir+"/log-0000000000000001"] = &diskFile{data: b, synced: len(b)}
+		_, re, err := storage.Open(d.seam(), dir, 1)
+		if err != nil {
+			return
+		}
+		for i, en := range re.Entries {
+			if en.Index != uint64(i)+1 {
+				t.Fatalf("entry %d has index %d", i, en.Index)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/storage/store_test.go
@@ -0,0 +1,335 @@
+package storage_test
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"sort"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarackbay/tamarackbay/internal/consensus"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+	"github.com/tamarackbay/tamarackbay/internal/storage"
+)
+
+// disk is a file system in memory that forgets what was not synced.
+type disk struct {
+	files  map[string]*diskFile // as seen by the running program
+	stored map[string]*diskFile // names that a synced folder holds
+	fail   func(op, path string) error
+	short  int // bytes after which a write is short, -1 for never
+	ops    int
+}
+
+type diskFile struct {
+	data   []byte
+	synced int
+}
+
+var errDisk = errors.New("disk fault")
+
+func newDisk() *disk {
+	return &disk{files: map[string]*diskFile{}, stored: map[string]*diskFile{}, short: -1, fail: func(string, string) error { return nil }}
+}
+
+// crash leaves what was synced, and a random part of what was not.
+func (d *disk) crash(rnd *rand.Rand) {
+	d.files = map[string]*diskFile{}
+	for p, f := range d.stored {
+		n := f.synced
+		if extra := len(f.data) - n; extra > 0 {
+			n += rnd.IntN(extra + 1)
+		}
+		f.data, f.synced = f.data[:n:n], n
+		d.files[p] = f
+	}
+	d.fail = func(string, string) error { return nil }
+}
+
+func (d *disk) open(path string, truncate bool) (storage.File, error) {
+	if err := d.fail("open", path); err != nil {
+		return storage.File{}, err
+	}
+	f, ok := d.files[path]
+	if !ok || truncate {
+		f = &diskFile{}
+		d.files[path] = f
+	}
+
+	return storage.File{
+		Write: func(b []byte) (int, error) {
+			if err := d.fail("write", path); err != nil {
+				return 0, err
+			}
+			if d.short >= 0 && len(b) > d.short {
+				f.data = append(f.data, b[:d.short]...)
+
+				return d.short, errDisk
+			}
+			f.data = append(f.data, b...)
+
+			return len(b), nil
+		},
+		Sync: func() error {
+			if err := d.fail("sync", path); err != nil {
+				return err
+			}
+			f.synced = len(f.data)
+
+			return nil
+		},
+		Close: func() error { return nil },
+	}, nil
+}
+
+func (d *disk) seam() storage.Files {
+	return storage.Files{
+		MkdirAll: func(dir string) error { return d.fail("mkdir", dir) },
+		Append:   func(p string) (storage.File, error) { return d.open(p, false) },
+		Create:   func(p string) (storage.File, error) { return d.open(p, true) },
+		Read: func(p string) ([]byte, error) {
+			f, ok := d.files[p]
+			if !ok {
+				return nil, fs.ErrNotExist
+			}
+
+			return slices.Clone(f.data), nil
+		},
+		Rename: func(from, to string) error {
+			if err := d.fail("rename", to); err != nil {
+				return err
+			}
+			d.files[to] = d.files[from]
+			delete(d.files, from)
+
+			return nil
+		},
+		Remove: func(p string) error {
+			delete(d.files, p)
+
+			return d.fail("remove", p)
+		},
+		Truncate: func(p string, size int64) error {
+			d.files[p].data = d.files[p].data[:size]
+			d.files[p].synced = int(size)
+
+			return nil
+		},
+		SyncDir: func(dir string) error {
+			if err := d.fail("syncDir", dir); err != nil {
+				return err
+			}
+			for p := range d.stored {
+				if filepath.Dir(p) == dir {
+					delete(d.stored, p)
+				}
+			}
+			for p, f := range d.files {
+				if filepath.Dir(p) == dir {
+					d.stored[p] = f
+				}
+			}
+
+			return nil
+		},
+		List: func(dir string) ([]string, error) {
+			var out []string
+			for p := range d.files {
+				if filepath.Dir(p) == dir {
+					out = append(out, filepath.Base(p))
+				}
+			}
+			sort.Strings(out)
+
+			return out, nil
+		},
+	}
+}
+
+const dir = "/data/group-1"
+
+func entries(first, n int, term uint64) []consensus.Entry {
+	out := make([]consensus.Entry, n)
+	for i := range out {
+		out[i] = consensus.Entry{Index: uint64(first + i), Term: term, Data: []byte(fmt.Sprintf("entry %d of term %d", first+i, term))}
+	}
+
+	return out
+}
+
+func save(st *storage.Store, es []consensus.Entry, hs *consensus.HardState) error {
+	return st.Save(&consensus.Ready{Entries: es, HardState: hs})
+}
+
+var _ = Describe("a store", func() {
+	It("recovers everything that Save returned for, over any crash", func() {
+		for seed := range uint64(200) {
+			rnd := rand.New(rand.NewPCG(seed, 1))
+			d := newDisk()
+			var want []consensus.Entry
+			var hs consensus.HardState
+			base := uint64(0)
+			for range 6 {
+				st, re, err := storage.Open(d.seam(), dir, 1)
+				Expect(err).NotTo(HaveOccurred(), "seed %d", seed)
+				Expect(re.Snapshot.Index).To(Equal(base))
+				Expect(len(re.Entries)).To(BeNumerically(">=", len(want)), "seed %d", seed)
+				for i := range want {
+					Expect(re.Entries[i]).To(Equal(want[i]), "seed %d", seed)
+				}
+				Expect(re.HardState.Term).To(BeNumerically(">=", hs.Term))
+				want, hs = re.Entries, re.HardState
+
+				crashAt := rnd.IntN(40)
+				n := 0
+				d.fail = func(op, _ string) error {
+					if n++; n > crashAt && op != "mkdir" {
+						return errDisk
+					}
+
+					return nil
+				}
+				for {
+					next := base + uint64(len(want)) + 1
+					if len(want) > 4 && rnd.IntN(4) == 0 {
+						next -= uint64(rnd.IntN(3)) // a new leader overwrites a tail
+					}
+					es := entries(int(next), 1+rnd.IntN(5), hs.Term+1)
+					nhs := consensus.HardState{Term: hs.Term + 1, Vote: "r1"}
+					if save(st, es, &nhs) != nil {
+						want = want[:next-base-1] // the overwritten tail may be there or not
+						break
+					}
+					want, hs = append(want[:next-base-1:next-base-1], es...), nhs
+					if rnd.IntN(5) > 0 {
+						continue
+					}
+					at := base + uint64(len(want))
+					sn := consensus.Snapshot{Index: at, Term: hs.Term, Data: []byte("state")}
+					if st.SaveSnapshot(sn, false) != nil {
+						break
+					}
+					base, want = at, nil
+				}
+				d.crash(rnd)
+				// The crash may have come between the snapshot's rename and its answer.
+				if _, re, err := storage.Open(d.seam(), dir, 1); err == nil && re.Snapshot.Index > base {
+					want = want[re.Snapshot.Index-base:]
+					base = re.Snapshot.Index
+				}
+			}
+		}
+	})
+
+	damage := []struct {
+		name string
+		hurt func(d *disk)
+		code result.Code
+	}{
+		{"a flipped bit in the middle of the log", func(d *disk) { flip(d, "log-", 0.4) }, result.DataFolderDamaged},
+		{"a flipped bit in a snapshot", func(d *disk) { flip(d, "snapshot-", 0.7) }, result.DataFolderDamaged},
+		{"a newer format", func(d *disk) {
+			for p, f := range d.files {
+				if strings.Contains(p, "log-") {
+					f.data = storage.EncodeHeader(storage.FormatVersion + 1)
+				}
+			}
+		}, result.DataFolderNewer},
+	}
+	for _, tc := range damage {
+		It("refuses "+tc.name+" and names the file", func() {
+			d := newDisk()
+			st, _, err := storage.Open(d.seam(), dir, 1)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(save(st, entries(1, 20, 1), nil)).To(Succeed())
+			Expect(st.SaveSnapshot(consensus.Snapshot{Index: 10, Term: 1, Data: make([]byte, 400)}, false)).To(Succeed())
+			tc.hurt(d)
+			_, _, err = storage.Open(d.seam(), dir, 1)
+			Expect(result.Is(err, tc.code)).To(BeTrue(), "%v", err)
+			Expect(err.Error()).To(ContainSubstring(dir))
+		})
+	}
+
+	faults := []struct {
+		name string
+		op   string
+	}{
+		{"a failed sync", "sync"}, {"a full disk", "write"}, {"a failed sync of the folder", "syncDir"},
+	}
+	for _, tc := range faults {
+		It("refuses all further work after "+tc.name, func() {
+			d := newDisk()
+			st, _, err := storage.Open(d.seam(), dir, 1)
+			Expect(err).NotTo(HaveOccurred())
+			failing := true
+			d.fail = func(op, _ string) error {
+				if failing && op == tc.op {
+					return errDisk
+				}
+
+				return nil
+			}
+			sn := consensus.Snapshot{Index: 1, Term: 1}
+			err = st.Save(&consensus.Ready{Entries: entries(1, 1, 1), Snapshot: &sn})
+			Expect(result.Is(err, result.DataFolderWrite)).To(BeTrue(), "%v", err)
+			failing = false
+			Expect(save(st, entries(2, 1, 1), nil)).NotTo(Succeed(), "a disk that failed once is not trusted again")
+		})
+	}
+
+	It("refuses a write that was short", func() {
+		d := newDisk()
+		st, _, err := storage.Open(d.seam(), dir, 1)
+		Expect(err).NotTo(HaveOccurred())
+		d.short = 11
+		Expect(save(st, entries(1, 3, 1), nil)).NotTo(Succeed())
+	})
+
+	It("refuses a folder that cannot be written", func() {
+		d := newDisk()
+		d.fail = func(op, _ string) error {
+			if op == "open" || op == "mkdir" {
+				return fs.ErrPermission
+			}
+
+			return nil
+		}
+		_, _, err := storage.Open(d.seam(), dir, 1)
+		Expect(result.Is(err, result.DataFolderWrite)).To(BeTrue(), "%v", err)
+	})
+
+	It("works the same on the operating system's files", func() {
+		folder, err := os.MkdirTemp("", "storage-")
+		Expect(err).NotTo(HaveOccurred())
+		defer os.RemoveAll(folder)
+		st, _, err := storage.Open(storage.OSFiles(), folder, 1)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(save(st, entries(1, 100, 1), &consensus.HardState{Term: 1, Vote: "a"})).To(Succeed())
+		Expect(st.SaveSnapshot(consensus.Snapshot{Index: 50, Term: 1, Data: []byte("fifty")}, false)).To(Succeed())
+		Expect(st.Close()).To(Succeed())
+		_, re, err := storage.Open(storage.OSFiles(), folder, 1)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(re.Snapshot.Data).To(Equal([]byte("fifty")))
+		Expect(re.Entries).To(HaveLen(50))
+		Expect(re.HardState.Vote).To(Equal(consensus.ReplicaID("a")))
+	})
+})
+
+// flip changes one bit at a part of the way through the first file of a kind.
+func flip(d *disk, kind string, part float64) {
+	for p, f := range d.files {
+		if strings.Contains(p, kind) && len(f.data) > 100 {
+			f.data[int(part*float64(len(f.data)))] ^= 4
+
+			return
+		}
+	}
+	Fail("no file to hurt")
+}
