--- /dev/null
+++ b/internal/endtoend/call_test.go
@@ -0,0 +1,214 @@
+package endtoend_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarackbay/tamarackbay/internal/deployment"
+	"github.com/tamarackbay/tamarackbay/internal/fake"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+)
+
+var _ = Describe("a request that may not be repeated", func() {
+	// Each case breaks the path at one step and sends the request again through another gateway.
+	cases := []struct {
+		name     string
+		during   func(st *stage, i int) // 150 ms after the request was sent to gateway i, while it runs
+		headers  []string
+		wantRuns int
+		want     []int // codes that the resend may get, 0 for the recorded answer
+	}{
+		{"whose answer arrives", nil, nil, 1, []int{0}},
+		{"whose gateway is killed while it runs", func(st *stage, i int) { st.KillGateway(i) }, nil, 1, []int{int(result.CallOutcomeUnknown)}},
+		{"while the leader is killed", func(st *stage, i int) {
+			if ld := st.Leader(); ld != i {
+				st.KillGateway(ld)
+			}
+		}, nil, 1, []int{0}},
+		{"whose agents are killed", func(st *stage, _ int) {
+			for n := range 2 {
+				st.KillServer(fmt.Sprintf("service-%d", n))
+			}
+		}, nil, 1, []int{int(result.CallOutcomeUnknown)}},
+		{"whose connection the service drops", nil, []string{fake.HeaderDrop, "1"}, 1, []int{int(result.CallOutcomeUnknown)}},
+		{"whose answer belongs to another request", nil, []string{fake.HeaderCross, "1"}, 1, []int{int(result.CallOutcomeUnknown)}},
+		{"whose answer is short", nil, []string{fake.HeaderShort, "1"}, 1, []int{int(result.CallOutcomeUnknown)}},
+	}
+	for n, tc := range cases {
+		It("runs at most once: "+tc.name, func() {
+			st := newStage(stageConfig{services: 2})
+			i := st.follower()
+			key := fmt.Sprintf("case-%d", n)
+			headers := append([]string{"Idempotency-Key", key, fake.HeaderDelay, "400ms"}, tc.headers...)
+			done := make(chan answer, 1)
+			go func() {
+				defer GinkgoRecover()
+				done <- st.send(i, "alpha", http.MethodPost, "/r/once/"+key, "visit", headers...)
+			}()
+			if tc.during != nil {
+				Expect(st.eventually(func() error {
+					if st.runs(key) == 0 {
+						return fmt.Errorf("not begun")
+					}
+
+					return nil
+				})).To(Succeed())
+				tc.during(st, i)
+			}
+			first := <-done
+
+			var again answer
+			Expect(st.eventually(func() error {
+				again = st.send((i+1)%3, "alpha", http.MethodPost, "/r/once/"+key, "visit", headers...)
+				if again.err != nil {
+					again = st.send((i+2)%3, "alpha", http.MethodPost, "/r/once/"+key, "visit", headers...)
+				}
+				if again.err != nil || again.Error.Code == int(result.CallInFlight) || again.status == http.StatusServiceUnavailable {
+					return fmt.Errorf("not settled: %+v", again)
+				}
+
+				return nil
+			})).To(Succeed())
+			Expect(tc.want).To(ContainElement(again.Error.Code), "%+v after %+v", again, first)
+			if again.Error.Code == 0 {
+				Expect(again.header.Get("X-Replayed")).To(Equal("true"))
+				if first.err == nil && first.status == http.StatusOK {
+					Expect(again.body).To(Equal(first.body))
+				}
+			} else {
+				Expect(again.Error.Execution).To(Equal("unknown"))
+			}
+			Expect(st.runs(key)).To(Equal(tc.wantRuns))
+		})
+	}
+
+	It("runs once for many callers that send it at the same time through all gateways", func() {
+		st := newStage(stageConfig{services: 2})
+		var wg sync.WaitGroup
+		for n := range 30 {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				defer GinkgoRecover()
+				st.send(n%3, "alpha", http.MethodPost, "/r/once/many", "x", "Idempotency-Key", "many", fake.HeaderDelay, "50ms")
+			}()
+		}
+		wg.Wait()
+		Expect(st.runs("many")).To(Equal(1))
+		other := st.send(0, "beta", http.MethodPost, "/r/once/many", "x", "Idempotency-Key", "many")
+		Expect(other.status).To(Equal(http.StatusOK), "another workspace's key is another key")
+		Expect(st.runs("many")).To(Equal(2))
+		reused := st.send(0, "alpha", http.MethodPost, "/r/once/many", "other", "Idempotency-Key", "many")
+		Expect(reused.Error.Code).To(Equal(int(result.IdempotencyReused)))
+	})
+
+	It("may be sent again after a refusal that says it has not run", func() {
+		st := newStage(stageConfig{})
+		first := st.send(0, "alpha", http.MethodPost, "/r/once/later", "x", "Idempotency-Key", "later")
+		Expect(first.Error.Code).To(Equal(int(result.NoBackendServer)))
+		Expect(first.Error.Execution).To(Equal("notRun"))
+		Expect(first.header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(st.StartServer("service-0", "service", serviceClass, "a", "")).To(Succeed())
+		Expect(st.WaitServers(st.ctx, "s", 1, "")).To(Succeed())
+		again := st.send(1, "alpha", http.MethodPost, "/r/once/later", "x", "Idempotency-Key", "later")
+		Expect(again.status).To(Equal(http.StatusOK), "%+v", again)
+		Expect(st.runs("later")).To(Equal(1))
+	})
+})
+
+var _ = Describe("a refusal", func() {
+	It("that says not run is true, through crashes of services, agents and a gateway", func() {
+		st := newStage(stageConfig{services: 3, configure: func(cfg *deployment.Config) {
+			beta := cfg.Declarations.Workspaces["beta"]
+			beta.MaxInFlight = 3
+			cfg.Declarations.Workspaces["beta"] = beta
+		}})
+		var mu sync.Mutex
+		refused := map[string]string{}
+		count := map[string]int{}
+		var wg sync.WaitGroup
+		for w := range 12 {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				defer GinkgoRecover()
+				for n := range 60 {
+					id := fmt.Sprintf("storm-%d-%d-", w, n)
+					an := st.send(n%3, []string{"alpha", "beta"}[w%2], http.MethodPost, "/r/once/"+id, "x", fake.HeaderDelay, "3ms", "X-Timeout-Ms", "800")
+					mu.Lock()
+					switch {
+					case an.err != nil:
+						count["connection"]++
+					case an.status == http.StatusOK:
+						count["ok"]++
+					default:
+						count[an.Error.Name+" "+an.Error.Execution]++
+						if an.Error.Execution == "notRun" {
+							refused[id] = an.Error.Name
+						}
+					}
+					mu.Unlock()
+				}
+			}()
+		}
+		time.Sleep(60 * time.Millisecond)
+		st.KillServer("service-0")
+		st.Services()["service-1"].Crash(100 * time.Millisecond)
+		st.KillGateway(2)
+		wg.Wait()
+		GinkgoWriter.Println(count)
+		Expect(refused).NotTo(BeEmpty(), "the storm brought about no such refusal: %v", count)
+		for id, name := range refused {
+			Expect(st.runs(id)).To(BeZero(), "%s was refused with %s and ran", id, name)
+		}
+		for w := range 12 {
+			for n := range 60 {
+				Expect(st.runs(fmt.Sprintf("storm-%d-%d-", w, n))).To(BeNumerically("<=", 1))
+			}
+		}
+	})
+
+	bad := []struct {
+		name, workspace, method, path, body string
+		headers                             []string
+		want                                result.Code
+	}{
+		{"a missing key", "none", "GET", "/r/repeat/x", "", nil, result.MissingKey},
+		{"an unknown key", "none", "GET", "/r/repeat/x", "", []string{"Authorization", "Bearer tbk_0000_1111"}, result.UnknownKey},
+		{"a key that is no key", "none", "GET", "/r/repeat/x", "", []string{"Authorization", "Bearer x"}, result.UnknownKey},
+		{"an unknown route", "alpha", "GET", "/r/nowhere/x", "", nil, result.UnknownRoute},
+		{"an unknown route without a key", "none", "GET", "/r/nowhere/x", "", nil, result.MissingKey},
+		{"another workspace's route", "beta", "GET", "/r/alpha/x", "", nil, result.RouteNotAllowed},
+		{"an unknown model", "alpha", "POST", "/v1/completions", `{"model":"x","prompt":"y"}`, nil, result.UnknownModel},
+		{"a malformed body", "alpha", "POST", "/v1/completions", `{"model":`, nil, result.MalformedBody},
+		{"an unknown field", "alpha", "POST", "/v1/completions", `{"model":"m","prompt":"x","colour":1}`, nil, result.MalformedBody},
+		{"a field out of range", "alpha", "POST", "/v1/completions", `{"model":"m","prompt":"x","max_tokens":9999999}`, nil, result.InvalidField},
+		{"a body over the limit", "alpha", "POST", "/r/repeat/x", string(make([]byte, 2<<20)), nil, result.BodyTooLarge},
+		{"a timeout that is no number", "alpha", "GET", "/r/repeat/x", "", []string{"X-Timeout-Ms", "soon"}, result.InvalidField},
+		{"a step of another workspace", "beta", "GET", "/v1/steps/s1/pages/1?waitMs=1", "", nil, result.UnknownStep},
+		{"a trainer of another workspace", "beta", "POST", "/v1/steps", `{"id":"s","trainer":"t","groups":[]}`, nil, result.UnknownObject},
+		{"an acknowledgement of a page never sent", "alpha", "POST", "/v1/steps/bad/pages/4/ack", "", nil, result.PageNeverSent},
+		{"a page from the future", "alpha", "GET", "/v1/steps/bad/pages/7?waitMs=1", "", nil, result.PageFromFuture},
+		{"page zero", "alpha", "GET", "/v1/steps/bad/pages/0", "", nil, result.InvalidField},
+		{"a path that is not served", "alpha", "GET", "/v2", "", nil, result.UnknownRoute},
+		{"a method that is not taken", "alpha", "GET", "/v1/completions", "", nil, result.MethodNotAllowed},
+	}
+	It("carries a numbered code for each kind of bad input", func() {
+		st := newStage(stageConfig{services: 1})
+		open := st.send(0, "alpha", "POST", "/v1/steps", `{"id":"bad","trainer":"t","groups":[{"id":"g","prompt":"p","samples":1,"maxTokens":4}]}`)
+		Expect(open.status).To(Equal(http.StatusOK), "%+v", open)
+		for _, tc := range bad {
+			an := st.send(0, tc.workspace, tc.method, tc.path, tc.body, tc.headers...)
+			Expect(an.err).NotTo(HaveOccurred(), tc.name)
+			Expect(an.Error.Code).To(Equal(int(tc.want)), "%s: %+v", tc.name, an)
+			Expect(an.status).To(Equal(result.Lookup(tc.want).Status), tc.name)
+			Expect(an.Error.Execution).To(Equal("notRun"), tc.name)
+		}
+		Expect(st.send(0, "none", "GET", "/r/open/x", "").status).To(Equal(http.StatusOK), "an open route needs no key")
+	})
+})
--- /dev/null
+++ b/internal/endtoend/suite_test.go
@@ -0,0 +1,222 @@
+package endtoend_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarackbay/tamarackbay/internal/declaration"
+	"github.com/tamarackbay/tamarackbay/internal/deployment"
+	"github.com/tamarackbay/tamarackbay/internal/fake"
+	"github.com/tamarackbay/tamarackbay/internal/settings"
+)
+
+func TestEndToEnd(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "end to end")
+}
+
+// testLimit ends a test that hangs; no verdict depends on it otherwise.
+const testLimit = 60 * time.Second
+
+// stage is a deployment with two workspaces, one model and one plain service.
+type stage struct {
+	*deployment.Deployment
+	ctx   context.Context
+	token map[string]string // by workspace
+	keyID map[string]string
+}
+
+type stageConfig struct {
+	engines   int
+	services  int
+	engine    fake.EngineConfig
+	tune      func(se *settings.Gateway)
+	configure func(cfg *deployment.Config)
+}
+
+func declarations() *declaration.Set {
+	set := declaration.NewSet()
+	for _, w := range []string{"alpha", "beta"} {
+		wo := declaration.Workspace{}
+		wo.Defaults()
+		set.Workspaces[w] = wo
+	}
+	mo := declaration.Model{StalenessBound: 1, SwapWave: 8}
+	mo.Defaults()
+	set.Models["m"] = mo
+	set.Versions["m@v1"] = declaration.Version{Model: "m", Name: "v1", Sequence: 1}
+	set.Trainers["t"] = declaration.Trainer{Workspace: "alpha", Model: "m", StalenessBound: 1, StepTimeoutMs: 60_000}
+	for n, ro := range map[string]declaration.Route{
+		"m":      {Model: "m", Repeatable: true},
+		"once":   {Service: "s", Class: declaration.ClassLookup},
+		"repeat": {Service: "s", Repeatable: true},
+		"open":   {Service: "s", Repeatable: true, Open: true, OpenWorkspace: "beta"},
+		"alpha":  {Service: "s", Repeatable: true, Workspaces: []string{"alpha"}},
+	} {
+		ro.Defaults()
+		ro.TimeoutMs = 10_000
+		set.Routes[n] = ro
+	}
+
+	return set
+}
+
+var (
+	engineClass  = declaration.Class{Model: "m", Slots: 8, StartupMs: 1000}
+	serviceClass = declaration.Class{Service: "s", Slots: 32, StartupMs: 1000}
+)
+
+// newStage starts a deployment and ends it with the test.
+func newStage(cfg stageConfig) *stage {
+	folder, err := os.MkdirTemp("", "tamarackbay-test-")
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	en := cfg.engine
+	en.Version = "v1"
+	if en.TokenTime == 0 {
+		en.TokenTime = 2 * time.Millisecond
+	}
+	if en.Downtime == 0 {
+		en.Downtime = 200 * time.Millisecond
+	}
+	dc := deployment.Config{
+		Gateways: 3, Folder: folder, Declarations: declarations(), Engine: en, ServiceDelay: time.Millisecond,
+		StoreLimit: 8, NoOrdering: true, NoUsage: true,
+		Tune: func(se *settings.Gateway) {
+			se.Times.ReplaceAfterMs, se.Times.LeaseMs, se.Times.MaxCallMs = 1500, 1000, 300
+			if cfg.tune != nil {
+				cfg.tune(se)
+			}
+		},
+	}
+	if cfg.configure != nil {
+		cfg.configure(&dc)
+	}
+	de, err := deployment.Start(ctx, dc)
+	Expect(err).NotTo(HaveOccurred())
+	st := &stage{Deployment: de, ctx: ctx, token: map[string]string{}, keyID: map[string]string{}}
+	DeferCleanup(func() {
+		cancel()
+		de.Close()
+		Expect(os.RemoveAll(folder)).To(Succeed())
+	})
+	for _, w := range []string{"alpha", "beta"} {
+		id, token, err := de.IssueKey(ctx, w)
+		Expect(err).NotTo(HaveOccurred())
+		st.keyID[w], st.token[w] = id, token
+	}
+	for i := range cfg.engines {
+		Expect(de.StartServer(fmt.Sprintf("engine-%d", i), "engine", engineClass, []string{"a", "b", "c"}[i%3], "")).To(Succeed())
+	}
+	for i := range cfg.services {
+		Expect(de.StartServer(fmt.Sprintf("service-%d", i), "service", serviceClass, []string{"a", "b", "c"}[i%3], "")).To(Succeed())
+	}
+	Expect(de.WaitServers(ctx, "m", cfg.engines, "v1")).To(Succeed())
+	Expect(de.WaitServers(ctx, "s", cfg.services, "")).To(Succeed())
+	Expect(st.eventually(st.keysKnown)).To(Succeed())
+
+	return st
+}
+
+func (st *stage) eventually(f func() error) error {
+	return deployment.Until(st.ctx, f)
+}
+
+// keysKnown reports whether every gateway knows both keys.
+func (st *stage) keysKnown() error {
+	for i := range 3 {
+		for w, id := range st.keyID {
+			if _, ok := st.Gateway(i).Gateway().Group().View().Set.Keys[id]; !ok {
+				return fmt.Errorf("gateway %d does not know the key of %s", i, w)
+			}
+		}
+	}
+
+	return nil
+}
+
+// answer is a caller's view of one request.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error // the connection broke
+
+	Error struct {
+		Code      int    `json:"code"`
+		Name      string `json:"name"`
+		Execution string `json:"execution"`
+	} `json:"error"`
+}
+
+// send makes one request at one gateway, without any retry.
+func (st *stage) send(i int, workspace, method, path, body string, headers ...string) answer {
+	rq, err := http.NewRequestWithContext(st.ctx, method, st.URLs()[i]+path, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	if t := st.token[workspace]; t != "" {
+		rq.Header.Set("Authorization", "Bearer "+t)
+	}
+	for n := 0; n+1 < len(headers); n += 2 {
+		rq.Header.Set(headers[n], headers[n+1])
+	}
+	rs, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(rq)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer rs.Body.Close()
+	b, err := io.ReadAll(rs.Body)
+	an := answer{status: rs.StatusCode, header: rs.Header, body: string(b), err: err}
+	_ = json.Unmarshal(b, &an) // answers that are no error stay without one
+
+	return an
+}
+
+// runs counts the runs on all plain services whose path holds text.
+func (st *stage) runs(text string) int {
+	n := 0
+	for _, sv := range st.Services() {
+		for _, r := range sv.Runs() {
+			if strings.Contains(r.Path+"?"+r.Query, text) {
+				n++
+			}
+		}
+	}
+
+	return n
+}
+
+// follower returns a gateway that does not lead the group.
+func (st *stage) follower() int {
+	ld := -1
+	Expect(st.eventually(func() error {
+		if ld = st.Leader(); ld < 0 {
+			return fmt.Errorf("no leader")
+		}
+
+		return nil
+	})).To(Succeed())
+
+	return (ld + 1) % 3
+}
+
+// rawRequest writes bytes to a gateway and reads what it answers until it closes or is silent.
+func (st *stage) rawRequest(i int, text string) {
+	conn, err := net.Dial("tcp", st.Settings(i).CallerAddress)
+	Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	_, err = conn.Write([]byte(text))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(conn.SetReadDeadline(time.Now().Add(300 * time.Millisecond))).To(Succeed())
+	_, _ = io.ReadAll(conn) // the answer does not matter, only what reached the service
+}
