Publish the view before entries count as applied

Cause: a read that had waited for the group's word was answered from a view that the loop refreshed only after it had told waiters that the entries were applied. An operator could read an old version right after a newer one, and the freshness stamp claimed more than the view held, by microseconds. Ruled out: the retries of patches (accepted answers carried the right version), and the model (the same history passes once reads are true).

--- a/internal/endtoend/suite_test.go
+++ b/internal/endtoend/suite_test.go
@@ -18,6 +18,8 @@
 	"github.com/tamarackbay/tamarackbay/internal/declaration"
 	"github.com/tamarackbay/tamarackbay/internal/deployment"
 	"github.com/tamarackbay/tamarackbay/internal/fake"
+	"github.com/tamarackbay/tamarackbay/internal/logging"
+	"github.com/tamarackbay/tamarackbay/internal/program"
 	"github.com/tamarackbay/tamarackbay/internal/settings"
 )
 
@@ -220,3 +222,19 @@
 	Expect(conn.SetReadDeadline(time.Now().Add(300 * time.Millisecond))).To(Succeed())
 	_, _ = io.ReadAll(conn) // the answer does not matter, only what reached the service
 }
+
+// startWith starts a gateway with other settings and returns why it did not go on.
+func (st *stage) startWith(se settings.Gateway) error {
+	pg, err := program.StartGateway(se, logging.Discard())
+	if err != nil {
+		return err
+	}
+	select {
+	case <-pg.Done():
+	case <-time.After(5 * time.Second):
+		pg.Kill()
+		<-pg.Done()
+	}
+
+	return pg.Err()
+}
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -208,8 +208,8 @@
 	gr.refreshView(n.machine)
 }
 
-// onApply runs on the node's loop after entries were applied.
-func (gr *Group) onApply(uint64) {
+// onApply runs on the node's loop, with the machine locked, after entries were applied.
+func (gr *Group) onApply() {
 	n := gr.node.Load()
 	if n == nil {
 		return
--- a/internal/group/node.go
+++ b/internal/group/node.go
@@ -60,7 +60,7 @@
 	start   time.Time
 	wallMs  func() int64
 	send    func(m consensus.Message)
-	onApply func(index uint64)
+	onApply func()
 
 	inbox   chan event
 	waiters map[uint64]waiter
@@ -96,7 +96,7 @@
 	heartbeat time.Duration
 	wallMs    func() int64
 	send      func(m consensus.Message)
-	onApply   func(index uint64)
+	onApply   func()
 }
 
 func openNode(cfg nodeConfig) (*node, error) {
@@ -271,8 +271,9 @@
 		}
 		n.mu.Lock()
 		n.machine, n.lastSnap = ma, rd.Snapshot.Index
+		n.onApply()
+		n.signalApplied()
 		n.mu.Unlock()
-		n.onApply(rd.Snapshot.Index)
 	}
 	if len(rd.Committed) == 0 {
 		return nil
@@ -288,12 +289,13 @@
 		}
 		n.answer(en, rep)
 	}
-	close(n.applied)
-	n.applied = make(chan struct{})
+	// The view must be there before anybody can see that the entries are applied:
+	// a read that waited for them is answered from the view.
+	n.onApply()
+	n.signalApplied()
 	last := rd.Committed[len(rd.Committed)-1].Index
 	n.mu.Unlock()
 
-	n.onApply(last)
 	if last >= n.lastSnap+snapshotEvery {
 		return n.snapshot(last)
 	}
@@ -301,6 +303,12 @@
 	return nil
 }
 
+// signalApplied wakes those that wait for entries; n.mu is held.
+func (n *node) signalApplied() {
+	close(n.applied)
+	n.applied = make(chan struct{})
+}
+
 func (n *node) answer(en consensus.Entry, rep []byte) {
 	w, ok := n.waiters[en.Index]
 	if !ok {
