Name every version that may have written a part of a silent engine's text

Cause: where an engine does not say its version with each part, the range of a second version ended before the last part, a version that came and went within one run was not named at all, and a cut attempt's parts kept a version that was only assumed. Change: the agent notes every version that was served or ordered while a request ran and names all of them; the gateway lays their ranges over the whole attempt, makes the parts of a cut attempt again, and marks them as unknown where a caller has them. Tests run steps through kills, crashes, lost VMs, failed swaps, weight changes and lost holders, and check each text, which names its versions token by token, against the record.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -98,7 +98,7 @@
 type work struct {
 	fingerprint string
 	isSuspect   bool
-	tokens      uint32
+	versions    map[string]struct{} // that may have been served since it began
 }
 
 // New returns an agent.
@@ -213,6 +213,7 @@
 		if st.Instance != ag.status.Instance {
 			ag.crash = newCrashReport()
 		}
+		ag.noteVersion(st.Version)
 		ag.status = st
 		ag.versionKnown = st.State == engine.StateReady && st.Version != "" && !ag.swapping
 	} else {
@@ -225,6 +226,16 @@
 	}
 }
 
+// noteVersion remembers for every request in flight that a version may write a
+// part of it; ag.mu is held.
+func (ag *Agent) noteVersion(version string) {
+	for w := range ag.inFlight {
+		if version != "" && version != ag.status.Version {
+			w.versions[version] = struct{}{}
+		}
+	}
+}
+
 // reportDuty announces the backend server to one gateway and reports its load.
 func (ag *Agent) reportDuty(ctx context.Context, i int) {
 	var announced *peer.Session
@@ -334,6 +345,7 @@
 	if ag.draining || ag.paused {
 		return false
 	}
+	w.versions = map[string]struct{}{}
 	ag.inFlight[w] = struct{}{}
 
 	return true
--- a/internal/agent/order.go
+++ b/internal/agent/order.go
@@ -176,6 +176,7 @@
 	}
 	ag.mu.Lock()
 	ag.swapping, ag.versionKnown = true, false
+	ag.noteVersion(or.GetVersion())
 	ag.mu.Unlock()
 	err := ag.engine.Activate(ctx, eo)
 	ag.mu.Lock()
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/tamarackbay/tamarackbay/internal/engine"
@@ -102,10 +104,9 @@
 			isFirst = false
 		}
 		ag.count(rq.GetWorkspace(), 0, uint64(ch.Tokens))
-		w.tokens += ch.Tokens
 		rc := &wire.RunChunk{Text: ch.Text, Tokens: ch.Tokens, Version: ch.Version, Finish: ch.Finish, PromptTokens: ch.PromptTokens}
 		if rc.Version == "" {
-			isSilent, rc.Version = true, before
+			isSilent, rc.Version, rc.Assumed = true, before, true
 		}
 		if rc.Finish != "" {
 			last = rc // sent once the versions are known
@@ -124,7 +125,7 @@
 		return result.New(result.BackendAnswerBroken, "agent %s: no finish reason", ag.cfg.Server).With(result.Unknown)
 	}
 	if isSilent {
-		if err := ag.closeBracket(ctx, st, before); err != nil {
+		if err := ag.closeBracket(ctx, st, w, before); err != nil {
 			return err
 		}
 	}
@@ -132,17 +133,26 @@
 	return st.Send(last)
 }
 
-// closeBracket asks a silent engine for its version after a run and names it too if it changed.
-func (ag *Agent) closeBracket(ctx context.Context, st *peer.Stream, before string) error {
+// closeBracket asks a silent engine for its version after a run, and names every
+// version besides the first that may have written a part of it.
+func (ag *Agent) closeBracket(ctx context.Context, st *peer.Stream, w *work, before string) error {
 	after, err := ag.engine.Status(ctx)
 	if err != nil || after.Version == "" || after.State != engine.StateReady {
 		return result.New(result.VersionUnknown, "agent %s: the weight version after the run is not known", ag.cfg.Server).With(result.Ran)
 	}
-	if after.Version == before {
-		return nil
+
+	ag.mu.Lock()
+	w.versions[after.Version] = struct{}{}
+	delete(w.versions, before)
+	also := slices.Sorted(maps.Keys(w.versions))
+	ag.mu.Unlock()
+	for _, v := range also {
+		if err := st.Send(&wire.RunChunk{Version: v, Mixed: true}); err != nil {
+			return err
+		}
 	}
 
-	return st.Send(&wire.RunChunk{Version: after.Version, Mixed: true})
+	return nil
 }
 
 // afterFailure aborts what the engine may still run, and reports a crash before
--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"time"
 
@@ -97,8 +98,14 @@
 
 	text    strings.Builder
 	written Written
+	before  Written  // what earlier attempts delivered
+	mixed   []string // versions that may have written any part of this attempt
+	assumed bool     // the engine did not say the versions of this attempt's parts
 }
 
+// unknownVersion stands for parts whose version nobody can tell any more.
+const unknownVersion = "unknown"
+
 func (ga *Gateway) complete(ctx context.Context, po *pool.Pool, co Completion, onPart func(string, *wire.RunChunk) error) (*Written, error) {
 	ctx, cancel, deadline := ga.deadline(ctx, co.Timeout)
 	defer cancel()
@@ -210,11 +217,30 @@
 	rn.ga.cfg.Meter.Time("queue.wait", gr.Waited())
 
 	err = rn.stream(ctx, gr, n)
+	if err != nil && rn.assumed {
+		rn.dropAssumed()
+	}
 	rn.finish(gr, err)
 
 	return err
 }
 
+// dropAssumed handles the parts of a failed attempt whose versions were assumed:
+// they are made again, or marked where the caller has them already.
+func (rn *run) dropAssumed() {
+	if rn.onPart != nil {
+		rn.written.Versions = append(rn.before.Versions, rollout.VersionRange{
+			Version: unknownVersion, From: rn.before.Tokens, To: rn.written.Tokens,
+		})
+
+		return
+	}
+
+	rn.written = rn.before
+	rn.text.Reset()
+	rn.text.WriteString(rn.before.Text)
+}
+
 // finish gives the slot back and remembers what a failure says of the server.
 func (rn *run) finish(gr *pool.Grant, err error) {
 	if err == nil {
@@ -254,7 +280,9 @@
 	defer stop()
 	defer st.Close()
 
-	rn.written.Server = gr.Server().Name()
+	rn.written.Server, rn.mixed, rn.assumed = gr.Server().Name(), nil, false
+	rn.before = rn.written
+	rn.before.Text, rn.before.Versions = rn.text.String(), slices.Clone(rn.written.Versions)
 	if rn.co.Placed != nil {
 		rn.co.Placed(rn.written.Server)
 	}
@@ -265,6 +293,9 @@
 			if rn.written.Finish == "" {
 				return result.New(result.BackendAnswerBroken, "the answer has no end").With(result.Ran)
 			}
+			for _, v := range rn.mixed {
+				rn.written.Versions = append(rn.written.Versions, rollout.VersionRange{Version: v, From: rn.before.Tokens, To: rn.written.Tokens})
+			}
 
 			return nil
 		}
@@ -288,12 +319,13 @@
 	wr := &rn.written
 	switch {
 	case part.GetMixed():
-		wr.Versions = append(wr.Versions, rollout.VersionRange{Version: part.GetVersion(), From: 0, To: wr.Tokens})
+		rn.mixed = append(rn.mixed, part.GetVersion())
 
 		return nil
 	case part.GetTokens() > 0:
 		wr.Versions = rollout.AddRange(wr.Versions, part.GetVersion(), wr.Tokens, wr.Tokens+part.GetTokens())
 	}
+	rn.assumed = rn.assumed || part.GetAssumed()
 	rn.text.WriteString(part.GetText())
 	wr.Tokens += part.GetTokens()
 	wr.PromptTokens = max(wr.PromptTokens, part.GetPromptTokens())
