Convict a request only by a crash that it was the only suspect of

Change: what was in flight at a crash is suspect; it runs as the only suspect of its backend server, one at a time on each gateway, on the group's latest word. A conviction needs two crashes of which one was such a run. Ruled out: the crash report's list (it named what was in flight, truly).

--- a/internal/agent/crash.go
+++ b/internal/agent/crash.go
@@ -34,7 +34,8 @@
 		}
 	}
 	ag.mu.Unlock()
-	if len(suspects) > 0 {
+	alone := len(suspects) > 0
+	if alone {
 		all = suspects
 	}
 
@@ -46,7 +47,7 @@
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 		defer cancel()
-		rq := &wire.CrashRequest{Server: fmt.Sprintf("%s/%d/%s", ag.cfg.Server, ag.incarnation, instance), Fingerprints: all}
+		rq := &wire.CrashRequest{Server: fmt.Sprintf("%s/%d/%s", ag.cfg.Server, ag.incarnation, instance), Fingerprints: all, Alone: alone}
 		_ = ag.callAny(ctx, MethodCrash, rq, &wire.Empty{})
 	})
 	<-cr.done
--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -197,9 +197,11 @@
 // attempt runs one attempt on one backend server, going on from the tokens that
 // earlier attempts delivered.
 func (rn *run) attempt(ctx context.Context, n uint32) error {
-	if err := rn.ga.quarantine(rn.fingerprint, &rn.suspect); err != nil {
+	done, err := rn.ga.judge(ctx, rn.fingerprint, &rn.suspect)
+	if err != nil {
 		return err
 	}
+	defer done()
 	wo := rn.ga.group.View().Set.Workspaces[rn.co.Workspace]
 	gr, err := rn.po.Acquire(ctx, pool.Ticket{
 		Workspace: rn.co.Workspace, Weight: max(wo.Weight, 0.001), Class: declaration.ClassRank(rn.co.Class),
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -162,9 +162,11 @@
 }
 
 func (f *forward) attempt(ctx context.Context, n uint32) error {
-	if err := f.ga.quarantine(f.fingerprint, &f.suspect); err != nil {
+	done, err := f.ga.judge(ctx, f.fingerprint, &f.suspect)
+	if err != nil {
 		return err
 	}
+	defer done()
 	wo := f.ga.group.View().Set.Workspaces[f.fo.Caller.Workspace]
 	gr, err := f.po.Acquire(ctx, pool.Ticket{
 		Workspace: f.fo.Caller.Workspace, Weight: max(wo.Weight, 0.001), Class: declaration.ClassRank(f.fo.Route.Class),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -63,6 +63,8 @@
 	calls   map[string]struct{} // requests that may not be repeated and run here
 	fleet   map[string]string   // class to the reason of the last decision
 
+	suspects map[string]chan struct{} // fingerprints that run as suspects, closed at their end
+
 	stopping atomic.Bool
 	stopped  chan struct{} // closed when the lease duties must let go
 
@@ -77,8 +79,9 @@
 	ga := &Gateway{
 		cfg: cfg, instance: rand.Uint64(), start: time.Now(), pools: map[string]*pool.Pool{},
 		limiter: admission.NewLimiter(), active: map[*activeRequest]struct{}{}, fleet: map[string]string{}, calls: map[string]struct{}{},
-		budget:  retry.NewBudget(retry.Config{NoBudget: se.Policy.NoBudget}, rand.Float64),
-		stopped: make(chan struct{}),
+		suspects: map[string]chan struct{}{},
+		budget:   retry.NewBudget(retry.Config{NoBudget: se.Policy.NoBudget}, rand.Float64),
+		stopped:  make(chan struct{}),
 	}
 	pc := cfg.PeerConfig
 	pc.Hello = &wire.Hello{
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -109,7 +109,68 @@
 	}
 	ga.cfg.Meter.Count("servers.crashed")
 
-	return ga.group.Propose(ctx, machine.KindCrash, quarantine.Crash{Server: rq.GetServer(), Fingerprints: rq.GetFingerprints()}, nil)
+	return ga.group.Propose(ctx, machine.KindCrash, quarantine.Crash{
+		Server: rq.GetServer(), Fingerprints: rq.GetFingerprints(), Alone: rq.GetAlone(),
+	}, nil)
+}
+
+// lockSuspect waits until no other request with the fingerprint runs as a suspect
+// on this gateway, so that one request does not crash a fleet at once.
+func (ga *Gateway) lockSuspect(ctx context.Context, fp string) (func(), error) {
+	for {
+		ga.mu.Lock()
+		busy, ok := ga.suspects[fp]
+		if !ok {
+			done := make(chan struct{})
+			ga.suspects[fp] = done
+			ga.mu.Unlock()
+
+			return func() {
+				ga.mu.Lock()
+				delete(ga.suspects, fp)
+				ga.mu.Unlock()
+				close(done)
+			}, nil
+		}
+		ga.mu.Unlock()
+		select {
+		case <-busy:
+		case <-ctx.Done():
+			return nil, result.New(result.DeadlinePassed, "fingerprint %s is suspect and waits for its turn", fp)
+		}
+	}
+}
+
+// judge refuses a quarantined fingerprint. A suspect waits for its turn; the
+// returned function ends it.
+func (ga *Gateway) judge(ctx context.Context, fp string, suspect *bool) (func(), error) {
+	if err := ga.quarantine(fp, suspect); err != nil {
+		return nil, err
+	}
+	if !*suspect {
+		return func() {}, nil
+	}
+
+	unlock, err := ga.lockSuspect(ctx, fp)
+	if err != nil {
+		return nil, err
+	}
+	// A suspect is rare and may take a backend server with it: it runs only on the
+	// group's latest word, which may have convicted it a moment ago.
+	if ga.group.HasDisk() {
+		if err := ga.group.Barrier(ctx); err != nil {
+			unlock()
+
+			return nil, result.From(err).With(result.NotRun)
+		}
+	}
+	if err := ga.quarantine(fp, suspect); err != nil {
+		unlock()
+
+		return nil, err
+	}
+
+	return unlock, nil
 }
 
 // clearSuspect tells the group that a suspect has run to its end.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,7 +1,8 @@
 // Package quarantine keeps requests away that crash the backend servers they run
-// on. A fingerprint that was in flight at two crashes is refused everywhere.
-// Requests that were in flight at one crash run alone from then on, which clears
-// them or convicts them.
+// on. What was in flight at a crash is suspect and runs from then on as the only
+// suspect of its backend server, one at a time, which clears it or convicts it: a
+// fingerprint is refused everywhere after two crashes of which one was such a run.
+// Popular requests that are in flight whenever anything fails are so never refused.
 package quarantine
 
 // Verdict on a fingerprint.
@@ -10,14 +11,14 @@
 // Verdicts on a fingerprint.
 const (
 	Clear   Verdict = iota
-	Suspect         // in flight at one crash: runs alone on its backend server
-	Refused         // in flight at two crashes
+	Suspect         // in flight at a crash: runs as the only suspect of its backend server
+	Refused         // in flight at two crashes, at one of them as the only suspect
 )
 
 // Entry is what is known of one fingerprint.
 type Entry struct {
 	Crashes  []string `cbor:"1,keyasint"` // backend server incarnations that were lost
-	Alone    bool     `cbor:"2,keyasint"` // one of the crashes happened while it ran alone
+	Alone    bool     `cbor:"2,keyasint"` // at one of the crashes it was the only suspect
 	AtMs     int64    `cbor:"3,keyasint"`
 	Released bool     `cbor:"4,keyasint"`
 }
@@ -26,6 +27,7 @@
 type Crash struct {
 	Server       string   `cbor:"1,keyasint"` // with its incarnation
 	Fingerprints []string `cbor:"2,keyasint"`
+	Alone        bool     `cbor:"3,keyasint"` // they ran as suspects
 }
 
 // Cleared says that a suspect has run to its end.
@@ -66,7 +68,7 @@
 	switch {
 	case en.Released || len(en.Crashes) == 0:
 		return Clear
-	case len(en.Crashes) >= crashLimit:
+	case len(en.Crashes) >= crashLimit && en.Alone:
 		return Refused
 	}
 
@@ -85,7 +87,7 @@
 			continue
 		}
 		en.Crashes = append(append([]string(nil), en.Crashes...), cr.Server)
-		en.Alone = en.Alone || len(cr.Fingerprints) == 1
+		en.Alone = en.Alone || cr.Alone
 		en.AtMs = atMs
 		bo.entries[fp] = en
 	}
