Give each gateway of a test deployment its own loopback address

Ruled out: the drains themselves (the errors were staleProcess at the start and an address in use). Change: addresses are drawn from 127/8 with ports below those of outgoing connections; a test begins once all gateways are ready. Conclusion: the stage was at fault, no check was eased.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -9,10 +9,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"time"
 
@@ -66,15 +68,26 @@
 // domains are the failure domains of a deployment, one gateway in each in turn.
 var domains = []string{"a", "b", "c"}
 
-// FreeAddress returns a loopback address that is free now.
-func FreeAddress() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// Ports of a gateway; they lie below those that the system gives to outgoing connections.
+const (
+	callerPort   = 8080
+	operatorPort = 8081
+	peerPort     = 8082
+	hostTries    = 100
+)
+
+// freeHost returns a loopback address of its own, so that each gateway stands on
+// its own IP number as it does on its own VM.
+func freeHost() (string, error) {
+	for range hostTries {
+		h := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250))
+		ln, err := net.Listen("tcp", net.JoinHostPort(h, strconv.Itoa(callerPort)))
+		if err == nil {
+			return h, ln.Close()
+		}
 	}
-	defer ln.Close()
 
-	return ln.Addr().String(), nil
+	return "", fmt.Errorf("deployment: no free loopback address in %d tries", hostTries)
 }
 
 // Start starts the stand-ins and the gateways and applies the declarations.
@@ -126,12 +139,13 @@
 	for i := range de.cfg.Gateways {
 		var se settings.Gateway
 		settings.Defaults(&se)
-		for _, a := range []*string{&se.CallerAddress, &se.OperatorAddress, &se.PeerAddress} {
-			var err error
-			if *a, err = FreeAddress(); err != nil {
-				return err
-			}
+		h, err := freeHost()
+		if err != nil {
+			return err
 		}
+		se.CallerAddress = net.JoinHostPort(h, strconv.Itoa(callerPort))
+		se.OperatorAddress = net.JoinHostPort(h, strconv.Itoa(operatorPort))
+		se.PeerAddress = net.JoinHostPort(h, strconv.Itoa(peerPort))
 		se.Name = fmt.Sprintf("gateway-%d", i+1)
 		se.FailureDomain = domains[i%len(domains)]
 		se.DataFolder = filepath.Join(de.cfg.Folder, se.Name)
--- a/internal/endtoend/suite_test.go
+++ b/internal/endtoend/suite_test.go
@@ -135,9 +135,12 @@
 	return deployment.Until(st.ctx, f)
 }
 
-// keysKnown reports whether every gateway knows both keys.
+// keysKnown reports whether every gateway is ready and knows both keys.
 func (st *stage) keysKnown() error {
 	for i := range 3 {
+		if err := st.Gateway(i).Gateway().Ready(); err != nil {
+			return err
+		}
 		for w, id := range st.keyID {
 			if _, ok := st.Gateway(i).Gateway().Group().View().Set.Keys[id]; !ok {
 				return fmt.Errorf("gateway %d does not know the key of %s", i, w)
