Bound load reports by a byte budget, pass changes on as deltas through relays

Cause: at the planned size a gateway sees about 62 backend servers; two reports a second of 200 bytes from each are 25 KB/s of control, over the 4 KB/s allowed. A process without a replica sent its subscribers the whole configuration with each change, and did not forward commands. A page asked for with a wait of 1 ms was answered by a group timeout. Change: the gateway tells agents its report period, which grows with the servers in view so that 2.5 KB/s are kept; a relay keeps the last 1,024 changes and passes commands and queries on; the wait of a page bounds the wait for samples alone. Conclusion: gateway control traffic no longer grows with the servers in view; the price is a lapse of silent VMs after 4 periods, 20 s at 62 servers.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -239,6 +239,7 @@
 // reportDuty announces the backend server to one gateway and reports its load.
 func (ag *Agent) reportDuty(ctx context.Context, i int) {
 	var announced *peer.Session
+	period := loadPeriod
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 
@@ -249,7 +250,7 @@
 		case <-ctx.Done():
 			return
 		}
-		timer.Reset(loadPeriod)
+		timer.Reset(period)
 
 		se := ag.links[i].Session()
 		if se == nil {
@@ -261,7 +262,8 @@
 			announced = se
 		}
 		if se == announced {
-			ag.report(ctx, se)
+			period = ag.report(ctx, se)
+			timer.Reset(period)
 		}
 	}
 }
@@ -291,7 +293,8 @@
 	ag.window = int64(seconds)
 }
 
-func (ag *Agent) report(ctx context.Context, se *peer.Session) {
+// report sends the load and returns how long the gateway wants to wait for the next report.
+func (ag *Agent) report(ctx context.Context, se *peer.Session) time.Duration {
 	cctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 
@@ -301,10 +304,12 @@
 	}
 	var rep wire.LoadReply
 	if err := se.Call(cctx, MethodLoad, lo, &rep); err != nil {
-		return
+		return loadPeriod
 	}
 	ag.setWindow(rep.GetWindowSeconds())
 	ag.noteCacheSent(se, lo.GetCacheEvents(), rep.GetResync())
+
+	return max(loadPeriod, time.Duration(rep.GetPeriodMs())*time.Millisecond)
 }
 
 func (ag *Agent) loadReport() *wire.Load {
--- a/internal/endtoend/group_test.go
+++ b/internal/endtoend/group_test.go
@@ -368,10 +368,15 @@
 var _ = Describe("a gateway without a disk", func() {
 	It("follows the configuration, forwards commands and serves callers", func() {
 		st := newStage(stageConfig{services: 1, tune: func(se *settings.Gateway) {
-			se.Founders = se.Founders[:2]
-			if se.Name == "gateway-3" {
+			// One founder alone, a relay that follows it, and a gateway that follows the relay.
+			relay := se.Founders[1].Address
+			se.Founders = se.Founders[:1]
+			if se.Name != "gateway-1" {
 				se.DataFolder = ""
 			}
+			if se.Name == "gateway-3" {
+				se.Upstreams = []string{relay}
+			}
 		}, configure: func(cfg *deployment.Config) {
 			cfg.Declarations.Workspaces["beta"] = declaration.Workspace{Weight: 2, MaxQueued: 5, Home: "main"}
 		}})
@@ -383,5 +388,6 @@
 		Expect(st.Operate(st.ctx, "POST", "/v1/keys/"+st.keyID["alpha"]+"/withdraw", nil, nil)).To(Succeed())
 		Eventually(func() int { return st.send(2, "alpha", "GET", "/r/repeat/learner", "").Error.Code }, 2*time.Second).
 			Should(Equal(int(result.WithdrawnKey)))
+		Expect(st.Gateway(2).Gateway().Meter().Value("feed.full")).To(Equal(int64(1)), "changes come as deltas, through the relay too")
 	})
 })
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -65,6 +65,8 @@
 
 	suspects map[string]chan struct{} // fingerprints that run as suspects, closed at their end
 
+	reportPeriod atomic.Int64 // time.Duration, grows with the backend servers in view
+
 	stopping atomic.Bool
 	stopped  chan struct{} // closed when the lease duties must let go
 
@@ -83,6 +85,7 @@
 		budget:   retry.NewBudget(retry.Config{NoBudget: se.Policy.NoBudget}, rand.Float64),
 		stopped:  make(chan struct{}),
 	}
+	ga.reportPeriod.Store(int64(minReportPeriod))
 	pc := cfg.PeerConfig
 	pc.Hello = &wire.Hello{
 		Name: se.Name, Role: "gateway", FailureDomain: se.FailureDomain, Address: se.PeerAddress,
@@ -96,7 +99,7 @@
 		Founders: founders(se.Founders), Upstreams: se.Upstreams, Peer: pc, Files: cfg.Files,
 		Election: settings.Duration(se.Times.ElectionMs), Heartbeat: settings.Duration(se.Times.HeartbeatMs),
 		FreshnessBound: settings.Duration(se.Times.FreshnessMs), ReplaceAfter: settings.Duration(se.Times.ReplaceAfterMs),
-		WallMs: cfg.WallMs, Log: cfg.Log,
+		WallMs: cfg.WallMs, Log: cfg.Log, Count: cfg.Meter.Count,
 	})
 	if err != nil {
 		return nil, err
@@ -243,7 +246,8 @@
 		po = pool.New(pool.Config{
 			Name: serves, FailureDomain: se.FailureDomain, Queue: admission.Config{IsFair: !se.Policy.NoFairness},
 			Scheduler: scheduler.Config{Policy: se.Policy.Scheduler}, Now: ga.now, Meter: ga.cfg.Meter,
-			SequenceOf: func(version string) uint64 { return ga.sequenceOf(serves, version) },
+			ReportPeriod: func() time.Duration { return time.Duration(ga.reportPeriod.Load()) },
+			SequenceOf:   func(version string) uint64 { return ga.sequenceOf(serves, version) },
 		})
 		ga.pools[serves] = po
 	}
--- a/internal/gateway/jobs.go
+++ b/internal/gateway/jobs.go
@@ -37,10 +37,23 @@
 	}
 }
 
+// Load reports keep to a budget, so that a gateway's control traffic stays the
+// same however many backend servers it sees. Its own requests in flight carry the
+// scheduling between two reports.
+const (
+	reportBudget    = 2500 // bytes a second that a gateway receives
+	reportBytes     = 200  // of one report with its reply
+	minReportPeriod = 500 * time.Millisecond
+)
+
 func (ga *Gateway) sweepPools() {
+	n := 0
 	for _, po := range ga.Pools() {
+		n += po.Len()
 		po.Sweep()
 	}
+	p := time.Duration(n) * reportBytes * time.Second / reportBudget
+	ga.reportPeriod.Store(int64(max(p, minReportPeriod)))
 }
 
 func (ga *Gateway) gauges() {
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -82,7 +82,9 @@
 		}
 	}
 
-	return st.Send(&wire.LoadReply{Resync: resync, WindowSeconds: ga.windowSeconds()})
+	return st.Send(&wire.LoadReply{
+		Resync: resync, WindowSeconds: ga.windowSeconds(), PeriodMs: uint32(time.Duration(ga.reportPeriod.Load()).Milliseconds()),
+	})
 }
 
 func (ga *Gateway) handleUsage(ctx context.Context, st *peer.Stream) error {
--- a/internal/group/feed.go
+++ b/internal/group/feed.go
@@ -19,6 +19,8 @@
 const (
 	feedWait    = 500 * time.Millisecond // a feed answers at the latest after it
 	feedTimeout = 2 * time.Second
+	// maxRelayDeltas is the number of changes that a process without a replica keeps for its subscribers.
+	maxRelayDeltas = 1024
 )
 
 func (gr *Group) upstreams() []string {
@@ -84,13 +86,14 @@
 		return result.New(result.StaleProcess, "group: the upstream is at %d, this process at %d", rep.GetRevision(), vi.Revision)
 	}
 
-	next, err := viewAfter(vi, &rep)
+	next, deltas, err := viewAfter(vi, &rep)
 	if err != nil {
 		gr.cfg.Log.WithFields(log.Fields{"error": err.Error()}).Error("the feed could not be read")
 
 		return err
 	}
 	if next != vi {
+		gr.keepDeltas(next, deltas)
 		gr.setView(next)
 	}
 	// The answer was made after the request was sent, so the stamp is never too young.
@@ -101,30 +104,77 @@
 	return nil
 }
 
-func viewAfter(vi *View, rep *wire.FeedReply) (*View, error) {
+// viewAfter returns the view after a feed, and the deltas that led to it, none
+// where the feed was everything anew.
+func viewAfter(vi *View, rep *wire.FeedReply) (*View, []machine.Delta, error) {
 	if rep.GetFull() {
 		if len(rep.GetDeltas()) != 1 {
-			return nil, result.New(result.Internal, "group: a full feed holds %d parts", len(rep.GetDeltas()))
+			return nil, nil, result.New(result.Internal, "group: a full feed holds %d parts", len(rep.GetDeltas()))
 		}
 		var fu machine.Full
 		if err := decode(rep.GetDeltas()[0], &fu); err != nil {
-			return nil, err
+			return nil, nil, err
 		}
+		next, err := newView(fu)
 
-		return newView(fu)
+		return next, nil, err
 	}
 	if len(rep.GetDeltas()) == 0 {
-		return vi, nil
+		return vi, nil, nil
 	}
 
 	ds := make([]machine.Delta, len(rep.GetDeltas()))
 	for i, b := range rep.GetDeltas() {
 		if err := decode(b, &ds[i]); err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 	}
+	next, err := vi.with(ds)
 
-	return vi.with(ds)
+	return next, ds, err
+}
+
+// keepDeltas remembers changes for subscribers of a process that has no replica.
+func (gr *Group) keepDeltas(next *View, ds []machine.Delta) {
+	gr.mu.Lock()
+	defer gr.mu.Unlock()
+
+	if len(ds) == 0 { // everything came anew
+		gr.cfg.Count("feed.full")
+		gr.deltas, gr.deltasAfter = nil, next.Revision
+
+		return
+	}
+	gr.deltas = append(gr.deltas, ds...)
+	if n := len(gr.deltas) - maxRelayDeltas; n > 0 {
+		gr.deltasAfter = gr.deltas[n-1].Revision
+		gr.deltas = append([]machine.Delta(nil), gr.deltas[n:]...)
+	}
+}
+
+// since returns the changes after a position, and false if they are not all held.
+func (gr *Group) since(revision uint64) ([]machine.Delta, bool) {
+	var ds []machine.Delta
+	ok := false
+	if gr.Read(func(ma *machine.Machine) {
+		if ds, ok = ma.Since(revision); ok {
+			ds = append([]machine.Delta(nil), ds...)
+		}
+	}) {
+		return ds, ok
+	}
+
+	gr.mu.Lock()
+	defer gr.mu.Unlock()
+	if revision < gr.deltasAfter {
+		return nil, false
+	}
+	n := len(gr.deltas)
+	for n > 0 && gr.deltas[n-1].Revision > revision {
+		n--
+	}
+
+	return append([]machine.Delta(nil), gr.deltas[n:]...), true
 }
 
 // handleFeed answers what changed since the subscriber's position, at once or
@@ -183,14 +233,7 @@
 		return rep, nil
 	}
 
-	var ds []machine.Delta
-	ok := false
-	gr.Read(func(ma *machine.Machine) {
-		if ds, ok = ma.Since(revision); ok {
-			ds = append([]machine.Delta(nil), ds...)
-		}
-	})
-	if ok && revision > 0 {
+	if ds, ok := gr.since(revision); ok && revision > 0 {
 		for _, d := range ds {
 			if d.Revision > vi.Revision {
 				break
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -46,6 +46,7 @@
 	FreshnessBound time.Duration
 	ReplaceAfter   time.Duration // how long a voter may be silent before a spare takes its place
 	WallMs         func() int64
+	Count          func(counter string)
 	Log            log.Interface
 }
 
@@ -68,6 +69,9 @@
 	addresses map[consensus.ReplicaID]string
 	upstream  int
 	feedLimit chan struct{}
+
+	deltas      []machine.Delta // the last changes, where there is no replica
+	deltasAfter uint64          // every change after this position is in deltas
 }
 
 // maxFeeds bounds the subscribers that wait on one process.
@@ -79,6 +83,9 @@
 		cfg: cfg, start: time.Now(), changed: make(chan struct{}),
 		addresses: map[consensus.ReplicaID]string{}, feedLimit: make(chan struct{}, maxFeeds),
 	}
+	if gr.cfg.Count == nil {
+		gr.cfg.Count = func(string) {}
+	}
 	vi, err := newView(machine.Full{})
 	if err != nil {
 		return nil, err
--- a/internal/group/propose.go
+++ b/internal/group/propose.go
@@ -179,6 +179,14 @@
 		return err
 	}
 
+	if !gr.HasDisk() && mayForward { // a relay passes commands on towards the group
+		var rep wire.ProposeReply
+		if err := gr.callUpstream(ctx, methodPropose, &req, &rep); err != nil {
+			return err
+		}
+
+		return st.Send(&rep)
+	}
 	n := gr.node.Load()
 	if n == nil {
 		return result.New(result.NotLeader, "group: the replica has not started")
@@ -315,12 +323,20 @@
 	return &st, decode(rep.GetResult(), &st)
 }
 
-// handleQuery answers from the state as applied here.
-func (gr *Group) handleQuery(_ context.Context, st *peer.Stream) error {
+// handleQuery answers from the state as applied here; a relay passes it on.
+func (gr *Group) handleQuery(ctx context.Context, st *peer.Stream) error {
 	var req wire.QueryRequest
 	if err := st.Request(&req); err != nil {
 		return err
 	}
+	if !gr.HasDisk() {
+		var rep wire.ProposeReply
+		if err := gr.callUpstream(ctx, methodQuery, &req, &rep); err != nil {
+			return err
+		}
+
+		return st.Send(&rep)
+	}
 
 	var b []byte
 	err := error(result.New(result.NotLeader, "group: this process has no ledger"))
--- a/internal/handlers/trainer.go
+++ b/internal/handlers/trainer.go
@@ -1,7 +1,6 @@
 package handlers
 
 import (
-	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"net/http"
@@ -173,9 +172,7 @@
 	}
 	limit, _ := strconv.Atoi(r.URL.Query().Get("max")) // 0 takes the default
 
-	ctx, cancel := context.WithTimeout(r.Context(), max(wait, time.Millisecond))
-	defer cancel()
-	b, err := ca.ga.Rollouts().Page(ctx, cl.Workspace, chi.URLParam(r, "step"), n, limit)
+	b, err := ca.ga.Rollouts().Page(r.Context(), cl.Workspace, chi.URLParam(r, "step"), n, limit, wait)
 	if err != nil {
 		ca.refuse(w, err)
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -18,8 +18,9 @@
 )
 
 const (
-	// LapseAfter is how long an agent may be silent before its backend server gets no new work.
-	LapseAfter        = 2 * time.Second
+	// lapsePeriods is the number of report periods that an agent may be silent for
+	// before its backend server gets no new work.
+	lapsePeriods      = 4
 	maxPrefixes       = 200_000
 	maxServerPrefixes = 20_000
 )
@@ -32,6 +33,8 @@
 	Scheduler     scheduler.Config
 	Now           func() time.Duration
 	Meter         *meter.Meter
+	// ReportPeriod returns how often agents report their load here.
+	ReportPeriod func() time.Duration
 	// SequenceOf returns the sequence of a weight version, 0 when it is not declared.
 	SequenceOf func(version string) uint64
 }
@@ -388,9 +391,9 @@
 	po.mu.Lock()
 	defer po.mu.Unlock()
 
-	now := po.cfg.Now()
+	now, lapse := po.cfg.Now(), po.lapse()
 	for i, se := range po.servers {
-		if now > se.heard+LapseAfter {
+		if now > se.heard+lapse {
 			po.cands[i].IsReady = false
 		}
 		if se.load != nil {
@@ -400,6 +403,16 @@
 	po.pump()
 }
 
+func (po *Pool) lapse() time.Duration { return lapsePeriods * po.cfg.ReportPeriod() }
+
+// Len returns the number of backend servers in view.
+func (po *Pool) Len() int {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+
+	return len(po.servers)
+}
+
 // Drain stops new work for a backend server at once, before its agent reports it.
 func (po *Pool) Drain(name string) {
 	po.mu.Lock()
@@ -495,7 +508,7 @@
 			in.State, in.Version, in.LoadedVersion = se.load.GetState(), se.load.GetVersion(), se.load.GetLoadedVersion()
 			in.Running = int(se.load.GetRunning())
 		}
-		if now > se.heard+LapseAfter {
+		if now > se.heard+po.lapse() {
 			in.State = StateSuspect
 		}
 		out = append(out, in)
--- a/internal/rollout/page.go
+++ b/internal/rollout/page.go
@@ -19,9 +19,11 @@
 	return a
 }
 
-// Page returns the bytes of a page, waiting until ctx ends for samples. The same
-// page is always the same bytes.
-func (dr *Driver) Page(ctx context.Context, workspace, id string, number uint64, limit int) ([]byte, error) {
+// Page returns the bytes of a page, waiting for samples for a time. The same page
+// is always the same bytes.
+func (dr *Driver) Page(ctx context.Context, workspace, id string, number uint64, limit int, wait time.Duration) ([]byte, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
 	if limit <= 0 {
 		limit = defaultPage
 	}
@@ -47,6 +49,8 @@
 		select {
 		case <-time.After(pageLinger):
 		case <-ctx.Done():
+			return nil, result.New(result.DeadlinePassed, "step %s: the trainer has gone", id)
+		case <-timer.C:
 			return nil, result.New(result.PageNotReady, "step %s: page %d is not ready", id, number).After(pageLinger)
 		}
 	}
