Measure capacity and write the page from it; compare policies in an experiment

Change: 'capacity measure' takes slopes at three or more sizes, 'capacity page' computes the page from that file; 'experiment' runs a workload with a fault script under the current policy and five baselines.

--- /dev/null
+++ b/cmd/tamarackbay/capacity.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/tamarackbay/tamarackbay/internal/capacity"
+)
+
+const capacityUsage = `Measure what each part costs, or write docs/CAPACITY.md from a measurement.
+
+The measurement takes about two minutes and uses loopback addresses and temporary
+folders alone.
+
+Examples:
+  tamarackbay capacity measure --file docs/capacity.json
+  tamarackbay capacity page --file docs/capacity.json > docs/CAPACITY.md`
+
+func addCapacity(app *kingpin.Application) []command {
+	c := app.Command("capacity", capacityUsage)
+	measure := c.Command("measure", "Measure and write the report.")
+	to := measure.Flag("file", "Report to write.").Required().String()
+	page := c.Command("page", "Write the page from a report to standard output.")
+	from := page.Flag("file", "Report to read.").Required().ExistingFile()
+
+	return []command{
+		{measure, func() error {
+			re, err := capacity.Measure(os.Stderr)
+			if err != nil {
+				return err
+			}
+
+			return re.Save(*to)
+		}},
+		{page, func() error {
+			re, err := capacity.Read(*from)
+			if err != nil {
+				return err
+			}
+
+			return re.WritePage(os.Stdout)
+		}},
+	}
+}
--- /dev/null
+++ b/internal/capacity/groups.go
@@ -0,0 +1,400 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/tamarackbay/tamarackbay/internal/consensus"
+	"github.com/tamarackbay/tamarackbay/internal/declaration"
+	"github.com/tamarackbay/tamarackbay/internal/group"
+	"github.com/tamarackbay/tamarackbay/internal/machine"
+	"github.com/tamarackbay/tamarackbay/internal/storage"
+)
+
+// Figure is one measured value that is no slope.
+type Figure struct {
+	Name  string  `json:"name"`
+	Unit  string  `json:"unit"`
+	Value float64 `json:"value"`
+}
+
+func percentile(ds []time.Duration, p float64) time.Duration {
+	if len(ds) == 0 {
+		return 0
+	}
+	sort.Slice(ds, func(i, j int) bool { return ds[i] < ds[j] })
+
+	return ds[min(len(ds)-1, int(p*float64(len(ds))))]
+}
+
+const (
+	commitTime  = 3 * time.Second
+	writers     = 64
+	idleTime    = 3 * time.Second
+	restartSize = 100_000
+)
+
+// measureSync returns the time of one small write with a sync in folder.
+func measureSync(folder string) ([]time.Duration, error) {
+	f, err := os.Create(filepath.Join(folder, "sync"))
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+
+	var out []time.Duration
+	b := make([]byte, 4096)
+	for range 300 {
+		at := time.Now()
+		if _, err := f.Write(b); err != nil {
+			return nil, err
+		}
+		if err := f.Sync(); err != nil {
+			return nil, err
+		}
+		out = append(out, time.Since(at))
+	}
+
+	return out, nil
+}
+
+func measureCommits() ([]Figure, error) {
+	folder, clean, err := tempFolder()
+	if err != nil {
+		return nil, err
+	}
+	defer clean()
+
+	syncs, err := measureSync(folder)
+	if err != nil {
+		return nil, err
+	}
+	out := []Figure{
+		{"one sync of the disk, p50", "ms", ms(percentile(syncs, 0.5))},
+		{"one sync of the disk, p99", "ms", ms(percentile(syncs, 0.99))},
+	}
+	vo, err := startVoters(folder, 1, 3)
+	if err != nil {
+		return nil, err
+	}
+	defer vo.close()
+
+	before := cpuTime()
+	rate, lat := commits([]*voters{vo}, writers, commitTime)
+	cpu := (cpuTime() - before).Seconds()
+	out = append(out,
+		Figure{"commits a second, 3 voters, 64 writers", "1/s", rate},
+		Figure{"commit p50, 64 writers", "ms", ms(percentile(lat, 0.5))},
+		Figure{"commit p99, 64 writers", "ms", ms(percentile(lat, 0.99))},
+		Figure{"CPU of a commit, 3 voters and writers together", "us", cpu / (rate * commitTime.Seconds()) * 1e6},
+	)
+	_, one := commits([]*voters{vo}, 1, time.Second)
+	out = append(out, Figure{"commit p50, 1 writer", "ms", ms(percentile(one, 0.5))})
+
+	before = cpuTime()
+	time.Sleep(idleTime)
+	out = append(out, Figure{"CPU of an idle voter", "share of a core", (cpuTime() - before).Seconds() / idleTime.Seconds() / 3})
+
+	return out, nil
+}
+
+func ms(d time.Duration) float64 { return d.Seconds() * 1000 }
+
+// measureFailOver stops the leader and takes the time until the next commit.
+func measureFailOver() (Figure, error) {
+	var worst time.Duration
+	for i := range 5 {
+		folder, clean, err := tempFolder()
+		if err != nil {
+			return Figure{}, err
+		}
+		d, err := failOver(folder, 20+i)
+		clean()
+		if err != nil {
+			return Figure{}, err
+		}
+		worst = max(worst, d)
+	}
+
+	return Figure{"from the loss of a leader to the next commit, worst of 5", "s", worst.Seconds()}, nil
+}
+
+func failOver(folder string, base int) (time.Duration, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	vos := make([]*voters, 3)
+	var fos []group.Founder
+	for i := range 3 {
+		fos = append(fos, group.Founder{Name: fmt.Sprintf("v%d", i), Address: fmt.Sprintf("127.77.%d.%d:8082", base, i+1)})
+	}
+	all := &voters{stop: func() {}}
+	for i := range 3 {
+		vctx, vcancel := context.WithCancel(ctx)
+		vos[i] = &voters{stop: vcancel}
+		if err := vos[i].add(vctx, folder, fos, i); err != nil {
+			return 0, err
+		}
+		all.groups = append(all.groups, vos[i].groups...)
+	}
+	defer func() {
+		for _, vo := range vos {
+			vo.close()
+		}
+	}()
+	if err := all.waitLeader(); err != nil {
+		return 0, err
+	}
+
+	time.Sleep(500 * time.Millisecond)
+	for i, gr := range all.groups {
+		if gr == all.leader() {
+			at := time.Now()
+			vos[i].close()
+			next := all.groups[(i+1)%3]
+			pctx, pcancel := context.WithTimeout(ctx, 10*time.Second)
+			defer pcancel()
+			err := next.Propose(pctx, machine.KindRegister, machine.Register{Replica: "probe"}, nil)
+
+			return time.Since(at), err
+		}
+	}
+
+	return 0, fmt.Errorf("capacity: no leader")
+}
+
+// measureRestart writes a log of many changes and takes the time to recover it.
+func measureRestart() (Figure, error) {
+	folder, clean, err := tempFolder()
+	if err != nil {
+		return Figure{}, err
+	}
+	defer clean()
+
+	if err := writeHistory(folder); err != nil {
+		return Figure{}, err
+	}
+	at := time.Now()
+	st, re, err := storage.Open(storage.OSFiles(), folder, 1)
+	if err != nil {
+		return Figure{}, err
+	}
+	ma, err := machine.Restore(re.Snapshot.Data)
+	if err != nil {
+		return Figure{}, err
+	}
+	for _, en := range re.Entries {
+		ma.Apply(en.Index, en.Data)
+	}
+	d := time.Since(at)
+	if v := ma.Book().Version(); v != restartSize {
+		return Figure{}, fmt.Errorf("capacity: version %d after the restart, not %d", v, restartSize)
+	}
+
+	return Figure{fmt.Sprintf("restart after %d changes", restartSize), "s", d.Seconds()}, st.Close()
+}
+
+// writeHistory stores a log of patches, with snapshots as a replica makes them.
+func writeHistory(folder string) error {
+	const snapshotEvery, batch = 20_000, 500
+	st, _, err := storage.Open(storage.OSFiles(), folder, 1)
+	if err != nil {
+		return err
+	}
+	ma := machine.New()
+	var es []consensus.Entry
+	for i := uint64(1); i <= restartSize; i++ {
+		c, err := machine.Encode(machine.KindPatch, declaration.Patch{
+			ID: fmt.Sprintf("patch-%d", i), Base: i - 1, Author: "operator",
+			Ops: []declaration.Op{op(fmt.Sprintf("workspaces/w%d", i%500), declaration.Workspace{Weight: 1 + float64(i%9), MaxQueued: 10, Home: "main"})},
+		})
+		if err != nil {
+			return err
+		}
+		machine.Stamp(c, int64(i))
+		ma.Apply(i, c)
+		es = append(es, consensus.Entry{Index: i, Term: 1, Data: c})
+		if len(es) == batch {
+			if err := st.Save(&consensus.Ready{Entries: es}); err != nil {
+				return err
+			}
+			es = nil
+		}
+		if i%snapshotEvery == 0 && i < restartSize {
+			data, err := ma.Snapshot()
+			if err != nil {
+				return err
+			}
+			if err := st.SaveSnapshot(consensus.Snapshot{Index: i, Term: 1, Data: data}, false); err != nil {
+				return err
+			}
+		}
+	}
+
+	return st.Close()
+}
+
+// measureFeed runs subscribers against three voters: the cost of each at rest, and
+// the time until a change is in force on all of them.
+func measureFeed() ([]Slope, error) {
+	folder, clean, err := tempFolder()
+	if err != nil {
+		return nil, err
+	}
+	defer clean()
+	vo, err := startVoters(folder, 40, 3)
+	if err != nil {
+		return nil, err
+	}
+	defer vo.close()
+
+	idle := Slope{Name: "subscriber at rest, both ends", Per: "subscriber", Unit: "share of a core"}
+	held := Slope{Name: "subscriber held, both ends", Per: "subscriber", Unit: "byte"}
+	force := Slope{Name: "change in force on all subscribers, median of 20", Per: "subscriber", Unit: "second"}
+	for i, n := range []int{50, 100, 200} {
+		x := float64(n)
+		before := heapBytes()
+		su, err := startSubscribers(vo, 41+i, n)
+		if err != nil {
+			return nil, err
+		}
+		held.Points = append(held.Points, Point{x, float64(heapBytes()) - float64(before)})
+		cpu := cpuTime()
+		time.Sleep(idleTime)
+		idle.Points = append(idle.Points, Point{x, (cpuTime() - cpu).Seconds() / idleTime.Seconds()})
+		d, err := su.timeOfChange(vo, 20)
+		su.stop()
+		if err != nil {
+			return nil, err
+		}
+		force.Points = append(force.Points, Point{x, d.Seconds()})
+	}
+	for _, sl := range []*Slope{&idle, &held, &force} {
+		sl.fit()
+	}
+
+	return []Slope{idle, held, force}, nil
+}
+
+type subscribers struct {
+	groups []*group.Group
+	stop   func()
+}
+
+func startSubscribers(vo *voters, base, n int) (*subscribers, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	su := &subscribers{stop: func() { cancel(); wg.Wait() }}
+	for i := range n {
+		gr, err := newSubscriber(vo, fmt.Sprintf("127.78.%d.%d:8082", base, i+1), i)
+		if err != nil {
+			su.stop()
+
+			return nil, err
+		}
+		su.groups = append(su.groups, gr)
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			_ = gr.Run(ctx)
+		}()
+	}
+
+	return su, su.wait(func(gr *group.Group) bool { return gr.Fresh() == nil })
+}
+
+func newSubscriber(vo *voters, address string, i int) (*group.Group, error) {
+	ups := make([]string, len(vo.lis))
+	for j := range vo.lis {
+		ups[j] = vo.lis[(i+j)%len(vo.lis)].Address()
+	}
+
+	return group.New(group.Config{
+		Name: fmt.Sprintf("s%d", i), Address: address, Upstreams: ups, FreshnessBound: 5 * time.Second,
+		Peer: subscriberPeer(address), WallMs: func() int64 { return 0 }, Log: discardLog(),
+	})
+}
+
+func (su *subscribers) wait(ok func(gr *group.Group) bool) error {
+	for range 20_000 {
+		all := true
+		for _, gr := range su.groups {
+			all = all && ok(gr)
+		}
+		if all {
+			return nil
+		}
+		time.Sleep(time.Millisecond)
+	}
+
+	return fmt.Errorf("capacity: subscribers did not follow")
+}
+
+// timeOfChange commits changes and returns the median time until all subscribers have each.
+func (su *subscribers) timeOfChange(vo *voters, times int) (time.Duration, error) {
+	var ds []time.Duration
+	for i := range times {
+		ld := vo.leader()
+		if ld == nil {
+			return 0, fmt.Errorf("capacity: no leader")
+		}
+		var an declaration.Answer
+		at := time.Now()
+		err := ld.Propose(context.Background(), machine.KindPatch, declaration.Patch{
+			ID: fmt.Sprintf("p-%d-%d", len(su.groups), i), Base: ld.View().Version,
+			Ops: []declaration.Op{op("workspaces/w", declaration.Workspace{Weight: float64(1 + i), MaxQueued: 1, Home: "main"})},
+		}, &an)
+		if err != nil {
+			return 0, err
+		}
+		if err := su.wait(func(gr *group.Group) bool { return gr.View().Version >= an.Version }); err != nil {
+			return 0, err
+		}
+		ds = append(ds, time.Since(at))
+	}
+
+	return percentile(ds, 0.5), nil
+}
+
+// measurePartitions runs several groups at once, each with its own leader and log.
+func measurePartitions() (Slope, error) {
+	sl := Slope{Name: "commits of several groups at once", Per: "group", Unit: "1/s"}
+	for i, n := range []int{1, 2, 4, 7} {
+		rate, err := partitionRate(60+10*i, n)
+		if err != nil {
+			return sl, err
+		}
+		sl.Points = append(sl.Points, Point{float64(n), rate})
+	}
+	sl.fit()
+
+	return sl, nil
+}
+
+func partitionRate(base, n int) (float64, error) {
+	var vos []*voters
+	defer func() {
+		for _, vo := range vos {
+			vo.close()
+		}
+	}()
+	for g := range n {
+		folder, clean, err := tempFolder()
+		if err != nil {
+			return 0, err
+		}
+		defer clean()
+		vo, err := startVoters(folder, base+g, 3)
+		if err != nil {
+			return 0, err
+		}
+		vos = append(vos, vo)
+	}
+	rate, _ := commits(vos, writers, commitTime)
+
+	return rate, nil
+}
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -324,7 +324,7 @@
 	}
 }
 
-// countingConn counts bytes through a pair of sessions.
+// traffic counts the calls that were answered.
 type traffic struct{ calls atomic.Int64 }
 
 func measureCalls() ([]Slope, error) {
@@ -408,7 +408,7 @@
 	return sl
 }
 
-// ring runs voters of one group over loopback with disks in folder.
+// voters runs the voters of one group over loopback with disks in folder.
 type voters struct {
 	groups []*group.Group
 	stop   context.CancelFunc
--- /dev/null
+++ b/internal/experiment/experiment.go
@@ -0,0 +1,468 @@
+// Package experiment compares the product's policy with plain baselines: real
+// gateways and agents on loopback, small stand-ins, a fault script and fixed seeds.
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/tamarackbay/tamarackbay/internal/declaration"
+	"github.com/tamarackbay/tamarackbay/internal/deployment"
+	"github.com/tamarackbay/tamarackbay/internal/fake"
+	"github.com/tamarackbay/tamarackbay/internal/settings"
+	"github.com/tamarackbay/tamarackbay/pkg/client"
+)
+
+// Policy is one way to run the same workload.
+type Policy struct {
+	Name   string
+	Policy settings.Policy
+}
+
+// Policies are the product's policy and the baselines.
+func Policies() []Policy {
+	return []Policy{
+		{"current", settings.Policy{}},
+		{"roundRobin", settings.Policy{Scheduler: "roundRobin", NoFairness: true, NoHedging: true, NoBudget: true}},
+		{"leastInFlight", settings.Policy{Scheduler: "leastInFlight", NoFairness: true, NoHedging: true, NoBudget: true}},
+		{"noFairness", settings.Policy{NoFairness: true}},
+		{"noHedging", settings.Policy{NoHedging: true}},
+		{"noRetryBudget", settings.Policy{NoBudget: true}},
+	}
+}
+
+// Config describes an experiment.
+type Config struct {
+	Workload    string        // consortium or cedarwick
+	Duration    time.Duration // of one run
+	Repetitions int
+	Policies    []string // names; all where empty
+	Out         io.Writer
+}
+
+// workload is the traffic of a deployment in miniature.
+type workload struct {
+	engines, services int
+	groups, perGroup  int
+	maxTokens         int
+	fair              int // workspaces that ask for their share
+	concurrency       int // requests at once of each of them
+	greedy            int // times that, of one more workspace
+	callers           int
+}
+
+var workloads = map[string]workload{
+	// Samples in groups are most of the work; lookups run beside them.
+	"consortium": {engines: 6, services: 3, groups: 8, perGroup: 8, maxTokens: 64, fair: 3, concurrency: 4, greedy: 10, callers: 6},
+	// Short suggestions, a few long drafts, previews beside them.
+	"cedarwick": {engines: 5, services: 3, groups: 16, perGroup: 4, maxTokens: 96, fair: 3, concurrency: 3, greedy: 10, callers: 6},
+}
+
+// Outcome is what one run measured.
+type Outcome struct {
+	Policy        string
+	Idle          float64 // seconds that the trainer waits for a step
+	Steps         int
+	Worst         float64 // what the worst-served workspace got of its fair share
+	LookupP99     float64 // ms
+	Goodput       float64 // completed requests and samples a second
+	Amplification float64 // runs on engines for each completed request and sample
+	Stale         float64 // share of samples one version behind at their delivery
+	Broken        int     // samples lost, doubled or too old, calls that ran twice
+}
+
+// Run runs every policy the same number of times, in turn.
+func Run(ctx context.Context, cfg Config) ([]Outcome, error) {
+	wl, ok := workloads[cfg.Workload]
+	if !ok {
+		return nil, fmt.Errorf("experiment: workload %q is not one of consortium, cedarwick", cfg.Workload)
+	}
+
+	var out []Outcome
+	for rep := range cfg.Repetitions {
+		for _, po := range Policies() {
+			if !wanted(cfg.Policies, po.Name) {
+				continue
+			}
+			oc, err := runOnce(ctx, wl, po, cfg.Duration)
+			if err != nil {
+				return nil, fmt.Errorf("experiment: %s, repetition %d: %w", po.Name, rep+1, err)
+			}
+			fmt.Fprintf(cfg.Out, "%-14s rep %d  idle %.2f s/step  worst %.0f%%  lookup p99 %.1f ms  goodput %.0f/s  amplification %.2f  stale %.0f%%  broken %d\n",
+				oc.Policy, rep+1, oc.Idle, 100*oc.Worst, oc.LookupP99, oc.Goodput, oc.Amplification, 100*oc.Stale, oc.Broken)
+			out = append(out, oc)
+		}
+	}
+
+	return out, nil
+}
+
+func wanted(names []string, name string) bool {
+	for _, n := range names {
+		if n == name {
+			return true
+		}
+	}
+
+	return len(names) == 0
+}
+
+// trial is one run of one policy.
+type trial struct {
+	wl    workload
+	de    *deployment.Deployment
+	token map[string]string
+
+	mu        sync.Mutex
+	served    map[string]int // completions by workspace
+	lookups   []time.Duration
+	idle      time.Duration
+	steps     int
+	samples   int
+	stale     int
+	broken    int
+	pushed    int
+	ended     bool
+	completed int
+}
+
+const trainerWorkspace = "trainer"
+
+func (wl workload) declarations() *declaration.Set {
+	set := declaration.NewSet()
+	names := []string{trainerWorkspace, "greedy", "crew"}
+	for i := range wl.fair {
+		names = append(names, fmt.Sprint("fair", i))
+	}
+	for _, w := range names {
+		wo := declaration.Workspace{}
+		wo.Defaults()
+		set.Workspaces[w] = wo
+	}
+	mo := declaration.Model{StalenessBound: 1, SwapWave: 2}
+	mo.Defaults()
+	set.Models["m"] = mo
+	set.Versions["m@v1"] = declaration.Version{Model: "m", Name: "v1", Sequence: 1}
+	set.Trainers["t"] = declaration.Trainer{Workspace: trainerWorkspace, Model: "m", StalenessBound: 1, StepTimeoutMs: 60_000}
+	for n, ro := range map[string]declaration.Route{
+		"m":      {Model: "m", Repeatable: true, Class: declaration.ClassRollout, TimeoutMs: 20_000},
+		"lookup": {Service: "s", Class: declaration.ClassLookup, TimeoutMs: 2000},
+	} {
+		ro.Defaults()
+		set.Routes[n] = ro
+	}
+
+	return set
+}
+
+func runOnce(ctx context.Context, wl workload, po Policy, d time.Duration) (Outcome, error) {
+	folder, err := os.MkdirTemp("", "tamarackbay-experiment-")
+	if err != nil {
+		return Outcome{}, err
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	ctx, cancel := context.WithTimeout(ctx, d+time.Minute)
+	defer cancel()
+
+	de, err := deployment.Start(ctx, deployment.Config{
+		Gateways: 3, Folder: folder, Declarations: wl.declarations(), StoreLimit: 2, NoOrdering: true, NoUsage: true, ServiceDelay: 2 * time.Millisecond,
+		Engine: fake.EngineConfig{
+			Version: "v1", TokenTime: 3 * time.Millisecond, PrefillTime: 15 * time.Millisecond, SwapTime: 150 * time.Millisecond,
+			CacheSize: 32, Downtime: 800 * time.Millisecond, Straggle: 61,
+		},
+		Tune: func(se *settings.Gateway) { se.Policy = po.Policy },
+	})
+	if err != nil {
+		return Outcome{}, err
+	}
+	defer de.Close()
+
+	tr := &trial{wl: wl, de: de, token: map[string]string{}, served: map[string]int{}, pushed: 1}
+	if err := tr.prepare(ctx); err != nil {
+		return Outcome{}, err
+	}
+
+	return tr.measure(ctx, po.Name, d)
+}
+
+func (tr *trial) prepare(ctx context.Context) error {
+	names := []string{trainerWorkspace, "greedy", "crew"}
+	for i := range tr.wl.fair {
+		names = append(names, fmt.Sprint("fair", i))
+	}
+	for _, w := range names {
+		_, token, err := tr.de.IssueKey(ctx, w)
+		if err != nil {
+			return err
+		}
+		tr.token[w] = token
+	}
+	domains := []string{"a", "b", "c"}
+	for i := range tr.wl.engines {
+		cl := declaration.Class{Model: "m", Slots: 6}
+		if err := tr.de.StartServer(fmt.Sprint("engine-", i), "engine", cl, domains[i%3], ""); err != nil {
+			return err
+		}
+	}
+	for i := range tr.wl.services {
+		cl := declaration.Class{Service: "s", Slots: 16}
+		if err := tr.de.StartServer(fmt.Sprint("service-", i), "service", cl, domains[i%3], ""); err != nil {
+			return err
+		}
+	}
+	if err := tr.de.WaitServers(ctx, "m", tr.wl.engines, "v1"); err != nil {
+		return err
+	}
+
+	return tr.de.WaitServers(ctx, "s", tr.wl.services, "")
+}
+
+func (tr *trial) measure(ctx context.Context, policy string, d time.Duration) (Outcome, error) {
+	rctx, stop := context.WithCancel(ctx)
+	defer stop()
+	var wg sync.WaitGroup
+	run := func(f func(context.Context)) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			f(rctx)
+		}()
+	}
+	for i := range tr.wl.fair {
+		tr.load(run, fmt.Sprint("fair", i), tr.wl.concurrency)
+	}
+	tr.load(run, "greedy", tr.wl.concurrency*tr.wl.greedy)
+	for i := range tr.wl.callers {
+		run(func(ctx context.Context) { tr.lookup(ctx, i) })
+	}
+	run(tr.train)
+	run(func(ctx context.Context) { tr.faults(ctx, d) })
+
+	time.Sleep(d)
+	stop()
+	tr.mu.Lock()
+	tr.ended = true
+	tr.mu.Unlock()
+	wg.Wait()
+
+	return tr.outcome(policy, d), nil
+}
+
+// load keeps n completions of a workspace running.
+func (tr *trial) load(run func(func(context.Context)), workspace string, n int) {
+	for i := range n {
+		run(func(ctx context.Context) {
+			cl := tr.de.Client(tr.token[workspace], i)
+			for k := 0; ctx.Err() == nil; k++ {
+				_, err := cl.Complete(ctx, client.CompletionRequest{
+					Model: "m", Prompt: fmt.Sprintf("%s asks %d of %d", workspace, k%5, i), MaxTokens: tr.wl.maxTokens, Seed: uint64(i*10_000 + k),
+				})
+				if err == nil {
+					tr.mu.Lock()
+					tr.served[workspace]++
+					tr.completed++
+					tr.mu.Unlock()
+				}
+			}
+		})
+	}
+}
+
+func (tr *trial) lookup(ctx context.Context, i int) {
+	cl := tr.de.Client(tr.token["crew"], i)
+	for k := 0; ctx.Err() == nil; k++ {
+		key := fmt.Sprintf("lookup-%d-%d", i, k)
+		at := time.Now()
+		if _, err := cl.Call(ctx, "POST", "lookup", "/"+key, nil, key); err == nil {
+			tr.mu.Lock()
+			tr.lookups = append(tr.lookups, time.Since(at))
+			tr.mu.Unlock()
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// train runs steps one after the other; the trainer is idle while it waits for samples.
+func (tr *trial) train(ctx context.Context) {
+	cl := tr.de.Client(tr.token[trainerWorkspace], 0)
+	for n := 0; ctx.Err() == nil; n++ {
+		id := fmt.Sprintf("s%d", n)
+		st := client.Step{ID: id, Trainer: "t"}
+		for g := range tr.wl.groups {
+			st.Groups = append(st.Groups, client.Group{ID: fmt.Sprint("g", g), Prompt: fmt.Sprintf("%s prompt %d", id, g), Samples: tr.wl.perGroup, MaxTokens: tr.wl.maxTokens})
+		}
+		at := time.Now()
+		seen := map[string]int{}
+		behind := 0
+		tr.mu.Lock()
+		latest := tr.pushed
+		tr.mu.Unlock()
+		err := cl.OpenStep(ctx, st)
+		if err == nil {
+			err = cl.Samples(ctx, id, func(ss []client.Sample) error {
+				for _, s := range ss {
+					seen[s.ID]++
+					lag := latest - oldest(s)
+					if lag > 0 {
+						behind++
+					}
+					if lag > 1 {
+						tr.fail()
+					}
+				}
+				tr.mu.Lock()
+				latest = tr.pushed
+				tr.mu.Unlock()
+
+				return nil
+			})
+		}
+		if err != nil {
+			continue // cut by the end of the run
+		}
+		tr.note(time.Since(at), seen, behind)
+		time.Sleep(100 * time.Millisecond) // the trainer works
+	}
+}
+
+func oldest(s client.Sample) int {
+	low := 0
+	for _, vr := range s.Versions {
+		var n int
+		if _, err := fmt.Sscanf(vr.Version, "v%d", &n); err == nil && (low == 0 || n < low) {
+			low = n
+		}
+	}
+
+	return low
+}
+
+func (tr *trial) fail() {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+
+	tr.broken++
+}
+
+func (tr *trial) note(idle time.Duration, seen map[string]int, behind int) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+
+	if tr.ended {
+		return
+	}
+	tr.idle += idle
+	tr.steps++
+	tr.samples += len(seen)
+	tr.stale += behind
+	tr.completed += len(seen)
+	if len(seen) != tr.wl.groups*tr.wl.perGroup {
+		tr.broken++
+	}
+	for _, n := range seen {
+		if n != 1 {
+			tr.broken++
+		}
+	}
+}
+
+// faults brings about the same failures at the same parts of every run.
+func (tr *trial) faults(ctx context.Context, d time.Duration) {
+	push := func() {
+		tr.mu.Lock()
+		n := tr.pushed + 1
+		tr.mu.Unlock()
+		cl := tr.de.Client(tr.token[trainerWorkspace], 1)
+		if cl.PushVersion(ctx, "m", fmt.Sprint("v", n), "x") == nil {
+			tr.mu.Lock()
+			tr.pushed = n
+			tr.mu.Unlock()
+		}
+	}
+	script := []struct {
+		part float64
+		do   func()
+	}{
+		{0.15, push},
+		{0.30, func() { tr.de.Engines()["engine-0"].Crash() }},
+		{0.45, func() {
+			tr.de.Engines()["engine-1"].FailSwaps(2)
+			push()
+		}},
+		{0.60, func() {
+			i := (tr.de.Leader() + 3) % 3
+			tr.de.KillGateway(i)
+			time.Sleep(500 * time.Millisecond)
+			_ = tr.de.StartGateway(i) // the run goes on with two gateways otherwise
+		}},
+		{0.80, func() { tr.de.Engines()["engine-2"].Slow(20 * time.Millisecond) }},
+	}
+	began := time.Now()
+	for _, s := range script {
+		select {
+		case <-time.After(time.Until(began.Add(time.Duration(s.part * float64(d))))):
+			s.do()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (tr *trial) outcome(policy string, d time.Duration) Outcome {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+
+	oc := Outcome{Policy: policy, Steps: tr.steps, Broken: tr.broken + tr.doubled()}
+	if tr.steps > 0 {
+		oc.Idle = tr.idle.Seconds() / float64(tr.steps)
+	} else {
+		oc.Idle = d.Seconds()
+	}
+	// With equal weights the fair share is the mean of all that ask for more.
+	total, worst := 0, -1
+	for i := range tr.wl.fair {
+		n := tr.served[fmt.Sprint("fair", i)]
+		total += n
+		if worst < 0 || n < worst {
+			worst = n
+		}
+	}
+	total += tr.served["greedy"]
+	oc.Worst = float64(worst) / max(1, float64(total)/float64(tr.wl.fair+1))
+	sort.Slice(tr.lookups, func(i, j int) bool { return tr.lookups[i] < tr.lookups[j] })
+	if n := len(tr.lookups); n > 0 {
+		oc.LookupP99 = tr.lookups[n*99/100].Seconds() * 1000
+	}
+	oc.Goodput = float64(tr.completed) / d.Seconds()
+	runs := 0
+	for _, en := range tr.de.AllEngines() {
+		runs += len(en.Runs())
+	}
+	oc.Amplification = float64(runs) / float64(max(tr.completed, 1))
+	oc.Stale = float64(tr.stale) / float64(max(tr.samples, 1))
+
+	return oc
+}
+
+// doubled counts lookups that ran more than once, by the services' own records.
+func (tr *trial) doubled() int {
+	runs := map[string]int{}
+	for _, sv := range tr.de.Services() {
+		for _, r := range sv.Runs() {
+			runs[r.Path]++
+		}
+	}
+	n := 0
+	for p, c := range runs {
+		if c > 1 && p != "/healthz" {
+			n++
+		}
+	}
+
+	return n
+}
