Spread the samples of a step over the gateways

Cause: each gateway shares its own part of the slots among the workspaces that ask there. A step asked at the gateway that drives it alone, so its workspace had its share of a third of the engines, and waited while the others served the greedy one. Ruled out: the queue's order (its shares are right in the table tests) and the weights (equal before; the trainer now has weight 4 in the experiment, as in both examples, and the others ask for more than their share, so that the share of the worst-served means something). Change: the driver places attempts through itself and the other connected gateways in turn; a policy switch keeps the old way for comparison.

--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -28,9 +28,10 @@
 func Policies() []Policy {
 	return []Policy{
 		{"current", settings.Policy{}},
-		{"roundRobin", settings.Policy{Scheduler: "roundRobin", NoFairness: true, NoHedging: true, NoBudget: true}},
-		{"leastInFlight", settings.Policy{Scheduler: "leastInFlight", NoFairness: true, NoHedging: true, NoBudget: true}},
+		{"roundRobin", settings.Policy{Scheduler: "roundRobin", NoFairness: true, NoHedging: true, NoSpread: true, NoBudget: true}},
+		{"leastInFlight", settings.Policy{Scheduler: "leastInFlight", NoFairness: true, NoHedging: true, NoSpread: true, NoBudget: true}},
 		{"noFairness", settings.Policy{NoFairness: true}},
+		{"noSpread", settings.Policy{NoSpread: true}},
 		{"noHedging", settings.Policy{NoHedging: true}},
 		{"noRetryBudget", settings.Policy{NoBudget: true}},
 	}
@@ -58,9 +59,9 @@
 
 var workloads = map[string]workload{
 	// Samples in groups are most of the work; lookups run beside them.
-	"consortium": {engines: 6, services: 3, groups: 8, perGroup: 8, maxTokens: 64, fair: 3, concurrency: 4, greedy: 10, callers: 6},
+	"consortium": {engines: 6, services: 3, groups: 8, perGroup: 8, maxTokens: 64, fair: 3, concurrency: 10, greedy: 10, callers: 6},
 	// Short suggestions, a few long drafts, previews beside them.
-	"cedarwick": {engines: 5, services: 3, groups: 16, perGroup: 4, maxTokens: 96, fair: 3, concurrency: 3, greedy: 10, callers: 6},
+	"cedarwick": {engines: 5, services: 3, groups: 16, perGroup: 4, maxTokens: 96, fair: 3, concurrency: 8, greedy: 10, callers: 6},
 }
 
 // Outcome is what one run measured.
@@ -141,6 +142,9 @@
 	}
 	for _, w := range names {
 		wo := declaration.Workspace{}
+		if w == trainerWorkspace {
+			wo.Weight = 4 // as in the examples of both deployments
+		}
 		wo.Defaults()
 		set.Workspaces[w] = wo
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -143,7 +143,7 @@
 	se := ga.cfg.Settings
 	rc := rollout.Config{
 		Identity: fmt.Sprintf("%s|%016x", se.PeerAddress, ga.instance), Group: ga.group, Complete: ga.completeSample,
-		Latest: ga.latestSequence, Now: ga.now, NoHedging: se.Policy.NoHedging, Meter: ga.cfg.Meter, Log: ga.cfg.Log,
+		Latest: ga.latestSequence, Now: ga.now, NoHedging: se.Policy.NoHedging, NoSpread: se.Policy.NoSpread, Meter: ga.cfg.Meter, Log: ga.cfg.Log,
 		FailureDomain: se.FailureDomain,
 	}
 	if se.Outside.Scorer != "" {
--- a/internal/group/propose.go
+++ b/internal/group/propose.go
@@ -352,3 +352,15 @@
 
 	return st.Send(&wire.ProposeReply{Result: b})
 }
+
+// Open starts a call with several answers on another gateway.
+func (gr *Group) Open(ctx context.Context, address, method string, req message) (*peer.Stream, error) {
+	wctx, cancel := context.WithTimeout(ctx, sessionWait)
+	defer cancel()
+	se, err := gr.tr.session(wctx, address)
+	if err != nil {
+		return nil, err
+	}
+
+	return se.Open(ctx, method, req)
+}
--- a/internal/rollout/driver.go
+++ b/internal/rollout/driver.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -27,6 +28,7 @@
 	Latest        func(model string) uint64
 	Now           func() time.Duration
 	NoHedging     bool
+	NoSpread      bool // every attempt is placed by this gateway
 	Meter         *meter.Meter
 	Log           log.Interface
 }
@@ -36,6 +38,8 @@
 	cfg   Config
 	store *store
 
+	turn atomic.Uint64 // spreads attempts over the gateways
+
 	mu    sync.Mutex
 	ctx   context.Context
 	steps map[string]*stepRun
--- a/internal/rollout/steprun.go
+++ b/internal/rollout/steprun.go
@@ -235,7 +235,7 @@
 	sa := sr.st.Samples[i]
 	gr := sr.st.Groups[sa.Group]
 	startedMs := time.Now().UnixMilli()
-	wr, err := sr.dr.cfg.Complete(ctx, Attempt{
+	wr, err := sr.dr.complete(ctx, Attempt{
 		Workspace: sr.st.Workspace, Model: sr.st.Model, Prompt: gr.Prompt, MaxTokens: uint32(gr.MaxTokens),
 		Temperature: gr.Heat, Seed: xxhash.Sum64String(sa.ID), Retries: sampleRetries,
 		Timeout: time.Until(time.UnixMilli(sr.st.DeadlineMs)), MinSequence: sr.minSequence(), Exclude: exclude,
--- a/internal/rollout/store.go
+++ b/internal/rollout/store.go
@@ -15,6 +15,7 @@
 	methodHold     = "rollout.hold"
 	methodPayloads = "rollout.payloads"
 	methodDriving  = "rollout.driving"
+	methodRun      = "rollout.run"
 )
 
 // maxStoreBytes bounds the payloads that one gateway holds.
@@ -104,7 +105,7 @@
 
 // Handlers returns the calls that other gateways may make.
 func (dr *Driver) Handlers() peer.Mux {
-	return peer.Mux{methodHold: dr.handleHold, methodPayloads: dr.handlePayloads, methodDriving: dr.handleDriving}
+	return peer.Mux{methodHold: dr.handleHold, methodPayloads: dr.handlePayloads, methodDriving: dr.handleDriving, methodRun: dr.handleRun}
 }
 
 func (dr *Driver) handleHold(_ context.Context, st *peer.Stream) error {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -54,6 +54,7 @@
 type Policy struct {
 	Scheduler  string `json:"scheduler" help:"score, roundRobin or leastInFlight"`
 	NoFairness bool   `json:"noFairness" help:"first come, first served, whatever the workspace"`
+	NoSpread   bool   `json:"noSpread" help:"the gateway of a step places all its samples"`
 	NoHedging  bool   `json:"noHedging" help:"stragglers are never raced"`
 	NoBudget   bool   `json:"noRetryBudget" help:"every failed attempt is tried again"`
 }
