Carry one call after another on a stream, and measure the path against the service itself

Cause: each call opened and closed a stream, six frames of which each waited for its turn; calls did not get faster with fewer system calls. Change: a lane, a yamux stream, is kept by the caller after an end mark and carries the next call; the handler sees the caller's leaving as the end of the lane. Conclusion: kept; a late close cannot touch the next call (tested 300 times).

--- a/cmd/tamarackbay/capacity.go
+++ b/cmd/tamarackbay/capacity.go
@@ -20,7 +20,7 @@
 func addCapacity(app *kingpin.Application) []command {
 	c := app.Command("capacity", capacityUsage)
 	measure := c.Command("measure", "Measure and write the report.")
-	only := measure.Flag("only", "One part: configuration, ledgers, pool, calls, feed, partitions, commits, failOver or restart.").String()
+	only := measure.Flag("only", "One part: configuration, ledgers, pool, calls, feed, partitions, path, commits, failOver or restart.").String()
 	to := measure.Flag("file", "Report to write.").Required().String()
 	page := c.Command("page", "Write the page from a report to standard output.")
 	from := page.Flag("file", "Report to read.").Required().ExistingFile()
--- /dev/null
+++ b/internal/capacity/path.go
@@ -0,0 +1,170 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/tamarackbay/tamarackbay/internal/declaration"
+	"github.com/tamarackbay/tamarackbay/internal/deployment"
+	"github.com/tamarackbay/tamarackbay/internal/settings"
+)
+
+const (
+	pathRate    = 1000 // requests a second of the latency measurement
+	pathTime    = 4 * time.Second
+	pathWorkers = 64
+)
+
+// measurePath compares calls through a gateway and an agent with calls of the
+// stand-in itself, in one run.
+func measurePath() ([]Figure, error) {
+	folder, clean, err := tempFolder()
+	if err != nil {
+		return nil, err
+	}
+	defer clean()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	defer cancel()
+
+	set := declaration.NewSet()
+	wo := declaration.Workspace{}
+	wo.Defaults()
+	set.Workspaces["w"] = wo
+	ro := declaration.Route{Service: "s", Repeatable: true}
+	ro.Defaults()
+	set.Routes["r"] = ro
+	de, err := deployment.Start(ctx, deployment.Config{
+		Gateways: 1, Folder: folder, Declarations: set, NoOrdering: true, NoUsage: true, Tune: func(*settings.Gateway) {},
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer de.Close()
+	if err := de.StartServer("s-1", "c", declaration.Class{Service: "s", Slots: 256}, "a", ""); err != nil {
+		return nil, err
+	}
+	_, token, err := de.IssueKey(ctx, "w")
+	if err != nil {
+		return nil, err
+	}
+	if err := de.WaitServers(ctx, "s", 1, ""); err != nil {
+		return nil, err
+	}
+
+	hc := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}}
+	direct := target{hc, "http://" + de.Services()["s-1"].Address() + "/x", ""}
+	through := target{hc, de.URLs()[0] + "/r/r/x", token}
+	var out []Figure
+	lat, err := paced(ctx, direct, through)
+	if err != nil {
+		return nil, err
+	}
+	for _, p := range []float64{0.5, 0.99} {
+		d, g := percentile(lat[0], p), percentile(lat[1], p)
+		out = append(out,
+			Figure{fmt.Sprintf("direct call at %d/s, p%g", pathRate, p*100), "ms", ms(d)},
+			Figure{fmt.Sprintf("added by gateway and agent at %d/s, p%g", pathRate, p*100), "ms", ms(g - d)})
+	}
+	for i, t := range []target{direct, through} {
+		rate, cpu := t.flood(ctx)
+		name := []string{"direct calls a second, 64 at once", "calls a second through gateway and agent, 64 at once"}[i]
+		out = append(out, Figure{name, "1/s", rate}, Figure{"CPU of one, client and service included", "us", cpu * 1e6})
+	}
+
+	return out, nil
+}
+
+type target struct {
+	hc    *http.Client
+	url   string
+	token string
+}
+
+func (t target) get(ctx context.Context) error {
+	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, t.url, strings.NewReader(""))
+	if err != nil {
+		return err
+	}
+	if t.token != "" {
+		rq.Header.Set("Authorization", "Bearer "+t.token)
+	}
+	rs, err := t.hc.Do(rq)
+	if err != nil {
+		return err
+	}
+	defer rs.Body.Close()
+	b, err := io.ReadAll(rs.Body)
+	if err == nil && rs.StatusCode != http.StatusOK {
+		err = fmt.Errorf("capacity: %s: status %d: %s", t.url, rs.StatusCode, b)
+	}
+
+	return err
+}
+
+// paced sends requests to both targets in turn at a fixed rate, whatever the
+// answers, so that both meet the same moments of the machine.
+func paced(ctx context.Context, targets ...target) ([][]time.Duration, error) {
+	var mu sync.Mutex
+	out := make([][]time.Duration, len(targets))
+	var first error
+	var wg sync.WaitGroup
+	send := func(i int) {
+		defer wg.Done()
+		at := time.Now()
+		err := targets[i].get(ctx)
+		d := time.Since(at)
+		mu.Lock()
+		defer mu.Unlock()
+		if err != nil && first == nil {
+			first = err
+		}
+		out[i] = append(out[i], d)
+	}
+	for _, phase := range []time.Duration{pathTime / 4, pathTime} { // the first warms up
+		for i := range out {
+			out[i] = nil
+		}
+		began := time.Now()
+		for n := 0; time.Since(began) < phase; n++ {
+			time.Sleep(time.Until(began.Add(time.Duration(n) * time.Second / pathRate)))
+			for i := range targets {
+				wg.Add(1)
+				go send(i)
+			}
+		}
+		wg.Wait()
+	}
+
+	return out, first
+}
+
+// flood keeps a number of requests running and returns their rate and the CPU of one.
+func (t target) flood(ctx context.Context) (perSecond, cpu float64) {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	n := 0
+	before, began := cpuTime(), time.Now()
+	for range pathWorkers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			own := 0
+			for time.Since(began) < pathTime {
+				if t.get(ctx) == nil {
+					own++
+				}
+			}
+			mu.Lock()
+			n += own
+			mu.Unlock()
+		}()
+	}
+	wg.Wait()
+
+	return float64(n) / time.Since(began).Seconds(), (cpuTime() - before).Seconds() / float64(max(n, 1))
+}
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -63,7 +63,7 @@
 		name string
 		run  func() ([]Figure, error)
 	}{
-		{"commits", measureCommits}, {"failOver", one(measureFailOver)}, {"restart", one(measureRestart)},
+		{"path", measurePath}, {"commits", measureCommits}, {"failOver", one(measureFailOver)}, {"restart", one(measureRestart)},
 	} {
 		if only != "" && only != m.name {
 			continue
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -15,7 +15,7 @@
 const ProtocolVersion = 1
 
 const (
-	methodHello   = "hello"
+	methodHello   = rawPrefix + "hello"
 	dialTimeout   = 2 * time.Second
 	redialPeriod  = 250 * time.Millisecond
 	acceptBackoff = 50 * time.Millisecond
@@ -130,7 +130,7 @@
 
 		return st.Reply(li.cfg.Hello)
 	}}}
-	first.handle(ys)
+	first.handleCall(newLane(ys))
 
 	select {
 	case he := <-hello:
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -104,6 +104,26 @@
 		Expect(result.From(err).Execution).To(Equal(result.Unknown))
 	})
 
+	It("never lets a late close or cancel of one call touch the next one", func() {
+		for range 300 {
+			ctx, cancel := context.WithCancel(context.Background())
+			st, err := se.Open(ctx, "three", &wire.Empty{})
+			Expect(err).NotTo(HaveOccurred())
+			stop := context.AfterFunc(ctx, st.Close)
+			for range 3 {
+				Expect(st.Recv(&wire.Empty{})).To(Succeed())
+			}
+			Expect(errors.Is(st.Recv(&wire.Empty{}), io.EOF)).To(BeTrue())
+			st.Close() // the lane is free for the next call
+			go cancel()
+			var m wire.Hello
+			Expect(se.Call(context.Background(), "echo", &wire.Hello{Name: "next"}, &m)).To(Succeed())
+			Expect(m.GetName()).To(Equal("next"))
+			st.Close()
+			stop()
+		}
+	})
+
 	It("is refused to a process that speaks another protocol", func() {
 		_, err := peer.Dial(context.Background(), li.Address(), peer.Config{Hello: &wire.Hello{Protocol: 99}})
 		Expect(err).To(MatchError(ContainSubstring("protocol 99")))
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -9,6 +9,7 @@
 	"errors"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"time"
 
@@ -43,8 +44,24 @@
 	streams chan struct{}
 	done    chan struct{}
 	once    sync.Once
+
+	mu   sync.Mutex
+	idle []*lane // ready for another call, last used last
+}
+
+// lane is a yamux stream that carries one call after the other.
+type lane struct {
+	ys *yamux.Stream
+	rd *bufio.Reader
 }
 
+func newLane(ys *yamux.Stream) *lane {
+	return &lane{ys: ys, rd: bufio.NewReaderSize(ys, readBufferBytes)}
+}
+
+// maxIdleLanes bounds the lanes that a session keeps for further calls.
+const maxIdleLanes = 128
+
 func yamuxConfig() *yamux.Config {
 	yc := yamux.DefaultConfig()
 	yc.AcceptBacklog = maxSessionStreams
@@ -107,61 +124,79 @@
 	}
 }
 
+// handle answers the calls of one lane until the caller closes it.
 func (se *Session) handle(ys *yamux.Stream) {
 	defer ys.Close()
 
-	st := &Stream{ys: ys, rd: bufio.NewReaderSize(ys, readBufferBytes), session: se}
-	_ = ys.SetReadDeadline(time.Now().Add(defaultCallTimeout))
+	la := newLane(ys)
+	for se.handleCall(la) {
+	}
+}
+
+// handleCall answers one call and reports whether the lane may carry another.
+func (se *Session) handleCall(la *lane) bool {
+	st := &Stream{lane: la, session: se}
 	var ca wire.Call
 	if err := st.read(&ca); err != nil {
-		return
+		return false
 	}
 
 	timeout := time.Duration(ca.GetTimeoutMs()) * time.Millisecond
 	if timeout <= 0 {
 		timeout = defaultCallTimeout
 	}
-	_ = ys.SetDeadline(time.Now().Add(timeout))
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
+	_ = la.ys.SetWriteDeadline(time.Now().Add(timeout))
 
 	st.payload = ca.GetPayload()
 	h, ok := se.mux[ca.GetMethod()]
 	if !ok {
-		_ = st.finish(result.New(result.Internal, "peer: unknown method %q", ca.GetMethod()))
+		h = func(context.Context, *Stream) error {
+			return result.New(result.Internal, "peer: unknown method %q", ca.GetMethod())
+		}
+	}
+	if isRaw(ca.GetMethod()) {
+		_ = st.finish(h(ctx, st)) // the caller learns of it by the end of the stream
 
-		return
+		return false
 	}
-	if !st.isRaw(ca.GetMethod()) {
-		go st.watchCancel(cancel)
+
+	// The next byte is the next call, or the end of the stream: the caller has gone.
+	next := make(chan bool, 1)
+	go func() {
+		_, err := la.rd.Peek(1)
+		if err != nil {
+			cancel()
+		}
+		next <- err == nil
+	}()
+	if st.finish(h(ctx, st)) != nil {
+		return false
 	}
-	_ = st.finish(h(ctx, st))
+
+	return <-next
 }
 
 // Stream carries the messages of one call.
 type Stream struct {
-	ys      *yamux.Stream
-	rd      *bufio.Reader
+	lane    *lane
+	session *Session
+	single  bool // the lane carries this call alone
 	wmu     sync.Mutex
 	buf     []byte
 	payload []byte
 	last    []byte // goes out with the end mark
-	session *Session
-	ended   bool
+
+	mu       sync.Mutex
+	ended    bool // the end mark was read
+	released bool
 }
 
 // rawPrefix marks methods whose caller goes on sending messages.
 const rawPrefix = "raw."
 
-func (st *Stream) isRaw(method string) bool {
-	return len(method) > len(rawPrefix) && method[:len(rawPrefix)] == rawPrefix
-}
-
-// watchCancel ends the handler's context when the caller closes the stream.
-func (st *Stream) watchCancel(cancel context.CancelFunc) {
-	_, _ = st.rd.ReadByte()
-	cancel()
-}
+func isRaw(method string) bool { return strings.HasPrefix(method, rawPrefix) }
 
 // Session returns the session of the stream.
 func (st *Stream) Session() *Session { return st.session }
@@ -216,14 +251,14 @@
 	}
 	binary.LittleEndian.PutUint32(b, uint32(len(b)-4))
 	st.buf = b
-	_, err = st.ys.Write(b)
+	_, err = st.lane.ys.Write(b)
 
 	return err
 }
 
 func (st *Stream) read(m proto.Message) error {
 	var h [4]byte
-	if _, err := io.ReadFull(st.rd, h[:]); err != nil {
+	if _, err := io.ReadFull(st.lane.rd, h[:]); err != nil {
 		return err
 	}
 
@@ -232,7 +267,7 @@
 		return result.New(result.BodyTooLarge, "peer: message of %d bytes", n)
 	}
 	b := make([]byte, n)
-	if _, err := io.ReadFull(st.rd, b); err != nil {
+	if _, err := io.ReadFull(st.lane.rd, b); err != nil {
 		return err
 	}
 
@@ -244,7 +279,7 @@
 
 // Recv reads the next message of the answer. It returns io.EOF after the end mark alone.
 func (st *Stream) Recv(m proto.Message) error {
-	if st.ended {
+	if st.isEnded() {
 		return io.EOF
 	}
 
@@ -261,12 +296,13 @@
 		return proto.Unmarshal(fr.GetPayload(), m)
 	}
 
+	st.mu.Lock()
 	st.ended = true
-	if fr.GetCode() == 0 {
-		if len(fr.GetPayload()) > 0 {
-			return proto.Unmarshal(fr.GetPayload(), m)
-		}
-
+	st.mu.Unlock()
+	switch {
+	case fr.GetCode() == 0 && len(fr.GetPayload()) > 0:
+		return proto.Unmarshal(fr.GetPayload(), m)
+	case fr.GetCode() == 0:
 		return io.EOF
 	}
 
@@ -276,10 +312,62 @@
 	}
 }
 
-// Close ends the stream; the handler's context ends with it.
-func (st *Stream) Close() { _ = st.ys.Close() }
+func (st *Stream) isEnded() bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+
+	return st.ended
+}
+
+// Close ends the call; the handler's context ends with it. After the end mark the
+// lane is kept for another call.
+func (st *Stream) Close() {
+	st.mu.Lock()
+	defer st.mu.Unlock()
 
-// Open starts a call whose answer is read with Recv. The stream ends with ctx.
+	if st.released {
+		return
+	}
+	st.released = true
+	if st.single || !st.ended || !st.session.keep(st.lane) {
+		_ = st.lane.ys.Close()
+	}
+}
+
+// keep takes a lane back whose call has ended.
+func (se *Session) keep(la *lane) bool {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+
+	if len(se.idle) >= maxIdleLanes {
+		return false
+	}
+	se.idle = append(se.idle, la)
+
+	return true
+}
+
+// lane returns an idle lane, or a new one.
+func (se *Session) lane() (*lane, error) {
+	se.mu.Lock()
+	if n := len(se.idle); n > 0 {
+		la := se.idle[n-1]
+		se.idle = se.idle[:n-1]
+		se.mu.Unlock()
+
+		return la, nil
+	}
+	se.mu.Unlock()
+
+	ys, err := se.ys.OpenStream()
+	if err != nil {
+		return nil, err
+	}
+
+	return newLane(ys), nil
+}
+
+// Open starts a call whose answer is read with Recv. The caller closes the stream.
 func (se *Session) Open(ctx context.Context, method string, req proto.Message) (*Stream, error) {
 	payload, err := proto.Marshal(req)
 	if err != nil {
@@ -294,15 +382,15 @@
 	if left <= 0 {
 		return nil, result.New(result.DeadlinePassed, "peer: %s: %v", method, context.DeadlineExceeded)
 	}
-	ys, err := se.ys.OpenStream()
+	la, err := se.lane()
 	if err != nil {
 		return nil, result.New(result.BackendUnreachable, "peer: %s: %v", method, err)
 	}
 
-	st := &Stream{ys: ys, rd: bufio.NewReaderSize(ys, readBufferBytes), session: se}
-	_ = ys.SetDeadline(dl)
+	st := &Stream{lane: la, session: se, single: isRaw(method)}
+	_ = la.ys.SetDeadline(dl)
 	if err := st.write(&wire.Call{Method: method, TimeoutMs: uint32(left.Milliseconds()) + 1, Payload: payload}); err != nil {
-		_ = ys.Close()
+		st.Close()
 
 		return nil, result.New(result.BackendUnreachable, "peer: %s: %v", method, err).With(result.Unknown)
 	}
@@ -318,7 +406,7 @@
 	}
 	defer st.Close()
 
-	stop := context.AfterFunc(ctx, func() { _ = st.ys.SetDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(ctx, st.Close)
 	defer stop()
 
 	if err := st.Recv(reply); err != nil {
@@ -343,4 +431,4 @@
 func (st *Stream) Read(m proto.Message) error { return st.read(m) }
 
 // SetDeadline bounds the next reads and writes of a raw stream.
-func (st *Stream) SetDeadline(t time.Time) { _ = st.ys.SetDeadline(t) }
+func (st *Stream) SetDeadline(t time.Time) { _ = st.lane.ys.SetDeadline(t) }
