Never wait for a server that is left out when no other can run the request

Cause: after two failures a request avoided both engines that were left, and waited for a third until its deadline: a step hung for 60 s with nothing running. Behind it, suspects with the same prompt waited for their turn; one that had been cleared still ran alone, and an engine that failed often was left out for up to 8 s although it was one of two. Ruled out: the lanes between processes (the counters showed no call in flight), the ledger (the sample was pending, its attempt queued). Change: avoided servers are used when nothing else is ready; the share of servers left out is of those ready and each time at most 5 s; a suspect's state is read anew when its turn comes, and it is cleared before the next one's turn. Trainer idle time under crashes was made of these waits.

--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -197,7 +197,7 @@
 		ag.count(rq.GetWorkspace(), 1, 0)
 		head := &wire.ForwardPart{Status: uint32(status)}
 		for name, values := range h {
-			if plainservice.IsHopByHop(name) {
+			if plainservice.IsHopByHop(name) && name != "Content-Length" {
 				continue
 			}
 			for _, v := range values {
--- a/internal/endtoend/call_test.go
+++ b/internal/endtoend/call_test.go
@@ -79,6 +79,7 @@
 				Expect(again.header.Get("X-Replayed")).To(Equal("true"))
 				if first.err == nil && first.status == http.StatusOK {
 					Expect(again.body).To(Equal(first.body))
+					Expect(first.header.Get("Content-Length")).To(Equal(fmt.Sprint(len(first.body))), "the declared length is passed on")
 				}
 			} else {
 				Expect(again.Error.Execution).To(Equal("unknown"))
--- a/internal/endtoend/step_test.go
+++ b/internal/endtoend/step_test.go
@@ -61,6 +61,12 @@
 func (st *stage) collect(cl *client.Client, id string, pushed *int, during func()) *collector {
 	co := &collector{seen: map[string]int{}}
 	latest := *pushed
+	defer func() {
+		if len(co.samples) > 0 && st.ctx.Err() == nil {
+			return
+		}
+		st.explain() // what hung
+	}()
 	Expect(cl.Samples(st.ctx, id, func(ss []client.Sample) error {
 		co.take(latest, ss)
 		if during != nil {
@@ -75,6 +81,24 @@
 	return co
 }
 
+// explain writes what the gateways know when a step hangs.
+func (st *stage) explain() {
+	for i := range 3 {
+		ga := st.Gateway(i).Gateway()
+		GinkgoWriter.Println("gateway", i, "steps", ga.Rollouts().Running(), "ready", ga.Ready(), "version", ga.Group().View().Version)
+		for name, po := range ga.Pools() {
+			GinkgoWriter.Printf("  pool %s %+v\n", name, po.Infos())
+		}
+		var sb strings.Builder
+		_ = ga.Meter().WriteText(&sb)
+		for _, l := range strings.Split(sb.String(), "\n") {
+			if strings.Contains(l, "samples_again") || strings.Contains(l, "retry_") || strings.Contains(l, "wins") {
+				GinkgoWriter.Println("  ", l)
+			}
+		}
+	}
+}
+
 var _ = Describe("a step of a trainer", func() {
 	faults := []struct {
 		name   string
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -166,27 +166,32 @@
 			return nil, result.From(err).With(result.NotRun)
 		}
 	}
+	*suspect = false
 	if err := ga.quarantine(fp, suspect); err != nil {
 		unlock()
 
 		return nil, err
 	}
+	if !*suspect { // cleared meanwhile by the one before
+		unlock()
+
+		return func() {}, nil
+	}
 
 	return unlock, nil
 }
 
-// clearSuspect tells the group that a suspect has run to its end.
+// clearSuspect tells the group that a suspect has run to its end, before the next
+// request with the fingerprint has its turn.
 func (ga *Gateway) clearSuspect(fp string) {
 	if _, ok := ga.group.View().Quarantine[fp]; !ok {
 		return
 	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), clearTimeout)
-		defer cancel()
-		if err := ga.group.Propose(ctx, machine.KindCleared, quarantine.Cleared{Fingerprint: fp}, nil); err == nil {
-			ga.cfg.Meter.Count("quarantine.cleared")
-		}
-	}()
+	ctx, cancel := context.WithTimeout(context.Background(), clearTimeout)
+	defer cancel()
+	if err := ga.group.Propose(ctx, machine.KindCleared, quarantine.Cleared{Fingerprint: fp}, nil); err == nil {
+		ga.cfg.Meter.Count("quarantine.cleared")
+	}
 }
 
 func (ga *Gateway) handleFencing(ctx context.Context, st *peer.Stream) error {
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -339,11 +339,16 @@
 		return
 	}
 
-	_ = n.do(ctx, func(now time.Duration, re *consensus.Replica) error {
-		re.TransferLeadership(now)
+	err := n.do(ctx, func(now time.Duration, re *consensus.Replica) error {
+		if !re.TransferLeadership(now) {
+			return consensus.ErrLastVoter
+		}
 
 		return nil
 	})
+	if err != nil {
+		return // nobody is there to take over
+	}
 	for ctx.Err() == nil && n.getStatus().Role == consensus.RoleLeader.String() {
 		time.Sleep(tickPeriod)
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -199,16 +200,32 @@
 			rq.Affinity = i
 		}
 	}
-	if len(ti.Exclude) > 0 {
-		rq.Exclude = make([]int, 0, len(ti.Exclude))
-		for _, name := range ti.Exclude {
-			if i, ok := po.byName[name]; ok && len(po.cands) > 1 {
-				rq.Exclude = append(rq.Exclude, i)
-			}
+	rq.Exclude = po.excluded(now, ti)
+
+	return po.sched.Pick(now, po.cands, &rq)
+}
+
+// excluded returns the candidates that a request should avoid, none when no other
+// one could run it: a request does not wait for servers that may never come.
+func (po *Pool) excluded(now time.Duration, ti *Ticket) []int {
+	if len(ti.Exclude) == 0 {
+		return nil
+	}
+
+	out := make([]int, 0, len(ti.Exclude))
+	for _, name := range ti.Exclude {
+		if i, ok := po.byName[name]; ok {
+			out = append(out, i)
+		}
+	}
+	for i := range po.cands {
+		ca := &po.cands[i]
+		if ca.IsReady && ca.Sequence >= ti.MinSequence && now >= ca.EjectedUntil && !slices.Contains(out, i) {
+			return out
 		}
 	}
 
-	return po.sched.Pick(now, po.cands, &rq)
+	return nil
 }
 
 func (po *Pool) grant(now time.Duration, it *admission.Item, i int) {
--- /dev/null
+++ b/internal/pool/pool_test.go
@@ -0,0 +1,129 @@
+package pool_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarackbay/tamarackbay/internal/admission"
+	"github.com/tamarackbay/tamarackbay/internal/meter"
+	"github.com/tamarackbay/tamarackbay/internal/pool"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+	"github.com/tamarackbay/tamarackbay/internal/wire"
+)
+
+func TestPool(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "pool")
+}
+
+// bench is a pool whose clock the test moves.
+type bench struct {
+	*pool.Pool
+	now time.Duration
+	seq uint64
+}
+
+func newBench(servers int) *bench {
+	be := &bench{now: time.Hour}
+	be.Pool = pool.New(pool.Config{
+		Name: "m", FailureDomain: "a", Queue: admission.Config{IsFair: true}, Now: func() time.Duration { return be.now }, Meter: meter.New(),
+		ReportPeriod: func() time.Duration { return time.Second },
+		SequenceOf:   func(v string) uint64 { return map[string]uint64{"v1": 1, "v2": 2}[v] },
+	})
+	for i := range servers {
+		be.Announce(&wire.Announce{Server: fmt.Sprint("s", i), Incarnation: 1, Model: "m", Slots: 2}, nil)
+		be.report(i, "ready", "v1")
+	}
+
+	return be
+}
+
+func (be *bench) report(i int, state, version string) {
+	be.seq++
+	be.Load(&wire.Load{Server: fmt.Sprint("s", i), Incarnation: 1, Sequence: be.seq, State: state, Version: version}, 1)
+}
+
+func (be *bench) acquire(ti pool.Ticket) (*pool.Grant, error) {
+	ti.Workspace, ti.Weight, ti.Cost, ti.MaxQueued = "w", 1, 1, 100
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+
+	return be.Acquire(ctx, ti)
+}
+
+var _ = Describe("a pool", func() {
+	It("does not wait for other servers when all that could run a request are to be avoided", func() {
+		be := newBench(2)
+		gr, err := be.acquire(pool.Ticket{Exclude: []string{"s0"}})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(gr.Server().Name()).To(Equal("s1"))
+		_, err = be.acquire(pool.Ticket{Exclude: []string{"s0", "s1"}})
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("refuses at once what no server could run", func() {
+		be := newBench(1)
+		_, err := be.acquire(pool.Ticket{MinSequence: 2})
+		Expect(result.Is(err, result.NoEligibleVersion)).To(BeTrue())
+		be.report(0, "draining", "v1")
+		_, err = be.acquire(pool.Ticket{})
+		Expect(result.Is(err, result.NoBackendServer)).To(BeTrue())
+	})
+
+	It("gives slots back, and to those that wait", func() {
+		be := newBench(1)
+		first, err := be.acquire(pool.Ticket{})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = be.acquire(pool.Ticket{})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = be.acquire(pool.Ticket{})
+		Expect(result.Is(err, result.DeadlinePassed)).To(BeTrue(), "both slots are taken")
+		done := make(chan error)
+		go func() {
+			_, err := be.Acquire(context.Background(), pool.Ticket{Workspace: "w", Weight: 1, Cost: 1, MaxQueued: 10})
+			done <- err
+		}()
+		Eventually(func() int { return be.Demand().Waiting }).Should(Equal(1))
+		first.Release(pool.Succeeded)
+		first.Release(pool.Succeeded) // counts once
+		Eventually(done).Should(Receive(BeNil()))
+		Expect(be.Demand().Running).To(Equal(2))
+	})
+
+	It("takes silent servers out, and a new incarnation in place of the old one", func() {
+		be := newBench(1)
+		be.now += 5 * time.Second
+		be.Sweep()
+		_, err := be.acquire(pool.Ticket{})
+		Expect(result.Is(err, result.NoBackendServer)).To(BeTrue())
+		be.Announce(&wire.Announce{Server: "s0", Incarnation: 2, Model: "m", Slots: 2}, nil)
+		be.report(0, "ready", "v1") // of the old incarnation
+		_, err = be.acquire(pool.Ticket{})
+		Expect(result.Is(err, result.NoBackendServer)).To(BeTrue())
+		be.Load(&wire.Load{Server: "s0", Incarnation: 2, Sequence: 1, State: "ready", Version: "v1"}, 1)
+		_, err = be.acquire(pool.Ticket{})
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("asks for the whole cache after a gap in its events", func() {
+		be := newBench(1)
+		load := func(seqs ...uint64) bool {
+			be.seq++
+			lo := &wire.Load{Server: "s0", Incarnation: 1, Sequence: be.seq, State: "ready", Version: "v1"}
+			for _, s := range seqs {
+				lo.CacheEvents = append(lo.CacheEvents, &wire.CacheEvent{Sequence: s, Prefix: s})
+			}
+
+			return be.Load(lo, 1)
+		}
+		Expect(load(1, 2, 3)).To(BeFalse())
+		Expect(load(3, 4)).To(BeFalse(), "sent again")
+		Expect(load(6)).To(BeTrue())
+		Expect(load(1, 2)).To(BeFalse(), "everything anew")
+	})
+})
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -93,6 +93,9 @@
 	return &Scheduler{cfg: cfg, random: random}
 }
 
+// maxEjection bounds how long an outlier is left out at once.
+const maxEjection = 5 * time.Second
+
 // NoCandidate is returned by Pick when no candidate has room.
 const NoCandidate = -1
 
@@ -233,14 +236,17 @@
 		return
 	}
 
-	ejected := 1
+	ejected, ready := 1, 0
 	for j := range cands {
+		if cands[j].IsReady {
+			ready++
+		}
 		if j != i && now < cands[j].EjectedUntil {
 			ejected++
 		}
 	}
-	if float64(ejected) <= sc.cfg.MaxEjectedPart*float64(len(cands)) {
-		ca.EjectedUntil = now + time.Duration(ca.Failures)*time.Second
+	if float64(ejected) <= sc.cfg.MaxEjectedPart*float64(ready) {
+		ca.EjectedUntil = now + min(time.Duration(ca.Failures)*time.Second, maxEjection)
 	}
 }
 
