Join what completions and forwards wrote twice; answer header floods and slow bodies

Cause: placing a request and judging its failure stood in two files; the client had an error type made to fool its own retry loop; a caller that sent half a body got no answer, since the library waited for the rest before it wrote one, and a flood of headers got the library's unnumbered answer. Change: one placement serves both paths, the client's loop takes the rule of what may be repeated, large files are split by concern; a slow body's deadline stays in force and its connection closes; headers over the limit get code 1012.

--- /dev/null
+++ b/internal/deployment/servers.go
@@ -0,0 +1,193 @@
+package deployment
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/tamarackbay/tamarackbay/internal/declaration"
+	"github.com/tamarackbay/tamarackbay/internal/fake"
+	"github.com/tamarackbay/tamarackbay/internal/program"
+	"github.com/tamarackbay/tamarackbay/internal/settings"
+)
+
+// startOrdered is called by the ordering interface.
+func (de *Deployment) startOrdered(server, class, failureDomain, orderID string) {
+	time.Sleep(de.cfg.Startup)
+	cl, ok := de.cfg.Declarations.Classes[class]
+	if !ok {
+		return
+	}
+	if err := de.StartServer(server, class, cl, failureDomain, orderID); err != nil {
+		de.cfg.Log.WithError(err).Error("a backend server did not start")
+	}
+}
+
+// StartServer starts a backend server with its agent.
+func (de *Deployment) StartServer(server, class string, cl declaration.Class, failureDomain, orderID string) error {
+	var se settings.Agent
+	settings.Defaults(&se)
+	se.Server, se.Class, se.FailureDomain, se.Slots, se.Order = server, class, failureDomain, cl.Slots, orderID
+	se.Model, se.Service, se.ChecksFencing, se.Bind = cl.Model, cl.Service, cl.ChecksFencing, "127.0.0.1"
+	for i := range de.settings {
+		se.Gateways = append(se.Gateways, de.settings[i].PeerAddress)
+	}
+
+	de.mu.Lock()
+	defer de.mu.Unlock()
+	if de.isClosed {
+		return nil
+	}
+	if cl.Model != "" {
+		ec := de.cfg.Engine
+		ec.Model, ec.Slots, ec.ChecksFencing, ec.Store = cl.Model, cl.Slots, cl.ChecksFencing, de.Store
+		en, err := fake.NewEngine("127.0.0.1:0", ec)
+		if err != nil {
+			return err
+		}
+		de.engines[server], se.Address = en, en.Address()
+	} else {
+		sv, err := fake.NewService("127.0.0.1:0", de.cfg.ServiceDelay)
+		if err != nil {
+			return err
+		}
+		de.services[server], se.Address = sv, sv.Address()
+	}
+	pa, err := program.StartAgent(se, de.cfg.Log)
+	if err != nil {
+		return err
+	}
+	de.agents[server] = pa
+
+	return nil
+}
+
+// StopServer stops a backend server and its agent.
+func (de *Deployment) StopServer(server string) {
+	de.mu.Lock()
+	pa, en, sv := de.agents[server], de.engines[server], de.services[server]
+	delete(de.agents, server)
+	delete(de.engines, server)
+	if en != nil {
+		de.past = append(de.past, en)
+	}
+	de.mu.Unlock()
+	if pa != nil {
+		pa.Shutdown()
+	}
+	if en != nil {
+		en.Close()
+	}
+	if sv != nil {
+		sv.Close()
+	}
+}
+
+// KillServer ends a backend server and its agent as the loss of a VM would.
+func (de *Deployment) KillServer(server string) {
+	de.mu.Lock()
+	pa, en := de.agents[server], de.engines[server]
+	delete(de.agents, server)
+	delete(de.engines, server)
+	if en != nil {
+		de.past = append(de.past, en)
+	}
+	de.mu.Unlock()
+	if en != nil {
+		en.Close()
+	}
+	if pa != nil {
+		pa.Kill()
+	}
+}
+
+// Engines returns the engines that run, by name.
+func (de *Deployment) Engines() map[string]*fake.Engine {
+	de.mu.Lock()
+	defer de.mu.Unlock()
+
+	out := map[string]*fake.Engine{}
+	for n, en := range de.engines {
+		out[n] = en
+	}
+
+	return out
+}
+
+// AllEngines returns every engine that ever ran.
+func (de *Deployment) AllEngines() []*fake.Engine {
+	de.mu.Lock()
+	defer de.mu.Unlock()
+
+	out := append([]*fake.Engine(nil), de.past...)
+	for _, en := range de.engines {
+		out = append(out, en)
+	}
+
+	return out
+}
+
+// Services returns every plain service that ever ran.
+func (de *Deployment) Services() map[string]*fake.Service {
+	de.mu.Lock()
+	defer de.mu.Unlock()
+
+	out := map[string]*fake.Service{}
+	for n, sv := range de.services {
+		out[n] = sv
+	}
+
+	return out
+}
+
+// Agent returns the agent of a backend server.
+func (de *Deployment) Agent(server string) *program.Agent {
+	de.mu.Lock()
+	defer de.mu.Unlock()
+
+	return de.agents[server]
+}
+
+// WaitServers waits until every gateway that runs sees n ready backend servers
+// that serve, with a verified version where version is set.
+func (de *Deployment) WaitServers(ctx context.Context, serves string, n int, version string) error {
+	return Until(ctx, func() error {
+		for i := range de.settings {
+			pg := de.Gateway(i)
+			select {
+			case <-pg.Done():
+				continue
+			default:
+			}
+			ready := 0
+			po, ok := pg.Gateway().Pools()[serves]
+			if ok {
+				for _, in := range po.Infos() {
+					if in.State == "ready" && (version == "" || in.Version == version) {
+						ready++
+					}
+				}
+			}
+			if ready < n {
+				return fmt.Errorf("deployment: gateway %d sees %d of %d ready servers of %s at version %q", i+1, ready, n, serves, version)
+			}
+		}
+
+		return nil
+	})
+}
+
+// Until calls f until it returns nil or ctx ends, then returns its last error.
+func Until(ctx context.Context, f func() error) error {
+	for {
+		err := f()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-time.After(20 * time.Millisecond):
+		case <-ctx.Done():
+			return err
+		}
+	}
+}
--- a/internal/endtoend/call_test.go
+++ b/internal/endtoend/call_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/deployment"
 	"github.com/tamarackbay/tamarackbay/internal/fake"
 	"github.com/tamarackbay/tamarackbay/internal/result"
+	"github.com/tamarackbay/tamarackbay/internal/settings"
 )
 
 var _ = Describe("a request that may not be repeated", func() {
@@ -197,10 +199,11 @@
 		{"a page from the future", "alpha", "GET", "/v1/steps/bad/pages/7?waitMs=1", "", nil, result.PageFromFuture},
 		{"page zero", "alpha", "GET", "/v1/steps/bad/pages/0", "", nil, result.InvalidField},
 		{"a path that is not served", "alpha", "GET", "/v2", "", nil, result.UnknownRoute},
+		{"headers over the limit", "alpha", "GET", "/r/repeat/x", "", []string{"X-Flood", strings.Repeat("x", 40_000)}, result.HeaderTooLarge},
 		{"a method that is not taken", "alpha", "GET", "/v1/completions", "", nil, result.MethodNotAllowed},
 	}
 	It("carries a numbered code for each kind of bad input", func() {
-		st := newStage(stageConfig{services: 1})
+		st := newStage(stageConfig{services: 1, tune: func(se *settings.Gateway) { se.Times.BodyMs = 300 }})
 		open := st.send(0, "alpha", "POST", "/v1/steps", `{"id":"bad","trainer":"t","groups":[{"id":"g","prompt":"p","samples":1,"maxTokens":4}]}`)
 		Expect(open.status).To(Equal(http.StatusOK), "%+v", open)
 		for _, tc := range bad {
@@ -210,6 +213,9 @@
 			Expect(an.status).To(Equal(result.Lookup(tc.want).Status), tc.name)
 			Expect(an.Error.Execution).To(Equal("notRun"), tc.name)
 		}
+		slow := st.rawRequest(0, "POST /r/repeat/slow HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+st.token["alpha"]+"\r\nContent-Length: 10\r\n\r\nhalf")
+		Expect(slow).To(ContainSubstring(`"name":"bodyTooSlow"`))
+		Expect(st.runs("slow")).To(BeZero())
 		Expect(st.send(0, "none", "GET", "/r/open/x", "").status).To(Equal(http.StatusOK), "an open route needs no key")
 	})
 })
--- a/internal/endtoend/suite_test.go
+++ b/internal/endtoend/suite_test.go
@@ -215,15 +215,17 @@
 	return (ld + 1) % 3
 }
 
-// rawRequest writes bytes to a gateway and reads what it answers until it closes or is silent.
-func (st *stage) rawRequest(i int, text string) {
+// rawRequest writes bytes to a gateway and returns what it answers until it closes or is silent.
+func (st *stage) rawRequest(i int, text string) string {
 	conn, err := net.Dial("tcp", st.Settings(i).CallerAddress)
 	Expect(err).NotTo(HaveOccurred())
 	defer conn.Close()
 	_, err = conn.Write([]byte(text))
 	Expect(err).NotTo(HaveOccurred())
-	Expect(conn.SetReadDeadline(time.Now().Add(300 * time.Millisecond))).To(Succeed())
-	_, _ = io.ReadAll(conn) // the answer does not matter, only what reached the service
+	Expect(conn.SetReadDeadline(time.Now().Add(time.Second))).To(Succeed())
+	b, _ := io.ReadAll(conn) // a gateway may keep the connection open
+
+	return string(b)
 }
 
 // startWith starts a gateway with other settings and returns why it did not go on.
--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -84,17 +84,14 @@
 	}, nil
 }
 
+// promptBytesPerCost is the length of a prompt that counts as one token to be generated.
+const promptBytesPerCost = 64
+
 // run is one completion on its way through attempts.
 type run struct {
-	ga          *Gateway
-	po          *pool.Pool
-	co          Completion
-	id          string
-	deadline    time.Duration
-	fingerprint string
-	suspect     bool
-	exclude     []string
-	onPart      func(requestID string, part *wire.RunChunk) error
+	placement
+	co     Completion
+	onPart func(requestID string, part *wire.RunChunk) error
 
 	text    strings.Builder
 	written Written
@@ -110,10 +107,12 @@
 	ctx, cancel, deadline := ga.deadline(ctx, co.Timeout)
 	defer cancel()
 
-	rn := &run{
-		ga: ga, po: po, co: co, id: ga.newRequestID(), deadline: deadline, onPart: onPart, exclude: co.Exclude,
+	rn := &run{co: co, onPart: onPart, placement: placement{
+		ga: ga, po: po, id: ga.newRequestID(), workspace: co.Workspace, class: co.Class,
+		cost: float64(co.MaxTokens) + float64(len(co.Prompt))/promptBytesPerCost, deadline: deadline,
+		minSequence: co.MinSequence, newestFirst: co.IsSample, prefix: xxhash.Sum64String(co.Prompt), exclude: co.Exclude,
 		fingerprint: fingerprint(co.Model, co.Prompt, fmt.Sprint(co.MaxTokens)),
-	}
+	}}
 	rn.written.RequestID = rn.id
 	key := co.Route + "/" + co.Workspace
 	ga.mu.Lock()
@@ -197,26 +196,11 @@
 // attempt runs one attempt on one backend server, going on from the tokens that
 // earlier attempts delivered.
 func (rn *run) attempt(ctx context.Context, n uint32) error {
-	done, err := rn.ga.judge(ctx, rn.fingerprint, &rn.suspect)
+	gr, done, err := rn.place(ctx)
 	if err != nil {
 		return err
 	}
 	defer done()
-	wo := rn.ga.group.View().Set.Workspaces[rn.co.Workspace]
-	gr, err := rn.po.Acquire(ctx, pool.Ticket{
-		Workspace: rn.co.Workspace, Weight: max(wo.Weight, 0.001), Class: declaration.ClassRank(rn.co.Class),
-		Cost: float64(rn.co.MaxTokens) + float64(len(rn.co.Prompt))/64, Deadline: rn.deadline, MaxQueued: max(wo.MaxQueued, 1),
-		MinSequence: rn.co.MinSequence, NewestFirst: rn.co.IsSample, Prefix: xxhash.Sum64String(rn.co.Prompt),
-		IsSuspect: rn.suspect, Exclude: rn.exclude, Fingerprint: rn.fingerprint,
-	})
-	if err != nil {
-		if er := causeOf(ctx); er != nil {
-			return er
-		}
-
-		return err
-	}
-	rn.ga.cfg.Meter.Time("queue.wait", gr.Waited())
 
 	err = rn.stream(ctx, gr, n)
 	if err != nil && rn.assumed {
@@ -243,37 +227,13 @@
 	rn.text.WriteString(rn.before.Text)
 }
 
-// finish gives the slot back and remembers what a failure says of the server.
-func (rn *run) finish(gr *pool.Grant, err error) {
-	if err == nil {
-		gr.Release(pool.Succeeded)
-		if rn.suspect {
-			rn.ga.clearSuspect(rn.fingerprint)
-		}
-
-		return
-	}
-
-	er := result.From(err)
-	switch er.Code {
-	case result.WithdrawnKey, result.ExpiredKey, result.DeadlinePassed, result.BackendRefused, result.ServerDraining:
-		gr.Release(pool.Unused)
-	default:
-		gr.Release(pool.Failed)
-	}
-	if er.Code == result.BackendCrashed {
-		rn.suspect = true
-	}
-	rn.exclude = append(rn.exclude, gr.Server().Name())
-}
-
 // stream sends the attempt to the agent and takes the parts.
 func (rn *run) stream(ctx context.Context, gr *pool.Grant, n uint32) error {
 	st, err := gr.Server().Session().Open(ctx, agent.MethodRun, &wire.RunRequest{
 		RequestId: rn.id, Attempt: n, Workspace: rn.co.Workspace, Model: rn.co.Model, Prompt: rn.co.Prompt,
 		MaxTokens: rn.co.MaxTokens - min(rn.written.Tokens, rn.co.MaxTokens-1), Temperature: rn.co.Temperature, Seed: rn.co.Seed,
 		Priority: uint32(declaration.ClassRank(rn.co.Class)), ResumeText: rn.text.String(), ResumeTokens: rn.written.Tokens,
-		Sample: rn.co.IsSample, Fingerprint: rn.fingerprint, Suspect: rn.suspect, CacheKey: xxhash.Sum64String(rn.co.Prompt),
+		Sample: rn.co.IsSample, Fingerprint: rn.fingerprint, Suspect: rn.suspect, CacheKey: rn.prefix,
 	})
 	if err != nil {
 		return err
@@ -302,14 +262,7 @@
 			return nil
 		}
 		if err != nil {
-			if er := causeOf(ctx); er != nil {
-				return er.With(result.Unknown)
-			}
-			if ctx.Err() != nil {
-				return result.New(result.DeadlinePassed, "the deadline passed while the request ran").With(result.Unknown)
-			}
-
-			return err
+			return received(ctx, err)
 		}
 		if err := rn.take(&part); err != nil {
 			return err
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -63,8 +63,10 @@
 	ctx, cancel, deadline := ga.deadline(ctx, fo.Timeout)
 	defer cancel()
 
-	f := &forward{ga: ga, po: po, fo: fo, rep: rep, id: ga.newRequestID(), deadline: deadline}
-	f.fingerprint = fingerprint(fo.Route.Service, fo.Method, fo.Path, fo.Query, string(fo.Body))
+	f := &forward{fo: fo, rep: rep, placement: placement{
+		ga: ga, po: po, id: ga.newRequestID(), workspace: fo.Caller.Workspace, class: fo.Route.Class, cost: 1, deadline: deadline,
+		fingerprint: fingerprint(fo.Route.Service, fo.Method, fo.Path, fo.Query, string(fo.Body)),
+	}}
 	if fo.Route.Repeatable || fo.IdempotencyKey == "" {
 		return f.run(ctx)
 	}
@@ -123,16 +125,10 @@
 
 // forward is one request to a plain service on its way through attempts.
 type forward struct {
-	ga          *Gateway
-	po          *pool.Pool
-	fo          Forward
-	rep         Reply
-	id          string
-	deadline    time.Duration
-	fingerprint string
-	suspect     bool
-	exclude     []string
-	headSent    bool
+	placement
+	fo       Forward
+	rep      Reply
+	headSent bool
 }
 
 // run makes attempts until one ends the request.
@@ -162,24 +158,11 @@
 }
 
 func (f *forward) attempt(ctx context.Context, n uint32) error {
-	done, err := f.ga.judge(ctx, f.fingerprint, &f.suspect)
+	gr, done, err := f.place(ctx)
 	if err != nil {
 		return err
 	}
 	defer done()
-	wo := f.ga.group.View().Set.Workspaces[f.fo.Caller.Workspace]
-	gr, err := f.po.Acquire(ctx, pool.Ticket{
-		Workspace: f.fo.Caller.Workspace, Weight: max(wo.Weight, 0.001), Class: declaration.ClassRank(f.fo.Route.Class),
-		Cost: 1, Deadline: f.deadline, MaxQueued: max(wo.MaxQueued, 1), IsSuspect: f.suspect, Exclude: f.exclude,
-		Fingerprint: f.fingerprint,
-	})
-	if err != nil {
-		if er := causeOf(ctx); er != nil {
-			return er
-		}
-
-		return err
-	}
 
 	err = f.send(ctx, gr, n)
 	f.finish(gr, err)
@@ -187,26 +170,6 @@
 	return err
 }
 
-func (f *forward) finish(gr *pool.Grant, err error) {
-	if err == nil {
-		gr.Release(pool.Succeeded)
-		if f.suspect {
-			f.ga.clearSuspect(f.fingerprint)
-		}
-
-		return
-	}
-
-	er := result.From(err)
-	oc := pool.Failed
-	if er.Code == result.ServerDraining || er.Code == result.WithdrawnKey || er.Code == result.DeadlinePassed {
-		oc = pool.Unused
-	}
-	gr.Release(oc)
-	f.suspect = f.suspect || er.Code == result.BackendCrashed
-	f.exclude = append(f.exclude, gr.Server().Name())
-}
-
 func (f *forward) send(ctx context.Context, gr *pool.Grant, n uint32) error {
 	rq := &wire.ForwardRequest{
 		RequestId: f.id, Attempt: n, Workspace: f.fo.Caller.Workspace, Method: f.fo.Method, Path: f.fo.Path,
@@ -244,14 +207,7 @@
 			return nil
 		}
 		if err != nil {
-			if er := causeOf(ctx); er != nil {
-				return er.With(result.Unknown)
-			}
-			if ctx.Err() != nil {
-				return result.New(result.DeadlinePassed, "the deadline passed while the request ran").With(result.Unknown)
-			}
-
-			return err
+			return received(ctx, err)
 		}
 		if part.GetStatus() != 0 {
 			head = wire.ForwardPart{Status: part.GetStatus(), Headers: part.GetHeaders()}
--- /dev/null
+++ b/internal/gateway/place.go
@@ -0,0 +1,89 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/tamarackbay/tamarackbay/internal/declaration"
+	"github.com/tamarackbay/tamarackbay/internal/pool"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+)
+
+// placement is what the attempts of one request share: where it may run, what is
+// known of its fingerprint, and which backend servers failed it.
+type placement struct {
+	ga          *Gateway
+	po          *pool.Pool
+	id          string
+	workspace   string
+	class       string
+	cost        float64
+	deadline    time.Duration
+	minSequence uint64
+	newestFirst bool
+	prefix      uint64
+	fingerprint string
+	suspect     bool
+	exclude     []string
+}
+
+// place waits for the request's turn and for a backend server. The returned
+// function ends the turn of a suspect.
+func (pl *placement) place(ctx context.Context) (*pool.Grant, func(), error) {
+	done, err := pl.ga.judge(ctx, pl.fingerprint, &pl.suspect)
+	if err != nil {
+		return nil, nil, err
+	}
+
+	wo := pl.ga.group.View().Set.Workspaces[pl.workspace]
+	gr, err := pl.po.Acquire(ctx, pool.Ticket{
+		Workspace: pl.workspace, Weight: max(wo.Weight, 0.001), Class: declaration.ClassRank(pl.class), Cost: pl.cost,
+		Deadline: pl.deadline, MaxQueued: max(wo.MaxQueued, 1), MinSequence: pl.minSequence, NewestFirst: pl.newestFirst,
+		Prefix: pl.prefix, IsSuspect: pl.suspect, Exclude: pl.exclude, Fingerprint: pl.fingerprint,
+	})
+	if err != nil {
+		done()
+		if er := causeOf(ctx); er != nil {
+			return nil, nil, er
+		}
+
+		return nil, nil, err
+	}
+	pl.ga.cfg.Meter.Time("queue.wait", gr.Waited())
+
+	return gr, done, nil
+}
+
+// finish gives the slot back and remembers what a failure says of the server.
+func (pl *placement) finish(gr *pool.Grant, err error) {
+	if err == nil {
+		gr.Release(pool.Succeeded)
+		if pl.suspect {
+			pl.ga.clearSuspect(pl.fingerprint)
+		}
+
+		return
+	}
+
+	er := result.From(err)
+	switch er.Code {
+	case result.WithdrawnKey, result.ExpiredKey, result.StaleProcess, result.DeadlinePassed, result.BackendRefused, result.ServerDraining:
+		gr.Release(pool.Unused)
+	default:
+		gr.Release(pool.Failed)
+	}
+	pl.suspect = pl.suspect || er.Code == result.BackendCrashed
+	pl.exclude = append(pl.exclude, gr.Server().Name())
+}
+
+// received turns a failure while an answer was read into the one that ended ctx, if it did.
+func received(ctx context.Context, err error) error {
+	if er := causeOf(ctx); er != nil {
+		return er.With(result.Unknown)
+	}
+	if ctx.Err() != nil {
+		return result.New(result.DeadlinePassed, "the deadline passed while the request ran").With(result.Unknown)
+	}
+
+	return err
+}
--- a/internal/handlers/caller.go
+++ b/internal/handlers/caller.go
@@ -21,6 +21,7 @@
 func NewCallers(ga *gateway.Gateway) http.Handler {
 	ca := &Callers{ga: ga}
 	r := chi.NewRouter()
+	r.Use(limitHeader(ga.Settings().MaxHeaderBytes, ca.refuse))
 	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 	r.Get("/readyz", ca.ready)
 	r.Post("/v1/completions", ca.withCaller(ca.completions))
--- a/internal/handlers/http.go
+++ b/internal/handlers/http.go
@@ -53,7 +53,12 @@
 func readBody(w http.ResponseWriter, r *http.Request, limit int64, timeout time.Duration) ([]byte, error) {
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(timeout))
 	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	if err == nil {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	} else {
+		// The deadline stays: the library would wait for the rest of the body before it answers.
+		w.Header().Set("Connection", "close")
+	}
 
 	var tooLarge *http.MaxBytesError
 	var ne net.Error
@@ -108,3 +113,23 @@
 
 	return min(timeout, time.Duration(ms)*time.Millisecond), nil
 }
+
+// limitHeader refuses requests whose headers are over limit bytes.
+func limitHeader(limit int, refuse func(w http.ResponseWriter, err error)) func(http.Handler) http.Handler {
+	return func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			n := len(r.RequestURI)
+			for name, values := range r.Header {
+				for _, v := range values {
+					n += len(name) + len(v)
+				}
+			}
+			if n > limit {
+				refuse(w, result.New(result.HeaderTooLarge, "headers of %d bytes, %d are taken", n, limit))
+
+				return
+			}
+			next.ServeHTTP(w, r)
+		})
+	}
+}
--- a/internal/handlers/operator.go
+++ b/internal/handlers/operator.go
@@ -33,6 +33,7 @@
 func NewOperators(ga *gateway.Gateway) http.Handler {
 	op := &Operators{ga: ga}
 	r := chi.NewRouter()
+	r.Use(limitHeader(ga.Settings().MaxHeaderBytes, op.refuse))
 	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 	r.Get("/metrics", op.metrics)
 	r.Get("/v1/configuration", op.withOperator(op.configuration))
--- /dev/null
+++ b/internal/pool/view.go
@@ -0,0 +1,72 @@
+package pool
+
+// Demand is what the fleet sizes a pool by.
+type Demand struct {
+	Waiting     int     // requests
+	WaitingCost float64 // tokens, or requests of a plain service
+	Arrived     float64 // cost since the last call
+	Running     int     // in flight from this gateway
+}
+
+// Demand returns the demand since the last call.
+func (po *Pool) Demand() Demand {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+
+	de := Demand{Waiting: po.queue.Len(), WaitingCost: po.queue.Cost(), Arrived: po.arrived}
+	po.arrived = 0
+	for i := range po.cands {
+		de.Running += po.cands[i].Mine
+	}
+
+	return de
+}
+
+// Gateways returns the number of gateways that share the backend servers.
+func (po *Pool) Gateways() int {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+
+	return po.gateways
+}
+
+// Find returns a backend server by name.
+func (po *Pool) Find(name string) (*Server, bool) {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+
+	i, ok := po.byName[name]
+	if !ok {
+		return nil, false
+	}
+
+	return po.servers[i], true
+}
+
+// Infos describes the backend servers.
+func (po *Pool) Infos() []Info {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+
+	now := po.cfg.Now()
+	out := make([]Info, 0, len(po.servers))
+	for i, se := range po.servers {
+		an := se.announce
+		in := Info{
+			Server: se.Name(), Incarnation: se.Incarnation(), Class: an.GetClass(), Serves: an.GetModel() + an.GetService(),
+			FailureDomain: an.GetFailureDomain(), State: StateStarting, Slots: int(an.GetSlots()),
+			InFlight: po.cands[i].Mine, Order: an.GetOrder(), HeardAgoMs: (now - se.heard).Milliseconds(),
+			Failures: po.cands[i].Failures, ChecksFencing: an.GetChecksFencing(),
+		}
+		if se.load != nil {
+			in.State, in.Version, in.LoadedVersion = se.load.GetState(), se.load.GetVersion(), se.load.GetLoadedVersion()
+			in.Running = int(se.load.GetRunning())
+		}
+		if now > se.heard+po.lapse() {
+			in.State = StateSuspect
+		}
+		out = append(out, in)
+	}
+
+	return out
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -6,6 +6,8 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"io"
+	stdlog "log"
 	"net"
 	"net/http"
 	"strings"
@@ -30,6 +32,7 @@
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
 	handOverTimeout   = 3 * time.Second
+	headerFlood       = 8
 )
 
 // Gateway is a running gateway process with its listeners.
@@ -106,8 +109,10 @@
 
 func newServer(h http.Handler, maxHeader int) *http.Server {
 	return &http.Server{
-		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-		ErrorLog: nil,
+		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		// Up to this size the handlers answer with a numbered error, beyond it the library does.
+		MaxHeaderBytes: headerFlood * maxHeader,
+		ErrorLog:       stdlog.New(io.Discard, "", 0), // broken connections are counted by their requests
 	}
 }
 
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -43,6 +43,7 @@
 	IdempotencyReused  Code = 1009
 	CallInFlight       Code = 1010
 	CallOutcomeUnknown Code = 1011
+	HeaderTooLarge     Code = 1012
 
 	MissingKey        Code = 2001
 	UnknownKey        Code = 2002
@@ -124,6 +125,7 @@
 	{IdempotencyReused, "idempotencyReused", http.StatusConflict, "the idempotency key was used with another request"},
 	{CallInFlight, "callInFlight", http.StatusConflict, "the first request with this idempotency key is still running"},
 	{CallOutcomeUnknown, "callOutcomeUnknown", http.StatusConflict, "the first request with this idempotency key may have run; it is never run again"},
+	{HeaderTooLarge, "headerTooLarge", http.StatusRequestHeaderFieldsTooLarge, "the headers are over the limit of the settings"},
 	{MissingKey, "missingKey", http.StatusUnauthorized, "the route wants a key"},
 	{UnknownKey, "unknownKey", http.StatusUnauthorized, "the key is not one of ours"},
 	{WithdrawnKey, "withdrawnKey", http.StatusUnauthorized, "the key was withdrawn"},
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -64,7 +64,9 @@
 
 // Names of refusals that the client handles itself.
 const (
-	nameStepOver = "stepOver"
+	nameStepOver     = "stepOver"
+	nameCallInFlight = "callInFlight"
+	executionNotRun  = "notRun"
 )
 
 func (cl *Client) base() string {
@@ -144,11 +146,11 @@
 	return er.Status == http.StatusTooManyRequests || er.Status >= http.StatusInternalServerError
 }
 
-// again repeats an idempotent call until it ends or ctx does.
-func (cl *Client) again(ctx context.Context, call func() error) error {
+// again repeats a call while mayRepeat says so, until it ends or ctx does.
+func (cl *Client) again(ctx context.Context, mayRepeat func(err error) bool, call func() error) error {
 	for wait := minBackoff; ; wait = min(2*wait, maxBackoff) {
 		err := call()
-		if err == nil || !isTemporary(err) {
+		if err == nil || !mayRepeat(err) {
 			return err
 		}
 		d := wait
@@ -170,7 +172,7 @@
 		return err
 	}
 
-	return cl.again(ctx, func() error {
+	return cl.again(ctx, isTemporary, func() error {
 		_, b, err := cl.once(ctx, http.MethodPost, path, body, http.Header{"Content-Type": {"application/json"}})
 		if err != nil || out == nil {
 			return err
@@ -285,46 +287,24 @@
 		h.Set("Idempotency-Key", idempotencyKey)
 	}
 
-	var out []byte
-	err := cl.again(ctx, func() error {
-		_, b, err := cl.once(ctx, method, "/r/"+route+path, body, h)
-		out = b
+	mayRepeat := func(err error) bool {
 		var er *Error
 		switch {
-		case err == nil:
-			return nil
-		case errors.As(err, &er) && (er.Execution == "notRun" || er.Name == "callInFlight"):
-			if er.Name == "callInFlight" {
-				er.Status = http.StatusServiceUnavailable // its answer can be fetched once it is there
-			}
-
-			return err
-		case idempotencyKey != "" && !errors.As(err, &er):
-			return err
+		case !errors.As(err, &er): // the answer is lost
+			return idempotencyKey != ""
+		case er.Name == nameCallInFlight: // the first request's answer can be fetched once it is there
+			return true
 		}
 
-		return &finalError{err}
-	})
-	var fe *finalError
-	if errors.As(err, &fe) {
-		return nil, fe.err
+		return er.Execution == executionNotRun && isTemporary(err)
 	}
+	var out []byte
+	err := cl.again(ctx, mayRepeat, func() error {
+		_, b, err := cl.once(ctx, method, "/r/"+route+path, body, h)
+		out = b
 
-	return out, err
-}
-
-// finalError ends the repetition of a request that may have run.
-type finalError struct{ err error }
-
-func (fe *finalError) Error() string { return fe.err.Error() }
-
-// As makes a finalError look like a refusal that is not temporary.
-func (fe *finalError) As(target any) bool {
-	if er, ok := target.(**Error); ok {
-		*er = &Error{Name: "final", Status: http.StatusConflict}
-
-		return true
-	}
+		return err
+	})
 
-	return false
+	return out, err
 }
