Order backend servers for requests that were refused for want of one

Ruled out: the planner (its tables hold), the ordering interface (it had no order). Change: a pool counts such refusals as waiting for two periods of the fleet, which the client's return bridges.

--- a/cmd/tamarackbay/experiment.go
+++ b/cmd/tamarackbay/experiment.go
@@ -17,6 +17,7 @@
 
 Examples:
   tamarackbay experiment --workload consortium
+  tamarackbay experiment --spending --duration 30s
   tamarackbay experiment --policy current --policy noFairness --repetitions 5`
 
 func addExperiment(app *kingpin.Application) []command {
@@ -26,10 +27,19 @@
 	c.Flag("duration", "Time of one run.").Default("10s").DurationVar(&cfg.Duration)
 	c.Flag("repetitions", "Runs of each policy.").Default("3").IntVar(&cfg.Repetitions)
 	c.Flag("policy", "Policy to run, all by default; may be repeated.").StringsVar(&cfg.Policies)
+	spending := c.Flag("spending", "Compare the fleet's sizing over a day's load curve compressed to --duration.").Bool()
 	plotFile := c.Flag("plot", "PNG or SVG file to write.").String()
 
 	return []command{{c, func() error {
 		cfg.Out = os.Stderr
+		if *spending {
+			all, err := experiment.RunSpending(context.Background(), cfg.Duration, cfg.Repetitions, os.Stderr)
+			if err == nil {
+				experiment.WriteSpending(os.Stdout, all)
+			}
+
+			return err
+		}
 		ocs, err := experiment.Run(context.Background(), cfg)
 		if err != nil {
 			return err
--- a/internal/capacity/groups.go
+++ b/internal/capacity/groups.go
@@ -9,11 +9,14 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/tamarackbay/tamarackbay/internal/consensus"
 	"github.com/tamarackbay/tamarackbay/internal/declaration"
 	"github.com/tamarackbay/tamarackbay/internal/group"
 	"github.com/tamarackbay/tamarackbay/internal/machine"
 	"github.com/tamarackbay/tamarackbay/internal/storage"
+	"github.com/tamarackbay/tamarackbay/internal/wire"
 )
 
 // Figure is one measured value that is no slope.
@@ -98,11 +101,23 @@
 
 	before = cpuTime()
 	time.Sleep(idleTime)
-	out = append(out, Figure{"CPU of an idle voter", "share of a core", (cpuTime() - before).Seconds() / idleTime.Seconds() / 3})
+	out = append(out, heartbeatBytes(), Figure{"CPU of an idle voter", "share of a core", (cpuTime() - before).Seconds() / idleTime.Seconds() / 3})
 
 	return out, nil
 }
 
+// heartbeatBytes is what one heartbeat and its reply take, each in one frame of a raw stream.
+func heartbeatBytes() Figure {
+	const framing = 4 + 12 // length prefix and yamux header
+	id := "gateway-1-0123456789abcdef"
+	ap, _ := proto.Marshal(&wire.ConsensusMessage{
+		Kind: 5, Group: 1, From: id, To: id, Term: 100, Index: 1 << 24, LogTerm: 100, Commit: 1 << 24, Round: 1 << 20,
+	})
+	rep, _ := proto.Marshal(&wire.ConsensusMessage{Kind: 6, Group: 1, From: id, To: id, Term: 100, Index: 1 << 24, Round: 1 << 20})
+
+	return Figure{"bytes of a heartbeat with its reply", "byte", float64(len(ap) + len(rep) + 2*framing)}
+}
+
 func ms(d time.Duration) float64 { return d.Seconds() * 1000 }
 
 // measureFailOver stops the leader and takes the time until the next commit.
--- a/internal/consensus/suite_test.go
+++ b/internal/consensus/suite_test.go
@@ -3,11 +3,9 @@
 import (
 	"testing"
 
-	"github.com/onsi/ginkgo/v2"
-	"github.com/onsi/gomega"
+	"github.com/tamarackbay/tamarackbay/internal/suite"
 )
 
 func TestConsensus(t *testing.T) {
-	gomega.RegisterFailHandler(ginkgo.Fail)
-	ginkgo.RunSpecs(t, "consensus")
+	suite.Run(t, "consensus")
 }
--- a/internal/declaration/suite_test.go
+++ b/internal/declaration/suite_test.go
@@ -3,11 +3,9 @@
 import (
 	"testing"
 
-	"github.com/onsi/ginkgo/v2"
-	"github.com/onsi/gomega"
+	"github.com/tamarackbay/tamarackbay/internal/suite"
 )
 
 func TestSuite(t *testing.T) {
-	gomega.RegisterFailHandler(ginkgo.Fail)
-	ginkgo.RunSpecs(t, "declaration")
+	suite.Run(t, "declaration")
 }
--- a/internal/endtoend/drain_test.go
+++ b/internal/endtoend/drain_test.go
@@ -243,35 +243,64 @@
 		}
 	})
 
-	It("is ordered by one process at a time while leaders are killed and cut off", func() {
+	It("goes to nothing when idle and comes back for the first request", func() {
 		st := fleetStage(func(cfg *deployment.Config) {
-			cfg.Declarations.Models["m"] = declaration.Model{StalenessBound: 1, SwapWave: 2, SwapMode: "continue"}
+			fl := cfg.Declarations.Fleet["service"]
+			fl.MinPerDomain = 0
+			cfg.Declarations.Fleet["service"] = fl
 		})
-		Expect(st.StartServer("engine-x", "engine", engineClass, "a", "")).To(Succeed())
-		Expect(st.WaitServers(st.ctx, "m", 1, "v1")).To(Succeed())
-		for n := range 4 {
-			ld := -1
+		for range 2 {
+			Expect(st.eventually(st.running(0))).To(Succeed())
 			Expect(st.eventually(func() error {
-				if ld = st.Leader(); ld < 0 {
-					return fmt.Errorf("no leader")
+				if an := st.send(1, "alpha", "GET", "/r/repeat/first", ""); an.status != http.StatusOK {
+					Expect(an.Error.Name).To(Equal("noBackendServer"))
+
+					return fmt.Errorf("%+v", an)
 				}
 
 				return nil
 			})).To(Succeed())
-			cl := st.Client(st.token["alpha"], (ld+1)%3)
-			Expect(cl.PushVersion(st.ctx, "m", fmt.Sprintf("v%d", n+2), "x")).To(Succeed())
-			st.KillGateway(ld)
-			time.Sleep(200 * time.Millisecond)
-			Expect(st.StartGateway(ld)).To(Succeed())
-			Expect(st.WaitServers(st.ctx, "m", 1, fmt.Sprintf("v%d", n+2))).To(Succeed())
 		}
 		st.checkGivers()
-		var top uint64
-		for _, o := range st.Engines()["engine-x"].Orders() {
-			Expect(o.Fencing).To(BeNumerically(">=", top), "the engine ignores fencing numbers, its agent must not")
-			top = o.Fencing
-		}
 	})
+
+	engines := []struct {
+		name   string
+		checks bool
+	}{{"that ignore fencing numbers", false}, {"that check fencing numbers", true}}
+	for _, tc := range engines {
+		It("is ordered by one process at a time while leaders are killed, with engines "+tc.name, func() {
+			st := fleetStage(func(cfg *deployment.Config) {
+				cfg.Declarations.Models["m"] = declaration.Model{StalenessBound: 1, SwapWave: 2, SwapMode: "continue"}
+			})
+			class := engineClass
+			class.ChecksFencing = tc.checks
+			Expect(st.StartServer("engine-x", "engine", class, "a", "")).To(Succeed())
+			Expect(st.WaitServers(st.ctx, "m", 1, "v1")).To(Succeed())
+			for n := range 4 {
+				ld := -1
+				Expect(st.eventually(func() error {
+					if ld = st.Leader(); ld < 0 {
+						return fmt.Errorf("no leader")
+					}
+
+					return nil
+				})).To(Succeed())
+				cl := st.Client(st.token["alpha"], (ld+1)%3)
+				Expect(cl.PushVersion(st.ctx, "m", fmt.Sprintf("v%d", n+2), "x")).To(Succeed())
+				st.KillGateway(ld)
+				time.Sleep(200 * time.Millisecond)
+				Expect(st.StartGateway(ld)).To(Succeed())
+				Expect(st.WaitServers(st.ctx, "m", 1, fmt.Sprintf("v%d", n+2))).To(Succeed())
+			}
+			st.checkGivers()
+			var top uint64
+			for _, o := range st.Engines()["engine-x"].Orders() {
+				Expect(o.Fencing).To(BeNumerically(">=", top), "an order of an earlier holder reached the engine")
+				top = o.Fencing
+			}
+		})
+	}
 })
 
 var _ = Describe("usage", func() {
--- a/internal/endtoend/suite_test.go
+++ b/internal/endtoend/suite_test.go
@@ -21,11 +21,11 @@
 	"github.com/tamarackbay/tamarackbay/internal/logging"
 	"github.com/tamarackbay/tamarackbay/internal/program"
 	"github.com/tamarackbay/tamarackbay/internal/settings"
+	"github.com/tamarackbay/tamarackbay/internal/suite"
 )
 
 func TestEndToEnd(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "end to end")
+	suite.Run(t, "end to end")
 }
 
 // testLimit ends a test that hangs; no verdict depends on it otherwise.
--- /dev/null
+++ b/internal/experiment/spending.go
@@ -0,0 +1,225 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/tamarackbay/tamarackbay/internal/declaration"
+	"github.com/tamarackbay/tamarackbay/internal/deployment"
+	"github.com/tamarackbay/tamarackbay/internal/fake"
+	"github.com/tamarackbay/tamarackbay/internal/settings"
+	"github.com/tamarackbay/tamarackbay/pkg/client"
+)
+
+// FleetPolicy is one way to bound the fleet under the same load.
+type FleetPolicy struct {
+	Name   string
+	Bounds declaration.Fleet
+}
+
+const (
+	spendClass   = "engine"
+	spendStartup = 500 * time.Millisecond
+	spendSlots   = 4
+	spendHigh    = 24 // requests at once at the height of the day
+	spendTokens  = 24
+	spendTick    = 100 * time.Millisecond
+)
+
+// FleetPolicies are the product's planner and two baselines: everything always on,
+// and a threshold that orders when slots are full and gives back at once.
+func FleetPolicies() []FleetPolicy {
+	domains := []string{"a", "b", "c"}
+
+	return []FleetPolicy{
+		{"current", declaration.Fleet{MinPerDomain: 0, MaxPerDomain: 3, FailureDomains: domains, IdleMs: 2000, TargetLoad: 0.7}},
+		{"alwaysOn", declaration.Fleet{MinPerDomain: 3, MaxPerDomain: 3, FailureDomains: domains, IdleMs: 2000, TargetLoad: 0.7}},
+		{"threshold", declaration.Fleet{MinPerDomain: 0, MaxPerDomain: 3, FailureDomains: domains, IdleMs: 1, TargetLoad: 1}},
+	}
+}
+
+// Spending is what one run of a day's curve cost and served.
+type Spending struct {
+	Policy  string
+	Seconds float64 // server-seconds paid for
+	Served  int
+	Refused int
+	P50     float64 // ms
+	P99     float64 // ms
+}
+
+// RunSpending runs each fleet policy under a day's load curve compressed to d.
+func RunSpending(ctx context.Context, d time.Duration, repetitions int, out io.Writer) ([]Spending, error) {
+	var all []Spending
+	for rep := range repetitions {
+		for _, fp := range FleetPolicies() {
+			sp, err := spendOnce(ctx, fp, d)
+			if err != nil {
+				return nil, fmt.Errorf("experiment: %s: %w", fp.Name, err)
+			}
+			fmt.Fprintf(out, "%-10s rep %d  %.0f server-seconds  served %d  refused %d  p50 %.0f ms  p99 %.0f ms\n",
+				sp.Policy, rep+1, sp.Seconds, sp.Served, sp.Refused, sp.P50, sp.P99)
+			all = append(all, sp)
+		}
+	}
+
+	return all, nil
+}
+
+func spendOnce(ctx context.Context, fp FleetPolicy, d time.Duration) (Spending, error) {
+	folder, err := os.MkdirTemp("", "tamarackbay-spending-")
+	if err != nil {
+		return Spending{}, err
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	ctx, cancel := context.WithTimeout(ctx, d+time.Minute)
+	defer cancel()
+
+	set := declaration.NewSet()
+	wo := declaration.Workspace{}
+	wo.Defaults()
+	set.Workspaces["w"] = wo
+	mo := declaration.Model{}
+	mo.Defaults()
+	set.Models["m"] = mo
+	ro := declaration.Route{Model: "m", Repeatable: true, TimeoutMs: 10_000}
+	ro.Defaults()
+	set.Routes["m"] = ro
+	set.Classes[spendClass] = declaration.Class{Model: "m", Slots: spendSlots, StartupMs: int(spendStartup.Milliseconds())}
+	set.Fleet[spendClass] = fp.Bounds
+	de, err := deployment.Start(ctx, deployment.Config{
+		Gateways: 3, Folder: folder, Declarations: set, StoreLimit: 3, NoUsage: true, Startup: spendStartup,
+		Engine: fake.EngineConfig{Version: "v1", TokenTime: 5 * time.Millisecond},
+		Tune:   func(se *settings.Gateway) { se.Times.LeaseMs, se.Times.MaxCallMs = 1500, 500 },
+	})
+	if err != nil {
+		return Spending{}, err
+	}
+	defer de.Close()
+	_, token, err := de.IssueKey(ctx, "w")
+	if err != nil {
+		return Spending{}, err
+	}
+	time.Sleep(2 * time.Second) // the lease is held and the minimum runs
+
+	before := de.Ordering.ServerSeconds(spendClass)
+	da := &day{de: de, token: token, length: d}
+	da.run(ctx)
+	sp := da.spending(fp.Name)
+	sp.Seconds = de.Ordering.ServerSeconds(spendClass) - before
+
+	return sp, nil
+}
+
+// day is a load curve: a night with nothing, a morning, a height, an evening.
+type day struct {
+	de     *deployment.Deployment
+	token  string
+	length time.Duration
+
+	mu      sync.Mutex
+	running int
+	times   []time.Duration
+	refused int
+}
+
+// wanted returns the requests that should run at once at a part of the day.
+func (da *day) wanted(part float64) int {
+	s := math.Sin(2*math.Pi*part - math.Pi/2) // lowest at midnight
+
+	return int(math.Round(max(0, spendHigh*(s+0.3)/1.3)))
+}
+
+func (da *day) run(ctx context.Context) {
+	var wg sync.WaitGroup
+	began := time.Now()
+	for n := 0; time.Since(began) < da.length; {
+		want := da.wanted(float64(time.Since(began)) / float64(da.length))
+		da.mu.Lock()
+		missing := want - da.running
+		da.running += max(missing, 0)
+		da.mu.Unlock()
+		for range max(missing, 0) {
+			n++
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				da.request(ctx, n)
+			}()
+		}
+		time.Sleep(spendTick)
+	}
+	wg.Wait()
+}
+
+// request makes one completion; the client comes back when it is told to.
+func (da *day) request(ctx context.Context, n int) {
+	cl := da.de.Client(da.token, n)
+	at := time.Now()
+	cctx, cancel := context.WithTimeout(ctx, 10*time.Second)
+	defer cancel()
+	_, err := cl.Complete(cctx, client.CompletionRequest{Model: "m", Prompt: fmt.Sprint("request ", n), MaxTokens: spendTokens, Seed: uint64(n)})
+	da.mu.Lock()
+	defer da.mu.Unlock()
+
+	da.running--
+	if err != nil {
+		da.refused++
+
+		return
+	}
+	da.times = append(da.times, time.Since(at))
+}
+
+func (da *day) spending(policy string) Spending {
+	da.mu.Lock()
+	defer da.mu.Unlock()
+
+	sort.Slice(da.times, func(i, j int) bool { return da.times[i] < da.times[j] })
+	sp := Spending{Policy: policy, Served: len(da.times), Refused: da.refused}
+	if n := len(da.times); n > 0 {
+		sp.P50 = da.times[n/2].Seconds() * 1000
+		sp.P99 = da.times[n*99/100].Seconds() * 1000
+	}
+
+	return sp
+}
+
+// WriteSpending writes the medians of the repetitions as a table.
+func WriteSpending(w io.Writer, all []Spending) {
+	columns := []struct {
+		name  string
+		value func(sp Spending) float64
+	}{
+		{"server-seconds", func(sp Spending) float64 { return sp.Seconds }},
+		{"served", func(sp Spending) float64 { return float64(sp.Served) }},
+		{"refused", func(sp Spending) float64 { return float64(sp.Refused) }},
+		{"p50 ms", func(sp Spending) float64 { return sp.P50 }},
+		{"p99 ms", func(sp Spending) float64 { return sp.P99 }},
+	}
+	fmt.Fprint(w, "| fleet |")
+	for _, c := range columns {
+		fmt.Fprintf(w, " %s |", c.name)
+	}
+	fmt.Fprintln(w, "\n|---|---|---|---|---|---|")
+	for _, fp := range FleetPolicies() {
+		fmt.Fprintf(w, "| %s |", fp.Name)
+		for _, c := range columns {
+			var vs []float64
+			for _, sp := range all {
+				if sp.Policy == fp.Name {
+					vs = append(vs, c.value(sp))
+				}
+			}
+			s := spreadOf(vs)
+			fmt.Fprintf(w, " %.4g (%.4g to %.4g) |", s.median, s.low, s.high)
+		}
+		fmt.Fprintln(w)
+	}
+}
--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -232,7 +232,7 @@
 	st, err := gr.Server().Session().Open(ctx, agent.MethodRun, &wire.RunRequest{
 		RequestId: rn.id, Attempt: n, Workspace: rn.co.Workspace, Model: rn.co.Model, Prompt: rn.co.Prompt,
 		MaxTokens: rn.co.MaxTokens - min(rn.written.Tokens, rn.co.MaxTokens-1), Temperature: rn.co.Temperature, Seed: rn.co.Seed,
-		Priority: uint32(declaration.ClassRank(rn.co.Class)), ResumeText: rn.text.String(), ResumeTokens: rn.written.Tokens,
+		Priority: uint32(declaration.ClassRank(rn.co.Class)), ResumeText: rn.text.String(),
 		Sample: rn.co.IsSample, Fingerprint: rn.fingerprint, Suspect: rn.suspect, CacheKey: rn.prefix,
 	})
 	if err != nil {
--- a/internal/group/membership.go
+++ b/internal/group/membership.go
@@ -30,7 +30,7 @@
 
 	return st.Reply(&wire.IdentityReply{
 		Name: id.Name, Replica: string(id.Replica), Cluster: id.Cluster, Formed: id.isFormed(),
-		BootstrapNames: toStrings(id.Bootstrap), HasDisk: gr.HasDisk(),
+		Bootstrap: toStrings(id.Bootstrap), HasDisk: gr.HasDisk(),
 	})
 }
 
@@ -126,7 +126,7 @@
 
 // adopt starts as the voter that the first founder named, or joins as a learner.
 func (gr *Group) adopt(ctx context.Context, address string, rep *wire.IdentityReply) (bool, error) {
-	bootstrap := toReplicas(rep.GetBootstrapNames())
+	bootstrap := toReplicas(rep.GetBootstrap())
 	if !slices.Contains(bootstrap, gr.identity.Replica) {
 		jctx, cancel := context.WithTimeout(ctx, askTimeout)
 		defer cancel()
--- a/internal/group/node.go
+++ b/internal/group/node.go
@@ -145,17 +145,7 @@
 		case <-ctx.Done():
 			return nil
 		}
-		for i := 0; i < batchLimit; i++ {
-			select {
-			case ev := <-n.inbox:
-				batch = n.take(ev, batch)
-
-				continue
-			default:
-			}
-
-			break
-		}
+		batch = n.gather(batch)
 		n.propose(batch)
 		n.replica.Tick(n.now())
 		if err := n.flush(); err != nil {
@@ -164,6 +154,20 @@
 	}
 }
 
+// gather takes what else waits in the inbox, so that many entries share one sync.
+func (n *node) gather(batch []*proposal) []*proposal {
+	for range batchLimit {
+		select {
+		case ev := <-n.inbox:
+			batch = n.take(ev, batch)
+		default:
+			return batch
+		}
+	}
+
+	return batch
+}
+
 func (n *node) take(ev event, batch []*proposal) []*proposal {
 	switch {
 	case ev.message != nil:
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -28,8 +28,6 @@
 	Bind      string // IP number that is dialled from, "" for any
 	ServerTLS *tls.Config
 	ClientTLS *tls.Config
-	// OnSession is called for each session that another process opened, before its first call.
-	OnSession func(se *Session)
 }
 
 // Listener accepts sessions.
@@ -100,9 +98,6 @@
 
 		return
 	}
-	if li.cfg.OnSession != nil {
-		go li.cfg.OnSession(se)
-	}
 	se.serve()
 }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -12,12 +12,12 @@
 
 	"github.com/tamarackbay/tamarackbay/internal/peer"
 	"github.com/tamarackbay/tamarackbay/internal/result"
+	"github.com/tamarackbay/tamarackbay/internal/suite"
 	"github.com/tamarackbay/tamarackbay/internal/wire"
 )
 
 func TestPeer(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "peer")
+	suite.Run(t, "peer")
 }
 
 func pair(mux peer.Mux) (*peer.Listener, *peer.Session, error) {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -53,6 +53,8 @@
 	prefixes map[uint64]string // prefix to the server that holds it, a hint
 	gateways int
 	arrived  float64 // cost pushed since the last Demand
+	missed   int     // requests refused for want of a backend server since the last Demand
+	missedIn int     // and in the period before it
 }
 
 // New returns an empty pool.
@@ -163,6 +165,8 @@
 	}
 	switch {
 	case ready == 0:
+		po.missed++
+
 		return result.New(result.NoBackendServer, "pool %s: none of %d backend servers is ready", po.cfg.Name, len(po.cands)).After(time.Second)
 	case eligible == 0:
 		return result.New(result.NoEligibleVersion, "pool %s: no backend server runs version %d or later", po.cfg.Name, ti.MinSequence).After(time.Second)
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -13,12 +13,12 @@
 	"github.com/tamarackbay/tamarackbay/internal/meter"
 	"github.com/tamarackbay/tamarackbay/internal/pool"
 	"github.com/tamarackbay/tamarackbay/internal/result"
+	"github.com/tamarackbay/tamarackbay/internal/suite"
 	"github.com/tamarackbay/tamarackbay/internal/wire"
 )
 
 func TestPool(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "pool")
+	suite.Run(t, "pool")
 }
 
 // bench is a pool whose clock the test moves.
@@ -75,6 +75,17 @@
 		Expect(result.Is(err, result.NoBackendServer)).To(BeTrue())
 	})
 
+	It("counts what it refused for want of a server as demand, for two periods", func() {
+		be := newBench(0)
+		for range 3 {
+			_, err := be.acquire(pool.Ticket{})
+			Expect(result.Is(err, result.NoBackendServer)).To(BeTrue())
+		}
+		Expect(be.Demand().Waiting).To(Equal(3))
+		Expect(be.Demand().Waiting).To(Equal(3))
+		Expect(be.Demand().Waiting).To(BeZero())
+	})
+
 	It("gives slots back, and to those that wait", func() {
 		be := newBench(1)
 		first, err := be.acquire(pool.Ticket{})
--- a/internal/pool/view.go
+++ b/internal/pool/view.go
@@ -2,7 +2,7 @@
 
 // Demand is what the fleet sizes a pool by.
 type Demand struct {
-	Waiting     int     // requests
+	Waiting     int     // requests, also those that were refused for want of a backend server and come back
 	WaitingCost float64 // tokens, or requests of a plain service
 	Arrived     float64 // cost since the last call
 	Running     int     // in flight from this gateway
@@ -14,7 +14,8 @@
 	defer po.mu.Unlock()
 
 	de := Demand{Waiting: po.queue.Len(), WaitingCost: po.queue.Cost(), Arrived: po.arrived}
-	po.arrived = 0
+	de.Waiting += po.missed + po.missedIn
+	po.arrived, po.missedIn, po.missed = 0, po.missed, 0
 	for i := range po.cands {
 		de.Running += po.cands[i].Mine
 	}
--- a/internal/program/program_test.go
+++ b/internal/program/program_test.go
@@ -23,11 +23,11 @@
 	"github.com/tamarackbay/tamarackbay/internal/logging"
 	"github.com/tamarackbay/tamarackbay/internal/program"
 	"github.com/tamarackbay/tamarackbay/internal/settings"
+	"github.com/tamarackbay/tamarackbay/internal/suite"
 )
 
 func TestProgram(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "program")
+	suite.Run(t, "program")
 }
 
 // authority signs certificates for one deployment.
--- a/internal/result/result_test.go
+++ b/internal/result/result_test.go
@@ -9,11 +9,11 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/tamarackbay/tamarackbay/internal/result"
+	"github.com/tamarackbay/tamarackbay/internal/suite"
 )
 
 func TestSuite(t *testing.T) {
-	RegisterFailHandler(ginkgo.Fail)
-	ginkgo.RunSpecs(t, "result")
+	suite.Run(t, "result")
 }
 
 var _ = ginkgo.Describe("the table of result codes", func() {
--- a/internal/rollout/page.go
+++ b/internal/rollout/page.go
@@ -163,7 +163,7 @@
 	defer cancel()
 
 	var rep wire.PayloadReply
-	rq := &wire.PayloadRequest{Step: key, Samples: digests}
+	rq := &wire.PayloadRequest{Step: key, Digests: digests}
 	if err := dr.cfg.Group.Call(cctx, holder, methodPayloads, rq, &rep); err != nil {
 		return
 	}
@@ -230,7 +230,7 @@
 		}
 		cctx, cancel := context.WithTimeout(ctx, callTimeout)
 		var rep wire.PayloadReply
-		err := dr.cfg.Group.Call(cctx, h, methodPayloads, &wire.PayloadRequest{Step: key, Samples: []string{sa.Digest}}, &rep)
+		err := dr.cfg.Group.Call(cctx, h, methodPayloads, &wire.PayloadRequest{Step: key, Digests: []string{sa.Digest}}, &rep)
 		cancel()
 		if err == nil && len(rep.GetPayloads()) == 1 && len(rep.GetPayloads()[0]) > 0 {
 			return false
--- a/internal/rollout/store.go
+++ b/internal/rollout/store.go
@@ -128,7 +128,7 @@
 		return err
 	}
 	rep := &wire.PayloadReply{}
-	for _, d := range rq.GetSamples() {
+	for _, d := range rq.GetDigests() {
 		rep.Payloads = append(rep.Payloads, dr.store.get(rq.GetStep(), d))
 	}
 
--- a/internal/scheduler/suite_test.go
+++ b/internal/scheduler/suite_test.go
@@ -3,11 +3,9 @@
 import (
 	"testing"
 
-	"github.com/onsi/ginkgo/v2"
-	"github.com/onsi/gomega"
+	"github.com/tamarackbay/tamarackbay/internal/suite"
 )
 
 func TestSuite(t *testing.T) {
-	gomega.RegisterFailHandler(ginkgo.Fail)
-	ginkgo.RunSpecs(t, "scheduler")
+	suite.Run(t, "scheduler")
 }
--- a/internal/storage/suite_test.go
+++ b/internal/storage/suite_test.go
@@ -3,11 +3,9 @@
 import (
 	"testing"
 
-	"github.com/onsi/ginkgo/v2"
-	"github.com/onsi/gomega"
+	"github.com/tamarackbay/tamarackbay/internal/suite"
 )
 
 func TestStorage(t *testing.T) {
-	gomega.RegisterFailHandler(ginkgo.Fail)
-	ginkgo.RunSpecs(t, "storage")
+	suite.Run(t, "storage")
 }
