--- a/internal/agent/crash.go
+++ b/internal/agent/crash.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sync"
 
+	"github.com/tamarackbay/tamarackbay/internal/pool"
 	"github.com/tamarackbay/tamarackbay/internal/wire"
 )
 
@@ -22,7 +23,7 @@
 func (ag *Agent) reportCrash() {
 	ag.mu.Lock()
 	cr, instance := ag.crash, ag.status.Instance
-	ag.state, ag.versionKnown = "suspect", false
+	ag.state, ag.versionKnown = pool.StateSuspect, false
 	var all, suspects []string
 	for w := range ag.inFlight {
 		if w.fingerprint == "" {
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -84,12 +84,6 @@
 // Commit returns the highest position known as committed.
 func (r *Replica) Commit() uint64 { return r.log.commit }
 
-// LastIndex returns the last position of the log.
-func (r *Replica) LastIndex() uint64 { return r.log.lastIndex() }
-
-// SnapshotIndex returns the position that the last compaction reached.
-func (r *Replica) SnapshotIndex() uint64 { return r.log.snapIndex }
-
 // MembershipAt returns the membership that was in force at index.
 func (r *Replica) MembershipAt(index uint64) Membership {
 	m := r.log.memberships[0].membership
--- a/internal/fake/platform.go
+++ b/internal/fake/platform.go
@@ -205,14 +205,6 @@
 	return rec.Server, func() { or.stop(s.Name) }
 }
 
-// Adopt bills a backend server that ran before the first order.
-func (or *Ordering) Adopt(name, class, failureDomain string) {
-	or.mu.Lock()
-	defer or.mu.Unlock()
-
-	or.servers[name] = &RunningServer{Name: name, Class: class, FailureDomain: failureDomain, From: time.Now()}
-}
-
 // DropAnswers loses the answers to the next n orders, which are carried out.
 func (or *Ordering) DropAnswers(n int) {
 	or.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,7 +89,7 @@
 	pc := cfg.PeerConfig
 	pc.Hello = &wire.Hello{
 		Name: se.Name, Role: "gateway", FailureDomain: se.FailureDomain, Address: se.PeerAddress,
-		Instance: ga.instance, Protocol: peer.ProtocolVersion,
+		Protocol: peer.ProtocolVersion,
 	}
 	pc.Mux = peer.Mux{}
 
--- a/internal/program/rules_test.go
+++ b/internal/program/rules_test.go
@@ -34,7 +34,7 @@
 			for _, im := range f.Imports {
 				name := strings.Trim(im.Path.Value, `"`)
 				Expect(banned).NotTo(HaveKey(name), "%s: %s", path, banned[name])
-				for _, part := range []string{"hashicorp/raft", "memberlist", "serf", "etcd"} {
+				for _, part := range []string{"/raft", "memberlist", "/serf", "etcd"} {
 					Expect(name).NotTo(ContainSubstring(part), path)
 				}
 			}
