--- a/internal/demo/check.go
+++ b/internal/demo/check.go
@@ -59,11 +59,20 @@
 	return nil
 }
 
+// settleTime is how long nothing new must be reported: a window, its grace and a second.
+const settleTime = (windowSeconds + 3) * time.Second
+
+// waitReports waits until all tokens are reported, or no more come: what an engine
+// made in the moment of its crash reached nobody.
 func (wo *world) waitReports(ctx context.Context) error {
-	made := wo.madeTokens()
+	made, last, since := wo.madeTokens(), uint64(0), time.Now()
 
 	return deployment.Until(ctx, func() error {
-		if sum := wo.reported().Tokens; sum < made {
+		sum := wo.reported().Tokens
+		if sum != last {
+			last, since = sum, time.Now()
+		}
+		if sum < made && time.Since(since) < settleTime {
 			return fmt.Errorf("%d of %d tokens are reported so far", sum, made)
 		}
 
