Read quantiles by one function; drop demand figures that nobody reads

Cause: the read of the whole change found quantiles of durations written five times (demo, capacity, and three in the experiment), the start of a shutdown written twice, and two figures of a pool's demand that nothing read while each request added to one of them. Change: internal/quantile serves all five, StopDuties calls BeginShutdown, the two figures and their addition are gone. Tests are unchanged. Conclusion: behaviour is as it was; a printed quantile of an experiment may differ by one rank where the product of share and count was rounded.

--- a/internal/capacity/groups.go
+++ b/internal/capacity/groups.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"os"
 	"path/filepath"
-	"sort"
 	"sync"
 	"time"
 
@@ -15,6 +14,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/declaration"
 	"github.com/tamarackbay/tamarackbay/internal/group"
 	"github.com/tamarackbay/tamarackbay/internal/machine"
+	"github.com/tamarackbay/tamarackbay/internal/quantile"
 	"github.com/tamarackbay/tamarackbay/internal/storage"
 	"github.com/tamarackbay/tamarackbay/internal/wire"
 )
@@ -26,15 +26,6 @@
 	Value float64 `json:"value"`
 }
 
-func percentile(ds []time.Duration, p float64) time.Duration {
-	if len(ds) == 0 {
-		return 0
-	}
-	sort.Slice(ds, func(i, j int) bool { return ds[i] < ds[j] })
-
-	return ds[min(len(ds)-1, int(p*float64(len(ds))))]
-}
-
 const (
 	commitTime  = 3 * time.Second
 	writers     = 64
@@ -78,8 +69,8 @@
 		return nil, err
 	}
 	out := []Figure{
-		{"one sync of the disk, p50", "ms", ms(percentile(syncs, 0.5))},
-		{"one sync of the disk, p99", "ms", ms(percentile(syncs, 0.99))},
+		{"one sync of the disk, p50", "ms", quantile.Ms(syncs, 0.5)},
+		{"one sync of the disk, p99", "ms", quantile.Ms(syncs, 0.99)},
 	}
 	vo, err := startVoters(folder, 1, 3)
 	if err != nil {
@@ -92,12 +83,12 @@
 	cpu := (cpuTime() - before).Seconds()
 	out = append(out,
 		Figure{"commits a second, 3 voters, 64 writers", "1/s", rate},
-		Figure{"commit p50, 64 writers", "ms", ms(percentile(lat, 0.5))},
-		Figure{"commit p99, 64 writers", "ms", ms(percentile(lat, 0.99))},
+		Figure{"commit p50, 64 writers", "ms", quantile.Ms(lat, 0.5)},
+		Figure{"commit p99, 64 writers", "ms", quantile.Ms(lat, 0.99)},
 		Figure{"CPU of a commit, 3 voters and writers together", "us", cpu / (rate * commitTime.Seconds()) * 1e6},
 	)
 	_, one := commits([]*voters{vo}, 1, time.Second)
-	out = append(out, Figure{"commit p50, 1 writer", "ms", ms(percentile(one, 0.5))})
+	out = append(out, Figure{"commit p50, 1 writer", "ms", quantile.Ms(one, 0.5)})
 
 	before = cpuTime()
 	time.Sleep(idleTime)
@@ -372,7 +363,7 @@
 		ds = append(ds, time.Since(at))
 	}
 
-	return percentile(ds, 0.5), nil
+	return quantile.Of(ds, 0.5), nil
 }
 
 // measurePartitions runs several groups at once, each with its own leader and log.
--- a/internal/capacity/path.go
+++ b/internal/capacity/path.go
@@ -11,6 +11,7 @@
 
 	"github.com/tamarackbay/tamarackbay/internal/declaration"
 	"github.com/tamarackbay/tamarackbay/internal/deployment"
+	"github.com/tamarackbay/tamarackbay/internal/quantile"
 	"github.com/tamarackbay/tamarackbay/internal/settings"
 )
 
@@ -65,7 +66,7 @@
 		return nil, err
 	}
 	for _, p := range []float64{0.5, 0.99} {
-		d, g := percentile(lat[0], p), percentile(lat[1], p)
+		d, g := quantile.Of(lat[0], p), quantile.Of(lat[1], p)
 		out = append(out,
 			Figure{fmt.Sprintf("direct call at %d/s, p%g", pathRate, p*100), "ms", ms(d)},
 			Figure{fmt.Sprintf("added by gateway and agent at %d/s, p%g", pathRate, p*100), "ms", ms(g - d)})
--- a/internal/demo/check.go
+++ b/internal/demo/check.go
@@ -12,6 +12,7 @@
 
 	"github.com/tamarackbay/tamarackbay/internal/deployment"
 	"github.com/tamarackbay/tamarackbay/internal/fake"
+	"github.com/tamarackbay/tamarackbay/internal/quantile"
 	"github.com/tamarackbay/tamarackbay/internal/usage"
 )
 
@@ -114,7 +115,7 @@
 	}
 	var lines []line
 	for n, cc := range wo.calls {
-		lines = append(lines, line{n, float64(cc.ok) / float64(max(cc.ok+cc.failed, 1)), percentile(cc.latencies, 0.99), cc.ok + cc.failed})
+		lines = append(lines, line{n, float64(cc.ok) / float64(max(cc.ok+cc.failed, 1)), quantile.Of(cc.latencies, 0.99), cc.ok + cc.failed})
 	}
 	sort.Slice(lines, func(i, j int) bool {
 		if lines[i].share != lines[j].share {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"io"
 	"os"
-	"sort"
 	"sync"
 	"time"
 
@@ -373,12 +372,3 @@
 
 	return nil
 }
-
-func percentile(ds []time.Duration, p float64) time.Duration {
-	if len(ds) == 0 {
-		return 0
-	}
-	sort.Slice(ds, func(i, j int) bool { return ds[i] < ds[j] })
-
-	return ds[min(len(ds)-1, int(p*float64(len(ds))))]
-}
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -7,13 +7,13 @@
 	"fmt"
 	"io"
 	"os"
-	"sort"
 	"sync"
 	"time"
 
 	"github.com/tamarackbay/tamarackbay/internal/declaration"
 	"github.com/tamarackbay/tamarackbay/internal/deployment"
 	"github.com/tamarackbay/tamarackbay/internal/fake"
+	"github.com/tamarackbay/tamarackbay/internal/quantile"
 	"github.com/tamarackbay/tamarackbay/internal/settings"
 	"github.com/tamarackbay/tamarackbay/pkg/client"
 )
@@ -438,10 +438,7 @@
 	}
 	total += tr.served["greedy"]
 	oc.Worst = float64(worst) / max(1, float64(total)/float64(tr.wl.fair+1))
-	sort.Slice(tr.lookups, func(i, j int) bool { return tr.lookups[i] < tr.lookups[j] })
-	if n := len(tr.lookups); n > 0 {
-		oc.LookupP99 = tr.lookups[n*99/100].Seconds() * 1000
-	}
+	oc.LookupP99 = quantile.Ms(tr.lookups, 0.99)
 	oc.Goodput = float64(tr.completed) / d.Seconds()
 	runs := 0
 	for _, en := range tr.de.AllEngines() {
--- a/internal/experiment/overload.go
+++ b/internal/experiment/overload.go
@@ -6,12 +6,12 @@
 	"io"
 	"net/http"
 	"os"
-	"sort"
 	"sync"
 	"time"
 
 	"github.com/tamarackbay/tamarackbay/internal/declaration"
 	"github.com/tamarackbay/tamarackbay/internal/deployment"
+	"github.com/tamarackbay/tamarackbay/internal/quantile"
 	"github.com/tamarackbay/tamarackbay/internal/settings"
 )
 
@@ -140,11 +140,9 @@
 	})
 	wg.Wait()
 
-	sort.Slice(lookups, func(i, j int) bool { return lookups[i] < lookups[j] })
-
 	return Load{
 		Name: name, Sent: float64(sent) / d.Seconds(), Goodput: float64(answered) / d.Seconds(), Lost: lost,
-		LookupP50: lookups[len(lookups)/2].Seconds() * 1000, LookupP99: lookups[len(lookups)*99/100].Seconds() * 1000,
+		LookupP50: quantile.Ms(lookups, 0.5), LookupP99: quantile.Ms(lookups, 0.99),
 	}
 }
 
--- a/internal/experiment/spending.go
+++ b/internal/experiment/spending.go
@@ -6,13 +6,13 @@
 	"io"
 	"math"
 	"os"
-	"sort"
 	"sync"
 	"time"
 
 	"github.com/tamarackbay/tamarackbay/internal/declaration"
 	"github.com/tamarackbay/tamarackbay/internal/deployment"
 	"github.com/tamarackbay/tamarackbay/internal/fake"
+	"github.com/tamarackbay/tamarackbay/internal/quantile"
 	"github.com/tamarackbay/tamarackbay/internal/settings"
 	"github.com/tamarackbay/tamarackbay/pkg/client"
 )
@@ -181,14 +181,10 @@
 	da.mu.Lock()
 	defer da.mu.Unlock()
 
-	sort.Slice(da.times, func(i, j int) bool { return da.times[i] < da.times[j] })
-	sp := Spending{Policy: policy, Served: len(da.times), Refused: da.refused}
-	if n := len(da.times); n > 0 {
-		sp.P50 = da.times[n/2].Seconds() * 1000
-		sp.P99 = da.times[n*99/100].Seconds() * 1000
+	return Spending{
+		Policy: policy, Served: len(da.times), Refused: da.refused,
+		P50: quantile.Ms(da.times, 0.5), P99: quantile.Ms(da.times, 0.99),
 	}
-
-	return sp
 }
 
 // WriteSpending writes the medians of the repetitions as a table.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -205,9 +205,7 @@
 
 // StopDuties releases the leases and gives the lead of the group away.
 func (ga *Gateway) StopDuties(ctx context.Context) {
-	if ga.stopping.CompareAndSwap(false, true) {
-		close(ga.stopped)
-	}
+	ga.BeginShutdown()
 	for ctx.Err() == nil && ga.holdsLease() {
 		time.Sleep(dutyPeriod / 4)
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -52,9 +52,8 @@
 	byName   map[string]int
 	prefixes map[uint64]string // prefix to the server that holds it, a hint
 	gateways int
-	arrived  float64 // cost pushed since the last Demand
-	missed   int     // requests refused for want of a backend server since the last Demand
-	missedIn int     // and in the period before it
+	missed   int // requests refused for want of a backend server since the last Demand
+	missedIn int // and in the period before it
 }
 
 // New returns an empty pool.
@@ -116,7 +115,6 @@
 
 		return nil, err
 	}
-	po.arrived += ti.Cost
 	if err := po.queue.Push(po.cfg.Now(), it); err != nil {
 		po.mu.Unlock()
 
--- a/internal/pool/view.go
+++ b/internal/pool/view.go
@@ -2,20 +2,17 @@
 
 // Demand is what the fleet sizes a pool by.
 type Demand struct {
-	Waiting     int     // requests, also those that were refused for want of a backend server and come back
-	WaitingCost float64 // tokens, or requests of a plain service
-	Arrived     float64 // cost since the last call
-	Running     int     // in flight from this gateway
+	Waiting int // requests, also those that were refused for want of a backend server and come back
+	Running int // in flight from this gateway
 }
 
-// Demand returns the demand since the last call.
+// Demand returns what runs and waits. Each call ends a period in which refusals are counted.
 func (po *Pool) Demand() Demand {
 	po.mu.Lock()
 	defer po.mu.Unlock()
 
-	de := Demand{Waiting: po.queue.Len(), WaitingCost: po.queue.Cost(), Arrived: po.arrived}
-	de.Waiting += po.missed + po.missedIn
-	po.arrived, po.missedIn, po.missed = 0, po.missed, 0
+	de := Demand{Waiting: po.queue.Len() + po.missed + po.missedIn}
+	po.missedIn, po.missed = po.missed, 0
 	for i := range po.cands {
 		de.Running += po.cands[i].Mine
 	}
