--- /dev/null
+++ b/internal/balance/balance.go
@@ -0,0 +1,230 @@
+// Package balance picks a backend server for each request, from what is known of
+// them and from how the own requests fared. It joins the registry's view with the
+// scheduler's decision; its lock is held for microseconds.
+package balance
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/tamarackbay/tamarackbay/internal/backend"
+	"github.com/tamarackbay/tamarackbay/internal/registry"
+	"github.com/tamarackbay/tamarackbay/internal/scheduler"
+)
+
+// Config builds a Balancer.
+type Config struct {
+	FailureDomain string
+	Scheduler     scheduler.Config
+	Now           func() time.Duration
+	Random        func(n int) int
+}
+
+// Balancer is safe for concurrent use.
+type Balancer struct {
+	cfg Config
+
+	mu       sync.Mutex
+	services map[string]*set
+}
+
+// set holds the backend servers of one service; cands has the same order as servers.
+type set struct {
+	sched   *scheduler.Scheduler
+	servers []*server
+	cands   []scheduler.Candidate
+}
+
+type server struct {
+	record    registry.Record
+	prefix    string // group whose prompt it read last
+	pauseTill time.Duration
+}
+
+// New returns a balancer that knows no backend server.
+func New(cfg Config) *Balancer {
+	return &Balancer{cfg: cfg, services: map[string]*set{}}
+}
+
+// Sync takes the backend servers that are alive now.
+func (ba *Balancer) Sync(records []registry.Record) {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+
+	now := ba.cfg.Now()
+	alive := map[string]map[string]registry.Record{}
+	for _, re := range records {
+		if alive[re.Service] == nil {
+			alive[re.Service] = map[string]registry.Record{}
+		}
+		alive[re.Service][re.ID] = re
+	}
+	for name, se := range ba.services {
+		for i := len(se.servers) - 1; i >= 0; i-- {
+			old := se.servers[i].record
+			re, ok := alive[name][old.ID]
+			if !ok || re.BornMs != old.BornMs || re.Address != old.Address {
+				se.servers = slices.Delete(se.servers, i, i+1)
+				se.cands = slices.Delete(se.cands, i, i+1)
+
+				continue
+			}
+			se.servers[i].record = re
+			se.cands[i].IsReady = re.State == registry.Ready
+			se.cands[i].Slots = re.Slots
+			delete(alive[name], old.ID)
+		}
+	}
+	for name, res := range alive {
+		se := ba.services[name]
+		if se == nil {
+			se = &set{sched: scheduler.New(ba.cfg.Scheduler, ba.cfg.Random)}
+			ba.services[name] = se
+		}
+		for _, re := range res {
+			se.servers = append(se.servers, &server{record: re})
+			se.cands = append(se.cands, scheduler.Candidate{
+				Slots: re.Slots, FailureDomain: re.FailureDomain, IsReady: re.State == registry.Ready, ReadySince: now,
+			})
+		}
+	}
+}
+
+// Request is what is to be placed.
+type Request struct {
+	Service    string
+	Model      string // "" for plain services
+	MinVersion uint64 // of the model's weights
+	Prefix     string // of its prompt, "" for none
+	Exclude    []string
+	Tokens     int
+	Extra      int // requests beyond its slots that a backend server may be given
+}
+
+// Grant is the right to send one request to a backend server.
+type Grant struct {
+	balancer *Balancer
+	set      *set
+	server   *server
+	record   registry.Record
+	tokens   int
+	at       time.Duration
+	once     sync.Once
+}
+
+// Record returns the backend server as it was when it was picked.
+func (gr *Grant) Record() registry.Record { return gr.record }
+
+// Acquire picks a backend server, nil when none has room.
+func (ba *Balancer) Acquire(rq *Request) *Grant {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+
+	se := ba.services[rq.Service]
+	if se == nil {
+		return nil
+	}
+	now := ba.cfg.Now()
+	sr := scheduler.Request{
+		MinSequence: rq.MinVersion, FailureDomain: ba.cfg.FailureDomain, Affinity: scheduler.NoCandidate,
+		Tokens: rq.Tokens, Gateways: 1,
+	}
+	for i, sv := range se.servers {
+		if rq.Model != "" {
+			se.cands[i].Sequence = sv.record.Version(rq.Model)
+		}
+		if slices.Contains(rq.Exclude, sv.record.ID) || now < sv.pauseTill {
+			sr.Exclude = append(sr.Exclude, i)
+		}
+		if rq.Prefix != "" && sv.prefix == rq.Prefix {
+			sr.Affinity = i
+		}
+		se.cands[i].Slots = sv.record.Slots + rq.Extra
+	}
+
+	i := se.sched.Pick(now, se.cands, &sr)
+	if i == scheduler.NoCandidate {
+		return nil
+	}
+	sv := se.servers[i]
+	if rq.Prefix != "" {
+		sv.prefix = rq.Prefix
+	}
+	se.cands[i].Mine++
+	se.cands[i].Tokens += rq.Tokens
+
+	return &Grant{balancer: ba, set: se, server: sv, record: sv.record, tokens: rq.Tokens, at: now}
+}
+
+// Count returns how many backend servers of a service are ready, and how many of
+// them serve at least minVersion of model.
+func (ba *Balancer) Count(service, model string, minVersion uint64) (ready, eligible int) {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+
+	se := ba.services[service]
+	if se == nil {
+		return 0, 0
+	}
+	for i, sv := range se.servers {
+		if !se.cands[i].IsReady {
+			continue
+		}
+		ready++
+		if model == "" || sv.record.Version(model) >= minVersion {
+			eligible++
+		}
+	}
+
+	return ready, eligible
+}
+
+// Outcome tells how a granted request ended.
+type Outcome uint8
+
+// Outcomes of a granted request.
+const (
+	Unused    Outcome = iota // nothing was learnt of the backend server
+	Succeeded                // it answered, whatever its answer
+	Failed                   // it failed the request
+	Busy                     // it refused for want of room, or while it loads weights
+)
+
+// busyPause is how long a backend server that refused for want of room gets nothing
+// new: about the time in which one of its requests ends.
+const busyPause = 100 * time.Millisecond
+
+// Release ends a grant. load is what the backend server told with its answer, nil
+// for nothing.
+func (gr *Grant) Release(oc Outcome, load *backend.Load) {
+	gr.once.Do(func() { gr.balancer.release(gr, oc, load) })
+}
+
+func (ba *Balancer) release(gr *Grant, oc Outcome, load *backend.Load) {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+
+	i := slices.Index(gr.set.servers, gr.server)
+	if i < 0 {
+		return // it has left meanwhile
+	}
+	now := ba.cfg.Now()
+	ca := &gr.set.cands[i]
+	ca.Mine--
+	ca.Tokens -= gr.tokens
+	if load != nil {
+		ca.Running = load.Running + load.Waiting
+		ca.MineReported = min(ca.Mine+1, ca.Running)
+	}
+	switch oc {
+	case Succeeded:
+		gr.set.sched.Succeeded(ca)
+		ca.Latency = 0.8*ca.Latency + 0.2*(now-gr.at).Seconds()
+	case Failed:
+		gr.set.sched.Failed(now, gr.set.cands, i)
+	case Busy:
+		gr.server.pauseTill = now + busyPause
+	case Unused:
+	}
+}
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -5,6 +5,8 @@
 // campaign starts a pre-vote, or at once a vote when the leader asked for it.
 func (r *Replica) campaign(now time.Duration, forced bool) {
 	if !r.isVoter() {
+		r.leader = "" // nobody has been heard for long: a learner only asks for a new leader
+
 		return
 	}
 
--- a/internal/consensus/log.go
+++ b/internal/consensus/log.go
@@ -124,6 +124,19 @@
 	lo.memberships = append([]membershipAt(nil), lo.memberships[n:]...)
 }
 
+// tail returns the first index of the newest entries that hold at most maxBytes.
+func (lo *raftLog) tail(maxBytes int) uint64 {
+	size := 0
+	for i := len(lo.entries); i > 0; i-- {
+		size += len(lo.entries[i-1].Data)
+		if size > maxBytes {
+			return lo.entries[i-1].Index + 1
+		}
+	}
+
+	return lo.snapIndex + 1
+}
+
 // reset replaces the whole log by a snapshot.
 func (lo *raftLog) reset(sn Snapshot) {
 	*lo = newRaftLog(sn, nil)
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -102,6 +102,9 @@
 // Compact drops the log up to index; a snapshot at index must be stored.
 func (r *Replica) Compact(index uint64) { r.log.compact(min(index, r.log.applied)) }
 
+// TailFrom returns the first position of the newest entries that hold at most maxBytes.
+func (r *Replica) TailFrom(maxBytes int) uint64 { return r.log.tail(maxBytes) }
+
 // Tick lets time pass.
 func (r *Replica) Tick(now time.Duration) {
 	if r.role == RoleLeader {
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -77,6 +77,11 @@
 	return n
 }
 
+// Equal reports whether two memberships name the same replicas.
+func (m Membership) Equal(o Membership) bool {
+	return slices.Equal(m.Voters, o.Voters) && slices.Equal(m.Learners, o.Learners)
+}
+
 // Without returns a copy that lacks id.
 func (m Membership) Without(id ReplicaID) Membership {
 	isID := func(o ReplicaID) bool { return o == id }
--- /dev/null
+++ b/internal/controller/controller.go
@@ -0,0 +1,441 @@
+// Package controller runs a process of the control plane: a replica of the
+// configuration, leases and weight versions, the registry of backend servers, the
+// feed that tells all other processes, and the work under leases.
+package controller
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/tamarackbay/tamarackbay/internal/backend"
+	"github.com/tamarackbay/tamarackbay/internal/consensus"
+	"github.com/tamarackbay/tamarackbay/internal/duty"
+	"github.com/tamarackbay/tamarackbay/internal/feed"
+	"github.com/tamarackbay/tamarackbay/internal/group"
+	"github.com/tamarackbay/tamarackbay/internal/lease"
+	"github.com/tamarackbay/tamarackbay/internal/machine"
+	"github.com/tamarackbay/tamarackbay/internal/peer"
+	"github.com/tamarackbay/tamarackbay/internal/registry"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+	"github.com/tamarackbay/tamarackbay/internal/roster"
+	"github.com/tamarackbay/tamarackbay/internal/routing"
+	"github.com/tamarackbay/tamarackbay/internal/settings"
+	"github.com/tamarackbay/tamarackbay/internal/storage"
+	"github.com/tamarackbay/tamarackbay/internal/usage"
+	"github.com/tamarackbay/tamarackbay/internal/weights"
+	"github.com/tamarackbay/tamarackbay/internal/wire"
+)
+
+// Times of the control plane on a platform that counts a VM as whole again a few
+// seconds after it is back.
+const (
+	// electionTimeout is well above a round trip with two slow syncs of a disk.
+	electionTimeout = 500 * time.Millisecond
+	heartbeatPeriod = 100 * time.Millisecond
+	// replaceAfter is the silence after which a spare takes a voter's place: twice
+	// the election timeout, so that a short pause costs no membership change.
+	replaceAfter = 1500 * time.Millisecond
+	// dutyFreshness is how young the replicated state must be to act on a lease.
+	dutyFreshness = 2 * time.Second
+	// lapseBeats is the number of heartbeats that a backend server may miss; some
+	// come seconds late.
+	lapseBeats = 4
+	// forwardTimeout bounds the passing on of a heartbeat to another controller.
+	forwardTimeout = time.Second
+	// formAfter is how long the first formation of the store group waits for all
+	// VMs that it should have.
+	formAfter = 5 * time.Second
+	// storeSilence is the silence after which a store is not counted any more.
+	storeSilence = 3 * time.Second
+)
+
+// Methods of calls from other own processes.
+const (
+	methodBeat     = "controller.beat"
+	MethodAnnounce = "controller.announce" // of stores
+	MethodUsage    = "controller.usage"    // of gateways
+)
+
+// Config builds a Controller.
+type Config struct {
+	Settings    *settings.Node
+	Controllers func() []string // peer addresses of the settings, which may change
+	Files       storage.Files
+	Peer        peer.Config
+	Client      *backend.Client
+	// ReportUsage sends the report of a window; nil switches the duty off.
+	ReportUsage func(ctx context.Context, holder string, fencing uint64, re usage.Report) error
+	Now         func() time.Duration // goes on while the process is suspended
+	WallMs      func() int64
+	Log         log.Interface
+}
+
+// Controller is a running process of the control plane.
+type Controller struct {
+	cfg     Config
+	group   *group.Group
+	feed    *feed.Server
+	links   *peer.Links
+	cancel  context.CancelFunc
+	stopped chan struct{}
+	stop    sync.Once
+
+	mu        sync.Mutex
+	registry  *registry.Registry
+	stores    map[string]*store // by name
+	dirty     chan struct{}
+	startedAt time.Duration
+	waitedFor time.Duration // since when stores are known and no group is formed
+	swaps     map[string]*rollout
+	usage     usageState
+}
+
+// Announcement is what a store tells every controller again and again.
+type Announcement struct {
+	Member  roster.Member         `cbor:"1,keyasint"`
+	Leads   bool                  `cbor:"2,keyasint"`
+	Term    uint64                `cbor:"3,keyasint"`
+	Members []consensus.ReplicaID `cbor:"4,keyasint"` // of the store group, where it leads
+	Voters  int                   `cbor:"5,keyasint"`
+	Running map[string]int        `cbor:"6,keyasint"` // items at each backend server, where it leads
+}
+
+type store struct {
+	Announcement
+	heard time.Duration
+}
+
+// beatNote is a heartbeat, or the notice of leaving, on its way between controllers.
+type beatNote struct {
+	Record registry.Record `cbor:"1,keyasint"`
+	Leaves bool            `cbor:"2,keyasint"`
+}
+
+// New loads the replica's identity. Handlers may be served before Run.
+func New(cfg Config) (*Controller, error) {
+	no := cfg.Settings
+	ctx, cancel := context.WithCancel(context.Background())
+	co := &Controller{
+		cfg: cfg, feed: feed.NewServer(), cancel: cancel, stopped: make(chan struct{}),
+		registry: registry.New(lapseBeats * no.BeatPeriod), stores: map[string]*store{}, dirty: make(chan struct{}, 1),
+		startedAt: cfg.Now(), swaps: map[string]*rollout{},
+	}
+	var founders []group.Founder
+	for _, a := range no.Controllers {
+		founders = append(founders, group.Founder{Address: a})
+	}
+	gc := group.Config{
+		Name: no.Name, Address: no.PeerAddress, FailureDomain: no.FailureDomain, DataFolder: no.DataFolder, Founders: founders,
+		Peer: cfg.Peer, Files: cfg.Files, Election: electionTimeout, Heartbeat: heartbeatPeriod, FreshnessBound: dutyFreshness,
+		ReplaceAfter: replaceAfter, Voters: no.Voters(), Addresses: co.addresses, WallMs: cfg.WallMs, Log: cfg.Log,
+		OnStatus: func(group.Status) { co.touch() },
+	}
+	if !no.MayForm {
+		// The system has run before: an empty disk is a new replica that joins.
+		gc.Formation = func() []consensus.ReplicaID { return nil }
+	}
+	var err error
+	if co.group, err = group.New(gc); err != nil {
+		cancel()
+
+		return nil, err
+	}
+	co.links = peer.NewLinks(ctx, cfg.Peer)
+
+	return co, nil
+}
+
+// addresses returns where other controllers may be found.
+func (co *Controller) addresses() []string {
+	out := co.cfg.Controllers()
+	if co.group != nil {
+		out = append(out, co.members()...)
+	}
+	slices.Sort(out)
+
+	return slices.Compact(out)
+}
+
+// members returns the peer addresses of the group's replicas.
+func (co *Controller) members() []string {
+	all := co.group.Status().Membership.All()
+	var out []string
+	co.group.Read(func(ma *machine.Machine) {
+		for _, id := range all {
+			if re, ok := ma.Replicas()[id]; ok {
+				out = append(out, re.Address)
+			}
+		}
+	})
+	slices.Sort(out)
+
+	return slices.Compact(out)
+}
+
+// Handlers returns the calls that other own processes may make.
+func (co *Controller) Handlers() peer.Mux {
+	mux := co.group.Handlers()
+	maps.Copy(mux, co.feed.Handlers())
+	mux[methodBeat] = func(_ context.Context, st *peer.Stream) error {
+		var no beatNote
+		if err := request(st, &no); err != nil {
+			return err
+		}
+		co.observe(no)
+
+		return st.Reply(&wire.Empty{})
+	}
+	mux[MethodAnnounce] = co.handleAnnounce
+	mux[MethodUsage] = func(ctx context.Context, st *peer.Stream) error {
+		var fo usage.Fold
+		if err := request(st, &fo); err != nil {
+			return err
+		}
+		if err := co.group.Propose(ctx, machine.KindFoldUsage, fo, nil); err != nil {
+			return err
+		}
+
+		return st.Reply(&wire.Empty{})
+	}
+
+	return mux
+}
+
+func request(st *peer.Stream, out any) error {
+	var pa wire.Payload
+	if err := st.Request(&pa); err != nil {
+		return err
+	}
+	if err := cbor.Unmarshal(pa.GetRecord(), out); err != nil {
+		return result.New(result.MalformedBody, "controller: %v", err)
+	}
+
+	return nil
+}
+
+// Run takes part in the control plane until ctx ends.
+func (co *Controller) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer co.links.Wait()
+	defer co.cancel()
+	defer cancel()
+
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	run := func(f func(ctx context.Context)) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			f(ctx)
+		}()
+	}
+	run(co.publishDuty)
+	run(co.rosterDuty)
+	for _, du := range co.duties() {
+		run(du.Run)
+	}
+	err := co.group.Run(ctx)
+	cancel()
+
+	return err
+}
+
+func (co *Controller) duties() []*duty.Duty {
+	with := func(name string, work func(ctx context.Context, held duty.Held)) *duty.Duty {
+		return duty.New(duty.Config{
+			Name: name, Holder: co.cfg.Settings.Name, Terms: terms, Group: co.group, Now: co.cfg.Now, Work: work,
+			Stopped: co.stopped, TurnPause: co.cfg.Settings.TurnPause, Log: co.cfg.Log,
+		})
+	}
+	out := []*duty.Duty{with(leaseWeights, co.rollOut)}
+	if co.cfg.ReportUsage != nil {
+		out = append(out, with(machine.UsageLease, co.reportUsage))
+	}
+
+	return out
+}
+
+// terms are short, since the platform and the backend servers check fencing
+// numbers themselves: a successor may act as soon as it holds a higher one.
+var terms = lease.Terms{Duration: 1500 * time.Millisecond, MaxCall: 500 * time.Millisecond, Drift: 0.01}
+
+// StopDuties gives leases and the lead away before the process stops.
+func (co *Controller) StopDuties(ctx context.Context) {
+	co.stop.Do(func() { close(co.stopped) })
+	select {
+	case <-time.After(handOver):
+	case <-ctx.Done():
+	}
+	co.group.TransferLeadership(ctx)
+}
+
+// handOver is the time in which the keepers see that they are to release: a few of
+// their periods and one commit.
+const handOver = 150 * time.Millisecond
+
+// touch asks for the feed to be published anew.
+func (co *Controller) touch() {
+	select {
+	case co.dirty <- struct{}{}:
+	default:
+	}
+}
+
+// sweepPeriod is how often silent backend servers are looked for.
+const sweepPeriod = 250 * time.Millisecond
+
+// publishDuty tells followers what is known, whenever it changes.
+func (co *Controller) publishDuty(ctx context.Context) {
+	for ctx.Err() == nil {
+		applied := co.group.Applied()
+		co.publish()
+		select {
+		case <-applied:
+		case <-co.dirty:
+		case <-time.After(sweepPeriod):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (co *Controller) publish() {
+	st := &feed.State{Controllers: co.members()}
+	var members []roster.Member
+	retirement := map[string]roster.Retirement{}
+	co.group.Read(func(ma *machine.Machine) {
+		if cfg := ma.Routing().Config(); cfg.Version > 0 {
+			c := *cfg
+			st.Config = &c
+		}
+		st.Versions = maps.Clone(ma.Versions().All())
+		members = ma.Roster().Members()
+		for _, id := range ma.Roster().Formation() {
+			st.Formation = append(st.Formation, string(id))
+		}
+		for _, me := range members {
+			retirement[me.Name] = ma.Roster().Retirement(me.Name)
+		}
+	})
+	if age, ok := co.group.Age(); ok {
+		st.Age = age
+	}
+
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	now := co.cfg.Now()
+	for _, id := range co.registry.Sweep(now) {
+		co.cfg.Log.WithField("server", id).Warn("backend server silent")
+	}
+	st.Servers = co.registry.All()
+	st.IsSettled = now-co.startedAt > (lapseBeats+1)*co.cfg.Settings.BeatPeriod
+	for _, me := range members {
+		out := feed.Store{Name: me.Name, Replica: string(me.Replica), Address: me.Address, Retiring: retirement[me.Name] != 0}
+		if so := co.stores[me.Name]; so != nil && so.Member.Replica == me.Replica {
+			out.Leads, out.Term = so.Leads && now-so.heard < storeSilence, so.Term
+		}
+		st.Stores = append(st.Stores, out)
+	}
+	co.feed.Publish(st)
+}
+
+// Beat takes a heartbeat of a backend server and passes it on to the other controllers.
+func (co *Controller) Beat(re registry.Record) { co.observeAndForward(beatNote{Record: re}) }
+
+// Leave takes the notice that a backend server leaves.
+func (co *Controller) Leave(id string, bornMs int64) {
+	co.observeAndForward(beatNote{Record: registry.Record{ID: id, BornMs: bornMs}, Leaves: true})
+}
+
+func (co *Controller) observeAndForward(no beatNote) {
+	co.observe(no)
+	b, err := cbor.Marshal(no)
+	if err != nil {
+		co.cfg.Log.WithError(err).Error("heartbeat not passed on")
+
+		return
+	}
+	for _, a := range co.members() {
+		if a == co.cfg.Settings.PeerAddress {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), forwardTimeout)
+			defer cancel()
+			// A controller that does not hear this one hears the next heartbeat, or is told by the lapse.
+			_ = co.links.Call(ctx, a, methodBeat, &wire.Payload{Record: b}, &wire.Empty{})
+		}()
+	}
+}
+
+func (co *Controller) observe(no beatNote) {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+
+	now, changed := co.cfg.Now(), false
+	if no.Leaves {
+		changed = co.registry.Leave(now, no.Record.ID, no.Record.BornMs)
+	} else {
+		changed = co.registry.Observe(now, no.Record)
+	}
+	if !changed {
+		return
+	}
+	co.touch()
+	re := no.Record
+	co.cfg.Log.WithFields(log.Fields{
+		"server": re.ID, "service": re.Service, "address": re.Address, "state": re.State.String(), "leaves": no.Leaves,
+		"born": re.BornMs, "sequence": re.Sequence, "models": re.Models,
+	}).Info("backend server told")
+}
+
+// PutRouting commits a valid configuration.
+func (co *Controller) PutRouting(ctx context.Context, cfg *routing.Config, document []byte) error {
+	var rep routing.PutReply
+	err := co.group.Propose(ctx, machine.KindPutRouting, routing.Put{Config: *cfg, Document: document}, &rep)
+	fl := log.Fields{"version": cfg.Version, "routes": len(cfg.Routes), "inForce": rep.Version, "replaced": rep.Replaced}
+	if err != nil {
+		fl["error"] = err.Error()
+		co.cfg.Log.WithFields(fl).Warn("configuration not accepted")
+
+		return err
+	}
+	co.cfg.Log.WithFields(fl).Info("configuration accepted")
+
+	return nil
+}
+
+// Routing returns the newest configuration as the operator sent it.
+func (co *Controller) Routing(ctx context.Context) ([]byte, error) {
+	if err := co.group.Barrier(ctx); err != nil {
+		return nil, err
+	}
+	var b []byte
+	co.group.Read(func(ma *machine.Machine) { b = ma.Routing().Document() })
+	if len(b) == 0 {
+		return nil, result.New(result.NoLeader, "controller: no configuration was accepted yet")
+	}
+
+	return b, nil
+}
+
+// NameVersion commits a weight version.
+func (co *Controller) NameVersion(ctx context.Context, model string, version uint64) error {
+	if err := co.group.Propose(ctx, machine.KindNameVersion, weights.Name{Model: model, Version: version}, nil); err != nil {
+		return err
+	}
+	co.cfg.Log.WithFields(log.Fields{"model": model, "version": version}).Info("weight version recorded")
+
+	return nil
+}
+
+// Group returns the replica.
+func (co *Controller) Group() *group.Group { return co.group }
+
+func byName(a, b roster.Member) int { return strings.Compare(a.Name, b.Name) }
--- /dev/null
+++ b/internal/dispatch/driver.go
@@ -0,0 +1,320 @@
+// Package dispatch drives the items of batch jobs while its store leads: it places
+// each at a backend server, goes on where one broke off, asks for the score and
+// commits the result. One process drives all items of a group.
+package dispatch
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/tamarackbay/tamarackbay/internal/backend"
+	"github.com/tamarackbay/tamarackbay/internal/balance"
+	"github.com/tamarackbay/tamarackbay/internal/feed"
+	"github.com/tamarackbay/tamarackbay/internal/group"
+	"github.com/tamarackbay/tamarackbay/internal/job"
+	"github.com/tamarackbay/tamarackbay/internal/machine"
+	"github.com/tamarackbay/tamarackbay/internal/meter"
+	"github.com/tamarackbay/tamarackbay/internal/routing"
+)
+
+const (
+	// idlePeriod is how often the driver looks for what became due without an event.
+	idlePeriod = 100 * time.Millisecond
+	// maxTried is the number of backend servers that an item remembers to avoid.
+	maxTried = 2
+)
+
+// Config builds a Driver.
+type Config struct {
+	Group    *group.Group
+	View     func() *feed.View
+	Changed  func() <-chan struct{}
+	Balancer *balance.Balancer
+	Client   *backend.Client
+	Random   func() float64
+	WallMs   func() int64
+	Meter    *meter.Meter
+	Log      log.Interface
+}
+
+// Driver drives the items of all open jobs.
+type Driver struct {
+	cfg  Config
+	wake chan struct{}
+
+	mu       sync.Mutex
+	ctx      context.Context // of Run, nil before it
+	term     uint64          // in which this process drives, 0 while it does not
+	jobs     map[string]*jobState
+	revision uint64 // of the ledger, as it was read last
+	running  map[string]int
+	wg       sync.WaitGroup
+}
+
+// New returns a driver.
+func New(cfg Config) *Driver {
+	return &Driver{cfg: cfg, wake: make(chan struct{}, 1), jobs: map[string]*jobState{}, running: map[string]int{}}
+}
+
+// Wake makes the driver look at once.
+func (dr *Driver) Wake() {
+	select {
+	case dr.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Running returns how many items run at each backend server.
+func (dr *Driver) Running() map[string]int {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+
+	out := make(map[string]int, len(dr.running))
+	for id, n := range dr.running {
+		if n > 0 {
+			out[id] = n
+		}
+	}
+
+	return out
+}
+
+// Run drives whenever this process leads, until ctx ends.
+func (dr *Driver) Run(ctx context.Context) {
+	defer dr.wg.Wait()
+	defer dr.stop()
+
+	dr.mu.Lock()
+	dr.ctx = ctx
+	dr.mu.Unlock()
+	for ctx.Err() == nil {
+		applied := dr.cfg.Group.Applied()
+		dr.turn()
+		select {
+		case <-applied:
+		case <-dr.wake:
+		case <-time.After(idlePeriod):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// turn follows the ledger and starts what can run now.
+func (dr *Driver) turn() {
+	st := dr.cfg.Group.Status()
+	if !dr.cfg.Group.IsLeader() {
+		dr.stop()
+
+		return
+	}
+
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	if dr.term != st.Term {
+		dr.stopLocked()
+		dr.term, dr.revision = st.Term, 0
+		dr.cfg.Log.WithField("term", st.Term).Info("items are driven here")
+	}
+	dr.follow()
+	dr.place()
+}
+
+func (dr *Driver) stop() {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+
+	if dr.term != 0 {
+		dr.cfg.Log.WithField("term", dr.term).Info("items are not driven here any more")
+	}
+	dr.stopLocked()
+	dr.term = 0
+}
+
+func (dr *Driver) stopLocked() {
+	for _, js := range dr.jobs {
+		js.cancelAll()
+	}
+	dr.jobs = map[string]*jobState{}
+}
+
+func (js *jobState) cancelAll() {
+	for _, ta := range js.tasks {
+		if ta.cancel != nil {
+			ta.cancel()
+		}
+	}
+}
+
+// follow reads what has changed in the ledger: new jobs, ended ones, listed items.
+func (dr *Driver) follow() {
+	dr.cfg.Group.Read(func(ma *machine.Machine) {
+		le := ma.Jobs()
+		if le.Revision() == dr.revision && dr.revision != 0 {
+			return
+		}
+		dr.revision = le.Revision()
+		for id, jo := range le.Jobs() {
+			js := dr.jobs[id]
+			switch {
+			case !jo.IsOpen() && js != nil:
+				js.cancelAll()
+				delete(dr.jobs, id)
+			case jo.IsOpen() && js == nil:
+				dr.jobs[id] = newJobState(jo)
+			case jo.IsOpen():
+				for _, re := range jo.Results {
+					delete(js.tasks, re.Item)
+				}
+			}
+		}
+		for id, js := range dr.jobs {
+			if le.Jobs()[id] == nil {
+				js.cancelAll()
+				delete(dr.jobs, id)
+			}
+		}
+	})
+}
+
+func newJobState(jo *job.Job) *jobState {
+	sp := &jo.Spec
+	at := time.UnixMilli(jo.SubmittedMs)
+	js := &jobState{
+		id: sp.ID, workspace: sp.Workspace, host: sp.Host, model: sp.Model, minVersion: sp.MinVersion, submitted: at,
+		resultDeadline: at.Add(time.Duration(sp.ResultDeadline) * time.Millisecond), tasks: map[int]*task{},
+	}
+	if sp.MaxQueue > 0 {
+		js.giveUpAt = at.Add(time.Duration(sp.MaxQueue) * time.Millisecond)
+	}
+	for i := range sp.Items {
+		if !jo.Listed[i] {
+			js.tasks[i] = &task{job: js, index: i, item: sp.Items[i]}
+		}
+	}
+
+	return js
+}
+
+// waitingTasks returns the tasks that want a backend server, in the order in which
+// trainers gain most: the oldest job first, and in it the groups as the trainer
+// listed them, so that whole groups become complete.
+func (dr *Driver) waitingTasks(now time.Time) []*task {
+	var out []*task
+	for _, js := range dr.jobs {
+		for _, ta := range js.tasks {
+			if ta.phase == waiting && !now.Before(ta.notBefore) {
+				out = append(out, ta)
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b *task) int {
+		return cmp.Or(a.job.submitted.Compare(b.job.submitted), cmp.Compare(a.job.id, b.job.id), cmp.Compare(a.index, b.index))
+	})
+
+	return out
+}
+
+// place starts waiting tasks as long as backend servers have room.
+func (dr *Driver) place() {
+	ta := dr.cfg.View().Table
+	if ta == nil {
+		return
+	}
+	now := time.Now()
+	full := map[string]bool{} // services and versions without room in this turn
+	for _, t := range dr.waitingTasks(now) {
+		if !t.job.giveUpAt.IsZero() && now.After(t.job.giveUpAt) {
+			dr.finish(t, job.Result{Item: t.index, State: job.Aborted}, "it waited too long")
+
+			continue
+		}
+		ro := ta.Match(t.job.host, t.item.Path)
+		if ro == nil {
+			continue // its route may come back until the item is given up
+		}
+		service := ro.PickTarget(dr.cfg.Random())
+		if key := service + "@" + t.job.id; full[key] {
+			continue
+		} else if gr := dr.acquire(service, t); gr == nil {
+			full[key] = true
+		} else {
+			dr.start(t, ro, gr)
+		}
+	}
+}
+
+func (dr *Driver) acquire(service string, t *task) *balance.Grant {
+	return dr.cfg.Balancer.Acquire(&balance.Request{
+		Service: service, Model: t.job.model, MinVersion: t.job.minVersion, Prefix: t.job.model + "/" + t.item.Group,
+		Exclude: t.tried, Tokens: t.item.Tokens,
+	})
+}
+
+// start runs a task at a backend server.
+func (dr *Driver) start(t *task, ro *routing.Route, gr *balance.Grant) {
+	if !t.text.fits(t.job.minVersion, ro.IsSingleVersion) || (ro.IsSingleVersion && len(t.text.versions) > 0) {
+		t.text = text{}
+	}
+	ctx, cancel := context.WithCancel(dr.ctx)
+	t.phase, t.cancel = running, cancel
+	dr.running[gr.Record().ID]++
+	te := t.text
+	te.events, te.versions = slices.Clone(te.events), slices.Clone(te.versions)
+	dr.wg.Add(1)
+	go func() {
+		defer dr.wg.Done()
+		defer cancel()
+		oc := dr.run(ctx, t, ro, gr, &te)
+		dr.mu.Lock()
+		dr.running[gr.Record().ID]--
+		dr.mu.Unlock()
+		dr.ran(t, ro, gr, &te, oc)
+		dr.Wake()
+	}()
+}
+
+// finish commits the result of a task. The caller holds dr.mu.
+func (dr *Driver) finish(t *task, re job.Result, why string) {
+	t.phase = listing
+	dr.wg.Add(1)
+	go func() {
+		defer dr.wg.Done()
+		dr.list(dr.ctx, t, re, why)
+	}()
+}
+
+// listRetry is the pause before a result that could not be committed is proposed again.
+const listRetry = 50 * time.Millisecond
+
+// list commits a result, again and again while this process leads.
+func (dr *Driver) list(ctx context.Context, t *task, re job.Result, why string) {
+	fl := log.Fields{
+		"job": t.job.id, "item": t.item.ID, "group": t.item.Group, "completed": re.State == job.Completed,
+		"versions": re.Versions, "bytes": len(re.Text), "ms": time.Since(t.job.submitted).Milliseconds(),
+	}
+	if why != "" {
+		fl["why"] = why
+	}
+	for ctx.Err() == nil {
+		err := dr.cfg.Group.ProposeLocal(ctx, machine.KindListResults, job.List{Job: t.job.id, Results: []job.Result{re}}, nil)
+		if err == nil {
+			dr.cfg.Meter.Count("item.listed")
+			dr.cfg.Log.WithFields(fl).Info("item listed")
+
+			return
+		}
+		dr.cfg.Log.WithError(err).WithFields(fl).Warn("result not committed")
+		if !dr.cfg.Group.IsLeader() {
+			return // the next leader runs the item again
+		}
+		select {
+		case <-time.After(listRetry):
+		case <-ctx.Done():
+		}
+	}
+}
--- /dev/null
+++ b/internal/dispatch/run.go
@@ -0,0 +1,327 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/tamarackbay/tamarackbay/internal/backend"
+	"github.com/tamarackbay/tamarackbay/internal/balance"
+	"github.com/tamarackbay/tamarackbay/internal/job"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+	"github.com/tamarackbay/tamarackbay/internal/routing"
+)
+
+const (
+	// headTimeout is how long a backend server may take to its first event; engines
+	// read a prompt in milliseconds, and a queue in front of them takes seconds at most.
+	headTimeout = 4 * time.Second
+	// gapTimeout is the longest pause between two events before the run is moved:
+	// many times the pause that makes a stream late.
+	gapTimeout = 2 * time.Second
+	// itemTimeLeft is what a backend server is told that it may take. A run that is
+	// not wanted any more is cut by closing its connection.
+	itemTimeLeft = 30 * time.Second
+	// retryAtOnce and retryLater are the pauses before an item is placed again.
+	retryAtOnce = 10 * time.Millisecond
+	retryLater  = 250 * time.Millisecond
+	// retryMax bounds the pause of an item that breaks off again and again without
+	// getting on; it doubles each time, maxBroken times at most.
+	retryMax  = time.Second
+	maxBroken = 8
+	// rewardTimeout bounds one call for a score, several times its usual work.
+	rewardTimeout = time.Second
+	// maxErrorBytes of an answer that reports a failure are read, to keep its connection.
+	maxErrorBytes = 64 << 10
+)
+
+// outcome of a run.
+type outcome uint8
+
+const (
+	complete   outcome = iota // the text is whole
+	brokenOff                 // it goes on elsewhere
+	refused                   // it has not run there
+	serverFail                // the backend server says that it failed
+	impossible                // it can never be done
+	cancelled                 // nobody wants it any more
+)
+
+// run runs a task at one backend server, from where its text ends.
+func (dr *Driver) run(ctx context.Context, t *task, ro *routing.Route, gr *balance.Grant, te *text) outcome {
+	rec := gr.Record()
+	began, from := time.Now(), te.last
+	grantOutcome, load := balance.Failed, (*backend.Load)(nil)
+	defer func() { gr.Release(grantOutcome, load) }()
+
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watch := time.AfterFunc(headTimeout, func() { cancel(errSilent) })
+	defer watch.Stop()
+
+	oc, err := dr.exchange(ctx, t, ro, gr, te, watch, &load)
+	switch {
+	case oc == complete:
+		grantOutcome = balance.Succeeded
+	case oc == refused:
+		grantOutcome = balance.Busy
+	case oc == impossible:
+		grantOutcome = balance.Succeeded
+	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errSilent):
+		oc, grantOutcome = cancelled, balance.Unused
+	}
+	fl := log.Fields{
+		"job": t.job.id, "item": t.item.ID, "server": rec.ID, "outcome": oc.String(), "fromEvent": from, "lastEvent": te.last,
+		"believedVersion": rec.Version(t.job.model), "versions": te.versions, "ms": time.Since(began).Milliseconds(),
+	}
+	if err != nil {
+		fl["error"] = err.Error()
+	}
+	dr.cfg.Meter.Count("item.run." + oc.String())
+	dr.cfg.Meter.Time("item.run", time.Since(began))
+	dr.cfg.Log.WithFields(fl).Info("item ran")
+
+	return oc
+}
+
+var errSilent = errors.New("dispatch: the backend server is silent")
+
+func (oc outcome) String() string {
+	return [...]string{"complete", "brokenOff", "refused", "serverFailed", "impossible", "cancelled"}[oc]
+}
+
+// exchange sends the item and takes its events.
+func (dr *Driver) exchange(
+	ctx context.Context, t *task, ro *routing.Route, gr *balance.Grant, te *text, watch *time.Timer, load **backend.Load,
+) (outcome, error) {
+	rec := gr.Record()
+	an, err := dr.cfg.Client.Send(ctx, rec.Address, &backend.Call{
+		ID: t.item.ID, Method: http.MethodPost, Host: t.job.host, Target: t.item.Path, Header: headerOf(&t.item), Body: t.item.Body,
+		Instance: rec.ID, Workspace: t.job.workspace, TimeLeft: itemTimeLeft, Priority: -1, ResumeAfter: te.last,
+	})
+	if err != nil {
+		return brokenOff, err
+	}
+	defer an.Body.Close()
+
+	*load = an.Load
+	if an.IsNotRun || an.Status >= http.StatusMultipleChoices || an.Stamp == "" {
+		_, _ = io.Copy(io.Discard, io.LimitReader(an.Body, maxErrorBytes)) // keeps the connection
+
+		return outcomeOf(an), result.New(result.BackendRefused, "status %d, not run: %v", an.Status, an.IsNotRun)
+	}
+	version := an.Version
+	if version < t.job.minVersion {
+		return refused, result.New(result.NoEligibleVersion, "version %d is older than %d", version, t.job.minVersion)
+	}
+	if ro.IsSingleVersion && len(te.versions) > 0 && te.versions[0] != version {
+		*te = text{}
+
+		return brokenOff, result.New(result.NoEligibleVersion, "the text was begun under version %d, not %d", te.versions, version)
+	}
+
+	next := dr.cfg.Client.Events(an.Body)
+	for {
+		ev, err := next()
+		if errors.Is(err, io.EOF) {
+			if te.last == 0 {
+				return brokenOff, result.New(result.StreamCut, "the stream ended before its first event")
+			}
+
+			return complete, nil
+		}
+		if err != nil {
+			return brokenOff, err
+		}
+		watch.Reset(gapTimeout)
+		if ev.Version > 0 {
+			version = ev.Version
+		}
+		if te.last > 0 && ev.Number != te.last+1 {
+			return brokenOff, result.New(result.BackendAnswerBroken, "event %d follows event %d", ev.Number, te.last)
+		}
+		if ro.IsSingleVersion && len(te.versions) > 0 && te.versions[0] != version {
+			*te = text{}
+
+			return brokenOff, result.New(result.NoEligibleVersion, "the version changed to %d in the middle of the text", version)
+		}
+		te.add(ev.Number, ev.Data, version)
+	}
+}
+
+// outcomeOf judges an answer that is not a stream.
+func outcomeOf(an *backend.Answer) outcome {
+	switch {
+	case an.IsNotRun:
+		return refused
+	case an.Status == http.StatusUnprocessableEntity:
+		return impossible
+	case an.Status == http.StatusInternalServerError:
+		return serverFail
+	}
+
+	return brokenOff
+}
+
+// ran decides what follows a run.
+func (dr *Driver) ran(t *task, ro *routing.Route, gr *balance.Grant, te *text, oc outcome) {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+
+	t.cancel = nil
+	if oc == cancelled || dr.jobs[t.job.id] != t.job {
+		return
+	}
+	from := t.text.last
+	t.text = *te
+	avoid := func() {
+		t.tried = append(t.tried, gr.Record().ID)
+		if len(t.tried) > maxTried {
+			t.tried = t.tried[1:]
+		}
+	}
+	again := func(pause time.Duration) {
+		t.phase, t.notBefore = waiting, time.Now().Add(pause)
+		dr.cfg.Meter.Retried(oc.String(), true)
+	}
+	switch oc {
+	case complete:
+		t.tried = nil
+		if t.item.Reward == nil {
+			dr.finish(t, dr.resultOf(t, ""), "")
+
+			return
+		}
+		dr.startReward(t)
+	case impossible:
+		dr.finish(t, job.Result{Item: t.index, State: job.Aborted}, "it can never be done")
+	case serverFail:
+		if t.failures++; t.failures >= max(ro.MaxAttempts, 1) {
+			dr.finish(t, job.Result{Item: t.index, State: job.Aborted}, "backend servers failed it too often")
+
+			return
+		}
+		avoid()
+		again(retryAtOnce)
+	case refused:
+		again(retryAtOnce)
+	default:
+		avoid()
+		if te.last > from {
+			t.broken = 0
+		}
+		again(min(retryAtOnce<<t.broken, retryMax))
+		t.broken = min(t.broken+1, maxBroken)
+	}
+}
+
+func (dr *Driver) resultOf(t *task, score string) job.Result {
+	return job.Result{Item: t.index, State: job.Completed, Text: t.text.String(), Versions: t.text.versions, Score: score}
+}
+
+// startReward asks for the score of a complete text. The caller holds dr.mu.
+func (dr *Driver) startReward(t *task) {
+	ctx, cancel := context.WithCancel(dr.ctx)
+	t.phase, t.cancel = rewarding, cancel
+	dr.wg.Add(1)
+	go func() {
+		defer dr.wg.Done()
+		defer cancel()
+		dr.reward(ctx, t)
+	}()
+}
+
+// reward asks for the score until it has one, or too many backend servers failed.
+func (dr *Driver) reward(ctx context.Context, t *task) {
+	rw := t.item.Reward
+	var tried []string
+	for ctx.Err() == nil {
+		score, server, oc, limit := dr.rewardOnce(ctx, rw, tried)
+		if server != "" {
+			tried = append(tried, server)
+			if len(tried) > maxTried {
+				tried = tried[1:]
+			}
+		}
+		switch {
+		case ctx.Err() != nil:
+			return
+		case oc == complete:
+			dr.list(ctx, t, dr.resultOf(t, score), "")
+
+			return
+		case oc == serverFail:
+			if t.rewardFails++; t.rewardFails >= limit {
+				dr.list(ctx, t, job.Result{Item: t.index, State: job.Aborted}, "its score failed too often")
+
+				return
+			}
+		case oc == refused:
+			select {
+			case <-time.After(retryLater):
+			case <-ctx.Done():
+			}
+		}
+	}
+}
+
+// rewardOnce sends one call for a score. limit is the number of failures after
+// which there is none.
+func (dr *Driver) rewardOnce(ctx context.Context, rw *job.Reward, tried []string) (score, server string, oc outcome, limit int) {
+	ta := dr.cfg.View().Table
+	ro := ta.Match(rw.Host, rw.Path)
+	if ro == nil {
+		return "", "", refused, 1
+	}
+	limit = max(ro.MaxAttempts, 1)
+	rq := &balance.Request{Service: ro.PickTarget(dr.cfg.Random()), Exclude: tried, Extra: rewardExtra}
+	gr := dr.cfg.Balancer.Acquire(rq)
+	if gr == nil {
+		rq.Exclude = nil
+		gr = dr.cfg.Balancer.Acquire(rq)
+	}
+	if gr == nil {
+		return "", "", refused, limit
+	}
+
+	began := time.Now()
+	grantOutcome, load := balance.Failed, (*backend.Load)(nil)
+	defer func() { gr.Release(grantOutcome, load) }()
+	rec := gr.Record()
+	ctx, cancel := context.WithTimeout(ctx, rewardTimeout)
+	defer cancel()
+	an, err := dr.cfg.Client.Send(ctx, rec.Address, &backend.Call{
+		ID: rw.ID, Method: http.MethodPost, Host: rw.Host, Target: rw.Path, Body: rw.Body, Instance: rec.ID,
+		TimeLeft: rewardTimeout, Priority: -1,
+	})
+	oc = brokenOff
+	if err == nil {
+		load = an.Load
+		_, err = io.Copy(io.Discard, an.Body)
+		_ = an.Body.Close()
+		switch {
+		case an.IsNotRun:
+			oc, grantOutcome = refused, balance.Busy
+		case an.Status >= 500:
+			oc = serverFail
+		case err == nil && an.Status < 300 && an.Stamp != "":
+			oc, grantOutcome, score = complete, balance.Succeeded, an.Stamp
+		}
+	}
+	fl := log.Fields{"reward": rw.ID, "server": rec.ID, "outcome": oc.String(), "ms": time.Since(began).Milliseconds()}
+	if err != nil {
+		fl["error"] = err.Error()
+	}
+	dr.cfg.Meter.Count("reward." + oc.String())
+	dr.cfg.Log.WithFields(fl).Info("score asked")
+
+	return score, rec.ID, oc, limit
+}
+
+// rewardExtra lets the calls for scores queue a little at backend servers, which
+// takes less time than asking again.
+const rewardExtra = 6
--- /dev/null
+++ b/internal/duty/duty.go
@@ -0,0 +1,161 @@
+// Package duty does work that only the holder of a lease may do: it keeps the
+// lease and runs the work while it is held.
+package duty
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/tamarackbay/tamarackbay/internal/group"
+	"github.com/tamarackbay/tamarackbay/internal/lease"
+	"github.com/tamarackbay/tamarackbay/internal/machine"
+)
+
+const (
+	workPeriod   = 200 * time.Millisecond
+	keeperPeriod = 50 * time.Millisecond
+)
+
+// Held returns the fencing number of a lease, and false unless an outside call may start now.
+type Held func() (fencing uint64, ok bool)
+
+// Config builds a Duty.
+type Config struct {
+	Name   string // of the lease
+	Holder string
+	Terms  lease.Terms
+	Group  *group.Group
+	Now    func() time.Duration
+	// Work is called again and again while the lease is held.
+	Work func(ctx context.Context, held Held)
+	// Stopped is closed when the lease is to be given up.
+	Stopped <-chan struct{}
+	// TurnPause is how long a holder that was followed by another one waits before
+	// it takes the lease again, counted from when it held it last.
+	TurnPause time.Duration
+	Log       log.Interface
+}
+
+// Duty is work under one lease.
+type Duty struct {
+	cfg    Config
+	mu     sync.Mutex
+	keeper *lease.Keeper
+
+	// What the keeper held last.
+	fencing uint64
+	heldAt  time.Duration
+	isHeld  bool
+}
+
+// New returns a duty.
+func New(cfg Config) *Duty {
+	nonce := func() string { return fmt.Sprintf("%016x", rand.Uint64()) }
+
+	return &Duty{cfg: cfg, keeper: lease.NewKeeper(cfg.Name, cfg.Holder, cfg.Terms, nonce)}
+}
+
+// Run keeps the lease and does the work until ctx ends.
+func (du *Duty) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		for ctx.Err() == nil {
+			if _, ok := du.Held(); ok {
+				du.cfg.Work(ctx, du.Held)
+			}
+			select {
+			case <-time.After(workPeriod):
+			case <-ctx.Done():
+			}
+		}
+	}()
+	for ctx.Err() == nil {
+		du.keep(ctx)
+		select {
+		case <-time.After(keeperPeriod):
+		case <-ctx.Done():
+		}
+	}
+	wg.Wait()
+}
+
+// Held returns the fencing number, and false unless an outside call may start now.
+func (du *Duty) Held() (uint64, bool) {
+	du.mu.Lock()
+	defer du.mu.Unlock()
+
+	return du.keeper.Held(du.cfg.Now())
+}
+
+// next lets the keeper see the lease and returns the action that is due.
+func (du *Duty) next(le lease.Lease) (lease.Action, bool) {
+	du.mu.Lock()
+	defer du.mu.Unlock()
+
+	select {
+	case <-du.cfg.Stopped:
+		du.keeper.Stop()
+	default:
+	}
+	now := du.cfg.Now()
+	du.keeper.Observe(now, le)
+	fencing, ok := du.keeper.Held(now)
+	switch {
+	case ok:
+		du.fencing, du.heldAt = fencing, now
+	case du.isHeld:
+		du.cfg.Log.WithFields(log.Fields{"lease": du.cfg.Name, "fencing": du.fencing, "seenFencing": le.Fencing, "holder": le.Holder}).
+			Warn("lease lost")
+	}
+	du.isHeld = ok
+	if !ok && du.fencing > 0 && le.Fencing > du.fencing && now < du.heldAt+du.cfg.TurnPause {
+		return lease.Action{}, false
+	}
+
+	return du.keeper.Next(now)
+}
+
+// keep carries out the keeper's action.
+func (du *Duty) keep(ctx context.Context) {
+	if du.cfg.Group.Fresh() != nil {
+		return // what is applied here may be old: neither observe nor ask
+	}
+	var le lease.Lease
+	if !du.cfg.Group.Read(func(ma *machine.Machine) { le = ma.Leases().Get(du.cfg.Name) }) {
+		return
+	}
+	ac, ok := du.next(le)
+	if !ok {
+		return
+	}
+
+	cctx, cancel := context.WithTimeout(ctx, du.cfg.Terms.Duration/2)
+	defer cancel()
+	var got lease.Lease
+	var err error
+	switch {
+	case ac.Acquire != nil:
+		err = du.cfg.Group.Propose(cctx, machine.KindAcquireLease, ac.Acquire, &got)
+		if err == nil {
+			du.cfg.Log.WithFields(log.Fields{"lease": du.cfg.Name, "fencing": got.Fencing}).Info("lease acquired")
+		}
+	case ac.Renew != nil:
+		err = du.cfg.Group.Propose(cctx, machine.KindRenewLease, ac.Renew, &got)
+	case ac.Release != nil:
+		if err := du.cfg.Group.Propose(cctx, machine.KindReleaseLease, ac.Release, nil); err != nil {
+			du.cfg.Log.WithError(err).WithField("lease", du.cfg.Name).Warn("lease not released, it lapses")
+		}
+
+		return
+	}
+	du.mu.Lock()
+	du.keeper.Answered(du.cfg.Now(), got, err)
+	du.mu.Unlock()
+}
--- /dev/null
+++ b/internal/feed/feed.go
@@ -0,0 +1,177 @@
+// Package feed passes what controllers know on to every other process: the
+// configuration, the weight versions that were named, who stores batch jobs, and
+// the backend servers. A follower listens to every controller at once, so that the
+// loss of one costs nothing.
+package feed
+
+import (
+	"maps"
+	"reflect"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/tamarackbay/tamarackbay/internal/registry"
+	"github.com/tamarackbay/tamarackbay/internal/routing"
+)
+
+// Method is the call by which a process follows a controller.
+const Method = "feed.follow"
+
+const (
+	// quietPeriod is how often a controller is heard even if nothing changes.
+	quietPeriod = 500 * time.Millisecond
+	// lostAfter is the silence after which a follower takes a controller for lost.
+	lostAfter = 3 * quietPeriod
+	// streamTimeout ends a stream that was followed for long, to be opened anew.
+	streamTimeout = 10 * time.Minute
+)
+
+// Store is a VM that stores batch jobs.
+type Store struct {
+	Name     string `cbor:"1,keyasint"`
+	Replica  string `cbor:"2,keyasint"`
+	Address  string `cbor:"3,keyasint"` // of its peer listener
+	Leads    bool   `cbor:"4,keyasint"`
+	Term     uint64 `cbor:"5,keyasint"` // in which it leads
+	Retiring bool   `cbor:"6,keyasint"`
+}
+
+// State is what one controller knows. It is never changed, only replaced.
+type State struct {
+	Config      *routing.Config
+	Versions    map[string]uint64 // newest named weight version of each model
+	Controllers []string          // peer addresses
+	Stores      []Store
+	Formation   []string // replicas that formed the store group
+	Servers     []registry.Status
+	IsSettled   bool          // this controller has heard every backend server that is alive
+	Age         time.Duration // since the replicated part was confirmed
+}
+
+// roster is the part of a State that changes with the VMs.
+type roster struct {
+	Controllers []string `cbor:"1,keyasint"`
+	Stores      []Store  `cbor:"2,keyasint"`
+	Formation   []string `cbor:"3,keyasint"`
+}
+
+func (st *State) roster() roster {
+	return roster{Controllers: st.Controllers, Stores: st.Stores, Formation: st.Formation}
+}
+
+// frame is what changed of a State; nil parts have not.
+type frame struct {
+	Config    *routing.Config   `cbor:"1,keyasint,omitempty"`
+	Versions  map[string]uint64 `cbor:"2,keyasint,omitempty"`
+	Roster    *roster           `cbor:"3,keyasint,omitempty"`
+	Changed   []registry.Status `cbor:"4,keyasint,omitempty"`
+	Forgotten []string          `cbor:"5,keyasint,omitempty"`
+	IsSettled bool              `cbor:"6,keyasint,omitempty"`
+	AgeMs     int64             `cbor:"7,keyasint"`
+}
+
+// diff returns the frame that leads from old to st.
+func diff(old, st *State) *frame {
+	fr := &frame{IsSettled: st.IsSettled, AgeMs: st.Age.Milliseconds()}
+	if st.Config != nil && (old.Config == nil || st.Config.Version > old.Config.Version) {
+		fr.Config = st.Config
+	}
+	if !maps.Equal(old.Versions, st.Versions) {
+		fr.Versions = st.Versions
+	}
+	if ro := st.roster(); !reflect.DeepEqual(old.roster(), ro) {
+		fr.Roster = &ro
+	}
+
+	before := make(map[string]*registry.Status, len(old.Servers))
+	for i := range old.Servers {
+		before[old.Servers[i].Record.ID] = &old.Servers[i]
+	}
+	for i := range st.Servers {
+		se := &st.Servers[i]
+		if o, ok := before[se.Record.ID]; !ok || !reflect.DeepEqual(*o, *se) {
+			fr.Changed = append(fr.Changed, *se)
+		}
+		delete(before, se.Record.ID)
+	}
+	for id := range before {
+		fr.Forgotten = append(fr.Forgotten, id)
+	}
+	slices.Sort(fr.Forgotten)
+
+	return fr
+}
+
+// isEmpty reports whether a frame tells nothing but that its sender lives.
+func (fr *frame) isEmpty() bool {
+	return fr.Config == nil && fr.Versions == nil && fr.Roster == nil && len(fr.Changed) == 0 && len(fr.Forgotten) == 0
+}
+
+// View is what a follower knows. It is never changed, only replaced.
+type View struct {
+	Table       *routing.Table    // nil before the first configuration
+	Versions    map[string]uint64 // newest named weight version of each model
+	Controllers []string
+	Stores      []Store
+	Formation   []string
+	Servers     []registry.Record // alive, in the order of their IDs
+}
+
+// Leader returns the store that leads, as far as is known.
+func (vi *View) Leader() (Store, bool) {
+	var best Store
+	for _, st := range vi.Stores {
+		if st.Leads && (best.Name == "" || st.Term > best.Term) {
+			best = st
+		}
+	}
+
+	return best, best.Name != ""
+}
+
+// merge takes a frame into the view; it never lets anything go back.
+func (vi *View) merge(fr *frame) {
+	if fr.Config != nil && (vi.Table == nil || fr.Config.Version > vi.Table.Version()) {
+		vi.Table = routing.NewTable(fr.Config)
+	}
+	if fr.Versions != nil {
+		next := maps.Clone(vi.Versions)
+		if next == nil {
+			next = map[string]uint64{}
+		}
+		for mo, v := range fr.Versions {
+			next[mo] = max(next[mo], v)
+		}
+		vi.Versions = next
+	}
+	if ro := fr.Roster; ro != nil {
+		if len(ro.Controllers) > 0 {
+			vi.Controllers = ro.Controllers
+		}
+		vi.Stores = mergeStores(vi.Stores, ro.Stores)
+		if len(ro.Formation) > 0 {
+			vi.Formation = ro.Formation
+		}
+	}
+}
+
+// mergeStores joins what two controllers know: who leads is told by the highest term.
+func mergeStores(old, next []Store) []Store {
+	out := slices.Clone(next)
+	for _, st := range old {
+		i := slices.IndexFunc(out, func(o Store) bool { return o.Name == st.Name })
+		if i < 0 {
+			out = append(out, st)
+
+			continue
+		}
+		if st.Term > out[i].Term {
+			out[i].Leads, out[i].Term = st.Leads, st.Term
+		}
+		out[i].Retiring = out[i].Retiring || st.Retiring
+	}
+	slices.SortFunc(out, func(a, b Store) int { return strings.Compare(a.Name, b.Name) })
+
+	return out
+}
--- /dev/null
+++ b/internal/feed/follower.go
@@ -0,0 +1,230 @@
+package feed
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/tamarackbay/tamarackbay/internal/peer"
+	"github.com/tamarackbay/tamarackbay/internal/registry"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+	"github.com/tamarackbay/tamarackbay/internal/wire"
+)
+
+// retryPeriod is the pause before a controller is followed again.
+const retryPeriod = 200 * time.Millisecond
+
+// Config builds a Follower.
+type Config struct {
+	Links *peer.Links
+	Seeds func() []string // peer addresses of some controllers
+	Own   string          // own peer address, never followed
+	Log   log.Interface
+}
+
+// Follower follows every controller that it knows of.
+type Follower struct {
+	cfg  Config
+	view atomic.Pointer[View]
+
+	mu        sync.Mutex
+	changed   chan struct{} // closed and replaced with each new view
+	merged    *registry.Merged
+	following map[string]context.CancelFunc
+	confirmed time.Time // when the replicated part of the view was last known to be true
+	wg        sync.WaitGroup
+}
+
+// NewFollower returns a follower that knows nothing yet.
+func NewFollower(cfg Config) *Follower {
+	fo := &Follower{
+		cfg: cfg, changed: make(chan struct{}), merged: registry.NewMerged(), following: map[string]context.CancelFunc{},
+	}
+	fo.view.Store(&View{})
+
+	return fo
+}
+
+// View returns what is known.
+func (fo *Follower) View() *View { return fo.view.Load() }
+
+// Changed returns a channel that is closed with the next view.
+func (fo *Follower) Changed() <-chan struct{} {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+
+	return fo.changed
+}
+
+// Age returns how old the knowledge of the configuration is, false before the first one.
+func (fo *Follower) Age() (time.Duration, bool) {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+
+	return time.Since(fo.confirmed), !fo.confirmed.IsZero()
+}
+
+// Run follows until ctx ends.
+func (fo *Follower) Run(ctx context.Context) {
+	defer fo.wg.Wait()
+
+	for ctx.Err() == nil {
+		changed := fo.Changed()
+		fo.spread(ctx)
+		select {
+		case <-changed:
+		case <-time.After(quietPeriod):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// spread follows each controller that is known and leaves those that are not any more.
+func (fo *Follower) spread(ctx context.Context) {
+	want := slices.Concat(fo.cfg.Seeds(), fo.View().Controllers)
+
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	for _, a := range want {
+		if _, ok := fo.following[a]; ok || a == fo.cfg.Own {
+			continue
+		}
+		fctx, cancel := context.WithCancel(ctx)
+		fo.following[a] = cancel
+		fo.wg.Add(1)
+		go func() {
+			defer fo.wg.Done()
+			fo.follow(fctx, a)
+		}()
+	}
+	for a, cancel := range fo.following {
+		if !slices.Contains(want, a) {
+			cancel()
+			delete(fo.following, a)
+		}
+	}
+}
+
+func (fo *Follower) follow(ctx context.Context, address string) {
+	for ctx.Err() == nil {
+		heard, err := fo.followOnce(ctx, address)
+		fo.lost(address)
+		if heard && ctx.Err() == nil {
+			fo.cfg.Log.WithFields(log.Fields{"controller": address, "error": err.Error()}).Warn("controller lost")
+		}
+		select {
+		case <-time.After(retryPeriod):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// followOnce follows a controller until it falls silent, and reports whether it was heard.
+func (fo *Follower) followOnce(ctx context.Context, address string) (bool, error) {
+	se, err := fo.cfg.Links.To(address).Wait(ctx)
+	if err != nil {
+		return false, err
+	}
+	octx, cancel := context.WithTimeout(ctx, streamTimeout)
+	defer cancel()
+	st, err := se.Open(octx, Method, &wire.Empty{})
+	if err != nil {
+		se.Close()
+
+		return false, err
+	}
+	defer st.Close()
+	stop := context.AfterFunc(ctx, st.Close)
+	defer stop()
+
+	heard := false
+	for {
+		sent := time.Now()
+		st.SetDeadline(sent.Add(lostAfter))
+		var pa wire.Payload
+		if err := st.Recv(&pa); err != nil {
+			se.Close() // it may be silent for good: the next session is a new connection
+
+			return heard, err
+		}
+		var fr frame
+		if err := cbor.Unmarshal(pa.GetRecord(), &fr); err != nil {
+			return heard, result.New(result.Internal, "feed: %v", err)
+		}
+		if !heard {
+			heard = true
+			fo.cfg.Log.WithField("controller", address).Info("controller followed")
+		}
+		fo.take(address, &fr, time.Now())
+	}
+}
+
+func (fo *Follower) take(address string, fr *frame, at time.Time) {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+
+	if t := at.Add(-time.Duration(fr.AgeMs) * time.Millisecond); t.After(fo.confirmed) {
+		fo.confirmed = t
+	}
+	before := fo.merged.Live()
+	fo.merged.Update(address, fr.Changed, fr.Forgotten, fr.IsSettled)
+	servers := fo.merged.Live()
+	if fr.isEmpty() && sameServers(before, servers) {
+		return
+	}
+
+	old := fo.View()
+	next := *old
+	next.merge(fr)
+	next.Servers = servers
+	fo.tell(address, old, &next)
+	fo.publish(&next)
+}
+
+func (fo *Follower) publish(vi *View) {
+	fo.view.Store(vi)
+	close(fo.changed)
+	fo.changed = make(chan struct{})
+}
+
+// tell logs what this process believes from now on.
+func (fo *Follower) tell(source string, old, next *View) {
+	if next.Table != old.Table {
+		fo.cfg.Log.WithFields(log.Fields{
+			"version": next.Table.Version(), "routes": len(next.Table.Config().Routes), "source": source,
+		}).Info("configuration in force")
+	}
+	for mo, v := range next.Versions {
+		if old.Versions[mo] != v {
+			fo.cfg.Log.WithFields(log.Fields{"model": mo, "version": v, "source": source}).Info("weight version named")
+		}
+	}
+	a, _ := old.Leader()
+	if b, ok := next.Leader(); ok && a.Name != b.Name {
+		fo.cfg.Log.WithFields(log.Fields{"store": b.Name, "term": b.Term, "source": source}).Info("store leader known")
+	}
+	registry.TellChanges(fo.cfg.Log, old.Servers, next.Servers)
+}
+
+// lost takes away the say of a controller that is not heard any more.
+func (fo *Follower) lost(address string) {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+
+	fo.merged.Lost(address)
+	fo.merged.Reset(address)
+	next := *fo.View()
+	next.Servers = fo.merged.Live()
+	if !sameServers(next.Servers, fo.View().Servers) {
+		fo.publish(&next)
+	}
+}
+
+func sameServers(a, b []registry.Record) bool {
+	return slices.EqualFunc(a, b, func(x, y registry.Record) bool { return x.Equal(&y) })
+}
--- /dev/null
+++ b/internal/feed/server.go
@@ -0,0 +1,74 @@
+package feed
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/tamarackbay/tamarackbay/internal/peer"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+	"github.com/tamarackbay/tamarackbay/internal/wire"
+)
+
+// Server tells followers what this controller knows.
+type Server struct {
+	mu      sync.Mutex
+	state   *State
+	changed chan struct{} // closed and replaced with each new state
+}
+
+// NewServer returns a server that knows nothing yet.
+func NewServer() *Server {
+	return &Server{state: &State{}, changed: make(chan struct{})}
+}
+
+// Publish replaces what this controller knows.
+func (sv *Server) Publish(st *State) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+
+	fr := diff(sv.state, st)
+	wake := !fr.isEmpty() || sv.state.IsSettled != st.IsSettled
+	sv.state = st
+	if wake {
+		close(sv.changed)
+		sv.changed = make(chan struct{})
+	}
+}
+
+func (sv *Server) get() (*State, <-chan struct{}) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+
+	return sv.state, sv.changed
+}
+
+// Handlers returns the calls of followers.
+func (sv *Server) Handlers() peer.Mux { return peer.Mux{Method: sv.handle} }
+
+func (sv *Server) handle(ctx context.Context, st *peer.Stream) error {
+	ticker := time.NewTicker(quietPeriod)
+	defer ticker.Stop()
+
+	sent := &State{}
+	for {
+		now, changed := sv.get()
+		b, err := cbor.Marshal(diff(sent, now))
+		if err != nil {
+			return result.New(result.Internal, "feed: %v", err)
+		}
+		if err := st.Send(&wire.Payload{Record: b}); err != nil {
+			return err
+		}
+		sent = now
+
+		select {
+		case <-changed:
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,6 +34,9 @@
 	"github.com/tamarackbay/tamarackbay/internal/wire"
 )
 
+// handOverPoll is how often a stopping gateway looks whether its leases are released.
+const handOverPoll = 50 * time.Millisecond
+
 // Config builds a Gateway.
 type Config struct {
 	Settings   settings.Gateway
@@ -192,7 +195,7 @@
 	}
 	if ga.group.HasDisk() {
 		for _, du := range ga.duties() {
-			run(func() { du.run(ctx) })
+			run(func() { du.Run(ctx) })
 		}
 	}
 	err := ga.group.Run(ctx)
@@ -207,7 +210,7 @@
 func (ga *Gateway) StopDuties(ctx context.Context) {
 	ga.BeginShutdown()
 	for ctx.Err() == nil && ga.holdsLease() {
-		time.Sleep(dutyPeriod / 4)
+		time.Sleep(handOverPoll)
 	}
 	ga.group.TransferLeadership(ctx)
 }
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -45,9 +45,21 @@
 	Heartbeat      time.Duration
 	FreshnessBound time.Duration
 	ReplaceAfter   time.Duration // how long a voter may be silent before a spare takes its place
-	WallMs         func() int64
-	Count          func(counter string)
-	Log            log.Interface
+	Voters         int           // that the group should have; as many as formed it where 0
+	// Addresses returns where other replicas may be found, the founders where nil.
+	Addresses func() []string
+	// Formation returns the replicas that form the group, none where that is not
+	// known or this process may not form it. The founders decide where nil.
+	Formation func() []consensus.ReplicaID
+	// Locate returns the address of a replica, "" where it is not known.
+	Locate func(id consensus.ReplicaID) string
+	// IsRetiring reports whether the replicas of a VM are to leave the group.
+	IsRetiring func(name string) bool
+	// OnStatus takes each change of role, leader, term or membership. It must not block.
+	OnStatus func(st Status)
+	WallMs   func() int64
+	Count    func(counter string)
+	Log      log.Interface
 }
 
 // Group is a process's part in a group.
@@ -83,9 +95,7 @@
 		cfg: cfg, start: time.Now(), changed: make(chan struct{}),
 		addresses: map[consensus.ReplicaID]string{}, feedLimit: make(chan struct{}, maxFeeds),
 	}
-	if gr.cfg.Count == nil {
-		gr.cfg.Count = func(string) {}
-	}
+	gr.cfg.defaults()
 	vi, err := newView(machine.Full{})
 	if err != nil {
 		return nil, err
@@ -103,6 +113,32 @@
 	return gr, nil
 }
 
+// defaults fills the function fields left nil.
+func (c *Config) defaults() {
+	if c.Count == nil {
+		c.Count = func(string) {}
+	}
+	if c.Addresses == nil {
+		c.Addresses = func() []string {
+			out := make([]string, len(c.Founders))
+			for i, fo := range c.Founders {
+				out[i] = fo.Address
+			}
+
+			return out
+		}
+	}
+	if c.Locate == nil {
+		c.Locate = func(consensus.ReplicaID) string { return "" }
+	}
+	if c.IsRetiring == nil {
+		c.IsRetiring = func(string) bool { return false }
+	}
+	if c.OnStatus == nil {
+		c.OnStatus = func(Status) {}
+	}
+}
+
 func (gr *Group) now() time.Duration { return time.Since(gr.start) }
 
 // HasDisk reports whether this process runs a replica.
@@ -159,7 +195,7 @@
 // Run takes part in the group until ctx ends. An error of the disk or of the
 // identity ends it early: the process must then exit.
 func (gr *Group) Run(ctx context.Context) error {
-	defer gr.tr.wg.Wait()
+	defer gr.tr.wait()
 	defer gr.stop()
 
 	if !gr.HasDisk() {
@@ -181,7 +217,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var wg sync.WaitGroup
-	for _, duty := range []func(context.Context){gr.confirmDuty, gr.membershipDuty, gr.registerDuty} {
+	for _, duty := range []func(context.Context){gr.confirmDuty, gr.membershipDuty, gr.registerDuty, gr.rejoinDuty} {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
@@ -204,7 +240,7 @@
 		files:     gr.cfg.Files, dir: filepath.Join(gr.cfg.DataFolder, "group-1"),
 		election: gr.cfg.Election, heartbeat: gr.cfg.Heartbeat, wallMs: gr.cfg.WallMs,
 		send:    func(m consensus.Message) { gr.tr.send(gr.addressOf(m.To), m) },
-		onApply: gr.onApply,
+		onApply: gr.onApply, onStatus: gr.onStatus,
 	})
 }
 
@@ -263,6 +299,9 @@
 		return a
 	}
 
+	if a := gr.cfg.Locate(id); a != "" {
+		return a
+	}
 	if n := gr.node.Load(); n != nil && n.mu.TryRLock() {
 		re, ok := n.machine.Replicas()[id]
 		n.mu.RUnlock()
@@ -293,6 +332,35 @@
 	gr.mu.Unlock()
 }
 
+// onStatus tells of changes in who leads and who belongs to the group.
+func (gr *Group) onStatus(old, st Status) {
+	fl := log.Fields{"role": st.Role, "leader": st.Leader, "term": st.Term, "commit": st.Commit, "voters": st.Membership.Voters}
+	switch {
+	case old.Role != st.Role || old.Leader != st.Leader:
+		fl["oldRole"], fl["oldLeader"] = old.Role, old.Leader
+		gr.cfg.Log.WithFields(fl).Info("leadership changed")
+	case old.Term != st.Term:
+		gr.cfg.Log.WithFields(fl).Info("term changed")
+	case !old.Membership.Equal(st.Membership):
+		fl["learners"] = st.Membership.Learners
+		gr.cfg.Log.WithFields(fl).Info("membership changed")
+	default:
+		return
+	}
+	gr.cfg.OnStatus(st)
+}
+
+// IsLeader reports whether this replica leads, as far as it knows.
+func (gr *Group) IsLeader() bool { return gr.Status().Role == consensus.RoleLeader.String() }
+
+// Replica returns the identity of the own replica, "" on a subscriber.
+func (gr *Group) Replica() consensus.ReplicaID {
+	gr.mu.Lock()
+	defer gr.mu.Unlock()
+
+	return gr.identity.Replica
+}
+
 // Status returns the state of the replica, all zero on a subscriber.
 func (gr *Group) Status() Status {
 	if n := gr.node.Load(); n != nil {
--- a/internal/group/membership.go
+++ b/internal/group/membership.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -20,7 +21,10 @@
 	askTimeout       = time.Second
 	membershipPeriod = 250 * time.Millisecond
 	registerPeriod   = time.Second
-	supersededAfter  = time.Second // silence after which a replica of the same name counts instead
+	supersededAfter  = time.Second            // silence after which a replica of the same name counts instead
+	askAllTimeout    = 400 * time.Millisecond // of questions to all known addresses at a start
+	rejoinPeriod     = 300 * time.Millisecond
+	rejoinAfter      = time.Second // without a leader after which a replica asks whether it still belongs to the group
 )
 
 func (gr *Group) handleIdentity(_ context.Context, st *peer.Stream) error {
@@ -64,16 +68,54 @@
 	return &rep, err
 }
 
-// checkCluster refuses to start beside founders of another cluster.
-func (gr *Group) checkCluster(ctx context.Context) error {
-	for _, fo := range gr.cfg.Founders {
-		if fo.Address == gr.cfg.Address {
+// answer is what another replica said of itself.
+type answer struct {
+	address string
+	reply   *wire.IdentityReply
+}
+
+// askAll asks every known address but the own one at once, and remembers where
+// the replicas are.
+func (gr *Group) askAll(ctx context.Context) []answer {
+	ctx, cancel := context.WithTimeout(ctx, askAllTimeout)
+	defer cancel()
+
+	addresses := slices.DeleteFunc(slices.Clone(gr.cfg.Addresses()), func(a string) bool { return a == gr.cfg.Address })
+	replies := make([]*wire.IdentityReply, len(addresses))
+	var wg sync.WaitGroup
+	for i, a := range addresses {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if rep, err := gr.ask(ctx, a); err == nil {
+				replies[i] = rep
+			}
+		}()
+	}
+	wg.Wait()
+
+	var out []answer
+	gr.mu.Lock()
+	defer gr.mu.Unlock()
+	for i, rep := range replies {
+		if rep == nil {
 			continue
 		}
-		rep, err := gr.ask(ctx, fo.Address)
-		if err == nil && rep.GetFormed() && rep.GetCluster() != gr.identity.Cluster {
+		out = append(out, answer{addresses[i], rep})
+		if rep.GetReplica() != "" {
+			gr.addresses[consensus.ReplicaID(rep.GetReplica())] = addresses[i]
+		}
+	}
+
+	return out
+}
+
+// checkCluster refuses to start beside replicas of another cluster.
+func (gr *Group) checkCluster(ctx context.Context) error {
+	for _, an := range gr.askAll(ctx) {
+		if an.reply.GetFormed() && an.reply.GetCluster() != gr.identity.Cluster {
 			return result.New(result.DataFolderForeign, "group: %s: of cluster %s, but %s is in cluster %s",
-				gr.cfg.DataFolder, gr.identity.Cluster, fo.Name, rep.GetCluster())
+				gr.cfg.DataFolder, gr.identity.Cluster, an.reply.GetName(), an.reply.GetCluster())
 		}
 	}
 
@@ -81,27 +123,32 @@
 }
 
 func (gr *Group) formOnce(ctx context.Context) (bool, error) {
-	var empty []consensus.ReplicaID
-	for _, fo := range gr.cfg.Founders {
-		if fo.Address == gr.cfg.Address {
-			empty = append(empty, gr.identity.Replica)
+	answers := gr.askAll(ctx)
+	if gr.cfg.Formation != nil {
+		// Who forms the group is decided elsewhere, once.
+		if ids := gr.cfg.Formation(); slices.Contains(ids, gr.identity.Replica) {
+			ids = slices.Sorted(slices.Values(ids))
 
-			continue
+			return true, gr.become(clusterID(ids), ids)
 		}
-		rep, err := gr.ask(ctx, fo.Address)
-		if err != nil {
+	}
+
+	empty := []consensus.ReplicaID{gr.identity.Replica}
+	for _, an := range answers {
+		if an.reply.GetFormed() {
+			if done, err := gr.adopt(ctx, an.address, an.reply); done || err != nil {
+				return done, err
+			}
+
 			continue
 		}
-		if rep.GetFormed() {
-			return gr.adopt(ctx, fo.Address, rep)
-		}
-		if rep.GetHasDisk() {
-			empty = append(empty, consensus.ReplicaID(rep.GetReplica()))
+		if an.reply.GetHasDisk() {
+			empty = append(empty, consensus.ReplicaID(an.reply.GetReplica()))
 		}
 	}
 
 	isFirst := len(gr.cfg.Founders) > 0 && gr.cfg.Founders[0].Address == gr.cfg.Address
-	if !isFirst || len(empty) < len(gr.cfg.Founders) {
+	if gr.cfg.Formation != nil || !isFirst || len(empty) < len(gr.cfg.Founders) {
 		return false, nil
 	}
 	slices.Sort(empty)
@@ -128,13 +175,9 @@
 func (gr *Group) adopt(ctx context.Context, address string, rep *wire.IdentityReply) (bool, error) {
 	bootstrap := toReplicas(rep.GetBootstrap())
 	if !slices.Contains(bootstrap, gr.identity.Replica) {
-		jctx, cancel := context.WithTimeout(ctx, askTimeout)
-		defer cancel()
-		req := &wire.JoinRequest{
-			Name: gr.cfg.Name, Replica: string(gr.identity.Replica),
-			Address: gr.cfg.Address, FailureDomain: gr.cfg.FailureDomain,
-		}
-		if err := gr.callAddress(jctx, address, methodJoin, req, &wire.Empty{}); err != nil {
+		if err := gr.join(ctx, address); err != nil {
+			gr.cfg.Log.WithError(err).WithField("peer", address).Info("the group could not be joined yet")
+
 			return false, nil // asked again after formPeriod
 		}
 	}
@@ -142,6 +185,45 @@
 	return true, gr.become(rep.GetCluster(), bootstrap)
 }
 
+func (gr *Group) join(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	req := &wire.JoinRequest{
+		Name: gr.cfg.Name, Replica: string(gr.identity.Replica),
+		Address: gr.cfg.Address, FailureDomain: gr.cfg.FailureDomain,
+	}
+
+	return gr.callAddress(ctx, address, methodJoin, req, &wire.Empty{})
+}
+
+// rejoinDuty asks to be let in again: the group may have replaced this replica
+// while it was silent.
+func (gr *Group) rejoinDuty(ctx context.Context) {
+	lonely := gr.now()
+	for ctx.Err() == nil {
+		select {
+		case <-time.After(rejoinPeriod):
+		case <-ctx.Done():
+			return
+		}
+		if gr.Status().Leader != "" || gr.cfg.IsRetiring(gr.cfg.Name) {
+			lonely = gr.now()
+
+			continue
+		}
+		if gr.now() < lonely+rejoinAfter {
+			continue
+		}
+		for _, an := range gr.askAll(ctx) {
+			if an.reply.GetFormed() && gr.join(ctx, an.address) == nil {
+				lonely = gr.now()
+
+				break
+			}
+		}
+	}
+}
+
 func (gr *Group) handleJoin(ctx context.Context, st *peer.Stream) error {
 	var req wire.JoinRequest
 	if err := st.Request(&req); err != nil {
@@ -161,6 +243,9 @@
 	}
 
 	id := consensus.ReplicaID(req.GetReplica())
+	if gr.cfg.IsRetiring(req.GetName()) {
+		return result.New(result.MembershipRefused, "group: %s is being emptied", req.GetName())
+	}
 	reg := machine.Register{Replica: id, Name: req.GetName(), Address: req.GetAddress(), FailureDomain: req.GetFailureDomain()}
 	if err := gr.Propose(ctx, machine.KindRegister, reg, nil); err != nil {
 		return err
@@ -217,7 +302,7 @@
 			}
 		})
 		_ = n.do(ctx, func(now time.Duration, re *consensus.Replica) error {
-			next, why := repair(now, re, names, gr.cfg.ReplaceAfter, len(gr.identity.Bootstrap))
+			next, why := repair(now, re, names, gr.cfg.ReplaceAfter, gr.voters(), gr.cfg.IsRetiring)
 			if why == "" {
 				return nil
 			}
@@ -231,12 +316,28 @@
 	}
 }
 
+// voters returns how many voters the group should have.
+func (gr *Group) voters() int {
+	if gr.cfg.Voters > 0 {
+		return gr.cfg.Voters
+	}
+
+	return len(gr.identity.Bootstrap)
+}
+
 // repair returns the next membership that brings the group nearer to target
 // living voters, with the reason, or "" when nothing is to be done. A spare is
-// promoted before the dead voter is removed.
-func repair(now time.Duration, re *consensus.Replica, names map[consensus.ReplicaID]string, after time.Duration, target int) (consensus.Membership, string) {
+// promoted before the dead voter is removed. A replica of a VM that is being
+// emptied counts as dead.
+func repair(
+	now time.Duration, re *consensus.Replica, names map[consensus.ReplicaID]string, after time.Duration, target int,
+	isRetiring func(name string) bool,
+) (consensus.Membership, string) {
 	m := re.Membership()
 	isDead := func(id consensus.ReplicaID) bool {
+		if isRetiring(nameOf(id, names)) {
+			return true
+		}
 		heard, ok := re.HeardFrom(id)
 
 		return id != re.ID() && ok && (now > heard+after || isSuperseded(now, id, re, names))
--- a/internal/group/node.go
+++ b/internal/group/node.go
@@ -19,6 +19,12 @@
 	snapshotEvery  = 20_000 // entries
 	trailEntries   = 5_000  // kept behind a snapshot for slow followers
 	maxReadWaiters = 65_536
+
+	// snapshotBytes of commands are applied between two snapshots at most, a tenth
+	// of the smallest disk.
+	snapshotBytes = 12 << 20
+	// trailBytes bounds the commands kept behind a snapshot in memory.
+	trailBytes = 4 << 20
 )
 
 // event is one input of a node's loop; exactly one field is set.
@@ -61,6 +67,9 @@
 	wallMs  func() int64
 	send    func(m consensus.Message)
 	onApply func()
+	// onStatus is told of each new status, with the one before it.
+	onStatus  func(old, st Status)
+	sinceSnap int // bytes of commands applied since the last snapshot
 
 	inbox   chan event
 	waiters map[uint64]waiter
@@ -96,6 +105,7 @@
 	wallMs    func() int64
 	send      func(m consensus.Message)
 	onApply   func()
+	onStatus  func(old, st Status)
 }
 
 func openNode(cfg nodeConfig) (*node, error) {
@@ -113,7 +123,7 @@
 		re.Snapshot.Membership = cfg.bootstrap
 	}
 	n := &node{
-		store: st, start: time.Now(), wallMs: cfg.wallMs, send: cfg.send, onApply: cfg.onApply,
+		store: st, start: time.Now(), wallMs: cfg.wallMs, send: cfg.send, onApply: cfg.onApply, onStatus: cfg.onStatus,
 		inbox: make(chan event, inboxSize), waiters: map[uint64]waiter{}, reads: map[uint64]*readRequest{},
 		machine: ma, applied: make(chan struct{}), lastSnap: re.Snapshot.Index,
 	}
@@ -133,7 +143,7 @@
 func (n *node) run(ctx context.Context) error {
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
-	defer n.failAll(result.New(result.ShuttingDown, "group: the replica stops"))
+	defer n.failAll(result.New(result.ShuttingDown, "group: the replica stops").With(result.Unknown))
 	defer n.store.Close()
 
 	for {
@@ -287,6 +297,7 @@
 		var rep []byte
 		if en.Kind == consensus.EntryCommand {
 			rep = n.machine.Apply(en.Index, en.Data)
+			n.sinceSnap += len(en.Data)
 		} else {
 			n.machine.Skip(en.Index)
 		}
@@ -299,7 +310,7 @@
 	last := rd.Committed[len(rd.Committed)-1].Index
 	n.mu.Unlock()
 
-	if last >= n.lastSnap+snapshotEvery {
+	if last >= n.lastSnap+snapshotEvery || n.sinceSnap > snapshotBytes {
 		return n.snapshot(last)
 	}
 
@@ -338,10 +349,12 @@
 	if err := n.store.SaveSnapshot(sn, false); err != nil {
 		return err
 	}
-	n.lastSnap = index
+	n.lastSnap, n.sinceSnap = index, 0
+	keep := max(n.replica.TailFrom(trailBytes), 1) - 1
 	if index > trailEntries {
-		n.replica.Compact(index - trailEntries)
+		keep = max(keep, index-trailEntries)
 	}
+	n.replica.Compact(min(keep, index))
 
 	return nil
 }
@@ -356,8 +369,12 @@
 	}
 	n.mu.Lock()
 	st.Applied = n.machine.Applied()
+	old := n.status
 	n.status = st
 	n.mu.Unlock()
+	if n.onStatus != nil {
+		n.onStatus(old, st)
+	}
 
 	if re.Role() != consensus.RoleLeader && len(n.waiters) > 0 {
 		n.failAll(result.New(result.NotLeader, "group: leadership was lost").With(result.Unknown))
--- a/internal/group/propose.go
+++ b/internal/group/propose.go
@@ -111,6 +111,25 @@
 	}
 }
 
+// ProposeLocal commits a command if this replica leads, and otherwise refuses it at
+// once. A failure after it was taken into the log says that its outcome is unknown.
+func (gr *Group) ProposeLocal(ctx context.Context, kind machine.Kind, body, out any) error {
+	command, err := machine.Encode(kind, body)
+	if err != nil {
+		return err
+	}
+	n := gr.node.Load()
+	if n == nil {
+		return result.New(result.NotLeader, "group: the replica has not started")
+	}
+	rep, err := n.proposeLocal(ctx, command)
+	if err != nil {
+		return err
+	}
+
+	return machine.DecodeReply(rep, out)
+}
+
 func isRetriable(err error) bool {
 	for _, c := range []result.Code{
 		result.NotLeader, result.NoLeader, result.BackendUnreachable, result.StreamCut, result.ShuttingDown,
--- a/internal/group/transport.go
+++ b/internal/group/transport.go
@@ -19,12 +19,12 @@
 
 // transport carries messages to the other replicas, one link and one goroutine an address.
 type transport struct {
-	cfg  peer.Config
-	own  string // own address, never dialled
-	ctx  context.Context
-	mu   sync.Mutex
-	outs map[string]*outbox
-	wg   sync.WaitGroup
+	links *peer.Links
+	own   string // own address, never dialled
+	ctx   context.Context
+	mu    sync.Mutex
+	outs  map[string]*outbox
+	wg    sync.WaitGroup
 }
 
 type outbox struct {
@@ -33,7 +33,7 @@
 }
 
 func newTransport(ctx context.Context, cfg peer.Config, own string) *transport {
-	return &transport{cfg: cfg, own: own, ctx: ctx, outs: map[string]*outbox{}}
+	return &transport{links: peer.NewLinks(ctx, cfg), own: own, ctx: ctx, outs: map[string]*outbox{}}
 }
 
 func (tr *transport) outbox(address string) *outbox {
@@ -45,13 +45,9 @@
 		return ob
 	}
 
-	ob = &outbox{link: peer.NewLink(address, tr.cfg, nil), ring: make(chan *wire.ConsensusMessage, peerRing)}
+	ob = &outbox{link: tr.links.To(address), ring: make(chan *wire.ConsensusMessage, peerRing)}
 	tr.outs[address] = ob
-	tr.wg.Add(2)
-	go func() {
-		defer tr.wg.Done()
-		ob.link.Run(tr.ctx)
-	}()
+	tr.wg.Add(1)
 	go func() {
 		defer tr.wg.Done()
 		ob.drain(tr.ctx)
@@ -65,6 +61,12 @@
 	return tr.outbox(address).link.Wait(ctx)
 }
 
+// wait returns once all links and rings have ended.
+func (tr *transport) wait() {
+	tr.wg.Wait()
+	tr.links.Wait()
+}
+
 // send hands a message over; it is dropped when the peer's ring is full.
 func (tr *transport) send(address string, m consensus.Message) {
 	if address == "" || address == tr.own {
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"time"
 
+	"github.com/tamarackbay/tamarackbay/internal/dialer"
 	"github.com/tamarackbay/tamarackbay/internal/result"
 )
 
@@ -24,24 +25,46 @@
 	maxErrorBytes    = 512
 )
 
-// NewClient returns a client that dials from the IP number bind. Without
-// keepAlive each request has a connection of its own, so that the library never
-// sends one a second time.
-func NewClient(bind string, keepAlive bool) *http.Client {
-	nd := &net.Dialer{Timeout: dialTimeout}
-	if bind != "" {
-		nd.LocalAddr = &net.TCPAddr{IP: net.ParseIP(bind)}
+// Config builds a client.
+type Config struct {
+	Bind        string        // IP number that is dialled from, "" for any
+	KeepAlive   bool          // whether connections carry more than one request
+	Idle        time.Duration // how long an unused connection is kept
+	DialTimeout time.Duration
+	Silence     time.Duration // a connection whose peer acknowledges nothing for so long is cut, 0 for the kernel's limit
+}
+
+// Defaults fills the fields left zero.
+func (c *Config) Defaults() {
+	if c.Idle == 0 {
+		c.Idle = idleTimeout
 	}
+	if c.DialTimeout == 0 {
+		c.DialTimeout = dialTimeout
+	}
+}
+
+// New returns a client.
+func New(cfg Config) *http.Client {
+	cfg.Defaults()
+	nd := dialer.New(dialer.Config{Bind: cfg.Bind, Timeout: cfg.DialTimeout, Silence: cfg.Silence})
 
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext: nd.DialContext, DisableKeepAlives: !keepAlive, MaxIdleConnsPerHost: maxIdlePerServer,
-			IdleConnTimeout: idleTimeout, DisableCompression: true, Proxy: nil,
+			DialContext: nd.DialContext, DisableKeepAlives: !cfg.KeepAlive, MaxIdleConnsPerHost: maxIdlePerServer,
+			IdleConnTimeout: cfg.Idle, DisableCompression: true, Proxy: nil,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
 
+// NewClient returns a client that dials from the IP number bind. Without
+// keepAlive each request has a connection of its own, so that the library never
+// sends one a second time.
+func NewClient(bind string, keepAlive bool) *http.Client {
+	return New(Config{Bind: bind, KeepAlive: keepAlive})
+}
+
 // Failure returns the numbered error of a call that got no answer.
 func Failure(what string, err error) *result.Error {
 	var op *net.OpError
--- /dev/null
+++ b/internal/ingress/request.go
@@ -0,0 +1,40 @@
+// Package ingress serves requests that are routed by host and path: it finds the
+// route and the caller's workspace, picks a backend server, tries again what may
+// be tried again, and says of each refusal whether the request has run.
+package ingress
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/tamarackbay/tamarackbay/internal/backend"
+)
+
+// Request is one attempt of a client.
+type Request struct {
+	ID      string
+	Method  string
+	Host    string
+	Path    string // without the query
+	Target  string // path and query, as the client sent them
+	Key     string // "" for none; it is never passed on
+	Header  http.Header
+	Body    []byte
+	Arrived time.Time
+	Patient time.Duration // how long the client waits, 0 where it does not say
+	Resume  uint64        // number of the last event that the client holds, 0 for none
+	Model   string        // "" for requests to plain services
+}
+
+// Sink takes the answer of a request. Exactly one of its methods is called first;
+// Event and End follow a Begin.
+type Sink struct {
+	// Whole sends a complete answer.
+	Whole func(an *backend.Answer, body []byte)
+	// Begin sends the head of a stream.
+	Begin func(an *backend.Answer)
+	// Event sends one event of the stream.
+	Event func(ev backend.Event) error
+	// End completes the stream. Without it the connection is cut.
+	End func()
+}
--- /dev/null
+++ b/internal/ingress/stream.go
@@ -0,0 +1,104 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/tamarackbay/tamarackbay/internal/backend"
+	"github.com/tamarackbay/tamarackbay/internal/balance"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+)
+
+// stream serves a request whose answer is a stream of events, which are passed on
+// as they arrive. Where the route allows it, a stream that breaks goes on at
+// another backend server after the last event passed on.
+func (at *attempt) stream(ctx context.Context, sink *Sink) error {
+	begun := false
+	last := at.rq.Resume
+	for {
+		gr, err := at.place()
+		if err == nil {
+			err = at.sendStream(ctx, gr, sink, &begun, &last)
+		}
+		if err == nil {
+			sink.End()
+
+			return nil
+		}
+		at.lastErr = err
+		if ctx.Err() != nil || !at.mayRepeat() || (begun && !at.ro.IsResumable) {
+			break
+		}
+		at.in.cfg.Meter.Retried(result.Lookup(result.From(err).Code).Name, true)
+	}
+	if begun {
+		return result.From(at.lastErr).With(result.Ran)
+	}
+
+	return at.giveUp(sink)
+}
+
+// sendStream passes on what one backend server streams, up to the regular end.
+func (at *attempt) sendStream(ctx context.Context, gr *balance.Grant, sink *Sink, begun *bool, last *uint64) error {
+	outcome, load := balance.Failed, (*backend.Load)(nil)
+	defer func() { gr.Release(outcome, load) }()
+
+	ca := at.call(gr)
+	ca.ResumeAfter = *last
+	sent := time.Now()
+	an, err := at.in.cfg.Client.Send(ctx, gr.Record().Address, ca)
+	if err != nil {
+		at.noteError(err, &outcome, sent)
+
+		return err
+	}
+	defer an.Body.Close()
+
+	load = an.Load
+	if an.IsNotRun {
+		outcome = balance.Busy
+
+		return result.New(result.ServerDraining, "ingress: %s refused with status %d", gr.Record().ID, an.Status).After(defaultRetryAfter)
+	}
+	at.noteBegan(sent)
+	if an.Status >= 300 || an.Stamp == "" {
+		body, err := io.ReadAll(io.LimitReader(an.Body, maxAnswerBytes))
+		if err == nil && !*begun && an.Status >= 300 {
+			at.failure = &whole{an, body}
+		}
+
+		return result.New(result.BackendRefused, "ingress: %s answered with status %d", gr.Record().ID, an.Status).With(result.Ran)
+	}
+
+	next := at.in.cfg.Client.Events(an.Body)
+	for {
+		ev, err := next()
+		if errors.Is(err, io.EOF) {
+			outcome = balance.Succeeded
+			if !*begun {
+				*begun = true
+				sink.Begin(an)
+			}
+
+			return nil
+		}
+		if err != nil {
+			return result.New(result.StreamCut, "ingress: %s: %v", gr.Record().ID, err).With(result.Ran)
+		}
+		if *last > 0 && ev.Number != *last+1 {
+			return result.New(result.BackendAnswerBroken, "ingress: %s: event %d follows %d", gr.Record().ID, ev.Number, *last).With(result.Ran)
+		}
+		if !*begun {
+			*begun = true
+			sink.Begin(an)
+		}
+		if err := sink.Event(ev); err != nil {
+			outcome = balance.Unused
+
+			return result.New(result.DeadlinePassed, "ingress: the client has gone: %v", err).With(result.Ran)
+		}
+		*last = ev.Number
+	}
+}
--- /dev/null
+++ b/internal/jobgate/jobgate.go
@@ -0,0 +1,239 @@
+// Package jobgate passes what clients ask about batch jobs on to the store that
+// leads, and says truly whether a job was taken.
+package jobgate
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/tamarackbay/tamarackbay/internal/feed"
+	"github.com/tamarackbay/tamarackbay/internal/ingress"
+	"github.com/tamarackbay/tamarackbay/internal/job"
+	"github.com/tamarackbay/tamarackbay/internal/meter"
+	"github.com/tamarackbay/tamarackbay/internal/peer"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+	"github.com/tamarackbay/tamarackbay/internal/routing"
+	"github.com/tamarackbay/tamarackbay/internal/wire"
+)
+
+// Methods of calls to stores.
+const (
+	MethodSubmit = "job.submit"
+	MethodRead   = "job.read"
+	MethodBody   = "job.body"
+	MethodEnd    = "job.end"
+)
+
+const (
+	// callTimeout bounds one call to a store: a few commits on a slow disk.
+	callTimeout = 900 * time.Millisecond
+	// patience bounds all calls for one request of a client. A new leader is there
+	// within about two seconds.
+	patience = 2500 * time.Millisecond
+	// retryPause is kept between two calls, unless another leader becomes known.
+	retryPause = 60 * time.Millisecond
+	// retryAfter is told to clients while no store leads.
+	retryAfter = 500 * time.Millisecond
+)
+
+// Config builds a Gate.
+type Config struct {
+	Ingress *ingress.Ingress // identifies callers
+	Table   func() *routing.Table
+	View    func() *feed.View
+	Changed func() <-chan struct{}
+	Links   *peer.Links
+	Meter   *meter.Meter
+	Log     log.Interface
+}
+
+// Gate is safe for concurrent use.
+type Gate struct{ cfg Config }
+
+// New returns a gate.
+func New(cfg Config) *Gate { return &Gate{cfg: cfg} }
+
+// BodyRequest asks for the body of an item that is not listed.
+type BodyRequest struct {
+	Workspace string `cbor:"1,keyasint"`
+	Job       string `cbor:"2,keyasint"`
+	Item      string `cbor:"3,keyasint"`
+}
+
+// IsBatch reports whether requests of host and path submit batch jobs.
+func (ga *Gate) IsBatch(host, path string) bool {
+	ta := ga.cfg.Table()
+	if ta == nil {
+		return false
+	}
+	ro := ta.Match(host, path)
+
+	return ro != nil && ro.Kind == routing.Batch
+}
+
+// Submit takes a batch job. Once it returns nil, the job outlives the loss of any
+// VM that the deployment tolerates.
+func (ga *Gate) Submit(ctx context.Context, path, key string, sp *job.Spec) error {
+	ro, ws, err := ga.cfg.Ingress.Admit(sp.Host, path, key)
+	if err == nil {
+		if ws != nil {
+			sp.Workspace = ws.Name
+		}
+		sp.ResultDeadline, sp.MaxQueue = ro.ResultDeadline.Milliseconds(), ro.MaxQueue.Milliseconds()
+		err = ga.call(ctx, MethodSubmit, &job.Submit{Spec: *sp}, nil, true)
+	}
+	ga.tell("job submitted", sp.ID, sp.Workspace, err, log.Fields{
+		"items": len(sp.Items), "step": sp.Step, "model": sp.Model, "minVersion": sp.MinVersion, "targetGroups": sp.TargetGroups,
+	})
+
+	return err
+}
+
+// Read returns results of a job.
+func (ga *Gate) Read(ctx context.Context, rd *job.Read) (*job.Page, error) {
+	var pa job.Page
+	err := ga.identify(rd.Key, &rd.Workspace)
+	if err == nil {
+		err = ga.call(ctx, MethodRead, rd, &pa, false)
+	}
+	ga.tell("job read", rd.Job, rd.Workspace, err, log.Fields{"from": rd.From, "next": pa.Next, "total": pa.Total})
+
+	return &pa, err
+}
+
+// Body returns the body of an item that is not listed.
+func (ga *Gate) Body(ctx context.Context, key, id, item string) ([]byte, error) {
+	rq, body := BodyRequest{Job: id, Item: item}, []byte(nil)
+	err := ga.identify(key, &rq.Workspace)
+	if err == nil {
+		err = ga.call(ctx, MethodBody, &rq, &body, false)
+	}
+	ga.tell("item read", id, rq.Workspace, err, log.Fields{"item": item, "bytes": len(body)})
+
+	return body, err
+}
+
+// End ends a job.
+func (ga *Gate) End(ctx context.Context, key, id string) error {
+	en := job.End{Job: id}
+	err := ga.identify(key, &en.Workspace)
+	if err == nil {
+		err = ga.call(ctx, MethodEnd, &en, nil, false)
+	}
+	ga.tell("job ended", id, en.Workspace, err, log.Fields{})
+
+	return err
+}
+
+func (ga *Gate) identify(key string, workspace *string) error {
+	ws, err := ga.cfg.Ingress.Identify(key, false)
+	if ws != nil {
+		*workspace = ws.Name
+	}
+
+	return err
+}
+
+func (ga *Gate) tell(what, id, workspace string, err error, fl log.Fields) {
+	fl["job"], fl["workspace"] = id, workspace
+	if err == nil {
+		ga.cfg.Log.WithFields(fl).Info(what)
+
+		return
+	}
+	ga.cfg.Meter.Refused(err)
+	fl["error"] = err.Error()
+	ga.cfg.Log.WithFields(fl).Warn(what)
+}
+
+// call asks the store that leads, and goes on with the others until one answers.
+// Where the call changes something, a failure after it was sent says that the
+// outcome is not known.
+func (ga *Gate) call(ctx context.Context, method string, in, out any, changes bool) error {
+	b, err := cbor.Marshal(in)
+	if err != nil {
+		return result.New(result.Internal, "jobgate: %v", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+
+	var last error = result.New(result.NoLeader, "jobgate: no store leads").After(retryAfter)
+	mayHave := false
+	for turn := 0; ; turn++ {
+		changed := ga.cfg.Changed()
+		if st, ok := ga.choose(turn); ok {
+			err := ga.callStore(ctx, st, method, b, out)
+			if err == nil || !isElsewhere(err) {
+				return err
+			}
+			mayHave = mayHave || result.From(err).Execution != result.NotRun
+			last = err
+		}
+		select {
+		case <-changed:
+		case <-time.After(retryPause):
+		case <-ctx.Done():
+			er := result.From(last)
+			if changes && mayHave {
+				return er.With(result.Unknown)
+			}
+
+			return er.With(result.NotRun).After(retryAfter)
+		}
+	}
+}
+
+// choose returns the store to ask: the leader first, then every store in turn.
+func (ga *Gate) choose(turn int) (feed.Store, bool) {
+	vi := ga.cfg.View()
+	if st, ok := vi.Leader(); ok && turn%2 == 0 {
+		return st, true
+	}
+	if len(vi.Stores) == 0 {
+		return feed.Store{}, false
+	}
+
+	return vi.Stores[(turn/2)%len(vi.Stores)], true
+}
+
+func (ga *Gate) callStore(ctx context.Context, st feed.Store, method string, b []byte, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+
+	var rep wire.Payload
+	if method == MethodRead {
+		// A read may wait for its first result.
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), callTimeout+maxReadWait)
+		defer cancel()
+	}
+	if err := ga.cfg.Links.Call(ctx, st.Address, method, &wire.Payload{Record: b}, &rep); err != nil {
+		return err
+	}
+	if out == nil {
+		return nil
+	}
+	if err := cbor.Unmarshal(rep.GetRecord(), out); err != nil {
+		return result.New(result.Internal, "jobgate: %v", err)
+	}
+
+	return nil
+}
+
+// maxReadWait bounds how long a read waits for its first result: the longest that
+// the platform's clients ask for.
+const maxReadWait = time.Second
+
+// isElsewhere reports whether another store may do better.
+func isElsewhere(err error) bool {
+	switch result.From(err).Code {
+	case result.NotLeader, result.NoLeader, result.BackendUnreachable, result.StreamCut, result.GroupTimeout,
+		result.ShuttingDown, result.DeadlinePassed:
+		return true
+	}
+
+	return false
+}
--- /dev/null
+++ b/internal/jobstore/jobstore.go
@@ -0,0 +1,364 @@
+// Package jobstore runs a process that stores batch jobs: a replica of the store
+// group, the calls of gateways, and, while it leads, the driver of items.
+package jobstore
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/tamarackbay/tamarackbay/internal/backend"
+	"github.com/tamarackbay/tamarackbay/internal/balance"
+	"github.com/tamarackbay/tamarackbay/internal/consensus"
+	"github.com/tamarackbay/tamarackbay/internal/controller"
+	"github.com/tamarackbay/tamarackbay/internal/dispatch"
+	"github.com/tamarackbay/tamarackbay/internal/feed"
+	"github.com/tamarackbay/tamarackbay/internal/group"
+	"github.com/tamarackbay/tamarackbay/internal/job"
+	"github.com/tamarackbay/tamarackbay/internal/jobgate"
+	"github.com/tamarackbay/tamarackbay/internal/machine"
+	"github.com/tamarackbay/tamarackbay/internal/meter"
+	"github.com/tamarackbay/tamarackbay/internal/peer"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+	"github.com/tamarackbay/tamarackbay/internal/roster"
+	"github.com/tamarackbay/tamarackbay/internal/scheduler"
+	"github.com/tamarackbay/tamarackbay/internal/settings"
+	"github.com/tamarackbay/tamarackbay/internal/storage"
+	"github.com/tamarackbay/tamarackbay/internal/wire"
+)
+
+const (
+	electionTimeout = 500 * time.Millisecond
+	heartbeatPeriod = 100 * time.Millisecond
+	// replaceAfter is the silence after which a spare takes a voter's place.
+	replaceAfter = 1500 * time.Millisecond
+	// announcePeriod is how often a store tells the controllers of itself.
+	announcePeriod  = 500 * time.Millisecond
+	announceTimeout = 500 * time.Millisecond
+)
+
+// Config builds a Store.
+type Config struct {
+	Settings    *settings.Node
+	Controllers func() []string // peer addresses of the settings, which may change
+	Files       storage.Files
+	Peer        peer.Config
+	Client      *backend.Client
+	Now         func() time.Duration // goes on while the process is suspended
+	WallMs      func() int64
+	Meter       *meter.Meter
+	Log         log.Interface
+}
+
+// Store is a running process that stores batch jobs.
+type Store struct {
+	cfg      Config
+	group    *group.Group
+	links    *peer.Links
+	follower *feed.Follower
+	balancer *balance.Balancer
+	driver   *dispatch.Driver
+	cancel   context.CancelFunc
+	status   chan struct{} // has an element after each change of the status
+}
+
+// New loads the replica's identity. Handlers may be served before Run.
+func New(cfg Config) (*Store, error) {
+	no := cfg.Settings
+	ctx, cancel := context.WithCancel(context.Background())
+	st := &Store{cfg: cfg, cancel: cancel, status: make(chan struct{}, 1), links: peer.NewLinks(ctx, cfg.Peer)}
+	st.follower = feed.NewFollower(feed.Config{Links: st.links, Seeds: cfg.Controllers, Own: no.PeerAddress, Log: cfg.Log})
+	var err error
+	st.group, err = group.New(group.Config{
+		Name: no.Name, Address: no.PeerAddress, FailureDomain: no.FailureDomain, DataFolder: no.DataFolder, Peer: cfg.Peer,
+		Files: cfg.Files, Election: electionTimeout, Heartbeat: heartbeatPeriod, FreshnessBound: time.Hour,
+		ReplaceAfter: replaceAfter, Voters: no.Voters(), Addresses: st.addresses, Formation: st.formation, Locate: st.locate,
+		IsRetiring: st.isRetiring, WallMs: cfg.WallMs, Log: cfg.Log, OnStatus: st.onStatus,
+	})
+	if err != nil {
+		cancel()
+
+		return nil, err
+	}
+	st.balancer = balance.New(balance.Config{
+		FailureDomain: no.FailureDomain, Scheduler: scheduler.Config{Choices: schedulerChoices}, Now: cfg.Now, Random: rand.IntN,
+	})
+	st.driver = dispatch.New(dispatch.Config{
+		Group: st.group, View: st.follower.View, Changed: st.follower.Changed, Balancer: st.balancer, Client: cfg.Client,
+		Random: rand.Float64, WallMs: cfg.WallMs, Meter: cfg.Meter, Log: cfg.Log,
+	})
+
+	return st, nil
+}
+
+// schedulerChoices is high enough that every backend server of a large deployment
+// is looked at: one process places all items.
+const schedulerChoices = 256
+
+func (st *Store) addresses() []string {
+	var out []string
+	for _, so := range st.follower.View().Stores {
+		out = append(out, so.Address)
+	}
+
+	return out
+}
+
+func (st *Store) formation() []consensus.ReplicaID {
+	var out []consensus.ReplicaID
+	for _, id := range st.follower.View().Formation {
+		out = append(out, consensus.ReplicaID(id))
+	}
+
+	return out
+}
+
+func (st *Store) locate(id consensus.ReplicaID) string {
+	for _, so := range st.follower.View().Stores {
+		if so.Replica == string(id) {
+			return so.Address
+		}
+	}
+
+	return ""
+}
+
+func (st *Store) isRetiring(name string) bool {
+	return slices.ContainsFunc(st.follower.View().Stores, func(so feed.Store) bool { return so.Name == name && so.Retiring })
+}
+
+func (st *Store) onStatus(group.Status) {
+	select {
+	case st.status <- struct{}{}:
+	default:
+	}
+}
+
+// Run takes part in the store group until ctx ends.
+func (st *Store) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer st.links.Wait()
+	defer st.cancel()
+	defer cancel()
+
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for _, f := range []func(ctx context.Context){st.follower.Run, st.announceDuty, st.syncDuty, st.driver.Run} {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			f(ctx)
+		}()
+	}
+	err := st.group.Run(ctx)
+	cancel()
+
+	return err
+}
+
+// StopDuties gives the lead away before the process stops.
+func (st *Store) StopDuties(ctx context.Context) { st.group.TransferLeadership(ctx) }
+
+// syncDuty keeps the balancer up to date.
+func (st *Store) syncDuty(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := st.follower.Changed()
+		st.balancer.Sync(st.follower.View().Servers)
+		st.driver.Wake()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// announceDuty tells every controller of this store.
+func (st *Store) announceDuty(ctx context.Context) {
+	for ctx.Err() == nil {
+		st.announce(ctx)
+		select {
+		case <-st.status:
+		case <-time.After(announcePeriod):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (st *Store) announce(ctx context.Context) {
+	gs := st.group.Status()
+	an := controller.Announcement{
+		Member: roster.Member{
+			Name: st.cfg.Settings.Name, Replica: st.group.Replica(), Address: st.cfg.Settings.PeerAddress,
+			FailureDomain: st.cfg.Settings.FailureDomain,
+		},
+		Leads: gs.Role == consensus.RoleLeader.String(), Term: gs.Term,
+	}
+	if an.Leads {
+		an.Members, an.Voters, an.Running = gs.Membership.All(), len(gs.Membership.Voters), st.driver.Running()
+	}
+	b, err := cbor.Marshal(an)
+	if err != nil {
+		st.cfg.Log.WithError(err).Error("announcement not encoded")
+
+		return
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	targets := slices.Concat(st.cfg.Controllers(), st.follower.View().Controllers)
+	slices.Sort(targets)
+	var wg sync.WaitGroup
+	for _, a := range slices.Compact(targets) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			// A controller that does not hear it hears the next one; a lost session is told by its link.
+			_ = st.links.Call(ctx, a, controller.MethodAnnounce, &wire.Payload{Record: b}, &wire.Empty{})
+		}()
+	}
+	wg.Wait()
+}
+
+// Handlers returns the calls that other own processes may make.
+func (st *Store) Handlers() peer.Mux {
+	mux := st.group.Handlers()
+	mux[jobgate.MethodSubmit] = handle(st, func(ctx context.Context, su *job.Submit) (any, error) {
+		if err := st.group.ProposeLocal(ctx, machine.KindSubmitJob, su, nil); err != nil {
+			return nil, err
+		}
+		st.cfg.Log.WithFields(log.Fields{"job": su.Spec.ID, "items": len(su.Spec.Items)}).Info("job accepted")
+
+		return nil, nil
+	})
+	mux[jobgate.MethodEnd] = handle(st, func(ctx context.Context, en *job.End) (any, error) {
+		if err := st.group.ProposeLocal(ctx, machine.KindEndJob, en, nil); err != nil {
+			return nil, err
+		}
+		st.cfg.Log.WithField("job", en.Job).Info("job ended")
+
+		return nil, nil
+	})
+	mux[jobgate.MethodRead] = handle(st, st.read)
+	mux[jobgate.MethodBody] = handle(st, st.body)
+
+	return mux
+}
+
+// handle decodes the record of a call, runs it at the leader and encodes its answer.
+func handle[T any](st *Store, f func(ctx context.Context, in *T) (any, error)) peer.Handler {
+	return func(ctx context.Context, sm *peer.Stream) error {
+		var pa wire.Payload
+		if err := sm.Request(&pa); err != nil {
+			return err
+		}
+		var in T
+		if err := cbor.Unmarshal(pa.GetRecord(), &in); err != nil {
+			return result.New(result.MalformedBody, "jobstore: %v", err)
+		}
+		if !st.group.IsLeader() {
+			return result.New(result.NotLeader, "jobstore: this store does not lead")
+		}
+		out, err := f(ctx, &in)
+		if err != nil {
+			return err
+		}
+		b, err := cbor.Marshal(out)
+		if err != nil {
+			return result.New(result.Internal, "jobstore: %v", err)
+		}
+
+		return sm.Reply(&wire.Payload{Record: b})
+	}
+}
+
+// barrierTimeout bounds the confirmation that this store still leads.
+const barrierTimeout = 700 * time.Millisecond
+
+func (st *Store) barrier(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, barrierTimeout)
+	defer cancel()
+
+	return st.group.Barrier(ctx)
+}
+
+// read returns results, and waits for a first one if there is none yet.
+func (st *Store) read(ctx context.Context, rd *job.Read) (any, error) {
+	deadline := time.Now().Add(rd.Wait)
+	for {
+		if err := st.barrier(ctx); err != nil {
+			return nil, err
+		}
+		changed := st.group.Applied()
+		var pa *job.Page
+		var jerr error
+		st.group.Read(func(ma *machine.Machine) {
+			var jo *job.Job
+			if jo, jerr = ma.Jobs().Get(rd.Job, rd.Workspace); jerr == nil {
+				pa = jo.Page(rd.From)
+			}
+		})
+		left := time.Until(deadline)
+		if jerr != nil {
+			return nil, jerr
+		}
+		if len(pa.Results) > 0 || left <= 0 {
+			return pa, nil
+		}
+
+		// Wakes for any commit; the barrier follows only when this job has grown.
+		if err := st.awaitGrowth(ctx, rd, changed, left); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// awaitGrowth waits until the job has results beyond the position, or until left is over.
+func (st *Store) awaitGrowth(ctx context.Context, rd *job.Read, changed <-chan struct{}, left time.Duration) error {
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+
+	for {
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil
+		case <-ctx.Done():
+			return result.New(result.DeadlinePassed, "jobstore: the reader has gone")
+		}
+		changed = st.group.Applied()
+		grown := false
+		st.group.Read(func(ma *machine.Machine) {
+			jo, err := ma.Jobs().Get(rd.Job, rd.Workspace)
+			grown = err != nil || len(jo.Results) > rd.From
+		})
+		if grown {
+			return nil
+		}
+	}
+}
+
+func (st *Store) body(ctx context.Context, rq *jobgate.BodyRequest) (any, error) {
+	if err := st.barrier(ctx); err != nil {
+		return nil, err
+	}
+
+	var b []byte
+	var err error
+	st.group.Read(func(ma *machine.Machine) {
+		var jo *job.Job
+		if jo, err = ma.Jobs().Get(rq.Job, rq.Workspace); err != nil {
+			return
+		}
+		b, err = jo.Body(rq.Item)
+	})
+
+	return b, err
+}
+
+// Group returns the replica.
+func (st *Store) Group() *group.Group { return st.group }
--- a/internal/machine/command.go
+++ b/internal/machine/command.go
@@ -36,6 +36,15 @@
 	KindCleared
 	KindRelease
 	KindRegister
+	KindPutRouting
+	KindNameVersion
+	KindAnnounceMember
+	KindFormStores
+	KindRetireMember
+	KindFinishRetirement
+	KindSubmitJob
+	KindListResults
+	KindEndJob
 )
 
 const commandHeaderBytes = 9
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -11,12 +11,16 @@
 	"github.com/tamarackbay/tamarackbay/internal/call"
 	"github.com/tamarackbay/tamarackbay/internal/consensus"
 	"github.com/tamarackbay/tamarackbay/internal/declaration"
+	"github.com/tamarackbay/tamarackbay/internal/job"
 	"github.com/tamarackbay/tamarackbay/internal/lease"
 	"github.com/tamarackbay/tamarackbay/internal/order"
 	"github.com/tamarackbay/tamarackbay/internal/quarantine"
 	"github.com/tamarackbay/tamarackbay/internal/result"
+	"github.com/tamarackbay/tamarackbay/internal/roster"
+	"github.com/tamarackbay/tamarackbay/internal/routing"
 	"github.com/tamarackbay/tamarackbay/internal/step"
 	"github.com/tamarackbay/tamarackbay/internal/usage"
+	"github.com/tamarackbay/tamarackbay/internal/weights"
 )
 
 // Register tells where a replica can be reached.
@@ -50,6 +54,10 @@
 	usage      *usage.Book
 	quarantine *quarantine.Book
 	replicas   map[consensus.ReplicaID]Register
+	routing    *routing.Book
+	versions   *weights.Names
+	roster     *roster.Book
+	jobs       *job.Ledger
 
 	deltas      []Delta
 	deltasAfter uint64 // every change after this position is in deltas
@@ -79,6 +87,10 @@
 	Quarantine map[string]quarantine.Entry      `cbor:"9,keyasint"`
 	Replicas   map[consensus.ReplicaID]Register `cbor:"10,keyasint"`
 	Revision   uint64                           `cbor:"11,keyasint"`
+	Routing    routing.Image                    `cbor:"12,keyasint"`
+	Versions   map[string]uint64                `cbor:"13,keyasint"`
+	Roster     roster.Image                     `cbor:"14,keyasint"`
+	Jobs       map[string]*job.Job              `cbor:"15,keyasint"`
 }
 
 // Snapshot returns the whole state.
@@ -92,6 +104,7 @@
 		Applied: ma.applied, AtMs: ma.atMs, Book: bo, Leases: ma.leases.Leases(), Orders: ma.orders.Image(),
 		Steps: ma.steps.Steps(), Calls: ma.calls.Image(), Usage: ma.usage.Image(),
 		Quarantine: ma.quarantine.Entries(), Replicas: ma.replicas, Revision: ma.revision,
+		Routing: ma.routing.Image(), Versions: ma.versions.All(), Roster: ma.roster.Image(), Jobs: ma.jobs.Jobs(),
 	})
 }
 
@@ -119,6 +132,8 @@
 		orders: order.NewLog(im.Orders), steps: step.NewLedger(im.Steps), calls: call.NewLedger(im.Calls),
 		usage: usage.NewBook(im.Usage), quarantine: quarantine.NewBook(im.Quarantine), replicas: im.Replicas,
 		deltasAfter: im.Applied, revision: im.Revision,
+		routing: routing.NewBook(im.Routing), versions: weights.NewNames(im.Versions),
+		roster: roster.NewBook(im.Roster), jobs: job.NewLedger(im.Jobs),
 	}, nil
 }
 
@@ -152,6 +167,18 @@
 // Replicas returns where the replicas can be reached.
 func (ma *Machine) Replicas() map[consensus.ReplicaID]Register { return ma.replicas }
 
+// Routing returns the configuration of requests that are routed by host and path.
+func (ma *Machine) Routing() *routing.Book { return ma.routing }
+
+// Versions returns the weight versions that trainers have named.
+func (ma *Machine) Versions() *weights.Names { return ma.versions }
+
+// Roster returns the VMs that store batch jobs.
+func (ma *Machine) Roster() *roster.Book { return ma.roster }
+
+// Jobs returns the ledger of batch jobs.
+func (ma *Machine) Jobs() *job.Ledger { return ma.jobs }
+
 // Skip notes an entry that holds no command.
 func (ma *Machine) Skip(index uint64) { ma.applied = index }
 
@@ -240,6 +267,31 @@
 
 		return nil, nil
 	}),
+	KindPutRouting: handle(func(ma *Machine, c routing.Put) (any, error) { return ma.routing.Put(c), nil }),
+	KindNameVersion: handle(func(ma *Machine, c weights.Name) (any, error) {
+		ma.versions.Name(c)
+
+		return nil, nil
+	}),
+	KindAnnounceMember: handle(func(ma *Machine, c roster.Announce) (any, error) {
+		ma.roster.Announce(c)
+
+		return nil, nil
+	}),
+	KindFormStores: handle(func(ma *Machine, c roster.Form) (any, error) {
+		ma.roster.Form(c)
+
+		return nil, nil
+	}),
+	KindRetireMember: handle(func(ma *Machine, c roster.Retire) (any, error) { return nil, ma.roster.Retire(c) }),
+	KindFinishRetirement: handle(func(ma *Machine, c roster.Finish) (any, error) {
+		ma.roster.Finish(c)
+
+		return nil, nil
+	}),
+	KindSubmitJob:   handle(func(ma *Machine, c job.Submit) (any, error) { return nil, ma.jobs.Submit(c, ma.atMs) }),
+	KindListResults: handle(func(ma *Machine, c job.List) (any, error) { return ma.jobs.List(c), nil }),
+	KindEndJob:      handle(func(ma *Machine, c job.End) (any, error) { return nil, ma.jobs.End(c, ma.atMs) }),
 }
 
 func (ma *Machine) patch(pa declaration.Patch) (any, error) {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -7,6 +7,9 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
+
+	"github.com/tamarackbay/tamarackbay/internal/dialer"
 	"github.com/tamarackbay/tamarackbay/internal/result"
 	"github.com/tamarackbay/tamarackbay/internal/wire"
 )
@@ -28,6 +31,8 @@
 	Bind      string // IP number that is dialled from, "" for any
 	ServerTLS *tls.Config
 	ClientTLS *tls.Config
+	Silence   time.Duration // a session whose peer acknowledges nothing for so long is cut; 0 leaves it to yamux
+	Log       log.Interface // where lost and regained sessions are told, nil for nowhere
 }
 
 // Listener accepts sessions.
@@ -42,7 +47,7 @@
 
 // Listen opens the address, an IP number with a port.
 func Listen(address string, cfg Config) (*Listener, error) {
-	ln, err := net.Listen("tcp", address)
+	ln, err := dialer.Listen(address, cfg.Silence)
 	if err != nil {
 		return nil, result.New(result.AddressInUse, "peer: listen on %s: %v", address, err)
 	}
@@ -177,10 +182,7 @@
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 
-	nd := net.Dialer{}
-	if cfg.Bind != "" {
-		nd.LocalAddr = &net.TCPAddr{IP: net.ParseIP(cfg.Bind)}
-	}
+	nd := dialer.New(dialer.Config{Bind: cfg.Bind, Timeout: dialTimeout, Silence: cfg.Silence})
 	conn, err := nd.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, result.New(result.BackendUnreachable, "peer: dial %s: %v", address, err)
@@ -236,6 +238,7 @@
 	for ctx.Err() == nil {
 		se, err := Dial(ctx, li.address, li.cfg)
 		if err == nil {
+			li.tell("peer regained")
 			li.set(se)
 			if li.onUp != nil {
 				go li.onUp(se)
@@ -246,6 +249,9 @@
 				se.Close()
 			}
 			li.set(nil)
+			if ctx.Err() == nil {
+				li.tell("peer lost")
+			}
 		}
 
 		select {
@@ -255,6 +261,12 @@
 	}
 }
 
+func (li *Link) tell(what string) {
+	if li.cfg.Log != nil {
+		li.cfg.Log.WithField("peer", li.address).Info(what)
+	}
+}
+
 func (li *Link) set(se *Session) {
 	li.mu.Lock()
 	defer li.mu.Unlock()
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -30,6 +30,9 @@
 	readBufferBytes    = 4096
 )
 
+// Message is what calls carry.
+type Message = proto.Message
+
 // Handler answers one call. It may send any number of messages on st before it returns.
 type Handler func(ctx context.Context, st *Stream) error
 
--- /dev/null
+++ b/internal/registry/merged.go
@@ -0,0 +1,124 @@
+package registry
+
+import (
+	"slices"
+	"strings"
+)
+
+// Merged joins what several sources know, each a process that takes heartbeats.
+// A backend server that any source hears is alive; one that no source knows any
+// more is kept until a source that has listened long enough says so. It is not
+// safe for concurrent use.
+type Merged struct {
+	sources map[string]*source
+	known   map[string]Record // the newest of each ID, with its address still its own
+}
+
+type source struct {
+	statuses  map[string]Status
+	isSettled bool // it has listened longer than a backend server may be silent
+	isFresh   bool
+}
+
+// NewMerged returns an empty view.
+func NewMerged() *Merged {
+	return &Merged{sources: map[string]*source{}, known: map[string]Record{}}
+}
+
+// Reset forgets what a source told: its next Update holds everything.
+func (me *Merged) Reset(name string) {
+	me.sources[name] = &source{statuses: map[string]Status{}}
+}
+
+// Update takes what changed at one source.
+func (me *Merged) Update(name string, changed []Status, forgotten []string, isSettled bool) {
+	so, ok := me.sources[name]
+	if !ok {
+		so = &source{statuses: map[string]Status{}}
+		me.sources[name] = so
+	}
+	so.isFresh, so.isSettled = true, isSettled
+	for _, id := range forgotten {
+		delete(so.statuses, id)
+	}
+	for _, st := range changed {
+		so.statuses[st.Record.ID] = st
+		me.learn(st.Record)
+	}
+}
+
+func (me *Merged) learn(re Record) {
+	old, ok := me.known[re.ID]
+	switch {
+	case !ok:
+	case old.BornMs == re.BornMs && old.State == Left:
+		return
+	case old.BornMs == re.BornMs && re.State == Left:
+	case !re.isNewer(&old):
+		return
+	}
+	me.known[re.ID] = re
+}
+
+// Lost says that a source is not heard any more: it has no say until its next Update.
+func (me *Merged) Lost(name string) {
+	if so, ok := me.sources[name]; ok {
+		so.isFresh = false
+	}
+}
+
+// Live returns the backend servers that have neither left nor lapsed, in the order
+// of their IDs.
+func (me *Merged) Live() []Record {
+	latest := map[string]int64{} // address to the start of its last incarnation
+	for _, re := range me.known {
+		if re.State != Left {
+			latest[re.Address] = max(latest[re.Address], re.BornMs)
+		}
+	}
+
+	out := make([]Record, 0, len(me.known))
+	for id, re := range me.known {
+		if me.isForgotten(id) {
+			delete(me.known, id)
+
+			continue
+		}
+		if re.State != Left && re.BornMs == latest[re.Address] && !me.isLapsed(id) {
+			out = append(out, re)
+		}
+	}
+	slices.SortFunc(out, func(a, b Record) int { return strings.Compare(a.ID, b.ID) })
+
+	return out
+}
+
+// isLapsed reports whether every source that has a say misses the backend server.
+func (me *Merged) isLapsed(id string) bool {
+	votes := 0
+	for _, so := range me.sources {
+		if !so.isFresh {
+			continue
+		}
+		st, ok := so.statuses[id]
+		switch {
+		case ok && !st.IsLapsed:
+			return false
+		case ok || so.isSettled:
+			votes++
+		}
+	}
+
+	return votes > 0
+}
+
+// isForgotten reports whether all sources are settled and none knows the ID.
+func (me *Merged) isForgotten(id string) bool {
+	for _, so := range me.sources {
+		if _, ok := so.statuses[id]; ok || !so.isFresh || !so.isSettled {
+			return false
+		}
+	}
+
+	return len(me.sources) > 0
+}
--- /dev/null
+++ b/internal/registry/registry.go
@@ -0,0 +1,240 @@
+// Package registry knows the backend servers from what they say of themselves:
+// heartbeats that come late, out of order, from processes that have ended since,
+// and several at one address. It is a core: time is an argument.
+package registry
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+)
+
+// State is what a backend server says of itself.
+type State uint8
+
+// States of a backend server.
+const (
+	Ready State = iota + 1
+	Draining
+	Left // it said that it leaves; it serves a little longer what it has
+)
+
+// Model is a model that a backend server has loaded.
+type Model struct {
+	Name    string `cbor:"1,keyasint"`
+	Version uint64 `cbor:"2,keyasint"` // of its weights
+}
+
+// Record is what is known of one incarnation of a backend server.
+type Record struct {
+	ID            string  `cbor:"1,keyasint"`
+	BornMs        int64   `cbor:"2,keyasint"` // start of the incarnation, Unix milliseconds
+	Sequence      uint64  `cbor:"3,keyasint"` // rises with each heartbeat of the incarnation
+	Service       string  `cbor:"4,keyasint"`
+	Address       string  `cbor:"5,keyasint"`
+	FailureDomain string  `cbor:"6,keyasint"`
+	Slots         int     `cbor:"7,keyasint"` // requests that it runs at once
+	State         State   `cbor:"8,keyasint"`
+	Models        []Model `cbor:"9,keyasint"`
+	WarmAtMs      int64   `cbor:"10,keyasint"` // Unix milliseconds until which it is slow after its start
+}
+
+// Version returns the weight version of model here, 0 when it is not loaded.
+func (re *Record) Version(model string) uint64 {
+	for _, mo := range re.Models {
+		if mo.Name == model {
+			return mo.Version
+		}
+	}
+
+	return 0
+}
+
+// isNewer reports whether re was said after other by the same backend server.
+func (re *Record) isNewer(other *Record) bool {
+	if re.BornMs != other.BornMs {
+		return re.BornMs > other.BornMs
+	}
+
+	return re.Sequence > other.Sequence
+}
+
+// sameBut reports whether two records differ in nothing that decides.
+func (re *Record) sameBut(other *Record) bool {
+	return re.BornMs == other.BornMs && re.Service == other.Service && re.Address == other.Address &&
+		re.FailureDomain == other.FailureDomain && re.Slots == other.Slots && re.State == other.State &&
+		slices.Equal(re.Models, other.Models)
+}
+
+type entry struct {
+	record Record
+	heard  time.Duration
+	lapsed bool
+}
+
+// forgetAfter is how long an incarnation that left or lapsed is remembered, so
+// that a heartbeat which was held up does not bring it back. It is well above the
+// seconds that a heartbeat can be late.
+const forgetAfter = 2 * time.Minute
+
+// Registry is not safe for concurrent use.
+type Registry struct {
+	entries  map[string]*entry
+	revision uint64
+	lapse    time.Duration
+}
+
+// New returns a registry in which a backend server lapses after a silence of lapse.
+func New(lapse time.Duration) *Registry {
+	return &Registry{entries: map[string]*entry{}, lapse: lapse}
+}
+
+// Revision rises with each change that decides something.
+func (rg *Registry) Revision() uint64 { return rg.revision }
+
+// Observe takes a heartbeat and reports whether it changed what is known.
+func (rg *Registry) Observe(now time.Duration, re Record) bool {
+	old, ok := rg.entries[re.ID]
+	if ok && !re.isNewer(&old.record) {
+		return false
+	}
+	if ok && old.record.BornMs == re.BornMs && old.record.State == Left {
+		return false // a heartbeat that was sent before it left
+	}
+	if rg.isSuperseded(&re) {
+		return false
+	}
+
+	changed := !ok || old.lapsed || !re.sameBut(&old.record)
+	rg.entries[re.ID] = &entry{record: re, heard: now}
+	if changed {
+		rg.revision++
+	}
+
+	return changed
+}
+
+// isSuperseded reports whether a later incarnation has taken the address.
+func (rg *Registry) isSuperseded(re *Record) bool {
+	for id, en := range rg.entries {
+		if id != re.ID && en.record.Address == re.Address && en.record.State != Left && en.record.BornMs > re.BornMs {
+			return true
+		}
+	}
+
+	return false
+}
+
+// Leave notes that a backend server leaves. bornMs is 0 where it did not say which
+// incarnation leaves. It reports whether anything changed.
+func (rg *Registry) Leave(now time.Duration, id string, bornMs int64) bool {
+	en, ok := rg.entries[id]
+	if !ok {
+		rg.entries[id] = &entry{record: Record{ID: id, BornMs: bornMs, State: Left}, heard: now}
+		rg.revision++
+
+		return true
+	}
+	if (bornMs != 0 && bornMs < en.record.BornMs) || en.record.State == Left {
+		return false
+	}
+
+	en.record.State, en.heard = Left, now
+	en.record.BornMs = max(en.record.BornMs, bornMs)
+	rg.revision++
+
+	return true
+}
+
+// SetVersion notes a weight version that was read from the backend server itself,
+// before its next heartbeat tells it.
+func (rg *Registry) SetVersion(id string, bornMs int64, model string, version uint64) bool {
+	en, ok := rg.entries[id]
+	if !ok || en.record.BornMs != bornMs || en.record.Version(model) == version {
+		return false
+	}
+
+	en.record.Models = slices.Clone(en.record.Models)
+	for i := range en.record.Models {
+		if en.record.Models[i].Name == model {
+			en.record.Models[i].Version = version
+			rg.revision++
+
+			return true
+		}
+	}
+
+	return false
+}
+
+// Sweep marks the backend servers that fell silent, and returns their IDs.
+func (rg *Registry) Sweep(now time.Duration) []string {
+	var out []string
+	for id, en := range rg.entries {
+		silent := now - en.heard
+		switch {
+		case silent > forgetAfter:
+			delete(rg.entries, id)
+			rg.revision++
+		case silent > rg.lapse && !en.lapsed && en.record.State != Left:
+			en.lapsed = true
+			rg.revision++
+			out = append(out, id)
+		}
+	}
+
+	return out
+}
+
+// Status is a record with what the registry makes of it.
+type Status struct {
+	Record   Record `cbor:"1,keyasint"`
+	IsLapsed bool   `cbor:"2,keyasint"` // it fell silent
+}
+
+// All returns everything known, in the order of the IDs.
+func (rg *Registry) All() []Status {
+	out := make([]Status, 0, len(rg.entries))
+	for _, en := range rg.entries {
+		out = append(out, Status{Record: en.record, IsLapsed: en.lapsed})
+	}
+	slices.SortFunc(out, func(a, b Status) int { return strings.Compare(a.Record.ID, b.Record.ID) })
+
+	return out
+}
+
+// Equal reports whether two records say the same.
+func (re *Record) Equal(other *Record) bool { return re.ID == other.ID && re.sameBut(other) }
+
+// TellChanges logs what differs between two lists in the order of their IDs.
+func TellChanges(lo log.Interface, old, next []Record) {
+	before := make(map[string]*Record, len(old))
+	for i := range old {
+		before[old[i].ID] = &old[i]
+	}
+	for i := range next {
+		re := &next[i]
+		o, ok := before[re.ID]
+		delete(before, re.ID)
+		if ok && o.sameBut(re) {
+			continue
+		}
+		fl := log.Fields{
+			"server": re.ID, "service": re.Service, "address": re.Address, "state": re.State.String(),
+			"born": re.BornMs, "sequence": re.Sequence, "models": re.Models,
+		}
+		if ok {
+			lo.WithFields(fl).Info("backend server changed")
+		} else {
+			lo.WithFields(fl).Info("backend server known")
+		}
+	}
+	for id, re := range before {
+		lo.WithFields(log.Fields{"server": id, "service": re.Service, "address": re.Address}).Info("backend server gone")
+	}
+}
+
+// String returns the state's name.
+func (st State) String() string { return [...]string{"", "ready", "draining", "left"}[min(st, Left)] }
--- /dev/null
+++ b/internal/routing/table.go
@@ -0,0 +1,94 @@
+package routing
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
+
+// Table answers which route a request takes and whose key it carries. It is never
+// changed, only replaced.
+type Table struct {
+	cfg      *Config
+	byHost   map[string][]*Route // longest prefix first
+	byKey    map[string]*Workspace
+	services map[string]*Service
+}
+
+// NewTable returns the table of a valid configuration, which must not be changed afterwards.
+func NewTable(cfg *Config) *Table {
+	ta := &Table{
+		cfg: cfg, byHost: map[string][]*Route{}, byKey: map[string]*Workspace{}, services: map[string]*Service{},
+	}
+	for i := range cfg.Routes {
+		ro := &cfg.Routes[i]
+		ta.byHost[ro.Host] = append(ta.byHost[ro.Host], ro)
+	}
+	for _, ros := range ta.byHost {
+		slices.SortFunc(ros, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for i := range cfg.Workspaces {
+		for _, key := range cfg.Workspaces[i].Keys {
+			ta.byKey[key] = &cfg.Workspaces[i]
+		}
+	}
+	for i := range cfg.Services {
+		ta.services[cfg.Services[i].Name] = &cfg.Services[i]
+	}
+
+	return ta
+}
+
+// Version returns the version of the configuration, 0 before the first one.
+func (ta *Table) Version() uint64 { return ta.cfg.Version }
+
+// Config returns the configuration of the table.
+func (ta *Table) Config() *Config { return ta.cfg }
+
+// Match returns the route of host with the longest prefix of path, or nil.
+func (ta *Table) Match(host, path string) *Route {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && ta.byHost[host] == nil {
+		host = host[:i]
+	}
+	for _, ro := range ta.byHost[host] {
+		if strings.HasPrefix(path, ro.Prefix) {
+			return ro
+		}
+	}
+
+	return nil
+}
+
+// HasHost reports whether any route belongs to host.
+func (ta *Table) HasHost(host string) bool { return len(ta.byHost[host]) > 0 }
+
+// Owner returns the workspace that holds key, or nil.
+func (ta *Table) Owner(key string) *Workspace { return ta.byKey[key] }
+
+// NeedsKeys reports whether the configuration declares workspaces at all.
+func (ta *Table) NeedsKeys() bool { return len(ta.cfg.Workspaces) > 0 }
+
+// Service returns the declared service called name, or nil.
+func (ta *Table) Service(name string) *Service { return ta.services[name] }
+
+// PickTarget chooses a target by weight; draw is in [0, 1).
+func (ro *Route) PickTarget(draw float64) string {
+	sum := 0
+	for _, ta := range ro.Targets {
+		sum += ta.Weight
+	}
+	at := int(draw * float64(sum))
+	for _, ta := range ro.Targets {
+		if at < ta.Weight {
+			return ta.Service
+		}
+		at -= ta.Weight
+	}
+
+	return ""
+}
+
+// Allows reports whether requests of the route may go to service.
+func (ro *Route) Allows(service string) bool {
+	return slices.ContainsFunc(ro.Targets, func(ta Target) bool { return ta.Service == service && ta.Weight > 0 })
+}
--- /dev/null
+++ b/internal/usage/tally.go
@@ -0,0 +1,78 @@
+package usage
+
+import (
+	"sync"
+	"time"
+)
+
+// keepTallies is how many windows a tally keeps: late counts of older ones are
+// not taken any more.
+const keepTallies = 6
+
+// Tally counts requests of one process, by workspace and window. It is safe for
+// concurrent use.
+type Tally struct {
+	agent       string
+	incarnation uint64
+	window      time.Duration
+
+	mu     sync.Mutex
+	counts map[tallyKey]uint64
+	sent   map[tallyKey]uint64
+}
+
+type tallyKey struct {
+	window    uint64
+	workspace string
+}
+
+// NewTally returns a tally of the process agent; incarnation tells its starts apart.
+func NewTally(agent string, incarnation uint64, window time.Duration) *Tally {
+	return &Tally{
+		agent: agent, incarnation: incarnation, window: window, counts: map[tallyKey]uint64{}, sent: map[tallyKey]uint64{},
+	}
+}
+
+// Count notes a request that began to run at a time.
+func (ta *Tally) Count(workspace string, at time.Time) {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+
+	ta.counts[tallyKey{uint64(at.UnixMilli() / ta.window.Milliseconds()), workspace}]++
+}
+
+// Pending returns the counters that have grown since they were last confirmed.
+func (ta *Tally) Pending() []Counter {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+
+	var out []Counter
+	for k, n := range ta.counts {
+		if n > ta.sent[k] {
+			out = append(out, Counter{
+				Agent: ta.agent, Incarnation: ta.incarnation, Workspace: k.workspace, Window: k.window, Figures: Figures{Requests: n},
+			})
+		}
+	}
+
+	return out
+}
+
+// Confirm notes that counters are recorded.
+func (ta *Tally) Confirm(counters []Counter) {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+
+	newest := uint64(0)
+	for _, co := range counters {
+		k := tallyKey{co.Window, co.Workspace}
+		ta.sent[k] = max(ta.sent[k], co.Figures.Requests)
+		newest = max(newest, co.Window)
+	}
+	for k := range ta.counts {
+		if k.window+keepTallies < newest && ta.sent[k] == ta.counts[k] {
+			delete(ta.counts, k)
+			delete(ta.sent, k)
+		}
+	}
+}
