Recover the groups sooner after a loss of power

Their peers' addresses came from the controllers, which started at the same time; sessions were opened by the first message, which was dropped; the first packet to a VM that was still starting was sent again only after a second; the first election waited a whole timeout.

Ruled out: the disk (recovery of the log took under 30 ms).

--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -107,6 +108,7 @@
 			return nil, err
 		}
 		gr.cfg.Peer.Hello.Replica = string(gr.identity.Replica)
+		maps.Copy(gr.addresses, gr.identity.Peers)
 	}
 	gr.tr = newTransport(gr.ctx, gr.cfg.Peer, cfg.Address)
 
@@ -214,6 +216,9 @@
 	n.replayView(gr)
 	gr.node.Store(n)
 
+	for _, id := range n.replica.Membership().All() {
+		gr.tr.connect(gr.addressOf(id))
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var wg sync.WaitGroup
--- a/internal/group/identity.go
+++ b/internal/group/identity.go
@@ -29,6 +29,9 @@
 	Replica   consensus.ReplicaID   `json:"replica"`
 	Cluster   string                `json:"cluster,omitempty"` // "" until formed or joined
 	Bootstrap []consensus.ReplicaID `json:"bootstrap,omitempty"`
+	// Peers are the addresses of the members when they were last known: after a
+	// restart the replicated ones are not applied before a leader is elected.
+	Peers map[consensus.ReplicaID]string `json:"peers,omitempty"`
 }
 
 func loadIdentity(files storage.Files, dir, name string) (identity, error) {
--- a/internal/group/membership.go
+++ b/internal/group/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -80,7 +81,12 @@
 	ctx, cancel := context.WithTimeout(ctx, askAllTimeout)
 	defer cancel()
 
-	addresses := slices.DeleteFunc(slices.Clone(gr.cfg.Addresses()), func(a string) bool { return a == gr.cfg.Address })
+	addresses := gr.cfg.Addresses()
+	gr.mu.Lock()
+	addresses = slices.AppendSeq(slices.Clone(addresses), maps.Values(gr.identity.Peers))
+	gr.mu.Unlock()
+	slices.Sort(addresses)
+	addresses = slices.DeleteFunc(slices.Compact(addresses), func(a string) bool { return a == gr.cfg.Address })
 	replies := make([]*wire.IdentityReply, len(addresses))
 	var wg sync.WaitGroup
 	for i, a := range addresses {
@@ -275,6 +281,7 @@
 		if !known {
 			_ = gr.Propose(ctx, machine.KindRegister, want, nil) // tried again after registerPeriod
 		}
+		gr.rememberPeers()
 		select {
 		case <-time.After(registerPeriod):
 		case <-ctx.Done():
@@ -282,6 +289,30 @@
 	}
 }
 
+// rememberPeers keeps the addresses of the members beside the identity.
+func (gr *Group) rememberPeers() {
+	peers := map[consensus.ReplicaID]string{}
+	for _, id := range gr.Status().Membership.All() {
+		if a := gr.addressOf(id); a != "" && id != gr.identity.Replica {
+			peers[id] = a
+		}
+	}
+
+	gr.mu.Lock()
+	defer gr.mu.Unlock()
+	if len(peers) == 0 || maps.Equal(peers, gr.identity.Peers) {
+		return
+	}
+	id := gr.identity
+	id.Peers = peers
+	if err := id.save(gr.cfg.Files, gr.cfg.DataFolder); err != nil {
+		gr.cfg.Log.WithError(err).Warn("the addresses of the other replicas are not kept")
+
+		return
+	}
+	gr.identity = id
+}
+
 // membershipDuty repairs the membership while this replica leads.
 func (gr *Group) membershipDuty(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/group/transport.go
+++ b/internal/group/transport.go
@@ -15,6 +15,9 @@
 	rawStreamTimeout = 24 * time.Hour
 	rawWriteTimeout  = 5 * time.Second
 	methodConsensus  = "raw.consensus"
+	// sessionPatience is how long a message waits for its peer's session: less than
+	// the time in which the protocol would send it again.
+	sessionPatience = 200 * time.Millisecond
 )
 
 // transport carries messages to the other replicas, one link and one goroutine an address.
@@ -61,6 +64,13 @@
 	return tr.outbox(address).link.Wait(ctx)
 }
 
+// connect opens the session to address before the first message needs it.
+func (tr *transport) connect(address string) {
+	if address != "" && address != tr.own {
+		tr.outbox(address)
+	}
+}
+
 // wait returns once all links and rings have ended.
 func (tr *transport) wait() {
 	tr.wg.Wait()
@@ -97,12 +107,13 @@
 		}
 
 		if st == nil {
-			se := ob.link.Session()
-			if se == nil {
+			wctx, wcancel := context.WithTimeout(ctx, sessionPatience)
+			se, err := ob.link.Wait(wctx)
+			wcancel()
+			if err != nil {
 				continue // the protocol sends again what matters
 			}
 			octx, cancel := context.WithTimeout(ctx, rawStreamTimeout)
-			var err error
 			st, err = se.Open(octx, methodConsensus, &wire.Empty{})
 			cancel()
 			if err != nil {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -32,7 +32,19 @@
 	ServerTLS *tls.Config
 	ClientTLS *tls.Config
 	Silence   time.Duration // a session whose peer acknowledges nothing for so long is cut; 0 leaves it to yamux
-	Log       log.Interface // where lost and regained sessions are told, nil for nowhere
+	// DialTimeout bounds the opening of a session, a default where 0. The first
+	// packet to a VM that is just starting is lost and only sent again after a second.
+	DialTimeout time.Duration
+	Log         log.Interface // where lost and regained sessions are told, nil for nowhere
+}
+
+// redial returns the pause before a session is opened again.
+func (c *Config) redial() time.Duration {
+	if c.DialTimeout > 0 {
+		return min(redialPeriod, c.DialTimeout/4)
+	}
+
+	return redialPeriod
 }
 
 // Listener accepts sessions.
@@ -179,10 +191,14 @@
 
 // Dial opens a session to address.
 func Dial(ctx context.Context, address string, cfg Config) (*Session, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	limit := cfg.DialTimeout
+	if limit == 0 {
+		limit = dialTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 
-	nd := dialer.New(dialer.Config{Bind: cfg.Bind, Timeout: dialTimeout, Silence: cfg.Silence})
+	nd := dialer.New(dialer.Config{Bind: cfg.Bind, Timeout: limit, Silence: cfg.Silence})
 	conn, err := nd.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, result.New(result.BackendUnreachable, "peer: dial %s: %v", address, err)
@@ -256,7 +272,7 @@
 
 		select {
 		case <-ctx.Done():
-		case <-time.After(redialPeriod):
+		case <-time.After(li.cfg.redial()):
 		}
 	}
 }
--- a/internal/program/node.go
+++ b/internal/program/node.go
@@ -41,6 +41,9 @@
 	// silenceLimit cuts connections whose peer acknowledges nothing: long enough for
 	// a lost packet or two, short against the seconds after which a VM counts as lost.
 	silenceLimit = 1500 * time.Millisecond
+	// sessionLimit bounds the opening of a session between own processes, which takes
+	// milliseconds unless a packet is lost.
+	sessionLimit = 500 * time.Millisecond
 	// backendIdle is how long an unused connection to a backend server is kept.
 	backendIdle = 4 * time.Second
 	// memoryShare of the limit is where the garbage collector works harder.
@@ -161,7 +164,7 @@
 // peerConfig describes sessions with other own processes.
 func (nd *Node) peerConfig() peer.Config {
 	return peer.Config{
-		Bind: nd.settings.BindIP, Silence: silenceLimit, Log: nd.log,
+		Bind: nd.settings.BindIP, Silence: silenceLimit, DialTimeout: sessionLimit, Log: nd.log,
 		Hello: &wire.Hello{
 			Name: nd.settings.Name, Role: nd.role, FailureDomain: nd.settings.FailureDomain, Address: nd.settings.PeerAddress,
 			Protocol: peer.ProtocolVersion,
