Divide engines among models, leave slow ones, start long texts first

Texts of 189 events take 7.0 of the 7.5 s even on a sound engine and stayed on two that were 2.7 times slower.

Ruled out: room (at most 40 of 64 slots were in use).

Change: weights.Joint plans all models of a service under one limit, one order an engine, with a home model for each engine; dispatch measures the time between events at each engine, places elsewhere what would go to a slow one and moves its runs after their last event; the longest expected text of a job starts first; a silent engine is left after 0.8 s.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -92,8 +92,9 @@
 	stores    map[string]*store // by name
 	dirty     chan struct{}
 	startedAt time.Duration
-	waitedFor time.Duration // since when stores are known and no group is formed
-	swaps     map[string]*rollout
+	waitedFor time.Duration             // since when stores are known and no group is formed
+	swaps     map[string]*weights.Joint // by service
+	swapWake  chan struct{}
 	usage     usageState
 }
 
@@ -105,6 +106,7 @@
 	Members []consensus.ReplicaID `cbor:"4,keyasint"` // of the store group, where it leads
 	Voters  int                   `cbor:"5,keyasint"`
 	Running map[string]int        `cbor:"6,keyasint"` // items at each backend server, where it leads
+	Demand  map[string]float64    `cbor:"7,keyasint"` // events generated lately for each model, where it leads
 }
 
 type store struct {
@@ -125,7 +127,7 @@
 	co := &Controller{
 		cfg: cfg, feed: feed.NewServer(), cancel: cancel, stopped: make(chan struct{}),
 		registry: registry.New(lapseBeats * no.BeatPeriod), stores: map[string]*store{}, dirty: make(chan struct{}, 1),
-		startedAt: cfg.Now(), swaps: map[string]*rollout{},
+		startedAt: cfg.Now(), swaps: map[string]*weights.Joint{}, swapWake: make(chan struct{}, 1),
 	}
 	var founders []group.Founder
 	for _, a := range no.Controllers {
@@ -248,15 +250,15 @@
 }
 
 func (co *Controller) duties() []*duty.Duty {
-	with := func(name string, work func(ctx context.Context, held duty.Held)) *duty.Duty {
+	with := func(name string, wake <-chan struct{}, work func(ctx context.Context, held duty.Held)) *duty.Duty {
 		return duty.New(duty.Config{
-			Name: name, Holder: co.cfg.Settings.Name, Terms: terms, Group: co.group, Now: co.cfg.Now, Work: work,
+			Name: name, Holder: co.cfg.Settings.Name, Terms: terms, Group: co.group, Now: co.cfg.Now, Work: work, Wake: wake,
 			Stopped: co.stopped, TurnPause: co.cfg.Settings.TurnPause, Log: co.cfg.Log,
 		})
 	}
-	out := []*duty.Duty{with(leaseWeights, co.rollOut)}
+	out := []*duty.Duty{with(leaseWeights, co.swapWake, co.rollOut)}
 	if co.cfg.ReportUsage != nil {
-		out = append(out, with(machine.UsageLease, co.reportUsage))
+		out = append(out, with(machine.UsageLease, nil, co.reportUsage))
 	}
 
 	return out
@@ -430,6 +432,7 @@
 	if err := co.group.Propose(ctx, machine.KindNameVersion, weights.Name{Model: model, Version: version}, nil); err != nil {
 		return err
 	}
+	co.wakeSwaps()
 	co.cfg.Log.WithFields(log.Fields{"model": model, "version": version}).Info("weight version recorded")
 
 	return nil
--- a/internal/controller/weights.go
+++ b/internal/controller/weights.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"time"
 
 	"github.com/apex/log"
@@ -29,18 +28,13 @@
 	loadTimeout = 6 * time.Second
 )
 
-// rollout is the swap of one model's engines.
-type rollout struct {
-	planner *weights.Planner
-}
-
-// rollOut orders the engines of each model to the newest version that was named.
+// rollOut orders the engines to the newest versions that were named.
 func (co *Controller) rollOut(ctx context.Context, held duty.Held) {
-	targets := map[string]uint64{}
+	named := map[string]uint64{}
 	single := map[string]bool{} // services with routes that allow one version in a text
 	co.group.Read(func(ma *machine.Machine) {
 		for mo, v := range ma.Versions().All() {
-			targets[mo] = v
+			named[mo] = v
 		}
 		for i := range ma.Routing().Config().Routes {
 			ro := &ma.Routing().Config().Routes[i]
@@ -49,42 +43,71 @@
 			}
 		}
 	})
+	if len(named) == 0 {
+		return
+	}
 
 	co.mu.Lock()
 	defer co.mu.Unlock()
-	for model, target := range targets {
-		ro := co.swaps[model]
-		if ro == nil {
-			ro = &rollout{planner: weights.NewPlanner()}
-			co.swaps[model] = ro
-		}
-		records := map[string]registry.Record{}
-		var engines []weights.Engine
-		for _, st := range co.registry.All() {
-			v := st.Record.Version(model)
-			if v == 0 || st.IsLapsed || st.Record.State != registry.Ready {
-				continue
-			}
-			records[st.Record.ID] = st.Record
-			en := weights.Engine{Server: st.Record.ID, FailureDomain: st.Record.FailureDomain, IsReady: true, Running: co.runningAt(st.Record.ID)}
-			if v >= target {
-				en.Version = versionName(target)
-			}
-			engines = append(engines, en)
+	hosts, records := co.engines()
+	for service, hs := range hosts {
+		jo := co.swaps[service]
+		if jo == nil {
+			jo = weights.NewJoint()
+			co.swaps[service] = jo
 		}
-		wave := max(minWave, int(waveShare*float64(len(engines))))
-		for _, ac := range ro.planner.Next(co.cfg.Now(), versionName(target), engines, wave) {
-			re := records[ac.Server]
+		wave := max(minWave, int(waveShare*float64(len(hs))))
+		for _, sw := range jo.Next(co.cfg.Now(), co.targets(hs, named), hs, wave) {
 			mode := backend.Continue
-			if single[re.Service] {
+			if single[service] {
 				mode = backend.Drain
 			}
-			go co.swap(ctx, held, ro, re, &backend.Weights{Model: model, Version: target, Mode: mode, Instance: re.ID})
+			re := records[sw.Server]
+			go co.swap(ctx, held, jo, re, &backend.Weights{Model: sw.Model, Version: sw.Version, Mode: mode, Instance: re.ID})
 		}
 	}
 }
 
-func versionName(v uint64) string { return strconv.FormatUint(v, 10) }
+// engines returns the engines that are ready, by service.
+func (co *Controller) engines() (map[string][]weights.Host, map[string]registry.Record) {
+	hosts, records := map[string][]weights.Host{}, map[string]registry.Record{}
+	for _, st := range co.registry.All() {
+		re := st.Record
+		if len(re.Models) == 0 || st.IsLapsed || re.State != registry.Ready {
+			continue
+		}
+		records[re.ID] = re
+		ho := weights.Host{Server: re.ID, Versions: map[string]uint64{}, Running: co.runningAt(re.ID)}
+		for _, mo := range re.Models {
+			ho.Versions[mo.Name] = mo.Version
+		}
+		hosts[re.Service] = append(hosts[re.Service], ho)
+	}
+
+	return hosts, records
+}
+
+// targets returns the models that engines serve, with the demand for each.
+func (co *Controller) targets(hosts []weights.Host, named map[string]uint64) []weights.Target {
+	demand := map[string]float64{}
+	for _, so := range co.stores {
+		if so.Leads {
+			demand = so.Demand
+		}
+	}
+	seen := map[string]bool{}
+	var out []weights.Target
+	for _, ho := range hosts {
+		for model := range ho.Versions {
+			if !seen[model] {
+				seen[model] = true
+				out = append(out, weights.Target{Model: model, Version: max(named[model], 1), Demand: demand[model]})
+			}
+		}
+	}
+
+	return out
+}
 
 // runningAt returns how many items the store that leads runs at a backend server.
 func (co *Controller) runningAt(server string) int {
@@ -99,7 +122,7 @@
 }
 
 // swap orders one engine to load a version and waits until it serves it.
-func (co *Controller) swap(ctx context.Context, held duty.Held, ro *rollout, re registry.Record, we *backend.Weights) {
+func (co *Controller) swap(ctx context.Context, held duty.Held, jo *weights.Joint, re registry.Record, we *backend.Weights) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 
@@ -118,7 +141,8 @@
 
 	co.mu.Lock()
 	defer co.mu.Unlock()
-	ro.planner.Done(co.cfg.Now(), re.ID, err == nil)
+	jo.Done(co.cfg.Now(), re.ID, err == nil)
+	co.wakeSwaps()
 	if err == nil && co.registry.SetVersion(re.ID, re.BornMs, we.Model, we.Version) {
 		co.touch()
 	}
@@ -126,6 +150,14 @@
 
 func (co *Controller) swapOnce(ctx context.Context, held duty.Held, re registry.Record, we *backend.Weights) error {
 	before, err := co.report(ctx, re)
+	for ; err == nil && before.IsBusy; before, err = co.report(ctx, re) {
+		// An order is under way, perhaps one that a former holder gave.
+		select {
+		case <-time.After(loadPoll):
+		case <-ctx.Done():
+			return errLoadTimeout
+		}
+	}
 	if err != nil {
 		return err
 	}
@@ -133,10 +165,6 @@
 		return nil
 	}
 	we.Sequence = before.Sequence
-	if before.IsBusy {
-		// Somebody's order is under way; whatever it loads, the next plan sees it.
-		return co.awaitVersion(ctx, re, we, loadPoll)
-	}
 
 	fencing, ok := held()
 	if !ok {
@@ -150,7 +178,15 @@
 		return err
 	}
 
-	return co.awaitVersion(ctx, re, we, loadFirst)
+	return co.awaitVersion(ctx, re, we)
+}
+
+// wakeSwaps lets the next order follow at once.
+func (co *Controller) wakeSwaps() {
+	select {
+	case co.swapWake <- struct{}{}:
+	default:
+	}
 }
 
 func (co *Controller) report(ctx context.Context, re registry.Record) (backend.Report, error) {
@@ -166,8 +202,8 @@
 
 // awaitVersion waits until the engine tells, in a heartbeat or asked, that it
 // serves the version.
-func (co *Controller) awaitVersion(ctx context.Context, re registry.Record, we *backend.Weights, first time.Duration) error {
-	wait := first
+func (co *Controller) awaitVersion(ctx context.Context, re registry.Record, we *backend.Weights) error {
+	wait := loadFirst
 	for {
 		select {
 		case <-time.After(wait):
@@ -184,7 +220,7 @@
 			return err
 		case rep.Versions[we.Model] >= we.Version:
 			return nil
-		case !rep.IsBusy && rep.Sequence == we.Sequence && first == loadFirst:
+		case !rep.IsBusy && rep.Sequence == we.Sequence:
 			return errOrderLost
 		}
 	}
--- a/internal/dispatch/driver.go
+++ b/internal/dispatch/driver.go
@@ -6,6 +6,8 @@
 import (
 	"cmp"
 	"context"
+	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -53,12 +55,16 @@
 	jobs     map[string]*jobState
 	revision uint64 // of the ledger, as it was read last
 	running  map[string]int
+	paces    *paces
+	slow     []string           // backend servers that are slow now
+	demand   map[string]float64 // events generated lately, by model
+	demandAt time.Time
 	wg       sync.WaitGroup
 }
 
 // New returns a driver.
 func New(cfg Config) *Driver {
-	return &Driver{cfg: cfg, wake: make(chan struct{}, 1), jobs: map[string]*jobState{}, running: map[string]int{}}
+	return &Driver{cfg: cfg, wake: make(chan struct{}, 1), jobs: map[string]*jobState{}, running: map[string]int{}, paces: newPaces(), demand: map[string]float64{}}
 }
 
 // Wake makes the driver look at once.
@@ -84,6 +90,30 @@
 	return out
 }
 
+// demandHalf is the time after which generated events count half as much as demand:
+// a few steps of a trainer.
+const demandHalf = 15 * time.Second
+
+// Demand returns how many events were generated lately for each model.
+func (dr *Driver) Demand() map[string]float64 {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+
+	dr.age()
+
+	return maps.Clone(dr.demand)
+}
+
+// age lets demand fade. The caller holds dr.mu.
+func (dr *Driver) age() {
+	now := time.Now()
+	f := math.Exp2(-now.Sub(dr.demandAt).Seconds() / demandHalf.Seconds())
+	dr.demandAt = now
+	for model := range dr.demand {
+		dr.demand[model] *= f
+	}
+}
+
 // Run drives whenever this process leads, until ctx ends.
 func (dr *Driver) Run(ctx context.Context) {
 	defer dr.wg.Wait()
@@ -121,7 +151,9 @@
 		dr.cfg.Log.WithField("term", st.Term).Info("items are driven here")
 	}
 	dr.follow()
+	dr.judge()
 	dr.place()
+	dr.move()
 }
 
 func (dr *Driver) stop() {
@@ -201,8 +233,8 @@
 }
 
 // waitingTasks returns the tasks that want a backend server, in the order in which
-// trainers gain most: the oldest job first, and in it the groups as the trainer
-// listed them, so that whole groups become complete.
+// trainers gain most: the oldest job first, and in it the longest text first, since
+// a trainer waits for nearly all groups and the longest texts decide when.
 func (dr *Driver) waitingTasks(now time.Time) []*task {
 	var out []*task
 	for _, js := range dr.jobs {
@@ -213,7 +245,8 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b *task) int {
-		return cmp.Or(a.job.submitted.Compare(b.job.submitted), cmp.Compare(a.job.id, b.job.id), cmp.Compare(a.index, b.index))
+		return cmp.Or(a.job.submitted.Compare(b.job.submitted), cmp.Compare(a.job.id, b.job.id), cmp.Compare(b.item.Expected, a.item.Expected),
+			cmp.Compare(a.index, b.index))
 	})
 
 	return out
@@ -248,11 +281,70 @@
 	}
 }
 
+// acquire picks a backend server, a slow one only if no other has room.
 func (dr *Driver) acquire(service string, t *task) *balance.Grant {
-	return dr.cfg.Balancer.Acquire(&balance.Request{
+	rq := &balance.Request{
 		Service: service, Model: t.job.model, MinVersion: t.job.minVersion, Prefix: t.job.model + "/" + t.item.Group,
-		Exclude: t.tried, Tokens: t.item.Tokens,
+		Exclude: slices.Concat(t.tried, dr.slow), Tokens: t.item.Tokens,
+	}
+	gr := dr.cfg.Balancer.Acquire(rq)
+	if gr == nil && len(dr.slow) > 0 {
+		rq.Exclude = t.tried
+		gr = dr.cfg.Balancer.Acquire(rq)
+	}
+	if gr == nil && len(t.tried) > 0 {
+		rq.Exclude = nil
+		gr = dr.cfg.Balancer.Acquire(rq)
+	}
+
+	return gr
+}
+
+// judge looks which backend servers are slow.
+func (dr *Driver) judge() {
+	slow := dr.paces.slow(time.Now())
+	if !slices.Equal(slow, dr.slow) {
+		dr.cfg.Log.WithFields(log.Fields{"slow": slow, "before": dr.slow}).Info("slow backend servers")
+	}
+	dr.slow = slow
+}
+
+// movesPerTurn bounds how many runs are moved at once, so that they do not all
+// meet at the same backend servers before their load is known.
+const movesPerTurn = 8
+
+// move takes runs away from slow backend servers as long as others have room. A
+// run goes on after its last event, so little is lost.
+func (dr *Driver) move() {
+	if len(dr.slow) == 0 {
+		return
+	}
+	var stuck []*task
+	for _, js := range dr.jobs {
+		for _, t := range js.tasks {
+			if t.phase == running && t.move != nil && slices.Contains(dr.slow, t.server) {
+				stuck = append(stuck, t)
+			}
+		}
+	}
+	slices.SortFunc(stuck, func(a, b *task) int {
+		return cmp.Or(a.job.submitted.Compare(b.job.submitted), cmp.Compare(b.item.Expected, a.item.Expected), cmp.Compare(a.index, b.index))
 	})
+	room := map[string]int{}
+	for _, t := range stuck[:min(len(stuck), movesPerTurn)] {
+		key := t.service + "@" + t.job.id
+		if _, ok := room[key]; !ok {
+			room[key] = dr.cfg.Balancer.Room(&balance.Request{
+				Service: t.service, Model: t.job.model, MinVersion: t.job.minVersion, Exclude: dr.slow,
+			})
+		}
+		if room[key] == 0 {
+			continue
+		}
+		room[key]--
+		t.move()
+		t.move = nil
+	}
 }
 
 // start runs a task at a backend server.
@@ -260,18 +352,23 @@
 	if !t.text.fits(t.job.minVersion, ro.IsSingleVersion) || (ro.IsSingleVersion && len(t.text.versions) > 0) {
 		t.text = text{}
 	}
-	ctx, cancel := context.WithCancel(dr.ctx)
-	t.phase, t.cancel = running, cancel
+	ctx, cancel := context.WithCancelCause(dr.ctx)
+	t.phase, t.server, t.service = running, gr.Record().ID, gr.Record().Service
+	t.cancel = func() { cancel(nil) }
+	t.move = func() { cancel(errSlow) }
 	dr.running[gr.Record().ID]++
 	te := t.text
 	te.events, te.versions = slices.Clone(te.events), slices.Clone(te.versions)
+	began := len(te.events)
 	dr.wg.Add(1)
 	go func() {
 		defer dr.wg.Done()
-		defer cancel()
+		defer cancel(nil)
 		oc := dr.run(ctx, t, ro, gr, &te)
 		dr.mu.Lock()
 		dr.running[gr.Record().ID]--
+		dr.age()
+		dr.demand[t.job.model] += float64(max(len(te.events)-began, 0))
 		dr.mu.Unlock()
 		dr.ran(t, ro, gr, &te, oc)
 		dr.Wake()
--- /dev/null
+++ b/internal/dispatch/pace_test.go
@@ -0,0 +1,66 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarackbay/tamarackbay/internal/suite"
+)
+
+func TestSuite(t *testing.T) { suite.Run(t, "dispatch") }
+
+var _ = ginkgo.Describe("backend servers of which some turn slow", func() {
+	at := time.Unix(1000, 0)
+	feed := func(pa *paces, server string, d time.Duration, n int) {
+		for range n {
+			pa.note(server, d, at)
+		}
+	}
+
+	ginkgo.It("are told apart from those that are only a little slower", func() {
+		for _, tc := range []struct {
+			name      string
+			intervals map[string]time.Duration
+			want      []string
+		}{
+			{"all alike", map[string]time.Duration{"a": 37 * time.Millisecond, "b": 37 * time.Millisecond, "c": 38 * time.Millisecond}, nil},
+			{"one a third slower", map[string]time.Duration{"a": 37 * time.Millisecond, "b": 37 * time.Millisecond, "c": 49 * time.Millisecond}, nil},
+			{"one slow", map[string]time.Duration{"a": 37 * time.Millisecond, "b": 40 * time.Millisecond, "c": 110 * time.Millisecond}, []string{"c"}},
+			{
+				"half of them slow",
+				map[string]time.Duration{"a": 37 * time.Millisecond, "b": 37 * time.Millisecond, "c": 110 * time.Millisecond, "d": 120 * time.Millisecond},
+				[]string{"c", "d"},
+			},
+			{"too few to judge", map[string]time.Duration{"a": 37 * time.Millisecond, "c": 110 * time.Millisecond}, nil},
+		} {
+			pa := newPaces()
+			for server, d := range tc.intervals {
+				feed(pa, server, d, 40)
+			}
+			Expect(pa.slow(at)).To(Equal(tc.want), tc.name)
+		}
+	})
+
+	ginkgo.It("are noticed within half a second of eight runs, and forgiven once they generate as before", func() {
+		pa := newPaces()
+		for _, server := range []string{"a", "b", "c"} {
+			feed(pa, server, 37*time.Millisecond, 100)
+		}
+		feed(pa, "c", 110*time.Millisecond, 36) // eight runs at 9 events a second each
+		Expect(pa.slow(at)).To(Equal([]string{"c"}))
+		feed(pa, "c", 37*time.Millisecond, 60)
+		Expect(pa.slow(at)).To(BeEmpty())
+	})
+
+	ginkgo.It("are tried again after a while without runs", func() {
+		pa := newPaces()
+		for _, server := range []string{"a", "b", "c"} {
+			feed(pa, server, 37*time.Millisecond, 100)
+		}
+		feed(pa, "c", 200*time.Millisecond, 100)
+		Expect(pa.slow(at.Add(paceMemory + time.Millisecond))).To(BeEmpty())
+	})
+})
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -18,11 +18,11 @@
 
 const (
 	// headTimeout is how long a backend server may take to its first event; engines
-	// read a prompt in milliseconds, and a queue in front of them takes seconds at most.
-	headTimeout = 4 * time.Second
+	// read a prompt in milliseconds, and get no more requests than they have slots.
+	headTimeout = 1500 * time.Millisecond
 	// gapTimeout is the longest pause between two events before the run is moved:
-	// many times the pause that makes a stream late.
-	gapTimeout = 2 * time.Second
+	// several times the pause that makes a stream late.
+	gapTimeout = 800 * time.Millisecond
 	// itemTimeLeft is what a backend server is told that it may take. A run that is
 	// not wanted any more is cut by closing its connection.
 	itemTimeLeft = 30 * time.Second
@@ -49,6 +49,7 @@
 	serverFail                // the backend server says that it failed
 	impossible                // it can never be done
 	cancelled                 // nobody wants it any more
+	moved                     // it is taken away from a slow backend server
 )
 
 // run runs a task at one backend server, from where its text ends.
@@ -71,6 +72,8 @@
 		grantOutcome = balance.Busy
 	case oc == impossible:
 		grantOutcome = balance.Succeeded
+	case errors.Is(context.Cause(ctx), errSlow):
+		oc, grantOutcome = moved, balance.Unused
 	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errSilent):
 		oc, grantOutcome = cancelled, balance.Unused
 	}
@@ -88,10 +91,13 @@
 	return oc
 }
 
-var errSilent = errors.New("dispatch: the backend server is silent")
+var (
+	errSilent = errors.New("dispatch: the backend server is silent")
+	errSlow   = errors.New("dispatch: the backend server is slow")
+)
 
 func (oc outcome) String() string {
-	return [...]string{"complete", "brokenOff", "refused", "serverFailed", "impossible", "cancelled"}[oc]
+	return [...]string{"complete", "brokenOff", "refused", "serverFailed", "impossible", "cancelled", "moved"}[oc]
 }
 
 // exchange sends the item and takes its events.
@@ -125,6 +131,7 @@
 	}
 
 	next := dr.cfg.Client.Events(an.Body)
+	lastAt := time.Time{}
 	for {
 		ev, err := next()
 		if errors.Is(err, io.EOF) {
@@ -138,6 +145,11 @@
 			return brokenOff, err
 		}
 		watch.Reset(gapTimeout)
+		now := time.Now()
+		if !lastAt.IsZero() {
+			dr.paces.note(rec.ID, now.Sub(lastAt), now)
+		}
+		lastAt = now
 		if ev.Version > 0 {
 			version = ev.Version
 		}
@@ -172,7 +184,7 @@
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
 
-	t.cancel = nil
+	t.cancel, t.move = nil, nil
 	if oc == cancelled || dr.jobs[t.job.id] != t.job {
 		return
 	}
@@ -207,7 +219,7 @@
 		}
 		avoid()
 		again(retryAtOnce)
-	case refused:
+	case refused, moved:
 		again(retryAtOnce)
 	default:
 		avoid()
--- a/internal/dispatch/task.go
+++ b/internal/dispatch/task.go
@@ -33,7 +33,10 @@
 	failures    int      // answers that say the backend server failed
 	broken      int      // runs in a row that broke off and brought nothing
 	rewardFails int
+	server      string             // where it runs
+	service     string             // of that backend server
 	cancel      context.CancelFunc // ends what runs, nil for nothing
+	move        func()             // ends the run so that it goes on elsewhere, nil for nothing
 }
 
 // jobState is an open job.
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -33,6 +33,8 @@
 	Now    func() time.Duration
 	// Work is called again and again while the lease is held.
 	Work func(ctx context.Context, held Held)
+	// Wake starts the next turn of the work at once, nil for never.
+	Wake <-chan struct{}
 	// Stopped is closed when the lease is to be given up.
 	Stopped <-chan struct{}
 	// TurnPause is how long a holder that was followed by another one waits before
@@ -71,6 +73,7 @@
 				du.cfg.Work(ctx, du.Held)
 			}
 			select {
+			case <-du.cfg.Wake:
 			case <-time.After(workPeriod):
 			case <-ctx.Done():
 			}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -32,6 +32,8 @@
 	Tokens  int      `cbor:"5,keyasint"` // prompt and the most that may be generated
 	Group   string   `cbor:"6,keyasint"` // items of a group share their prompt
 	Reward  *Reward  `cbor:"7,keyasint"`
+	// Expected is the client's guess of the tokens to be generated, 0 where it makes none.
+	Expected int `cbor:"8,keyasint"`
 }
 
 // Spec is a job as it was submitted.
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -199,7 +199,8 @@
 		Leads: gs.Role == consensus.RoleLeader.String(), Term: gs.Term,
 	}
 	if an.Leads {
-		an.Members, an.Voters, an.Running = gs.Membership.All(), len(gs.Membership.Voters), st.driver.Running()
+		an.Members, an.Voters = gs.Membership.All(), len(gs.Membership.Voters)
+		an.Running, an.Demand = st.driver.Running(), st.driver.Demand()
 	}
 	b, err := cbor.Marshal(an)
 	if err != nil {
--- a/internal/program/node.go
+++ b/internal/program/node.go
@@ -20,6 +20,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/controller"
 	"github.com/tamarackbay/tamarackbay/internal/dialer"
 	"github.com/tamarackbay/tamarackbay/internal/edge"
+	"github.com/tamarackbay/tamarackbay/internal/httpcall"
 	"github.com/tamarackbay/tamarackbay/internal/jobstore"
 	"github.com/tamarackbay/tamarackbay/internal/meter"
 	"github.com/tamarackbay/tamarackbay/internal/peer"
@@ -46,6 +47,9 @@
 	sessionLimit = 500 * time.Millisecond
 	// backendIdle is how long an unused connection to a backend server is kept.
 	backendIdle = 4 * time.Second
+	// backendDial bounds the opening of a connection to a backend server, which takes
+	// milliseconds: a silent one is left for another soon.
+	backendDial = 300 * time.Millisecond
 	// memoryShare of the limit is where the garbage collector works harder.
 	memoryShare = 0.6
 	// reloadPeriod is how often the settings file is looked at without a signal.
@@ -188,6 +192,13 @@
 	return nil
 }
 
+// httpClient returns the client through which backend servers are reached.
+func (nd *Node) httpClient() *http.Client {
+	return httpcall.New(httpcall.Config{
+		Bind: nd.settings.BindIP, KeepAlive: true, Silence: silenceLimit, Idle: backendIdle, DialTimeout: backendDial,
+	})
+}
+
 func (nd *Node) servePeers(cfg peer.Config, mux peer.Mux) error {
 	cfg.Mux = peer.Mux{}
 	maps.Copy(cfg.Mux, mux)
@@ -209,7 +220,7 @@
 }
 
 func (nd *Node) startGateway(ctx context.Context) error {
-	hc := platform.NewHTTPClient(nd.settings.BindIP, silenceLimit, backendIdle)
+	hc := nd.httpClient()
 	ed := edge.New(edge.Config{
 		Settings: nd.settings, Controllers: nd.seeds, Peer: nd.peerConfig(), Client: platform.NewBackendClient(hc), Now: bootNow,
 		Meter: nd.meter, Log: nd.log,
@@ -238,7 +249,7 @@
 	if err := nd.settings.RequireDisk(); err != nil {
 		return err
 	}
-	hc := platform.NewHTTPClient(nd.settings.BindIP, silenceLimit, backendIdle)
+	hc := nd.httpClient()
 	cfg := controller.Config{
 		Settings: nd.settings, Controllers: nd.seeds, Files: storage.OSFiles(), Peer: nd.peerConfig(),
 		Client: platform.NewBackendClient(hc), Now: bootNow, WallMs: wallMs, Log: nd.log,
@@ -286,7 +297,7 @@
 	if err := nd.settings.RequireDisk(); err != nil {
 		return err
 	}
-	hc := platform.NewHTTPClient(nd.settings.BindIP, silenceLimit, backendIdle)
+	hc := nd.httpClient()
 	st, err := jobstore.New(jobstore.Config{
 		Settings: nd.settings, Controllers: nd.seeds, Files: storage.OSFiles(), Peer: nd.peerConfig(),
 		Client: platform.NewBackendClient(hc), Now: bootNow, WallMs: wallMs, Meter: nd.meter, Log: nd.log,
