Sync what a restart reads before it counts as stored

The next one read the entries from the system's cache and counted them as stored, wrote on into a new file, and a later loss of power took the unsynced tail of the old file.

Change: Open syncs the last segment before anything is counted on.

Test: internal/storage, 'keeps what a restart read ...' failed before.

--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -155,6 +155,25 @@
 			return err
 		}
 	}
+	if len(logs) == 0 {
+		return nil
+	}
+
+	return st.syncSegment(logs[len(logs)-1])
+}
+
+// syncSegment makes durable what was read: a process that was killed may have
+// written it without a sync, and everything read from now on counts as stored.
+func (st *Store) syncSegment(name string) error {
+	path := filepath.Join(st.dir, name)
+	f, err := st.files.Append(path)
+	if err != nil {
+		return writeError(path, err)
+	}
+	defer func() { _ = f.Close() }() // nothing was written
+	if err := f.Sync(); err != nil {
+		return writeError(path, err)
+	}
 
 	return nil
 }
--- a/internal/storage/store_test.go
+++ b/internal/storage/store_test.go
@@ -304,6 +304,35 @@
 		Expect(result.Is(err, result.DataFolderWrite)).To(BeTrue(), "%v", err)
 	})
 
+	It("keeps what a restart read, though the process was killed between write and sync, over a later loss of power", func() {
+		for seed := range uint64(20) {
+			d := newDisk()
+			st, _, err := storage.Open(d.seam(), dir, 1)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(st.Save(&consensus.Ready{Entries: []consensus.Entry{{Index: 1, Term: 1}}})).To(Succeed())
+			d.fail = func(op, _ string) error {
+				if op == "sync" {
+					return errDisk
+				}
+
+				return nil
+			}
+			Expect(st.Save(&consensus.Ready{Entries: []consensus.Entry{{Index: 2, Term: 1}, {Index: 3, Term: 1}}})).NotTo(Succeed())
+			d.fail = func(string, string) error { return nil }
+
+			// The system keeps what the killed process wrote; the new one counts on it.
+			st, re, err := storage.Open(d.seam(), dir, 1)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(re.Entries).To(HaveLen(3))
+			Expect(st.Save(&consensus.Ready{Entries: []consensus.Entry{{Index: 4, Term: 2}}})).To(Succeed())
+
+			d.crash(rand.New(rand.NewPCG(seed, 1)))
+			_, re, err = storage.Open(d.seam(), dir, 1)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(re.Entries).To(HaveLen(4))
+		}
+	})
+
 	It("works the same on the operating system's files", func() {
 		folder, err := os.MkdirTemp("", "storage-")
 		Expect(err).NotTo(HaveOccurred())
