Commit the progress of long items, so that the next driver goes on

Ruled out: engines (their answers were whole), placement (free slots).

Change: the driver commits what a run generated every 0.4 s, all items in one entry; the ledger keeps it until the item is listed; a new driver resumes after the last event held.

Test: internal/job, 'keeps the beginning of a text for the next driver'.

--- a/internal/dispatch/driver.go
+++ b/internal/dispatch/driver.go
@@ -57,6 +57,7 @@
 	running  map[string]int
 	paces    *paces
 	slow     []string           // backend servers that are slow now
+	progress []job.Part         // to be committed
 	demand   map[string]float64 // events generated lately, by model
 	demandAt time.Time
 	wg       sync.WaitGroup
@@ -154,6 +155,7 @@
 	dr.judge()
 	dr.place()
 	dr.move()
+	dr.flush()
 }
 
 func (dr *Driver) stop() {
@@ -225,7 +227,11 @@
 	}
 	for i := range sp.Items {
 		if !jo.Listed[i] {
-			js.tasks[i] = &task{job: js, index: i, item: sp.Items[i]}
+			t := &task{job: js, index: i, item: sp.Items[i]}
+			if pa, ok := jo.Partial[i]; ok {
+				t.text = textOf(&pa)
+			}
+			js.tasks[i] = t
 		}
 	}
 
@@ -300,6 +306,42 @@
 	return gr
 }
 
+// keepPeriod is how often the progress of an item is committed: what the loss of
+// the driver costs it at most.
+const keepPeriod = 400 * time.Millisecond
+
+// keep hands over what was generated of a run since the last time.
+func (dr *Driver) keep(t *task, te *text) {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+
+	if dr.jobs[t.job.id] != t.job || t.phase != running {
+		return
+	}
+	dr.progress = append(dr.progress, job.Part{Job: t.job.id, Item: t.index, After: te.kept, Text: job.Partial{
+		Events: slices.Clone(te.events[te.keptEvents:]), Last: te.last, Versions: slices.Clone(te.versions),
+	}})
+	te.kept, te.keptEvents = te.last, len(te.events)
+}
+
+// flush commits the progress that was handed over, all in one entry.
+func (dr *Driver) flush() {
+	if len(dr.progress) == 0 {
+		return
+	}
+	parts := dr.progress
+	dr.progress = nil
+	dr.wg.Add(1)
+	go func() {
+		defer dr.wg.Done()
+		if err := dr.cfg.Group.ProposeLocal(dr.ctx, machine.KindNoteProgress, job.Progress{Parts: parts}, nil); err != nil {
+			// The next progress of these items does not follow on and is left out too:
+			// after the loss of this driver they would go on from further back.
+			dr.cfg.Log.WithError(err).WithField("parts", len(parts)).Warn("progress not committed")
+		}
+	}()
+}
+
 // judge looks which backend servers are slow.
 func (dr *Driver) judge() {
 	slow := dr.paces.slow(time.Now())
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -131,7 +131,7 @@
 	}
 
 	next := dr.cfg.Client.Events(an.Body)
-	lastAt := time.Time{}
+	lastAt, keptAt := time.Time{}, time.Now()
 	for {
 		ev, err := next()
 		if errors.Is(err, io.EOF) {
@@ -162,6 +162,10 @@
 			return brokenOff, result.New(result.NoEligibleVersion, "the version changed to %d in the middle of the text", version)
 		}
 		te.add(ev.Number, ev.Data, version)
+		if now.Sub(keptAt) > keepPeriod {
+			dr.keep(t, te)
+			keptAt = now
+		}
 	}
 }
 
--- a/internal/dispatch/task.go
+++ b/internal/dispatch/task.go
@@ -57,6 +57,17 @@
 	events   []string // data of each
 	last     uint64   // number of the last event, 0 for none
 	versions []uint64 // that wrote it, ascending
+
+	// What is committed of it: the number of its last event and how many there are.
+	kept       uint64
+	keptEvents int
+}
+
+// textOf returns the text that a former driver left.
+func textOf(pa *job.Partial) text {
+	return text{
+		events: slices.Clone(pa.Events), last: pa.Last, versions: slices.Clone(pa.Versions), kept: pa.Last, keptEvents: len(pa.Events),
+	}
 }
 
 // add appends an event that a version wrote.
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -4,6 +4,7 @@
 package job
 
 import (
+	"slices"
 	"time"
 
 	"github.com/tamarackbay/tamarackbay/internal/result"
@@ -75,6 +76,16 @@
 	EndedMs     int64    `cbor:"3,keyasint"` // 0 while it is open
 	Results     []Result `cbor:"4,keyasint"` // by position
 	Listed      []bool   `cbor:"5,keyasint"` // by item
+	// Partial holds what was generated so far of items that take long, by item: the
+	// next driver goes on from there.
+	Partial map[int]Partial `cbor:"6,keyasint,omitempty"`
+}
+
+// Partial is the beginning of a text.
+type Partial struct {
+	Events   []string `cbor:"1,keyasint"` // data of each
+	Last     uint64   `cbor:"2,keyasint"` // number of the last event
+	Versions []uint64 `cbor:"3,keyasint"` // weight versions that wrote it, ascending
 }
 
 // IsOpen reports whether the job has not been ended.
@@ -91,6 +102,19 @@
 	Results []Result `cbor:"2,keyasint"`
 }
 
+// Progress notes what was generated of items since their last progress.
+type Progress struct {
+	Parts []Part `cbor:"1,keyasint"`
+}
+
+// Part is the progress of one item.
+type Part struct {
+	Job   string  `cbor:"1,keyasint"`
+	Item  int     `cbor:"2,keyasint"`
+	After uint64  `cbor:"3,keyasint"` // number of the event before it, 0 for a text begun anew
+	Text  Partial `cbor:"4,keyasint"` // further events; its versions are those of the whole text
+}
+
 // End ends a job.
 type End struct {
 	Job       string `cbor:"1,keyasint"`
@@ -161,6 +185,7 @@
 		}
 		jo.Listed[re.Item] = true
 		jo.Spec.Items[re.Item].Body = nil // only asked for until the item is listed
+		delete(jo.Partial, re.Item)
 		jo.Results = append(jo.Results, re)
 		added++
 	}
@@ -171,6 +196,28 @@
 	return added
 }
 
+// Note takes progress. What does not follow on the text held here is left out.
+func (le *Ledger) Note(pr Progress) {
+	for _, pa := range pr.Parts {
+		jo, ok := le.jobs[pa.Job]
+		if !ok || !jo.IsOpen() || pa.Item < 0 || pa.Item >= len(jo.Listed) || jo.Listed[pa.Item] {
+			continue
+		}
+		old := jo.Partial[pa.Item]
+		if pa.After != old.Last && pa.After != 0 {
+			continue
+		}
+		if jo.Partial == nil {
+			jo.Partial = map[int]Partial{}
+		}
+		next := pa.Text
+		if pa.After > 0 {
+			next.Events = slices.Concat(old.Events, next.Events)
+		}
+		jo.Partial[pa.Item] = next
+	}
+}
+
 // End ends a job. Ending it again changes nothing.
 func (le *Ledger) End(en End, atMs int64) error {
 	jo, err := le.Get(en.Job, en.Workspace)
@@ -179,6 +226,7 @@
 	}
 	if jo.IsOpen() {
 		jo.EndedMs = max(atMs, 1)
+		jo.Partial = nil
 		le.revision++
 	}
 	le.expire(atMs)
--- /dev/null
+++ b/internal/job/job_test.go
@@ -0,0 +1,117 @@
+package job_test
+
+import (
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarackbay/tamarackbay/internal/job"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+	"github.com/tamarackbay/tamarackbay/internal/suite"
+)
+
+func TestSuite(t *testing.T) { suite.Run(t, "job") }
+
+func newLedger() *job.Ledger {
+	le := job.NewLedger(nil)
+	Expect(le.Submit(job.Submit{Spec: job.Spec{ID: "j", Workspace: "w", Items: []job.Item{
+		{ID: "a", Body: []byte("A")}, {ID: "b", Body: []byte("B")}, {ID: "c", Body: []byte("C")},
+	}}}, 1000)).To(Succeed())
+
+	return le
+}
+
+func done(i int, text string) job.Result {
+	return job.Result{Item: i, State: job.Completed, Text: text}
+}
+
+var _ = ginkgo.Describe("the ledger of batch jobs", func() {
+	ginkgo.It("takes a job once, and never for another workspace", func() {
+		le := newLedger()
+		le.List(job.List{Job: "j", Results: []job.Result{done(1, "x")}})
+		Expect(le.Submit(job.Submit{Spec: job.Spec{ID: "j", Workspace: "w"}}, 2000)).To(Succeed())
+		jo, err := le.Get("j", "w")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(jo.Results).To(HaveLen(1))
+		Expect(result.Is(le.Submit(job.Submit{Spec: job.Spec{ID: "j", Workspace: "v"}}, 2000), result.StepConflict)).To(BeTrue())
+		_, err = le.Get("j", "v")
+		Expect(result.Is(err, result.UnknownStep)).To(BeTrue())
+	})
+
+	ginkgo.It("keeps each position and its first result", func() {
+		le := newLedger()
+		for _, tc := range []struct {
+			results []job.Result
+			added   int
+		}{
+			{[]job.Result{done(1, "one")}, 1},
+			{[]job.Result{done(1, "another"), done(0, "zero")}, 1},
+			{[]job.Result{done(7, "no such item"), done(-1, "nor this")}, 0},
+			{[]job.Result{{Item: 0, State: job.Aborted}}, 0},
+		} {
+			Expect(le.List(job.List{Job: "j", Results: tc.results})).To(Equal(tc.added))
+		}
+		jo, err := le.Get("j", "w")
+		Expect(err).NotTo(HaveOccurred())
+		pa := jo.Page(0)
+		Expect(pa.Total).To(Equal(3))
+		Expect(pa.Next).To(Equal(2))
+		Expect([]string{pa.Results[0].Text, pa.Results[1].Text}).To(Equal([]string{"one", "zero"}))
+		Expect(jo.Page(2).Results).To(BeEmpty())
+	})
+
+	ginkgo.It("lists nothing more once a job has ended, and keeps it readable for a while", func() {
+		le := newLedger()
+		Expect(le.End(job.End{Job: "j", Workspace: "w"}, 2000)).To(Succeed())
+		Expect(le.End(job.End{Job: "j", Workspace: "w"}, 3000)).To(Succeed())
+		Expect(le.List(job.List{Job: "j", Results: []job.Result{done(0, "late")}})).To(BeZero())
+		keep := job.KeepFor.Milliseconds()
+		Expect(le.Submit(job.Submit{Spec: job.Spec{ID: "k", Workspace: "w"}}, 1000+keep)).To(Succeed())
+		_, err := le.Get("j", "w")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(le.Submit(job.Submit{Spec: job.Spec{ID: "l", Workspace: "w"}}, 1001+keep)).To(Succeed())
+		_, err = le.Get("j", "w")
+		Expect(result.Is(err, result.UnknownStep)).To(BeTrue())
+	})
+
+	ginkgo.It("gives the body of an item until it is listed or the job has ended", func() {
+		le := newLedger()
+		jo, err := le.Get("j", "w")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(jo.Body("b")).To(Equal([]byte("B")))
+		le.List(job.List{Job: "j", Results: []job.Result{done(1, "x")}})
+		_, err = jo.Body("b")
+		Expect(result.Is(err, result.UnknownObject)).To(BeTrue())
+		Expect(jo.Body("c")).To(Equal([]byte("C")))
+	})
+
+	ginkgo.It("keeps the beginning of a text for the next driver, and only what follows on", func() {
+		le := newLedger()
+		part := func(after, last uint64, events ...string) {
+			le.Note(job.Progress{Parts: []job.Part{{Job: "j", Item: 0, After: after, Text: job.Partial{Events: events, Last: last}}}})
+		}
+		part(0, 2, "e1", "e2")
+		part(2, 3, "e3")
+		part(5, 6, "e6") // a gap
+		part(1, 2, "e2") // an old one again
+		jo, err := le.Get("j", "w")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(jo.Partial[0]).To(Equal(job.Partial{Events: []string{"e1", "e2", "e3"}, Last: 3}))
+		part(0, 1, "f1") // begun anew
+		Expect(jo.Partial[0].Events).To(Equal([]string{"f1"}))
+		le.List(job.List{Job: "j", Results: []job.Result{done(0, "x")}})
+		part(1, 2, "f2")
+		Expect(jo.Partial).NotTo(HaveKey(0))
+	})
+
+	ginkgo.It("fills a page up to its bytes, but always gives one result", func() {
+		big := string(make([]byte, job.MaxPageBytes))
+		le := newLedger()
+		le.List(job.List{Job: "j", Results: []job.Result{done(0, big), done(1, "x"), done(2, "y")}})
+		jo, err := le.Get("j", "w")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(jo.Page(0).Next).To(Equal(1))
+		Expect(jo.Page(1).Next).To(Equal(3))
+	})
+})
--- a/internal/machine/command.go
+++ b/internal/machine/command.go
@@ -45,6 +45,7 @@
 	KindSubmitJob
 	KindListResults
 	KindEndJob
+	KindNoteProgress
 )
 
 const commandHeaderBytes = 9
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -291,7 +291,12 @@
 	}),
 	KindSubmitJob:   handle(func(ma *Machine, c job.Submit) (any, error) { return nil, ma.jobs.Submit(c, ma.atMs) }),
 	KindListResults: handle(func(ma *Machine, c job.List) (any, error) { return ma.jobs.List(c), nil }),
-	KindEndJob:      handle(func(ma *Machine, c job.End) (any, error) { return nil, ma.jobs.End(c, ma.atMs) }),
+	KindNoteProgress: handle(func(ma *Machine, c job.Progress) (any, error) {
+		ma.jobs.Note(c)
+
+		return nil, nil
+	}),
+	KindEndJob: handle(func(ma *Machine, c job.End) (any, error) { return nil, ma.jobs.End(c, ma.atMs) }),
 }
 
 func (ma *Machine) patch(pa declaration.Patch) (any, error) {
