Begin to drive items only when the last leader's work is applied

It resumed an item after event 42, the entry with events 43 to 53 was applied a moment later, and its own progress after 53 happened to fit: the text of two runs was joined.

Ruled out: the engine (it resumed where it was asked to), the moves between engines (one driver counts through).

Change: the status of a replica says whether it leads and has applied an entry of its own term; the driver waits for it. Progress carries the term of its driver, and a driver's first part must find exactly the text that it went on from.

Test: internal/job, 'never joins the events of two runs ...' failed before.

--- a/internal/dispatch/driver.go
+++ b/internal/dispatch/driver.go
@@ -138,7 +138,8 @@
 // turn follows the ledger and starts what can run now.
 func (dr *Driver) turn() {
 	st := dr.cfg.Group.Status()
-	if !dr.cfg.Group.IsLeader() {
+	if !st.IsSettled {
+		// The ledger may lack what the last leader committed.
 		dr.stop()
 
 		return
@@ -318,10 +319,10 @@
 	if dr.jobs[t.job.id] != t.job || t.phase != running {
 		return
 	}
-	dr.progress = append(dr.progress, job.Part{Job: t.job.id, Item: t.index, After: te.kept, Text: job.Partial{
-		Events: slices.Clone(te.events[te.keptEvents:]), Last: te.last, Versions: slices.Clone(te.versions),
+	dr.progress = append(dr.progress, job.Part{Job: t.job.id, Item: t.index, After: te.kept, First: !te.hasKept, Text: job.Partial{
+		Events: slices.Clone(te.events[te.keptEvents:]), Last: te.last, Versions: slices.Clone(te.versions), Term: dr.term,
 	}})
-	te.kept, te.keptEvents = te.last, len(te.events)
+	te.kept, te.keptEvents, te.hasKept = te.last, len(te.events), true
 }
 
 // flush commits the progress that was handed over, all in one entry.
--- a/internal/dispatch/task.go
+++ b/internal/dispatch/task.go
@@ -61,6 +61,7 @@
 	// What is committed of it: the number of its last event and how many there are.
 	kept       uint64
 	keptEvents int
+	hasKept    bool // this driver has told of it
 }
 
 // textOf returns the text that a former driver left.
--- a/internal/group/node.go
+++ b/internal/group/node.go
@@ -92,6 +92,9 @@
 	Commit     uint64               `json:"commit"`
 	Applied    uint64               `json:"applied"`
 	Membership consensus.Membership `json:"membership"`
+	// IsSettled reports whether this replica leads and has applied everything that
+	// former leaders committed.
+	IsSettled bool `json:"isSettled"`
 }
 
 type nodeConfig struct {
@@ -369,6 +372,9 @@
 	}
 	n.mu.Lock()
 	st.Applied = n.machine.Applied()
+	if t, ok := re.TermAt(st.Applied); ok && re.Role() == consensus.RoleLeader {
+		st.IsSettled = t == re.Term()
+	}
 	old := n.status
 	n.status = st
 	n.mu.Unlock()
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -86,6 +86,7 @@
 	Events   []string `cbor:"1,keyasint"` // data of each
 	Last     uint64   `cbor:"2,keyasint"` // number of the last event
 	Versions []uint64 `cbor:"3,keyasint"` // weight versions that wrote it, ascending
+	Term     uint64   `cbor:"4,keyasint"` // of the driver that told its end
 }
 
 // IsOpen reports whether the job has not been ended.
@@ -113,6 +114,21 @@
 	Item  int     `cbor:"2,keyasint"`
 	After uint64  `cbor:"3,keyasint"` // number of the event before it, 0 for a text begun anew
 	Text  Partial `cbor:"4,keyasint"` // further events; its versions are those of the whole text
+	First bool    `cbor:"5,keyasint"` // the driver of this term tells of the item for the first time
+}
+
+// follows reports whether the part goes on where the text held ends. Events of two
+// runs must not be mixed, even where their numbers fit: a driver goes on from what
+// it found, and only if that is still all there is.
+func (pa *Part) follows(old *Partial) bool {
+	switch {
+	case pa.After == 0:
+		return pa.Text.Term >= old.Term
+	case pa.After != old.Last:
+		return false
+	}
+
+	return pa.Text.Term == old.Term || (pa.First && pa.Text.Term > old.Term)
 }
 
 // End ends a job.
@@ -204,7 +220,7 @@
 			continue
 		}
 		old := jo.Partial[pa.Item]
-		if pa.After != old.Last && pa.After != 0 {
+		if !pa.follows(&old) {
 			continue
 		}
 		if jo.Partial == nil {
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -105,6 +105,31 @@
 		Expect(jo.Partial).NotTo(HaveKey(0))
 	})
 
+	ginkgo.It("never joins the events of two runs whose numbers only happen to fit", func() {
+		le := newLedger()
+		note := func(term, after, last uint64, first bool, events ...string) {
+			le.Note(job.Progress{Parts: []job.Part{{Job: "j", Item: 0, After: after, First: first, Text: job.Partial{Events: events, Last: last, Term: term}}}})
+		}
+		held := func() []string {
+			jo, err := le.Get("j", "w")
+			Expect(err).NotTo(HaveOccurred())
+
+			return jo.Partial[0].Events
+		}
+		note(1, 0, 2, true, "a1", "a2")
+		// The driver of term 2 begins after event 2; a part of its predecessor comes in between.
+		note(1, 2, 3, false, "a3")
+		note(2, 2, 3, true, "b3")
+		note(2, 3, 4, false, "b4")
+		Expect(held()).To(Equal([]string{"a1", "a2", "a3"}))
+		// The driver of term 3 finds three events and goes on; what older drivers send late is left out.
+		note(3, 3, 4, true, "c4")
+		note(2, 4, 5, false, "b5")
+		note(1, 0, 1, true, "a1")
+		note(3, 4, 5, false, "c5")
+		Expect(held()).To(Equal([]string{"a1", "a2", "a3", "c4", "c5"}))
+	})
+
 	ginkgo.It("fills a page up to its bytes, but always gives one result", func() {
 		big := string(make([]byte, job.MaxPageBytes))
 		le := newLedger()
