Send nothing to an engine that loads, and keep connections as long as told

Change: the controller that gives an order tells in the feed that the engine loads; every HTTP client takes the shortest idle time that servers tell.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -134,7 +134,7 @@
 		if rq.Model != "" {
 			se.cands[i].Sequence = sv.record.Version(rq.Model)
 		}
-		if slices.Contains(rq.Exclude, sv.record.ID) || now < sv.pauseTill {
+		if slices.Contains(rq.Exclude, sv.record.ID) || now < sv.pauseTill || sv.record.IsLoading {
 			sr.Exclude = append(sr.Exclude, i)
 		}
 		if rq.Prefix != "" && sv.prefix == rq.Prefix {
@@ -194,7 +194,7 @@
 	for i, sv := range se.servers {
 		ca := &se.cands[i]
 		switch {
-		case !ca.IsReady || now < ca.EjectedUntil || now < sv.pauseTill || slices.Contains(rq.Exclude, sv.record.ID):
+		case !ca.IsReady || now < ca.EjectedUntil || now < sv.pauseTill || sv.record.IsLoading || slices.Contains(rq.Exclude, sv.record.ID):
 		case rq.Model != "" && sv.record.Version(rq.Model) < rq.MinVersion:
 		default:
 			n += max(0, sv.record.Slots+rq.Extra-ca.Mine)
--- a/internal/controller/weights.go
+++ b/internal/controller/weights.go
@@ -63,6 +63,8 @@
 				mode = backend.Drain
 			}
 			re := records[sw.Server]
+			co.registry.SetLoading(re.ID, re.BornMs, true)
+			co.touch()
 			go co.swap(ctx, held, jo, re, &backend.Weights{Model: sw.Model, Version: sw.Version, Mode: mode, Instance: re.ID})
 		}
 	}
@@ -142,10 +144,12 @@
 	co.mu.Lock()
 	defer co.mu.Unlock()
 	jo.Done(co.cfg.Now(), re.ID, err == nil)
-	co.wakeSwaps()
-	if err == nil && co.registry.SetVersion(re.ID, re.BornMs, we.Model, we.Version) {
-		co.touch()
+	co.registry.SetLoading(re.ID, re.BornMs, false)
+	if err == nil {
+		co.registry.SetVersion(re.ID, re.BornMs, we.Model, we.Version)
 	}
+	co.touch()
+	co.wakeSwaps()
 }
 
 func (co *Controller) swapOnce(ctx context.Context, held duty.Held, re registry.Record, we *backend.Weights) error {
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -11,6 +11,9 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/tamarackbay/tamarackbay/internal/dialer"
@@ -58,6 +61,70 @@
 	}
 }
 
+// idleShare of the time after which a server closes unused connections is how long
+// they are kept here, so that no request meets the close on its way.
+const idleShare = 0.8
+
+// learner keeps unused connections for as long as the servers say that they do.
+type learner struct {
+	cfg Config
+
+	mu      sync.Mutex
+	current http.RoundTripper
+	told    time.Duration // shortest time that a server told, 0 before the first
+}
+
+// NewLearning returns a client that begins with the idle time of cfg and takes the
+// shortest one that servers tell.
+func NewLearning(cfg Config) *http.Client {
+	hc := New(cfg)
+	hc.Transport = &learner{cfg: cfg, current: hc.Transport}
+
+	return hc
+}
+
+// RoundTrip sends a request and learns from its answer.
+func (le *learner) RoundTrip(rq *http.Request) (*http.Response, error) {
+	le.mu.Lock()
+	rt := le.current
+	le.mu.Unlock()
+
+	rs, err := rt.RoundTrip(rq)
+	if err == nil {
+		le.learn(rs.Header.Get("Keep-Alive"))
+	}
+
+	return rs, err
+}
+
+// learn takes the header that tells the time after which a server closes unused connections.
+func (le *learner) learn(header string) {
+	s, ok := strings.CutPrefix(header, "timeout=")
+	if !ok {
+		return
+	}
+	s, _, _ = strings.Cut(s, ",")
+	n, err := strconv.Atoi(strings.TrimSpace(s))
+	if err != nil || n <= 0 {
+		return // a server that tells no time may keep its connections for ever
+	}
+
+	le.mu.Lock()
+	defer le.mu.Unlock()
+	idle := time.Duration(n) * time.Second
+	if le.told > 0 && idle >= le.told {
+		return
+	}
+	le.told = idle
+	cfg := le.cfg
+	cfg.Idle = time.Duration(idleShare * float64(idle))
+	old := le.current
+	le.current = New(cfg).Transport
+	if tr, ok := old.(*http.Transport); ok {
+		tr.CloseIdleConnections() // requests under way finish on the old connections
+	}
+}
+
 // NewClient returns a client that dials from the IP number bind. Without
 // keepAlive each request has a connection of its own, so that the library never
 // sends one a second time.
--- /dev/null
+++ b/internal/httpcall/httpcall_test.go
@@ -0,0 +1,59 @@
+package httpcall_test
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarackbay/tamarackbay/internal/httpcall"
+	"github.com/tamarackbay/tamarackbay/internal/suite"
+)
+
+func TestSuite(t *testing.T) { suite.Run(t, "httpcall") }
+
+var _ = ginkgo.Describe("a client that learns how long servers keep connections", func() {
+	ginkgo.It("keeps an unused connection that long, and takes only a shorter time afterwards", func() {
+		var opened atomic.Int64
+		told := ""
+		sv := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if told != "" {
+				w.Header().Set("Keep-Alive", told)
+			}
+		}))
+		sv.Config.ConnState = func(_ net.Conn, st http.ConnState) {
+			if st == http.StateNew {
+				opened.Add(1)
+			}
+		}
+		sv.Start()
+		defer sv.Close()
+		cl := httpcall.NewLearning(httpcall.Config{KeepAlive: true, Idle: 20 * time.Millisecond})
+		get := func() {
+			rs, err := cl.Get(sv.URL)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(rs.Body.Close()).To(Succeed())
+		}
+		get()
+		time.Sleep(60 * time.Millisecond)
+		get()
+		Expect(opened.Load()).To(Equal(int64(2)))
+
+		told = "timeout=60"
+		get()
+		get() // on the first connection that is kept for longer
+		time.Sleep(60 * time.Millisecond)
+		get()
+		Expect(opened.Load()).To(Equal(int64(3)))
+
+		told = "timeout=120, max=5"
+		get()
+		get()
+		Expect(opened.Load()).To(Equal(int64(3)), "a longer time of another server changes nothing")
+	})
+})
--- a/internal/program/node.go
+++ b/internal/program/node.go
@@ -45,7 +45,8 @@
 	// sessionLimit bounds the opening of a session between own processes, which takes
 	// milliseconds unless a packet is lost.
 	sessionLimit = 500 * time.Millisecond
-	// backendIdle is how long an unused connection to a backend server is kept.
+	// backendIdle is how long an unused connection to a backend server is kept before
+	// the first one tells how long it keeps them.
 	backendIdle = 4 * time.Second
 	// backendDial bounds the opening of a connection to a backend server, which takes
 	// milliseconds: a silent one is left for another soon.
@@ -194,7 +195,7 @@
 
 // httpClient returns the client through which backend servers are reached.
 func (nd *Node) httpClient() *http.Client {
-	return httpcall.New(httpcall.Config{
+	return httpcall.NewLearning(httpcall.Config{
 		Bind: nd.settings.BindIP, KeepAlive: true, Silence: silenceLimit, Idle: backendIdle, DialTimeout: backendDial,
 	})
 }
--- a/internal/registry/merged.go
+++ b/internal/registry/merged.go
@@ -85,6 +85,7 @@
 			continue
 		}
 		if re.State != Left && re.BornMs == latest[re.Address] && !me.isLapsed(id) {
+			re.IsLoading = me.isLoading(&re)
 			out = append(out, re)
 		}
 	}
@@ -112,6 +113,17 @@
 	return votes > 0
 }
 
+// isLoading reports whether any source has an order to load weights under way.
+func (me *Merged) isLoading(re *Record) bool {
+	for _, so := range me.sources {
+		if st, ok := so.statuses[re.ID]; ok && so.isFresh && st.Record.IsLoading && st.Record.BornMs == re.BornMs {
+			return true
+		}
+	}
+
+	return false
+}
+
 // isForgotten reports whether all sources are settled and none knows the ID.
 func (me *Merged) isForgotten(id string) bool {
 	for _, so := range me.sources {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -39,6 +39,7 @@
 	State         State   `cbor:"8,keyasint"`
 	Models        []Model `cbor:"9,keyasint"`
 	WarmAtMs      int64   `cbor:"10,keyasint"` // Unix milliseconds until which it is slow after its start
+	IsLoading     bool    `cbor:"11,keyasint"` // it loads weights, and refuses requests that have not started
 }
 
 // Version returns the weight version of model here, 0 when it is not loaded.
@@ -64,7 +65,7 @@
 // sameBut reports whether two records differ in nothing that decides.
 func (re *Record) sameBut(other *Record) bool {
 	return re.BornMs == other.BornMs && re.Service == other.Service && re.Address == other.Address &&
-		re.FailureDomain == other.FailureDomain && re.Slots == other.Slots && re.State == other.State &&
+		re.FailureDomain == other.FailureDomain && re.Slots == other.Slots && re.State == other.State && re.IsLoading == other.IsLoading &&
 		slices.Equal(re.Models, other.Models)
 }
 
@@ -107,6 +108,9 @@
 		return false
 	}
 
+	if ok && old.record.BornMs == re.BornMs {
+		re.IsLoading = old.record.IsLoading // only the process that gives the order knows
+	}
 	changed := !ok || old.lapsed || !re.sameBut(&old.record)
 	rg.entries[re.ID] = &entry{record: re, heard: now}
 	if changed {
@@ -169,6 +173,14 @@
 	return false
 }
 
+// SetLoading notes whether an order to load weights is under way.
+func (rg *Registry) SetLoading(id string, bornMs int64, isLoading bool) {
+	if en, ok := rg.entries[id]; ok && en.record.BornMs == bornMs && en.record.IsLoading != isLoading {
+		en.record.IsLoading = isLoading
+		rg.revision++
+	}
+}
+
 // Sweep marks the backend servers that fell silent, and returns their IDs.
 func (rg *Registry) Sweep(now time.Duration) []string {
 	var out []string
