Ask a follower that rejects for a position before it is sent entries again

Change: after a rejection, or an election timeout without an answer, a follower is only probed, without entries, until it agrees; rejections of other positions are ignored.

--- a/internal/consensus/follower.go
+++ b/internal/consensus/follower.go
@@ -20,6 +20,7 @@
 	}
 	if t, ok := r.log.term(m.Index); !ok || t != m.LogTerm {
 		reply.Reject = true
+		reply.Index = m.Index
 		reply.Hint = r.hint(m.Index)
 		r.send(reply)
 
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -13,6 +13,11 @@
 	ackedRound uint64
 	commitSent uint64 // highest commit that was sent
 
+	// A follower that rejected, or answers nothing, is only asked for a position that
+	// it shares, without entries, until it agrees: what is queued for it would be
+	// rejected message by message, and each rejection would send entries again.
+	probing bool
+
 	sendingSnapshot bool
 	snapshot        Snapshot
 	snapshotOffset  uint64
@@ -105,6 +110,16 @@
 
 		return
 	}
+	if !pr.probing && now > pr.heard+r.cfg.ElectionTimeout {
+		pr.probing, pr.next = true, max(pr.match, r.log.snapIndex)+1
+	}
+	if pr.probing {
+		if heartbeat {
+			r.sendEmpty(id, pr.next-1)
+		}
+
+		return
+	}
 
 	var entries []Entry
 	if window := pr.match + r.cfg.MaxInFlight; pr.next <= window {
@@ -190,11 +205,18 @@
 		return
 	}
 	if m.Reject {
+		if m.Index < pr.match || (pr.probing && m.Index != pr.next-1) {
+			return // the answer to an older message
+		}
 		pr.next = max(pr.match+1, min(m.Hint+1, r.log.lastIndex()+1))
-		r.sendAppend(now, m.From, false)
+		pr.probing = true
+		r.sendAppend(now, m.From, true)
 
 		return
 	}
+	if pr.probing && m.Index+1 >= pr.next {
+		pr.probing = false
+	}
 
 	if m.Index > pr.match && m.Index <= r.log.lastIndex() {
 		pr.match = m.Index
--- a/internal/consensus/named_test.go
+++ b/internal/consensus/named_test.go
@@ -102,6 +102,80 @@
 	})
 })
 
+var _ = Describe("a follower that comes back far behind", func() {
+	const lacks, each = 400, 10_000
+
+	// lead returns a leader of three with entries that the follower "b" lacks.
+	lead := func() *consensus.Replica {
+		re := consensus.New(consensus.Config{
+			ID: "a", Group: 1, ElectionTimeout: 300 * time.Millisecond, HeartbeatPeriod: 60 * time.Millisecond,
+			Random: func(int64) int64 { return 0 }, LatestSnapshot: func() (consensus.Snapshot, bool) { return consensus.Snapshot{}, false },
+			Snapshot: consensus.Snapshot{Membership: consensus.Membership{Voters: []consensus.ReplicaID{"a", "b", "c"}}},
+		}, 0)
+		re.Tick(time.Second)
+		re.Step(time.Second, consensus.Message{Kind: consensus.MessagePreVoteReply, Group: 1, From: "c", To: "a", Term: 1})
+		re.Step(time.Second, consensus.Message{Kind: consensus.MessageVoteReply, Group: 1, From: "c", To: "a", Term: 1})
+		Expect(re.Role()).To(Equal(consensus.RoleLeader))
+		for range lacks {
+			_, err := re.Propose(time.Second, [][]byte{make([]byte, each)})
+			Expect(err).NotTo(HaveOccurred())
+		}
+
+		return re
+	}
+	// sent empties the replica's messages and returns the bytes of entries for "b".
+	sent := func(re *consensus.Replica) int {
+		rd, n := re.Ready(), 0
+		for _, m := range rd.Early {
+			for _, en := range m.Entries {
+				if m.To == "b" {
+					n += len(en.Data)
+				}
+			}
+		}
+
+		return n
+	}
+
+	It("is sent a first part once, however many queued heartbeats it rejects", func() {
+		re := lead()
+		sent(re)
+		n := 0
+		for i := range 200 {
+			re.Step(time.Second, consensus.Message{
+				Kind: consensus.MessageAppendReply, Group: 1, From: "b", To: "a", Term: 1, Reject: true, Index: uint64(i + 2), Hint: 0,
+			})
+			n += sent(re)
+		}
+		Expect(n).To(BeNumerically("<", 3<<20), "a message holds at most 1 MiB")
+	})
+
+	It("is sent the rest once it has answered", func() {
+		re := lead()
+		sent(re)
+		now, match := time.Second, uint64(0)
+		for range 100 {
+			now += 10 * time.Millisecond
+			re.Tick(now)
+			rd := re.Ready()
+			for _, m := range rd.Early {
+				if m.To != "b" || m.Kind != consensus.MessageAppend {
+					continue
+				}
+				rep := consensus.Message{Kind: consensus.MessageAppendReply, Group: 1, From: "b", To: "a", Term: 1, Round: m.Round, Index: m.Index}
+				if rep.Reject = m.Index > match; rep.Reject {
+					rep.Hint = match
+				} else {
+					match = max(match, m.Index+uint64(len(m.Entries)))
+					rep.Index = m.Index + uint64(len(m.Entries))
+				}
+				re.Step(now, rep)
+			}
+		}
+		Expect(match).To(Equal(uint64(lacks + 1)))
+	})
+})
+
 var _ = Describe("a repair", func() {
 	// A spare takes the place of a voter with an emptied disk: learner, voter, removal.
 	steps := []string{"before the learner joins", "while it is a learner", "after its promotion", "after the removal"}
