--- a/internal/program/node.go
+++ b/internal/program/node.go
@@ -85,6 +85,7 @@
 	peers       *peer.Listener
 	edge        *edge.Edge
 	handOver    func(ctx context.Context)
+	leads       func() bool
 
 	mu  sync.Mutex
 	err error
@@ -114,7 +115,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	nd := &Node{
 		role: role, boot: boot, log: lo.WithFields(log.Fields{"role": role, "node": no.Name}), meter: meter.New(), settings: no,
-		cancel: cancel, done: make(chan struct{}), handOver: func(context.Context) {},
+		cancel: cancel, done: make(chan struct{}), handOver: func(context.Context) {}, leads: func() bool { return false },
 	}
 	nd.controllers.Store(&no.Controllers)
 
@@ -272,7 +273,7 @@
 	if err := nd.serve("control", nd.settings.ControlAddress, limited(ctl.Handler())); err != nil {
 		return err
 	}
-	nd.handOver = co.StopDuties
+	nd.handOver, nd.leads = co.StopDuties, co.Group().IsLeader
 	nd.run("controller", func() error { return co.Run(ctx) })
 
 	return nil
@@ -309,7 +310,7 @@
 	if err := nd.servePeers(nd.peerConfigOf(string(st.Group().Replica())), st.Handlers()); err != nil {
 		return err
 	}
-	nd.handOver = st.StopDuties
+	nd.handOver, nd.leads = st.StopDuties, st.Group().IsLeader
 	nd.run("store", func() error { return st.Run(ctx) })
 
 	return nil
@@ -342,6 +343,9 @@
 	nd.controllers.Store(&no.Controllers)
 }
 
+// Leads reports whether the process's replica leads its group.
+func (nd *Node) Leads() bool { return nd.leads() }
+
 // Done is closed when all parts have ended.
 func (nd *Node) Done() <-chan struct{} { return nd.done }
 
