Test the registry, the view of several controllers, placement and forwarding

Tables without network: late heartbeats, taken-over addresses, controllers that start anew, a burst, a lost failure domain, failing servers, and for each way a backend server can fail whether a request is repeated, refused or passed on, and what is said about its execution.

--- /dev/null
+++ b/internal/balance/balance_test.go
@@ -0,0 +1,143 @@
+package balance_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarackbay/tamarackbay/internal/backend"
+	"github.com/tamarackbay/tamarackbay/internal/balance"
+	"github.com/tamarackbay/tamarackbay/internal/registry"
+	"github.com/tamarackbay/tamarackbay/internal/suite"
+)
+
+func TestSuite(t *testing.T) { suite.Run(t, "balance") }
+
+// cluster is a balancer over n backend servers in three failure domains.
+type cluster struct {
+	*balance.Balancer
+	now     time.Duration
+	records []registry.Record
+}
+
+func newCluster(n, slots int) *cluster {
+	cl := &cluster{now: time.Hour}
+	cl.Balancer = balance.New(balance.Config{FailureDomain: "a", Now: func() time.Duration { return cl.now }, Random: func(int) int { return 0 }})
+	for i := range n {
+		cl.records = append(cl.records, registry.Record{
+			ID: fmt.Sprintf("s%d", i), BornMs: 1, Address: fmt.Sprint(i), Service: "s", FailureDomain: string(rune('a' + i%3)), Slots: slots,
+			State: registry.Ready, Models: []registry.Model{{Name: "m", Version: 1}},
+		})
+	}
+	cl.Sync(cl.records)
+	cl.now += time.Minute // beyond the slow start
+
+	return cl
+}
+
+// place acquires n requests and counts them by backend server.
+func (cl *cluster) place(n int, rq balance.Request) (map[string]int, []*balance.Grant) {
+	got, grants := map[string]int{}, []*balance.Grant{}
+	rq.Service = "s"
+	for range n {
+		if gr := cl.Acquire(&rq); gr != nil {
+			got[gr.Record().ID]++
+			grants = append(grants, gr)
+		}
+	}
+
+	return got, grants
+}
+
+var _ = ginkgo.Describe("the choice of backend servers", func() {
+	ginkgo.It("spreads a burst evenly and gives no server more than its slots", func() {
+		cl := newCluster(4, 6)
+		got, grants := cl.place(100, balance.Request{})
+		Expect(grants).To(HaveLen(24))
+		for id, n := range got {
+			Expect(n).To(Equal(6), id)
+		}
+		grants[0].Release(balance.Succeeded, nil)
+		_, more := cl.place(2, balance.Request{})
+		Expect(more).To(HaveLen(1))
+	})
+
+	ginkgo.It("goes on with the others when a failure domain is lost", func() {
+		cl := newCluster(6, 4)
+		var left []registry.Record
+		for _, re := range cl.records {
+			if re.FailureDomain != "a" {
+				left = append(left, re)
+			}
+		}
+		cl.Sync(left)
+		got, grants := cl.place(100, balance.Request{})
+		Expect(grants).To(HaveLen(16))
+		Expect(got).NotTo(HaveKey("s0"))
+		Expect(got).NotTo(HaveKey("s3"))
+	})
+
+	ginkgo.It("leaves a server that fails again and again alone for some seconds, but never most of them", func() {
+		cl := newCluster(3, 4)
+		for _, id := range []string{"s0", "s1", "s2"} {
+			for range 20 {
+				exclude := []string{}
+				for _, o := range []string{"s0", "s1", "s2"} {
+					if o != id {
+						exclude = append(exclude, o)
+					}
+				}
+				if gr := cl.Acquire(&balance.Request{Service: "s", Exclude: exclude}); gr != nil {
+					gr.Release(balance.Failed, nil)
+				}
+			}
+		}
+		got, _ := cl.place(100, balance.Request{})
+		Expect(len(got)).To(BeNumerically(">=", 2))
+		cl.now += 6 * time.Second
+		got, _ = cl.place(100, balance.Request{})
+		Expect(len(got)).To(BeNumerically(">=", 1))
+	})
+
+	ginkgo.It("sends nothing to a server that drains, loads weights, is busy, or has too old a version", func() {
+		for _, tc := range []struct {
+			name string
+			edit func(cl *cluster)
+		}{
+			{"drains", func(cl *cluster) { cl.records[0].State = registry.Draining }},
+			{"loads", func(cl *cluster) { cl.records[0].IsLoading = true }},
+			{"has another version", func(cl *cluster) {
+				for i := range cl.records[1:] {
+					cl.records[i+1].Models = []registry.Model{{Name: "m", Version: 2}}
+				}
+			}},
+			{"refused a moment ago", func(cl *cluster) {
+				cl.Acquire(&balance.Request{Service: "s", Exclude: []string{"s1", "s2"}}).Release(balance.Busy, nil)
+			}},
+		} {
+			cl := newCluster(3, 4)
+			tc.edit(cl)
+			cl.Sync(cl.records)
+			got, _ := cl.place(100, balance.Request{Model: "m", MinVersion: map[bool]uint64{true: 2, false: 1}[tc.name == "has another version"]})
+			Expect(got).NotTo(HaveKey("s0"), tc.name)
+			Expect(got).To(HaveLen(2), tc.name)
+		}
+	})
+
+	ginkgo.It("prefers the server that has read a group's prompt, while it has room", func() {
+		cl := newCluster(3, 8)
+		got, _ := cl.place(2, balance.Request{Prefix: "g"})
+		Expect(got).To(HaveLen(1))
+	})
+
+	ginkgo.It("counts what others send by what a server tells", func() {
+		cl := newCluster(2, 8)
+		gr := cl.Acquire(&balance.Request{Service: "s", Exclude: []string{"s1"}})
+		gr.Release(balance.Succeeded, &backend.Load{Running: 7, Slots: 8})
+		got, _ := cl.place(1, balance.Request{})
+		Expect(got).To(HaveKey("s1"))
+	})
+})
--- /dev/null
+++ b/internal/ingress/ingress_test.go
@@ -0,0 +1,167 @@
+package ingress_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarackbay/tamarackbay/internal/backend"
+	"github.com/tamarackbay/tamarackbay/internal/balance"
+	"github.com/tamarackbay/tamarackbay/internal/ingress"
+	"github.com/tamarackbay/tamarackbay/internal/logging"
+	"github.com/tamarackbay/tamarackbay/internal/meter"
+	"github.com/tamarackbay/tamarackbay/internal/registry"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+	"github.com/tamarackbay/tamarackbay/internal/routing"
+	"github.com/tamarackbay/tamarackbay/internal/suite"
+)
+
+func TestSuite(t *testing.T) { suite.Run(t, "ingress") }
+
+// reply is what a backend server does with its n-th request, counted over all.
+type reply func(ctx context.Context, ca *backend.Call) (*backend.Answer, error)
+
+func whole(status int, body string) reply {
+	return func(context.Context, *backend.Call) (*backend.Answer, error) {
+		return &backend.Answer{Status: status, Stamp: "s", Header: http.Header{}, Body: io.NopCloser(strings.NewReader(body))}, nil
+	}
+}
+
+func notRun(context.Context, *backend.Call) (*backend.Answer, error) {
+	return &backend.Answer{Status: 503, IsNotRun: true, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(""))}, nil
+}
+
+func refusedConnection(context.Context, *backend.Call) (*backend.Answer, error) {
+	return nil, result.New(result.BackendUnreachable, "refused")
+}
+
+func cut(context.Context, *backend.Call) (*backend.Answer, error) {
+	return nil, result.New(result.BackendCrashed, "cut").With(result.Unknown)
+}
+
+func silent(ctx context.Context, _ *backend.Call) (*backend.Answer, error) {
+	<-ctx.Done()
+
+	return nil, result.New(result.BackendTimeout, "silent").With(result.Unknown)
+}
+
+type brokenBody struct{ io.Reader }
+
+func (brokenBody) Close() error { return nil }
+
+func half(context.Context, *backend.Call) (*backend.Answer, error) {
+	return &backend.Answer{Status: 200, Stamp: "s", Header: http.Header{}, Body: brokenBody{io.MultiReader(strings.NewReader("ha"), errReader{})}}, nil
+}
+
+type errReader struct{}
+
+func (errReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+type trial struct {
+	in     *ingress.Ingress
+	mu     sync.Mutex
+	sent   []string // backend servers, in order
+	began  int
+	status int
+	body   string
+}
+
+func newTrial(kind routing.Kind, attempts int, replies ...reply) *trial {
+	tr := &trial{}
+	cfg := &routing.Config{
+		Version:  1,
+		Services: []routing.Service{{Name: "s"}},
+		Routes: []routing.Route{{
+			Name: "r", Host: "h", Prefix: "/p/", Kind: kind, Timeout: time.Second, Aim: 50 * time.Millisecond, MaxAttempts: attempts,
+			Targets: []routing.Target{{Service: "s", Weight: 1}},
+		}},
+		Workspaces: []routing.Workspace{{Name: "w", Keys: []string{"k"}}},
+	}
+	Expect(cfg.Validate()).To(Succeed())
+	ta := routing.NewTable(cfg)
+	start := time.Now().Add(-time.Hour)
+	now := func() time.Duration { return time.Since(start) }
+	ba := balance.New(balance.Config{Now: now, Random: func(int) int { return 0 }})
+	var records []registry.Record
+	for _, id := range []string{"a", "b", "c"} {
+		records = append(records, registry.Record{ID: id, BornMs: 1, Address: id, Service: "s", Slots: 4, State: registry.Ready})
+	}
+	if len(replies) > 0 {
+		ba.Sync(records)
+	}
+	tr.in = ingress.New(ingress.Config{
+		Table: func() *routing.Table { return ta }, Fresh: func() error { return nil }, Balancer: ba, Random: func() float64 { return 0 },
+		Began: func(string, time.Time) { tr.began++ }, Meter: meter.New(), Log: logging.Discard(),
+		Client: &backend.Client{Send: func(ctx context.Context, address string, ca *backend.Call) (*backend.Answer, error) {
+			tr.mu.Lock()
+			n := len(tr.sent)
+			tr.sent = append(tr.sent, address)
+			tr.mu.Unlock()
+			Expect(ca.Workspace).To(Equal("w"))
+			Expect(ca.Instance).To(Equal(address))
+
+			return replies[min(n, len(replies)-1)](ctx, ca)
+		}},
+	})
+
+	return tr
+}
+
+func (tr *trial) serve() error {
+	return tr.in.Serve(context.Background(), &ingress.Request{
+		ID: "1", Method: "POST", Host: "h", Path: "/p/x", Target: "/p/x", Key: "k", Arrived: time.Now(), Patient: 400 * time.Millisecond,
+	}, &ingress.Sink{Whole: func(an *backend.Answer, body []byte) { tr.status, tr.body = an.Status, string(body) }})
+}
+
+var _ = ginkgo.Describe("a request with a whole answer", func() {
+	ok := whole(200, "yes")
+	for _, tc := range []struct {
+		name     string
+		kind     routing.Kind
+		attempts int
+		replies  []reply
+		status   int // of the answer that is passed on, 0 for a refusal
+		runs     result.Execution
+		sent     int
+	}{
+		{"is answered by the first backend server", routing.Repeatable, 3, []reply{ok}, 200, 0, 1},
+		{"goes to another one after a refused connection", routing.AtMostOnce, 3, []reply{refusedConnection, ok}, 200, 0, 2},
+		{"goes to another one when the first says it has not run", routing.AtMostOnce, 3, []reply{notRun, ok}, 200, 0, 2},
+		{"is repeated after a cut where it may be", routing.Repeatable, 3, []reply{cut, ok}, 200, 0, 2},
+		{"is never repeated after a cut where it may not be", routing.AtMostOnce, 3, []reply{cut, ok}, 0, result.Unknown, 1},
+		{"is repeated after half an answer", routing.Repeatable, 3, []reply{half, ok}, 200, 0, 2},
+		{"is not repeated after half an answer where it may not be", routing.AtMostOnce, 3, []reply{half, ok}, 0, result.Unknown, 1},
+		{"leaves a silent backend server in time", routing.Repeatable, 3, []reply{silent, ok}, 200, 0, 2},
+		{"reaches no more backend servers than its route allows", routing.Repeatable, 2, []reply{cut}, 0, result.Unknown, 2},
+		{"is truly refused when nobody ran it", routing.Repeatable, 3, []reply{notRun}, 0, result.NotRun, 3},
+		{"is passed the failure of a backend server when all fail", routing.Repeatable, 2, []reply{whole(500, "no")}, 500, 0, 2},
+		{"is passed the failure at once where it may not be repeated", routing.AtMostOnce, 3, []reply{whole(500, "no"), ok}, 500, 0, 1},
+		{"is refused at once without any backend server", routing.Repeatable, 3, nil, 0, result.NotRun, 0},
+	} {
+		ginkgo.It(tc.name, func() {
+			tr := newTrial(tc.kind, tc.attempts, tc.replies...)
+			began := time.Now()
+			err := tr.serve()
+			Expect(time.Since(began)).To(BeNumerically("<", 400*time.Millisecond))
+			Expect(tr.status).To(Equal(tc.status))
+			Expect(tr.sent).To(HaveLen(tc.sent))
+			if tc.status == 0 {
+				var er *result.Error
+				Expect(errors.As(err, &er)).To(BeTrue())
+				Expect(er.Execution).To(Equal(tc.runs))
+			}
+			for i := 1; i < len(tr.sent); i++ {
+				Expect(tr.sent[i]).NotTo(Equal(tr.sent[i-1]))
+			}
+			Expect(tr.began).To(BeNumerically("<=", 1), "usage counts a request once")
+		})
+	}
+})
--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,144 @@
+package registry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarackbay/tamarackbay/internal/registry"
+	"github.com/tamarackbay/tamarackbay/internal/suite"
+)
+
+func TestSuite(t *testing.T) { suite.Run(t, "registry") }
+
+func record(id, address string, born int64, seq uint64, state registry.State) registry.Record {
+	return registry.Record{
+		ID: id, Address: address, BornMs: born, Sequence: seq, Service: "s", FailureDomain: "a", Slots: 4, State: state,
+		Models: []registry.Model{{Name: "m", Version: 1}},
+	}
+}
+
+func alive(rg *registry.Registry) []string {
+	var out []string
+	for _, st := range rg.All() {
+		if !st.IsLapsed && st.Record.State == registry.Ready {
+			out = append(out, st.Record.ID)
+		}
+	}
+
+	return out
+}
+
+var _ = ginkgo.Describe("the registry of backend servers", func() {
+	const lapse = 4 * time.Second
+
+	ginkgo.It("is not misled by heartbeats that come late or out of order", func() {
+		for _, tc := range []struct {
+			name  string
+			beats []registry.Record
+			want  []string
+		}{
+			{"an older heartbeat of the same incarnation", []registry.Record{
+				record("i", "x", 1, 5, registry.Draining), record("i", "x", 1, 4, registry.Ready),
+			}, nil},
+			{"an ended incarnation at an address that was taken over", []registry.Record{
+				record("j", "x", 9, 1, registry.Ready), record("i", "x", 1, 7, registry.Ready),
+			}, []string{"j"}},
+			{"an incarnation under the same ID whose counts start anew", []registry.Record{
+				record("i", "x", 1, 50, registry.Draining), record("i", "x", 9, 1, registry.Ready),
+			}, []string{"i"}},
+		} {
+			rg := registry.New(lapse)
+			for _, re := range tc.beats {
+				rg.Observe(0, re)
+			}
+			Expect(alive(rg)).To(Equal(tc.want), tc.name)
+		}
+	})
+
+	ginkgo.It("does not bring back what has left, until it starts again", func() {
+		rg := registry.New(lapse)
+		rg.Observe(0, record("i", "x", 1, 5, registry.Ready))
+		Expect(rg.Leave(0, "i", 0)).To(BeTrue())
+		rg.Observe(0, record("i", "x", 1, 6, registry.Ready))
+		Expect(alive(rg)).To(BeEmpty())
+		Expect(rg.Leave(0, "i", 0)).To(BeFalse())
+		rg.Observe(0, record("i", "x", 2, 1, registry.Ready))
+		Expect(alive(rg)).To(Equal([]string{"i"}))
+	})
+
+	ginkgo.It("tells the silent, once, and takes them back", func() {
+		rg := registry.New(lapse)
+		rg.Observe(0, record("i", "x", 1, 5, registry.Ready))
+		Expect(rg.Sweep(lapse)).To(BeEmpty())
+		Expect(rg.Sweep(lapse + 1)).To(Equal([]string{"i"}))
+		Expect(rg.Sweep(lapse + 2)).To(BeEmpty())
+		Expect(rg.Observe(lapse+3, record("i", "x", 1, 6, registry.Ready))).To(BeTrue())
+		Expect(alive(rg)).To(Equal([]string{"i"}))
+	})
+
+	ginkgo.It("changes nothing for a heartbeat that says nothing new, and keeps what only it knows", func() {
+		rg := registry.New(lapse)
+		rg.Observe(0, record("i", "x", 1, 5, registry.Ready))
+		rg.SetLoading("i", 1, true)
+		before := rg.Revision()
+		Expect(rg.Observe(0, record("i", "x", 1, 6, registry.Ready))).To(BeFalse())
+		Expect(rg.Revision()).To(Equal(before))
+		Expect(rg.All()[0].Record.IsLoading).To(BeTrue())
+	})
+})
+
+var _ = ginkgo.Describe("the view of several controllers", func() {
+	live := func(me *registry.Merged) []string {
+		var out []string
+		for _, re := range me.Live() {
+			out = append(out, re.ID)
+		}
+
+		return out
+	}
+	status := func(isLapsed bool) []registry.Status {
+		return []registry.Status{{Record: record("i", "x", 1, 5, registry.Ready), IsLapsed: isLapsed}}
+	}
+
+	ginkgo.It("keeps a backend server as long as any controller hears it", func() {
+		me := registry.NewMerged()
+		me.Update("a", status(false), nil, true)
+		me.Update("b", status(true), nil, true)
+		Expect(live(me)).To(Equal([]string{"i"}))
+		me.Update("a", status(true), nil, true)
+		Expect(live(me)).To(BeEmpty())
+	})
+
+	ginkgo.It("keeps what it knows while the controllers start anew, until one has listened long enough", func() {
+		me := registry.NewMerged()
+		me.Update("a", status(false), nil, true)
+		me.Lost("a")
+		me.Reset("a")
+		Expect(live(me)).To(Equal([]string{"i"}), "no controller has a say")
+		me.Update("a", nil, nil, false)
+		Expect(live(me)).To(Equal([]string{"i"}), "it has only just started")
+		me.Update("a", nil, nil, true)
+		Expect(live(me)).To(BeEmpty())
+	})
+
+	ginkgo.It("drops what one controller knows to have left, whatever an older one says", func() {
+		me := registry.NewMerged()
+		me.Update("a", []registry.Status{{Record: record("i", "x", 1, 5, registry.Left)}}, nil, true)
+		me.Update("b", status(false), nil, true)
+		Expect(live(me)).To(BeEmpty())
+	})
+
+	ginkgo.It("says that an engine loads if any controller does", func() {
+		me := registry.NewMerged()
+		loading := status(false)
+		loading[0].Record.IsLoading = true
+		me.Update("a", status(false), nil, true)
+		me.Update("b", loading, nil, true)
+		Expect(me.Live()[0].IsLoading).To(BeTrue())
+		me.Update("b", status(false), nil, true)
+		Expect(me.Live()[0].IsLoading).To(BeFalse())
+	})
+})
