--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -93,7 +93,8 @@
 	workspace string
 	began     time.Time // when the request arrived
 	until     time.Time // when the client must have its answer
-	tried     []string  // backend servers that the request was sent to
+	tried     []string  // backend servers that were picked for it
+	sent      int       // how many of them it reached, or may have reached
 	mayHave   bool      // the request may have run
 	lastErr   error
 	failure   *whole // the last answer of a backend server that says it failed
@@ -161,9 +162,14 @@
 	in.cfg.Log.WithFields(fl).Warn("request ended")
 }
 
+// extraPicks bounds the backend servers that could not be reached at all, which
+// the operator's limit does not count.
+const extraPicks = 3
+
 // mayRepeat reports whether the request may be sent to one more backend server.
 func (at *attempt) mayRepeat() bool {
-	if len(at.tried) >= max(at.ro.MaxAttempts, 1) {
+	allowed := max(at.ro.MaxAttempts, 1)
+	if at.sent >= allowed || len(at.tried) >= allowed+extraPicks {
 		return false
 	}
 
@@ -197,6 +203,7 @@
 func (at *attempt) call(gr *balance.Grant) *backend.Call {
 	re := gr.Record()
 	at.tried = append(at.tried, re.ID)
+	at.sent++
 
 	return &backend.Call{
 		ID: at.rq.ID, Method: at.rq.Method, Host: at.rq.Host, Target: at.rq.Target, Header: at.rq.Header, Body: at.rq.Body,
@@ -281,12 +288,14 @@
 
 // mayRepeatLater reports whether one more backend server could be tried after this one.
 func (at *attempt) mayRepeatLater() bool {
-	return at.ro.Kind == routing.Repeatable && len(at.tried) < at.ro.MaxAttempts
+	return at.ro.Kind == routing.Repeatable && at.sent < at.ro.MaxAttempts
 }
 
 func (at *attempt) noteError(err error, outcome *balance.Outcome, sent time.Time) {
 	if backend.HasRun(err) {
 		at.noteBegan(sent)
+	} else {
+		at.sent--
 	}
 	if result.Is(err, result.DeadlinePassed) {
 		*outcome = balance.Unused // the client has gone
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -134,6 +134,7 @@
 	}{
 		{"is answered by the first backend server", routing.Repeatable, 3, []reply{ok}, 200, 0, 1},
 		{"goes to another one after a refused connection", routing.AtMostOnce, 3, []reply{refusedConnection, ok}, 200, 0, 2},
+		{"is not counted at a backend server that it could not reach", routing.Repeatable, 1, []reply{refusedConnection, refusedConnection, ok}, 200, 0, 3},
 		{"goes to another one when the first says it has not run", routing.AtMostOnce, 3, []reply{notRun, ok}, 200, 0, 2},
 		{"is repeated after a cut where it may be", routing.Repeatable, 3, []reply{cut, ok}, 200, 0, 2},
 		{"is never repeated after a cut where it may not be", routing.AtMostOnce, 3, []reply{cut, ok}, 0, result.Unknown, 1},
