Place texts on fast engines first and move long runs to them

Slow ones were told apart only above 1.6 times.

Ruled out: room (items started within 0.2 s), loads of weights.

Change: engines above 1.15 times the pace of the fast quarter get what the fast ones have no room for; a run of over 1.5 s there is moved once a fast one has room. What an engine's pace was is remembered for 8 s.

Test: internal/dispatch, 'one of three a third slower ...' and its neighbours.

--- a/internal/dispatch/driver.go
+++ b/internal/dispatch/driver.go
@@ -57,6 +57,7 @@
 	running  map[string]int
 	paces    *paces
 	slow     []string           // backend servers that are slow now
+	lagging  []string           // sound ones of a slower kind
 	progress []job.Part         // to be committed
 	demand   map[string]float64 // events generated lately, by model
 	demandAt time.Time
@@ -288,23 +289,24 @@
 	}
 }
 
-// acquire picks a backend server, a slow one only if no other has room.
+// acquire picks a backend server: one of the slower kind only if no fast one has
+// room, then a slow one, then one that failed the item before.
 func (dr *Driver) acquire(service string, t *task) *balance.Grant {
 	rq := &balance.Request{
-		Service: service, Model: t.job.model, MinVersion: t.job.minVersion, Prefix: t.job.model + "/" + t.item.Group,
-		Exclude: slices.Concat(t.tried, dr.slow), Tokens: t.item.Tokens,
+		Service: service, Model: t.job.model, MinVersion: t.job.minVersion, Prefix: t.job.model + "/" + t.item.Group, Tokens: t.item.Tokens,
 	}
-	gr := dr.cfg.Balancer.Acquire(rq)
-	if gr == nil && len(dr.slow) > 0 {
-		rq.Exclude = t.tried
-		gr = dr.cfg.Balancer.Acquire(rq)
-	}
-	if gr == nil && len(t.tried) > 0 {
-		rq.Exclude = nil
-		gr = dr.cfg.Balancer.Acquire(rq)
+	last := -1
+	for _, exclude := range [][]string{slices.Concat(t.tried, dr.slow, dr.lagging), slices.Concat(t.tried, dr.slow), t.tried, nil} {
+		if len(exclude) == last {
+			continue // nobody is let in who was left out before
+		}
+		last, rq.Exclude = len(exclude), exclude
+		if gr := dr.cfg.Balancer.Acquire(rq); gr != nil {
+			return gr
+		}
 	}
 
-	return gr
+	return nil
 }
 
 // keepPeriod is how often the progress of an item is committed: what the loss of
@@ -345,27 +347,36 @@
 
 // judge looks which backend servers are slow.
 func (dr *Driver) judge() {
-	slow := dr.paces.slow(time.Now())
+	slow, lagging := dr.paces.judge(time.Now())
 	if !slices.Equal(slow, dr.slow) {
-		dr.cfg.Log.WithFields(log.Fields{"slow": slow, "before": dr.slow}).Info("slow backend servers")
+		dr.cfg.Log.WithFields(log.Fields{"slow": slow, "before": dr.slow, "lagging": lagging}).Info("slow backend servers")
 	}
-	dr.slow = slow
+	dr.slow, dr.lagging = slow, lagging
 }
 
 // movesPerTurn bounds how many runs are moved at once, so that they do not all
 // meet at the same backend servers before their load is known.
 const movesPerTurn = 8
 
-// move takes runs away from slow backend servers as long as others have room. A
-// run goes on after its last event, so little is lost.
+// longRun is how long a run must have lasted to be moved from a sound backend
+// server to a faster one: few texts are that long, and a trainer waits for them.
+const longRun = 1500 * time.Millisecond
+
+// move takes runs away from slow backend servers, and long ones from the slower
+// kind, as long as fast ones have room. A run goes on after its last event, so
+// little is lost.
 func (dr *Driver) move() {
-	if len(dr.slow) == 0 {
+	if len(dr.slow) == 0 && len(dr.lagging) == 0 {
 		return
 	}
 	var stuck []*task
 	for _, js := range dr.jobs {
 		for _, t := range js.tasks {
-			if t.phase == running && t.move != nil && slices.Contains(dr.slow, t.server) {
+			if t.phase != running || t.move == nil {
+				continue
+			}
+			isLong := time.Since(t.began) > longRun && slices.Contains(dr.lagging, t.server)
+			if isLong || slices.Contains(dr.slow, t.server) {
 				stuck = append(stuck, t)
 			}
 		}
@@ -378,7 +389,8 @@
 		key := t.service + "@" + t.job.id
 		if _, ok := room[key]; !ok {
 			room[key] = dr.cfg.Balancer.Room(&balance.Request{
-				Service: t.service, Model: t.job.model, MinVersion: t.job.minVersion, Exclude: dr.slow,
+				Service: t.service, Model: t.job.model, MinVersion: t.job.minVersion,
+				Exclude: slices.Concat(dr.slow, dr.lagging),
 			})
 		}
 		if room[key] == 0 {
@@ -398,7 +410,7 @@
 	ctx, cancel := context.WithCancelCause(dr.ctx)
 	t.phase, t.server, t.service = running, gr.Record().ID, gr.Record().Service
 	t.cancel = func() { cancel(nil) }
-	t.move = func() { cancel(errSlow) }
+	t.move, t.began = func() { cancel(errSlow) }, time.Now()
 	dr.running[gr.Record().ID]++
 	te := t.text
 	te.events, te.versions = slices.Clone(te.events), slices.Clone(te.versions)
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -12,10 +12,13 @@
 	paceWeight = 0.1
 	// paceMemory is how long a backend server that generates nothing is still judged
 	// by what it did.
-	paceMemory = 3 * time.Second
+	paceMemory = 8 * time.Second
 	// slowFactor times the usual pace makes a backend server slow. Sound ones of a
 	// deployment differ by about a third.
 	slowFactor = 1.6
+	// lagFactor times the pace of the fast ones makes a sound backend server one of
+	// the slower kind, which gets what the fast ones have no room for.
+	lagFactor = 1.15
 	// minPaced backend servers must be known before one is called slow.
 	minPaced = 3
 	// minSamples of a backend server must be known before it is judged.
@@ -52,9 +55,10 @@
 	pc.at = at
 }
 
-// slow returns the backend servers that are much slower than the usual one, which
-// is the median of those that generate.
-func (pa *paces) slow(now time.Time) []string {
+// judge returns the backend servers that are much slower than the usual one, which
+// is the median of those that generate, and those that are sound but slower than
+// the fast quarter.
+func (pa *paces) judge(now time.Time) (slow, lagging []string) {
 	pa.mu.Lock()
 	defer pa.mu.Unlock()
 
@@ -70,18 +74,22 @@
 		}
 	}
 	if len(known) < minPaced {
-		return nil
+		return nil, nil
 	}
 	slices.Sort(known)
-	usual := known[(len(known)-1)/2]
+	usual, fast := known[(len(known)-1)/2], known[(len(known)-1)/4]
 
-	var out []string
 	for server, pc := range pa.servers {
-		if pc.samples >= minSamples && pc.interval > slowFactor*usual {
-			out = append(out, server)
+		switch {
+		case pc.samples < minSamples:
+		case pc.interval > slowFactor*usual:
+			slow = append(slow, server)
+		case pc.interval > lagFactor*fast:
+			lagging = append(lagging, server)
 		}
 	}
-	slices.Sort(out)
+	slices.Sort(slow)
+	slices.Sort(lagging)
 
-	return out
+	return slow, lagging
 }
--- a/internal/dispatch/pace_test.go
+++ b/internal/dispatch/pace_test.go
@@ -12,6 +12,12 @@
 
 func TestSuite(t *testing.T) { suite.Run(t, "dispatch") }
 
+func slowOf(pa *paces, at time.Time) []string {
+	slow, _ := pa.judge(at)
+
+	return slow
+}
+
 var _ = ginkgo.Describe("backend servers of which some turn slow", func() {
 	at := time.Unix(1000, 0)
 	feed := func(pa *paces, server string, d time.Duration, n int) {
@@ -25,22 +31,37 @@
 			name      string
 			intervals map[string]time.Duration
 			want      []string
+			lagging   []string
 		}{
-			{"all alike", map[string]time.Duration{"a": 37 * time.Millisecond, "b": 37 * time.Millisecond, "c": 38 * time.Millisecond}, nil},
-			{"one a third slower", map[string]time.Duration{"a": 37 * time.Millisecond, "b": 37 * time.Millisecond, "c": 49 * time.Millisecond}, nil},
-			{"one slow", map[string]time.Duration{"a": 37 * time.Millisecond, "b": 40 * time.Millisecond, "c": 110 * time.Millisecond}, []string{"c"}},
+			{"all alike", map[string]time.Duration{"a": 37 * time.Millisecond, "b": 37 * time.Millisecond, "c": 38 * time.Millisecond}, nil, nil},
+			{
+				"one of three a third slower, as on a mixed set of engines",
+				map[string]time.Duration{"a": 37 * time.Millisecond, "b": 37 * time.Millisecond, "c": 49 * time.Millisecond},
+				nil,
+				[]string{"c"},
+			},
+			{
+				"one slow and one of the slower kind",
+				map[string]time.Duration{"a": 37 * time.Millisecond, "b": 37 * time.Millisecond, "c": 49 * time.Millisecond, "d": 110 * time.Millisecond},
+				[]string{"d"},
+				[]string{"c"},
+			},
+			{"one slow", map[string]time.Duration{"a": 37 * time.Millisecond, "b": 40 * time.Millisecond, "c": 110 * time.Millisecond}, []string{"c"}, nil},
 			{
 				"half of them slow",
 				map[string]time.Duration{"a": 37 * time.Millisecond, "b": 37 * time.Millisecond, "c": 110 * time.Millisecond, "d": 120 * time.Millisecond},
 				[]string{"c", "d"},
+				nil,
 			},
-			{"too few to judge", map[string]time.Duration{"a": 37 * time.Millisecond, "c": 110 * time.Millisecond}, nil},
+			{"too few to judge", map[string]time.Duration{"a": 37 * time.Millisecond, "c": 110 * time.Millisecond}, nil, nil},
 		} {
 			pa := newPaces()
 			for server, d := range tc.intervals {
 				feed(pa, server, d, 40)
 			}
-			Expect(pa.slow(at)).To(Equal(tc.want), tc.name)
+			slow, lagging := pa.judge(at)
+			Expect(slow).To(Equal(tc.want), tc.name)
+			Expect(lagging).To(Equal(tc.lagging), tc.name)
 		}
 	})
 
@@ -50,9 +71,9 @@
 			feed(pa, server, 37*time.Millisecond, 100)
 		}
 		feed(pa, "c", 110*time.Millisecond, 36) // eight runs at 9 events a second each
-		Expect(pa.slow(at)).To(Equal([]string{"c"}))
+		Expect(slowOf(pa, at)).To(Equal([]string{"c"}))
 		feed(pa, "c", 37*time.Millisecond, 60)
-		Expect(pa.slow(at)).To(BeEmpty())
+		Expect(slowOf(pa, at)).To(BeEmpty())
 	})
 
 	ginkgo.It("are tried again after a while without runs", func() {
@@ -61,6 +82,6 @@
 			feed(pa, server, 37*time.Millisecond, 100)
 		}
 		feed(pa, "c", 200*time.Millisecond, 100)
-		Expect(pa.slow(at.Add(paceMemory + time.Millisecond))).To(BeEmpty())
+		Expect(slowOf(pa, at.Add(paceMemory+time.Millisecond))).To(BeEmpty())
 	})
 })
--- a/internal/dispatch/task.go
+++ b/internal/dispatch/task.go
@@ -34,6 +34,7 @@
 	broken      int      // runs in a row that broke off and brought nothing
 	rewardFails int
 	server      string             // where it runs
+	began       time.Time          // of that run
 	service     string             // of that backend server
 	cancel      context.CancelFunc // ends what runs, nil for nothing
 	move        func()             // ends the run so that it goes on elsewhere, nil for nothing
