--- a/cmd/tamarackbay/node.go
+++ b/cmd/tamarackbay/node.go
@@ -4,11 +4,14 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/apex/log"
 
 	"github.com/tamarackbay/tamarackbay/internal/logging"
 	"github.com/tamarackbay/tamarackbay/internal/program"
+	"github.com/tamarackbay/tamarackbay/internal/result"
 	"github.com/tamarackbay/tamarackbay/platform"
 )
 
@@ -30,29 +33,41 @@
 	return []command{{c, func() error {
 		ring := logging.NewRing(os.Stdout)
 		defer ring.Close()
-		lo := logging.NewWith(ring, *level, "tamarackbay", *role)
-		nd, err := program.StartNode(*role, platform.LoadBoot, lo)
-		if err != nil {
-			lo.WithError(err).Error("not started")
-
-			return err
+		err := runNode(*role, logging.NewWith(ring, *level, "tamarackbay", *role))
+		if result.Is(err, result.DataFolderWrite) {
+			time.Sleep(diskPause)
 		}
 
-		sig := make(chan os.Signal, 1)
-		signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-		for {
-			select {
-			case s := <-sig:
-				if s == syscall.SIGHUP {
-					nd.Reload()
-
-					continue
-				}
-				nd.Shutdown()
-			case <-nd.Done():
-			}
+		return err
+	}}}
+}
+
+// diskPause is kept before the end of a process whose disk takes no bytes: it is
+// started again at once, and meets the same disk.
+const diskPause = time.Second
+
+func runNode(role string, lo log.Interface) error {
+	nd, err := program.StartNode(role, platform.LoadBoot, lo)
+	if err != nil {
+		lo.WithError(err).Error("not started")
 
-			return nd.Err()
+		return err
+	}
+
+	sig := make(chan os.Signal, 1)
+	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	for {
+		select {
+		case s := <-sig:
+			if s == syscall.SIGHUP {
+				nd.Reload()
+
+				continue
+			}
+			nd.Shutdown()
+		case <-nd.Done():
 		}
-	}}}
+
+		return nd.Err()
+	}
 }
--- a/internal/dispatch/driver.go
+++ b/internal/dispatch/driver.go
@@ -175,7 +175,7 @@
 	for _, js := range dr.jobs {
 		js.cancelAll()
 	}
-	dr.jobs = map[string]*jobState{}
+	dr.jobs, dr.progress = map[string]*jobState{}, nil
 }
 
 func (js *jobState) cancelAll() {
@@ -222,7 +222,7 @@
 	at := time.UnixMilli(jo.SubmittedMs)
 	js := &jobState{
 		id: sp.ID, workspace: sp.Workspace, host: sp.Host, model: sp.Model, minVersion: sp.MinVersion, submitted: at,
-		resultDeadline: at.Add(time.Duration(sp.ResultDeadline) * time.Millisecond), tasks: map[int]*task{},
+		tasks: map[int]*task{},
 	}
 	if sp.MaxQueue > 0 {
 		js.giveUpAt = at.Add(time.Duration(sp.MaxQueue) * time.Millisecond)
--- a/internal/dispatch/task.go
+++ b/internal/dispatch/task.go
@@ -42,15 +42,14 @@
 
 // jobState is an open job.
 type jobState struct {
-	id             string
-	workspace      string
-	host           string
-	model          string
-	minVersion     uint64
-	submitted      time.Time
-	giveUpAt       time.Time // zero for never
-	resultDeadline time.Time
-	tasks          map[int]*task
+	id         string
+	workspace  string
+	host       string
+	model      string
+	minVersion uint64
+	submitted  time.Time
+	giveUpAt   time.Time // zero for never
+	tasks      map[int]*task
 }
 
 // text is what was generated of an item so far.
--- a/internal/jobgate/jobgate.go
+++ b/internal/jobgate/jobgate.go
@@ -200,16 +200,14 @@
 }
 
 func (ga *Gate) callStore(ctx context.Context, st feed.Store, method string, b []byte, out any) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	limit := callTimeout
+	if method == MethodRead {
+		limit += maxReadWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 
 	var rep wire.Payload
-	if method == MethodRead {
-		// A read may wait for its first result.
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), callTimeout+maxReadWait)
-		defer cancel()
-	}
 	if err := ga.cfg.Links.Call(ctx, st.Address, method, &wire.Payload{Record: b}, &rep); err != nil {
 		return err
 	}
--- a/internal/program/node.go
+++ b/internal/program/node.go
@@ -62,8 +62,8 @@
 	stopMargin = time.Second
 	// handOverLimit bounds the giving up of leases and of the lead.
 	handOverLimit = 700 * time.Millisecond
-	// metricsAddress is where counters and histograms are served.
-	metricsAddress = ":9464"
+	// metricsPort is where counters and histograms are served, as the deploy file says.
+	metricsPort = "9464"
 	// clientIdle is above the longest time that clients of the users keep an unused
 	// connection, so that the server never closes one that is about to be used.
 	clientIdle = time.Minute
@@ -127,14 +127,12 @@
 	} else {
 		err = start(ctx)
 	}
-	if err == nil {
-		err = nd.serveMetrics()
-	}
 	if err != nil {
 		cancel()
 
 		return nil, err
 	}
+	nd.serveMetrics()
 	nd.run("reload", func() error { return nd.reloadDuty(ctx) })
 	go func() {
 		nd.wg.Wait()
@@ -213,12 +211,17 @@
 	return nil
 }
 
-func (nd *Node) serveMetrics() error {
-	return nd.serve("metrics", net.JoinHostPort(nd.settings.BindIP, metricsAddress[1:]), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+// serveMetrics serves counters and histograms. Without them a process still does
+// its work.
+func (nd *Node) serveMetrics() {
+	h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if err := nd.meter.WriteText(w); err != nil {
 			nd.log.WithError(err).Info("metrics not written") // the reader has gone
 		}
-	}))
+	})
+	if err := nd.serve("metrics", net.JoinHostPort(nd.settings.BindIP, metricsPort), h); err != nil {
+		nd.log.WithError(err).Warn("no metrics")
+	}
 }
 
 func (nd *Node) startGateway(ctx context.Context) error {
