--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -36,16 +36,13 @@
 
 // Answer is the answer of a backend server. Body must be closed.
 type Answer struct {
-	Status     int
-	Header     http.Header // to be passed on, without what concerns one connection
-	Body       io.ReadCloser
-	IsNotRun   bool   // the backend server says that it did not run the request
-	Stamp      string // its signature, "" where it is missing
-	Version    uint64 // weight version at the start, 0 where it is missing
-	Load       *Load  // nil where it does not tell
-	IsLeaving  bool   // it closes the connection after this answer
-	IsForeign  bool   // it answers another request: nothing of it may be used
-	HasNoFrame bool   // neither a length nor chunks: its end is the end of the connection
+	Status   int
+	Header   http.Header // to be passed on, without what concerns one connection
+	Body     io.ReadCloser
+	IsNotRun bool   // the backend server says that it did not run the request
+	Stamp    string // its signature, "" where it is missing
+	Version  uint64 // weight version at the start, 0 where it is missing
+	Load     *Load  // nil where it does not tell
 }
 
 // Event is one event of a stream.
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -125,9 +125,10 @@
 		return refused, result.New(result.NoEligibleVersion, "version %d is older than %d", version, t.job.minVersion)
 	}
 	if ro.IsSingleVersion && len(te.versions) > 0 && te.versions[0] != version {
+		begun := te.versions[0]
 		*te = text{}
 
-		return brokenOff, result.New(result.NoEligibleVersion, "the text was begun under version %d, not %d", te.versions, version)
+		return brokenOff, result.New(result.NoEligibleVersion, "the text was begun under version %d, not %d", begun, version)
 	}
 
 	next := dr.cfg.Client.Events(an.Body)
--- /dev/null
+++ b/internal/logging/ring_test.go
@@ -0,0 +1,72 @@
+package logging_test
+
+import (
+	"bytes"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarackbay/tamarackbay/internal/logging"
+	"github.com/tamarackbay/tamarackbay/internal/suite"
+)
+
+func TestSuite(t *testing.T) { suite.Run(t, "logging") }
+
+// slowWriter takes nothing until it is opened.
+type slowWriter struct {
+	open chan struct{}
+	mu   sync.Mutex
+	b    bytes.Buffer
+}
+
+func (sw *slowWriter) Write(b []byte) (int, error) {
+	<-sw.open
+	sw.mu.Lock()
+	defer sw.mu.Unlock()
+
+	return sw.b.Write(b)
+}
+
+var _ = ginkgo.Describe("a flood of log lines before a writer that stands still", func() {
+	ginkgo.It("holds nobody up, drops routine success first, and is counted", func() {
+		sw := &slowWriter{open: make(chan struct{})}
+		ring := logging.NewRing(sw)
+		lo := logging.NewWith(ring, "info", "p", "n")
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			for range 20_000 {
+				lo.Info("routine")
+			}
+			for range 100 {
+				lo.Error("failure")
+			}
+		}()
+		Eventually(done, "5s").Should(BeClosed())
+		Expect(ring.Dropped()).To(BeNumerically(">", 10_000))
+		close(sw.open)
+		ring.Close()
+		Expect(bytes.Count(sw.b.Bytes(), []byte(`"failure"`))).To(Equal(100))
+	})
+
+	ginkgo.It("is told once it is over", func() {
+		sw := &slowWriter{open: make(chan struct{})}
+		ring := logging.NewRing(sw)
+		lo := logging.NewWith(ring, "info", "p", "n")
+		for range 20_000 {
+			lo.Info("routine")
+		}
+		close(sw.open)
+		Eventually(func() string {
+			lo.Error("later")
+			sw.mu.Lock()
+			defer sw.mu.Unlock()
+
+			return sw.b.String()
+		}, 3*time.Second, 50*time.Millisecond).Should(ContainSubstring("log lines dropped"))
+		ring.Close()
+	})
+})
