Keep the peers' addresses beside the identity without changing it in memory

Change: the addresses in the data folder have a field of their own under the lock; the identity in memory is not written after the group is known.

Test: internal/group, 'are kept while other duties read the identity': the race detector reports the old form every time.

--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -80,6 +80,7 @@
 	mu        sync.Mutex
 	changed   chan struct{} // closed and replaced with each new view
 	addresses map[consensus.ReplicaID]string
+	peers     map[consensus.ReplicaID]string // as they stand in the data folder
 	upstream  int
 	feedLimit chan struct{}
 
@@ -108,7 +109,8 @@
 			return nil, err
 		}
 		gr.cfg.Peer.Hello.Replica = string(gr.identity.Replica)
-		maps.Copy(gr.addresses, gr.identity.Peers)
+		gr.peers = gr.identity.Peers
+		maps.Copy(gr.addresses, gr.peers)
 	}
 	gr.tr = newTransport(gr.ctx, gr.cfg.Peer, cfg.Address)
 
--- a/internal/group/membership.go
+++ b/internal/group/membership.go
@@ -83,7 +83,7 @@
 
 	addresses := gr.cfg.Addresses()
 	gr.mu.Lock()
-	addresses = slices.AppendSeq(slices.Clone(addresses), maps.Values(gr.identity.Peers))
+	addresses = slices.AppendSeq(slices.Clone(addresses), maps.Values(gr.peers))
 	gr.mu.Unlock()
 	slices.Sort(addresses)
 	addresses = slices.DeleteFunc(slices.Compact(addresses), func(a string) bool { return a == gr.cfg.Address })
@@ -298,9 +298,16 @@
 		}
 	}
 
+	gr.keepPeers(peers)
+}
+
+// keepPeers stores addresses. The identity in memory stays as it is: other duties
+// read it without a lock.
+func (gr *Group) keepPeers(peers map[consensus.ReplicaID]string) {
 	gr.mu.Lock()
 	defer gr.mu.Unlock()
-	if len(peers) == 0 || maps.Equal(peers, gr.identity.Peers) {
+
+	if len(peers) == 0 || maps.Equal(peers, gr.peers) {
 		return
 	}
 	id := gr.identity
@@ -310,7 +317,7 @@
 
 		return
 	}
-	gr.identity = id
+	gr.peers = peers
 }
 
 // membershipDuty repairs the membership while this replica leads.
--- /dev/null
+++ b/internal/group/peers_test.go
@@ -0,0 +1,47 @@
+package group
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarackbay/tamarackbay/internal/consensus"
+	"github.com/tamarackbay/tamarackbay/internal/logging"
+	"github.com/tamarackbay/tamarackbay/internal/storage"
+	"github.com/tamarackbay/tamarackbay/internal/suite"
+	"github.com/tamarackbay/tamarackbay/internal/wire"
+)
+
+func TestSuite(t *testing.T) { suite.Run(t, "group") }
+
+var _ = ginkgo.Describe("the addresses of the other replicas", func() {
+	// The race detector is the check.
+	ginkgo.It("are kept while other duties read the identity, and are there after a restart", func() {
+		dir := ginkgo.GinkgoT().TempDir()
+		cfg := Config{Name: "a", Address: "x", DataFolder: dir, Files: storage.OSFiles(), Log: logging.Discard()}
+		cfg.Peer.Hello = &wire.Hello{}
+		gr, err := New(cfg)
+		Expect(err).NotTo(HaveOccurred())
+		var wg sync.WaitGroup
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := range 20 {
+				gr.keepPeers(map[consensus.ReplicaID]string{"b-1": fmt.Sprint(i)})
+			}
+		}()
+		for range 2000 {
+			Expect(gr.voters()).To(BeZero())
+			Expect(gr.identity.Replica).NotTo(BeEmpty())
+		}
+		wg.Wait()
+
+		again, err := New(cfg)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(again.addressOf("b-1")).To(Equal("19"))
+		Expect(again.identity.Replica).To(Equal(gr.identity.Replica))
+	})
+})
