Remove near copies and fields that nothing reads

Cause: the last read of the diff found the wait for a new view written in two programs, the list of known controllers built in three, two tables of the same election times, a double computation of the live backend servers for each frame of the feed, a set-up of tests written twice, and fields and methods without a reader (Node.UsageLate, Table.HasHost, Route.Allows, Record.WarmAtMs, Config.WallMs of the driver). Ruled out: proposing a new store's announcement by the leader alone; a store may reach only one other controller, so all still do. Change: feed.Follower has Controllers and EachView, times of nodes stand in settings, run groups use WaitGroup.Go. No behaviour is meant to change.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -33,15 +33,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/wire"
 )
 
-// Times of the control plane on a platform that counts a VM as whole again a few
-// seconds after it is back.
 const (
-	// electionTimeout is well above a round trip with two slow syncs of a disk.
-	electionTimeout = 500 * time.Millisecond
-	heartbeatPeriod = 100 * time.Millisecond
-	// replaceAfter is the silence after which a spare takes a voter's place: twice
-	// the election timeout, so that a short pause costs no membership change.
-	replaceAfter = 1500 * time.Millisecond
 	// dutyFreshness is how young the replicated state must be to act on a lease.
 	dutyFreshness = 2 * time.Second
 	// lapseBeats is the number of heartbeats that a backend server may miss; some
@@ -135,8 +127,8 @@
 	}
 	gc := group.Config{
 		Name: no.Name, Address: no.PeerAddress, FailureDomain: no.FailureDomain, DataFolder: no.DataFolder, Founders: founders,
-		Peer: cfg.Peer, Files: cfg.Files, Election: electionTimeout, Heartbeat: heartbeatPeriod, FreshnessBound: dutyFreshness,
-		ReplaceAfter: replaceAfter, Voters: no.Voters(), Addresses: co.addresses, WallMs: cfg.WallMs, Log: cfg.Log,
+		Peer: cfg.Peer, Files: cfg.Files, Election: settings.NodeElection, Heartbeat: settings.NodeHeartbeat, FreshnessBound: dutyFreshness,
+		ReplaceAfter: settings.NodeReplaceAfter, Voters: no.Voters(), Addresses: co.addresses, WallMs: cfg.WallMs, Log: cfg.Log,
 		OnStatus: func(group.Status) { co.touch() },
 	}
 	if !no.MayForm {
@@ -231,17 +223,10 @@
 
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	run := func(f func(ctx context.Context)) {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			f(ctx)
-		}()
-	}
-	run(co.publishDuty)
-	run(co.rosterDuty)
+	wg.Go(func() { co.publishDuty(ctx) })
+	wg.Go(func() { co.rosterDuty(ctx) })
 	for _, du := range co.duties() {
-		run(du.Run)
+		wg.Go(func() { du.Run(ctx) })
 	}
 	err := co.group.Run(ctx)
 	cancel()
--- a/internal/controller/stores.go
+++ b/internal/controller/stores.go
@@ -36,6 +36,7 @@
 		known = slices.Contains(ma.Roster().Members(), an.Member)
 	})
 	if !known {
+		// Not only by the leader: the store may reach none but this controller.
 		if err := co.group.Propose(ctx, machine.KindAnnounceMember, roster.Announce{Member: an.Member}, nil); err != nil {
 			return err
 		}
--- a/internal/dispatch/driver.go
+++ b/internal/dispatch/driver.go
@@ -39,7 +39,6 @@
 	Balancer *balance.Balancer
 	Client   *backend.Client
 	Random   func() float64
-	WallMs   func() int64
 	Meter    *meter.Meter
 	Log      log.Interface
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -134,28 +133,12 @@
 	defer ed.cancel()
 
 	var wg sync.WaitGroup
-	for _, f := range []func(ctx context.Context){ed.follower.Run, ed.syncDuty, ed.usageDuty} {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			f(ctx)
-		}()
-	}
+	wg.Go(func() { ed.follower.Run(ctx) })
+	wg.Go(func() { ed.follower.EachView(ctx, func(vi *feed.View) { ed.balancer.Sync(vi.Servers) }) })
+	wg.Go(func() { ed.usageDuty(ctx) })
 	wg.Wait()
 }
 
-// syncDuty keeps the balancer up to date.
-func (ed *Edge) syncDuty(ctx context.Context) {
-	for ctx.Err() == nil {
-		changed := ed.follower.Changed()
-		ed.balancer.Sync(ed.follower.View().Servers)
-		select {
-		case <-changed:
-		case <-ctx.Done():
-		}
-	}
-}
-
 // usageDuty sends what was counted to the controllers.
 func (ed *Edge) usageDuty(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -180,9 +163,7 @@
 		return
 	}
 
-	targets := slices.Concat(ed.follower.View().Controllers, ed.cfg.Controllers())
-	slices.Sort(targets)
-	targets = slices.Compact(targets)
+	targets := ed.follower.Controllers()
 	first := rand.IntN(max(len(targets), 1))
 	for i := range targets {
 		a := targets[(first+i)%len(targets)]
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -84,9 +84,30 @@
 	}
 }
 
+// Controllers returns the peer addresses of all controllers that are known, ascending.
+func (fo *Follower) Controllers() []string {
+	out := slices.Concat(fo.cfg.Seeds(), fo.View().Controllers)
+	slices.Sort(out)
+
+	return slices.Compact(out)
+}
+
+// EachView calls f with the current view and with each one that follows, until ctx ends.
+// Views that are replaced while f runs are left out.
+func (fo *Follower) EachView(ctx context.Context, f func(vi *View)) {
+	for ctx.Err() == nil {
+		changed := fo.Changed()
+		f(fo.View())
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
 // spread follows each controller that is known and leaves those that are not any more.
 func (fo *Follower) spread(ctx context.Context) {
-	want := slices.Concat(fo.cfg.Seeds(), fo.View().Controllers)
+	want := fo.Controllers()
 
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
@@ -96,11 +117,7 @@
 		}
 		fctx, cancel := context.WithCancel(ctx)
 		fo.following[a] = cancel
-		fo.wg.Add(1)
-		go func() {
-			defer fo.wg.Done()
-			fo.follow(fctx, a)
-		}()
+		fo.wg.Go(func() { fo.follow(fctx, a) })
 	}
 	for a, cancel := range fo.following {
 		if !slices.Contains(want, a) {
@@ -171,14 +188,13 @@
 	if t := at.Add(-time.Duration(fr.AgeMs) * time.Millisecond); t.After(fo.confirmed) {
 		fo.confirmed = t
 	}
-	before := fo.merged.Live()
+	old := fo.View()
 	fo.merged.Update(address, fr.Changed, fr.Forgotten, fr.IsSettled)
 	servers := fo.merged.Live()
-	if fr.isEmpty() && sameServers(before, servers) {
+	if fr.isEmpty() && sameServers(old.Servers, servers) {
 		return
 	}
 
-	old := fo.View()
 	next := *old
 	next.merge(fr)
 	next.Servers = servers
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -74,15 +74,16 @@
 	body   string
 }
 
-func newTrial(kind routing.Kind, attempts int, replies ...reply) *trial {
+// newTrial serves one route, whose place and times it fills in, by three backend
+// servers, or by none without replies.
+func newTrial(ro routing.Route, replies ...reply) *trial {
 	tr := &trial{}
+	ro.Name, ro.Host, ro.Prefix, ro.Timeout, ro.Aim = "r", "h", "/p/", time.Second, 50*time.Millisecond
+	ro.Targets = []routing.Target{{Service: "s", Weight: 1}}
 	cfg := &routing.Config{
-		Version:  1,
-		Services: []routing.Service{{Name: "s"}},
-		Routes: []routing.Route{{
-			Name: "r", Host: "h", Prefix: "/p/", Kind: kind, Timeout: time.Second, Aim: 50 * time.Millisecond, MaxAttempts: attempts,
-			Targets: []routing.Target{{Service: "s", Weight: 1}},
-		}},
+		Version:    1,
+		Services:   []routing.Service{{Name: "s"}},
+		Routes:     []routing.Route{ro},
 		Workspaces: []routing.Workspace{{Name: "w", Keys: []string{"k"}}},
 	}
 	Expect(cfg.Validate()).To(Succeed())
@@ -100,7 +101,7 @@
 	tr.in = ingress.New(ingress.Config{
 		Table: func() *routing.Table { return ta }, Fresh: func() error { return nil }, Balancer: ba, Random: func() float64 { return 0 },
 		Began: func(string, time.Time) { tr.began++ }, Meter: meter.New(), Log: logging.Discard(),
-		Client: &backend.Client{Send: func(ctx context.Context, address string, ca *backend.Call) (*backend.Answer, error) {
+		Client: &backend.Client{Events: readEvents, Send: func(ctx context.Context, address string, ca *backend.Call) (*backend.Answer, error) {
 			tr.mu.Lock()
 			n := len(tr.sent)
 			tr.sent = append(tr.sent, address)
@@ -148,7 +149,7 @@
 		{"is refused at once without any backend server", routing.Repeatable, 3, nil, 0, result.NotRun, 0},
 	} {
 		ginkgo.It(tc.name, func() {
-			tr := newTrial(tc.kind, tc.attempts, tc.replies...)
+			tr := newTrial(routing.Route{Kind: tc.kind, MaxAttempts: tc.attempts}, tc.replies...)
 			began := time.Now()
 			err := tr.serve()
 			Expect(time.Since(began)).To(BeNumerically("<", 400*time.Millisecond))
--- a/internal/ingress/stream_test.go
+++ b/internal/ingress/stream_test.go
@@ -11,11 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/tamarackbay/tamarackbay/internal/backend"
-	"github.com/tamarackbay/tamarackbay/internal/balance"
 	"github.com/tamarackbay/tamarackbay/internal/ingress"
-	"github.com/tamarackbay/tamarackbay/internal/logging"
-	"github.com/tamarackbay/tamarackbay/internal/meter"
-	"github.com/tamarackbay/tamarackbay/internal/registry"
 	"github.com/tamarackbay/tamarackbay/internal/result"
 	"github.com/tamarackbay/tamarackbay/internal/routing"
 )
@@ -76,33 +72,10 @@
 		{"is truly refused when nobody ran it", true, []reply{notRun}, nil, false, result.NotRun, 3},
 	} {
 		ginkgo.It(tc.name, func() {
-			cfg := &routing.Config{Version: 1, Services: []routing.Service{{Name: "s"}}, Routes: []routing.Route{{
-				Name: "r", Host: "h", Prefix: "/p/", Kind: routing.AtMostOnce, IsStreaming: true, IsResumable: tc.resumable, Timeout: time.Second,
-				Aim: 50 * time.Millisecond, MaxAttempts: 3, IsPublic: true, Targets: []routing.Target{{Service: "s", Weight: 1}},
-			}}}
-			Expect(cfg.Validate()).To(Succeed())
-			ta := routing.NewTable(cfg)
-			start := time.Now().Add(-time.Hour)
-			ba := balance.New(balance.Config{Now: func() time.Duration { return time.Since(start) }, Random: func(int) int { return 0 }})
-			var records []registry.Record
-			for _, id := range []string{"a", "b", "c"} {
-				records = append(records, registry.Record{ID: id, BornMs: 1, Address: id, Service: "s", Slots: 4, State: registry.Ready})
-			}
-			ba.Sync(records)
-			sent := 0
-			in := ingress.New(ingress.Config{
-				Table: func() *routing.Table { return ta }, Fresh: func() error { return nil }, Balancer: ba, Random: func() float64 { return 0 },
-				Began: func(string, time.Time) {}, Meter: meter.New(), Log: logging.Discard(),
-				Client: &backend.Client{Events: readEvents, Send: func(ctx context.Context, _ string, ca *backend.Call) (*backend.Answer, error) {
-					sent++
-
-					return tc.replies[min(sent-1, len(tc.replies)-1)](ctx, ca)
-				}},
-			})
-
+			tr := newTrial(routing.Route{Kind: routing.AtMostOnce, IsStreaming: true, IsResumable: tc.resumable, MaxAttempts: 3}, tc.replies...)
 			var got []uint64
 			begun, ended := 0, 0
-			err := in.Serve(context.Background(), &ingress.Request{ID: "1", Host: "h", Path: "/p/x", Arrived: time.Now()}, &ingress.Sink{
+			err := tr.in.Serve(context.Background(), &ingress.Request{ID: "1", Host: "h", Path: "/p/x", Key: "k", Arrived: time.Now()}, &ingress.Sink{
 				Begin: func(*backend.Answer) { begun++ },
 				Event: func(ev backend.Event) error {
 					got = append(got, ev.Number)
@@ -112,7 +85,7 @@
 				End: func() { ended++ },
 			})
 			Expect(got).To(Equal(tc.got))
-			Expect(sent).To(Equal(tc.sent))
+			Expect(tr.sent).To(HaveLen(tc.sent))
 			Expect(begun).To(BeNumerically("<=", 1))
 			Expect(ended == 1).To(Equal(tc.isWhole))
 			Expect(err == nil).To(Equal(tc.isWhole))
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -33,10 +33,6 @@
 )
 
 const (
-	electionTimeout = 500 * time.Millisecond
-	heartbeatPeriod = 100 * time.Millisecond
-	// replaceAfter is the silence after which a spare takes a voter's place.
-	replaceAfter = 1500 * time.Millisecond
 	// announcePeriod is how often a store tells the controllers of itself.
 	announcePeriod  = 500 * time.Millisecond
 	announceTimeout = 500 * time.Millisecond
@@ -76,8 +72,8 @@
 	var err error
 	st.group, err = group.New(group.Config{
 		Name: no.Name, Address: no.PeerAddress, FailureDomain: no.FailureDomain, DataFolder: no.DataFolder, Peer: cfg.Peer,
-		Files: cfg.Files, Election: electionTimeout, Heartbeat: heartbeatPeriod, FreshnessBound: time.Hour,
-		ReplaceAfter: replaceAfter, Voters: no.Voters(), Addresses: st.addresses, Formation: st.formation, Locate: st.locate,
+		Files: cfg.Files, Election: settings.NodeElection, Heartbeat: settings.NodeHeartbeat, FreshnessBound: time.Hour,
+		ReplaceAfter: settings.NodeReplaceAfter, Voters: no.Voters(), Addresses: st.addresses, Formation: st.formation, Locate: st.locate,
 		IsRetiring: st.isRetiring, WallMs: cfg.WallMs, Log: cfg.Log, OnStatus: st.onStatus,
 	})
 	if err != nil {
@@ -90,7 +86,7 @@
 	})
 	st.driver = dispatch.New(dispatch.Config{
 		Group: st.group, View: st.follower.View, Changed: st.follower.Changed, Balancer: st.balancer, Client: cfg.Client,
-		Random: rand.Float64, WallMs: cfg.WallMs, Meter: cfg.Meter, Log: cfg.Log,
+		Random: rand.Float64, Meter: cfg.Meter, Log: cfg.Log,
 	})
 
 	return st, nil
@@ -148,13 +144,15 @@
 
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	for _, f := range []func(ctx context.Context){st.follower.Run, st.announceDuty, st.syncDuty, st.driver.Run} {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			f(ctx)
-		}()
-	}
+	wg.Go(func() { st.follower.Run(ctx) })
+	wg.Go(func() { st.announceDuty(ctx) })
+	wg.Go(func() { st.driver.Run(ctx) })
+	wg.Go(func() {
+		st.follower.EachView(ctx, func(vi *feed.View) {
+			st.balancer.Sync(vi.Servers)
+			st.driver.Wake()
+		})
+	})
 	err := st.group.Run(ctx)
 	cancel()
 
@@ -164,19 +162,6 @@
 // StopDuties gives the lead away before the process stops.
 func (st *Store) StopDuties(ctx context.Context) { st.group.TransferLeadership(ctx) }
 
-// syncDuty keeps the balancer up to date.
-func (st *Store) syncDuty(ctx context.Context) {
-	for ctx.Err() == nil {
-		changed := st.follower.Changed()
-		st.balancer.Sync(st.follower.View().Servers)
-		st.driver.Wake()
-		select {
-		case <-changed:
-		case <-ctx.Done():
-		}
-	}
-}
-
 // announceDuty tells every controller of this store.
 func (st *Store) announceDuty(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -211,16 +196,12 @@
 
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
-	targets := slices.Concat(st.cfg.Controllers(), st.follower.View().Controllers)
-	slices.Sort(targets)
 	var wg sync.WaitGroup
-	for _, a := range slices.Compact(targets) {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
+	for _, a := range st.follower.Controllers() {
+		wg.Go(func() {
 			// A controller that does not hear it hears the next one; a lost session is told by its link.
 			_ = st.links.Call(ctx, a, controller.MethodAnnounce, &wire.Payload{Record: b}, &wire.Empty{})
-		}()
+		})
 	}
 	wg.Wait()
 }
--- a/internal/program/node.go
+++ b/internal/program/node.go
@@ -271,7 +271,7 @@
 	}
 	ctl := &platform.Control{
 		Beat: co.Beat, Leave: co.Leave, PutRouting: co.PutRouting, Routing: co.Routing, NameVersion: co.NameVersion,
-		Retire: co.Retire, Retirement: co.Retirement, WallMs: wallMs,
+		Retire: co.Retire, Retirement: co.Retirement,
 	}
 	if err := nd.serve("control", nd.settings.ControlAddress, limited(ctl.Handler())); err != nil {
 		return err
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -38,7 +38,6 @@
 	Slots         int     `cbor:"7,keyasint"` // requests that it runs at once
 	State         State   `cbor:"8,keyasint"`
 	Models        []Model `cbor:"9,keyasint"`
-	WarmAtMs      int64   `cbor:"10,keyasint"` // Unix milliseconds until which it is slow after its start
 	IsLoading     bool    `cbor:"11,keyasint"` // it loads weights, and refuses requests that have not started
 }
 
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -59,9 +59,6 @@
 	return nil
 }
 
-// HasHost reports whether any route belongs to host.
-func (ta *Table) HasHost(host string) bool { return len(ta.byHost[host]) > 0 }
-
 // Owner returns the workspace that holds key, or nil.
 func (ta *Table) Owner(key string) *Workspace { return ta.byKey[key] }
 
@@ -87,8 +84,3 @@
 
 	return ""
 }
-
-// Allows reports whether requests of the route may go to service.
-func (ro *Route) Allows(service string) bool {
-	return slices.ContainsFunc(ro.Targets, func(ta Target) bool { return ta.Service == service && ta.Weight > 0 })
-}
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -6,6 +6,18 @@
 	"github.com/tamarackbay/tamarackbay/internal/result"
 )
 
+// Times of the replicated groups of nodes, on a platform that counts a VM as whole
+// again a few seconds after it is back.
+const (
+	// NodeElection is the election timeout, well above a round trip with two slow
+	// syncs of a disk.
+	NodeElection  = 500 * time.Millisecond
+	NodeHeartbeat = 100 * time.Millisecond
+	// NodeReplaceAfter is the silence after which a spare takes a voter's place:
+	// three election timeouts, so that a short pause costs no membership change.
+	NodeReplaceAfter = 1500 * time.Millisecond
+)
+
 // Node holds the settings of a process that a platform starts: it is told its own
 // place and a few controllers, and learns everything else from these.
 type Node struct {
@@ -27,7 +39,6 @@
 	FreshnessBound time.Duration // a process that has heard nothing for longer refuses work, 0 for never
 	StopGrace      time.Duration // between the stop signal and the end by force
 	UsageWindow    time.Duration // length of a usage window
-	UsageLate      time.Duration // after the end of a window its report is due
 	TurnPause      time.Duration // in which a holder of a lease may not follow its own successor
 }
 
