--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -150,7 +150,10 @@
 }
 
 func (r *Replica) startSnapshot(now time.Duration, id ReplicaID, pr *progress) {
-	sn, ok := r.cfg.LatestSnapshot()
+	sn, ok := r.sentSnapshot()
+	if !ok {
+		sn, ok = r.cfg.LatestSnapshot()
+	}
 	if !ok || sn.Index < r.log.snapIndex {
 		return
 	}
@@ -159,6 +162,19 @@
 	r.sendChunk(now, id, pr)
 }
 
+// sentSnapshot returns a snapshot that is on its way to another follower and that
+// the log still follows on, so that several share its data.
+func (r *Replica) sentSnapshot() (Snapshot, bool) {
+	var newest Snapshot
+	for _, pr := range r.progress {
+		if pr.sendingSnapshot && pr.snapshot.Index > newest.Index {
+			newest = pr.snapshot
+		}
+	}
+
+	return newest, newest.Index > 0 && newest.Index >= r.log.snapIndex
+}
+
 func (r *Replica) sendChunk(now time.Duration, id ReplicaID, pr *progress) {
 	pr.snapshotSent = now
 	from := min(pr.snapshotOffset, uint64(len(pr.snapshot.Data)))
--- a/internal/consensus/named_test.go
+++ b/internal/consensus/named_test.go
@@ -176,6 +176,41 @@
 	})
 })
 
+var _ = Describe("two followers that need a snapshot", func() {
+	It("share one copy of its data", func() {
+		read := 0
+		re := consensus.New(consensus.Config{
+			ID: "a", Group: 1, ElectionTimeout: 300 * time.Millisecond, HeartbeatPeriod: 60 * time.Millisecond,
+			Random: func(int64) int64 { return 0 }, LatestSnapshot: func() (consensus.Snapshot, bool) {
+				read++
+
+				return consensus.Snapshot{Index: 50, Term: 1, Data: make([]byte, 1<<20)}, true
+			},
+			HardState: consensus.HardState{Term: 1},
+			Snapshot:  consensus.Snapshot{Index: 50, Term: 1, Membership: consensus.Membership{Voters: []consensus.ReplicaID{"a", "b", "c", "d", "e"}}},
+		}, 0)
+		re.Tick(time.Second)
+		for _, kind := range []consensus.MessageKind{consensus.MessagePreVoteReply, consensus.MessageVoteReply} {
+			for _, from := range []consensus.ReplicaID{"b", "c"} {
+				re.Step(time.Second, consensus.Message{Kind: kind, Group: 1, From: from, To: "a", Term: 2})
+			}
+		}
+		Expect(re.Role()).To(Equal(consensus.RoleLeader))
+		re.Ready()
+		for _, from := range []consensus.ReplicaID{"d", "e"} {
+			re.Step(time.Second, consensus.Message{Kind: consensus.MessageAppendReply, Group: 1, From: from, To: "a", Term: 2, Reject: true, Index: 50})
+		}
+		chunks := map[consensus.ReplicaID]int{}
+		for _, m := range re.Ready().Early {
+			if m.Kind == consensus.MessageSnapshot {
+				chunks[m.To]++
+			}
+		}
+		Expect(chunks).To(Equal(map[consensus.ReplicaID]int{"d": 1, "e": 1}))
+		Expect(read).To(Equal(1))
+	})
+})
+
 var _ = Describe("a repair", func() {
 	// A spare takes the place of a voter with an emptied disk: learner, voter, removal.
 	steps := []string{"before the learner joins", "while it is a learner", "after its promotion", "after the removal"}
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -61,6 +61,7 @@
 func New(cfg Config, now time.Duration) *Replica {
 	cfg.Defaults()
 	r := &Replica{cfg: cfg, hs: cfg.HardState, stored: cfg.HardState, log: newRaftLog(cfg.Snapshot, cfg.Entries)}
+	r.cfg.Snapshot, r.cfg.Entries = Snapshot{}, nil // large, and not needed any more
 	// A replica that has just started asks soon whether there is a leader: its
 	// pre-vote disturbs none that is alive.
 	r.electionDue = now + cfg.ElectionTimeout/4 + time.Duration(cfg.Random(int64(cfg.ElectionTimeout/2)))
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -200,7 +200,9 @@
 			continue
 		}
 		jo.Listed[re.Item] = true
-		jo.Spec.Items[re.Item].Body = nil // only asked for until the item is listed
+		// Only the item's name and group matter from now on.
+		it := &jo.Spec.Items[re.Item]
+		it.Headers, it.Body, it.Reward = nil, nil, nil
 		delete(jo.Partial, re.Item)
 		jo.Results = append(jo.Results, re)
 		added++
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/tamarackbay/tamarackbay/internal/call"
+	"github.com/tamarackbay/tamarackbay/internal/codec"
 	"github.com/tamarackbay/tamarackbay/internal/consensus"
 	"github.com/tamarackbay/tamarackbay/internal/declaration"
 	"github.com/tamarackbay/tamarackbay/internal/job"
@@ -100,7 +101,7 @@
 		return nil, err
 	}
 
-	return cbor.Marshal(image{
+	return codec.Append(nil, image{
 		Applied: ma.applied, AtMs: ma.atMs, Book: bo, Leases: ma.leases.Leases(), Orders: ma.orders.Image(),
 		Steps: ma.steps.Steps(), Calls: ma.calls.Image(), Usage: ma.usage.Image(),
 		Quarantine: ma.quarantine.Entries(), Replicas: ma.replicas, Revision: ma.revision,
--- a/internal/storage/record.go
+++ b/internal/storage/record.go
@@ -22,14 +22,25 @@
 
 // appendRecord appends length, CRC32C, kind and body.
 func appendRecord(dst []byte, kind byte, body []byte) []byte {
+	at := len(dst)
+	dst = append(beginRecord(dst, kind), body...)
+	endRecord(dst[at:])
+
+	return dst
+}
+
+// beginRecord appends the start of a record whose body follows.
+func beginRecord(dst []byte, kind byte) []byte {
 	var h [recordHeaderBytes]byte
-	binary.LittleEndian.PutUint32(h[:4], uint32(len(body)+1))
-	c := crc32.Update(crc32.Checksum([]byte{kind}, castagnoli), castagnoli, body)
-	binary.LittleEndian.PutUint32(h[4:], c)
-	dst = append(dst, h[:]...)
-	dst = append(dst, kind)
 
-	return append(dst, body...)
+	return append(append(dst, h[:]...), kind)
+}
+
+// endRecord fills in the size and the checksum of the record that b holds.
+func endRecord(b []byte) {
+	body := b[recordHeaderBytes:]
+	binary.LittleEndian.PutUint32(b, uint32(len(body)))
+	binary.LittleEndian.PutUint32(b[4:], crc32.Checksum(body, castagnoli))
 }
 
 // readRecord returns the record at the start of b and its size, or false if there is no whole one.
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -8,6 +8,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/tamarackbay/tamarackbay/internal/codec"
 	"github.com/tamarackbay/tamarackbay/internal/consensus"
 	"github.com/tamarackbay/tamarackbay/internal/result"
 )
@@ -70,7 +71,7 @@
 	if err := st.readSegments(names, re); err != nil {
 		return nil, nil, err
 	}
-	st.hs, st.snapshot = re.HardState, re.Snapshot
+	st.hs, st.snapshot = re.HardState, withoutData(re.Snapshot)
 	if err := st.startSegment(); err != nil {
 		return nil, nil, err
 	}
@@ -278,12 +279,14 @@
 }
 
 func appendCBOR(dst []byte, kind byte, v any) ([]byte, error) {
-	body, err := cbor.Marshal(v)
+	at := len(dst)
+	dst, err := codec.Append(beginRecord(dst, kind), v)
 	if err != nil {
 		return nil, err
 	}
+	endRecord(dst[at:])
 
-	return appendRecord(dst, kind, body), nil
+	return dst, nil
 }
 
 func (st *Store) fail(err error) error {
@@ -362,20 +365,20 @@
 	if err != nil {
 		return st.fail(err)
 	}
-	path := filepath.Join(st.dir, fmt.Sprintf("snapshot-%016d", sn.Index))
+	path := st.snapshotPath(sn.Index)
 	if err := st.files.WriteAtomic(path, b); err != nil {
 		return st.fail(err)
 	}
 
 	old := st.snapshot
-	st.snapshot = sn
+	st.snapshot = withoutData(sn)
 	if received {
 		if err := st.startSegment(); err != nil {
 			return err
 		}
 	}
 	if old.Index > 0 && old.Index != sn.Index {
-		if err := st.files.Remove(filepath.Join(st.dir, fmt.Sprintf("snapshot-%016d", old.Index))); err != nil {
+		if err := st.files.Remove(st.snapshotPath(old.Index)); err != nil {
 			return st.fail(err)
 		}
 	}
@@ -403,9 +406,39 @@
 	return nil
 }
 
-// LatestSnapshot returns the stored snapshot, and false if there is none.
+// LatestSnapshot reads the stored snapshot, and returns false if there is none. One
+// that cannot be read ends all further work.
 func (st *Store) LatestSnapshot() (consensus.Snapshot, bool) {
-	return st.snapshot, st.snapshot.Index > 0
+	if st.snapshot.Index == 0 || st.broken != nil {
+		return consensus.Snapshot{}, false
+	}
+	path := st.snapshotPath(st.snapshot.Index)
+	b, err := st.files.Read(path)
+	if err != nil {
+		_ = st.fail(err) // the next call returns it
+
+		return consensus.Snapshot{}, false
+	}
+	sn, err := decodeSnapshot(path, b)
+	if err != nil {
+		st.broken = err
+
+		return consensus.Snapshot{}, false
+	}
+
+	return sn, true
+}
+
+func (st *Store) snapshotPath(index uint64) string {
+	return filepath.Join(st.dir, fmt.Sprintf("snapshot-%016d", index))
+}
+
+// withoutData returns what is kept of a snapshot in memory: its data is read from
+// the disk when a replica lacks it.
+func withoutData(sn consensus.Snapshot) consensus.Snapshot {
+	sn.Data = nil
+
+	return sn
 }
 
 // Close closes the current segment.
--- a/internal/storage/store_test.go
+++ b/internal/storage/store_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"runtime"
 	"slices"
 	"sort"
 	"strings"
@@ -350,6 +351,49 @@
 	})
 })
 
+var _ = Describe("a stored snapshot", func() {
+	It("stays on the disk: its data takes no memory until it is asked for", func() {
+		const size = 32 << 20
+		folder, err := os.MkdirTemp("", "storage-")
+		Expect(err).NotTo(HaveOccurred())
+		defer os.RemoveAll(folder)
+		held := func() int64 {
+			runtime.GC()
+			var ms runtime.MemStats
+			runtime.ReadMemStats(&ms)
+
+			return int64(ms.HeapAlloc)
+		}
+		st, _, err := storage.Open(storage.OSFiles(), folder, 1)
+		Expect(err).NotTo(HaveOccurred())
+		before := held()
+		Expect(st.SaveSnapshot(consensus.Snapshot{Index: 50, Term: 1, Data: make([]byte, size)}, false)).To(Succeed())
+		Expect(held()-before).To(BeNumerically("<", size/4), "after it was saved")
+		Expect(st.Close()).To(Succeed())
+
+		before = held()
+		st, _, err = storage.Open(storage.OSFiles(), folder, 1)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(held()-before).To(BeNumerically("<", size/4), "after a restart")
+		sn, ok := st.LatestSnapshot()
+		Expect(ok).To(BeTrue())
+		Expect(sn.Index).To(Equal(uint64(50)))
+		Expect(sn.Data).To(Equal(make([]byte, size)))
+		Expect(st.Close()).To(Succeed())
+	})
+
+	It("that cannot be read ends all further work", func() {
+		d := newDisk()
+		st, _, err := storage.Open(d.seam(), dir, 1)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(st.SaveSnapshot(consensus.Snapshot{Index: 50, Term: 1, Data: make([]byte, 1000)}, false)).To(Succeed())
+		flip(d, "snapshot", 0.5)
+		_, ok := st.LatestSnapshot()
+		Expect(ok).To(BeFalse())
+		Expect(result.Is(save(st, entries(51, 1, 1), nil), result.DataFolderDamaged)).To(BeTrue())
+	})
+})
+
 // flip changes one bit at a part of the way through the first file of a kind.
 func flip(d *disk, kind string, part float64) {
 	for p, f := range d.files {
