Add a fault soak of the real programs

Change: soak/ starts controllers, stores and gateways as processes on loopback numbers of their own, with a forwarder before each that delays, resets, cuts one way or both, and silences; signals, emptied disks, torn writes and failing backend servers in a series that a seed replays.

--- a/cmd/tamarackbay/node.go
+++ b/cmd/tamarackbay/node.go
@@ -12,6 +12,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/logging"
 	"github.com/tamarackbay/tamarackbay/internal/program"
 	"github.com/tamarackbay/tamarackbay/internal/result"
+	"github.com/tamarackbay/tamarackbay/internal/settings"
 	"github.com/tamarackbay/tamarackbay/platform"
 )
 
@@ -28,12 +29,14 @@
 func addNode(app *kingpin.Application) []command {
 	c := app.Command("node", nodeUsage)
 	role := c.Arg("role", "gateway, controller or store.").Required().Enum(program.RoleGateway, program.RoleController, program.RoleStore)
+	peerListen := c.Flag("peer-listen", "Address to listen on for own processes, where a forwarder stands at the one they are told.").
+		PlaceHolder("HOST:PORT").String()
 	level := c.Flag("log-level", "Lowest level that is logged: debug, info, warn or error.").Default("info").String()
 
 	return []command{{c, func() error {
 		ring := logging.NewRing(os.Stdout)
 		defer ring.Close()
-		err := runNode(*role, logging.NewWith(ring, *level, "tamarackbay", *role))
+		err := runNode(*role, *peerListen, logging.NewWith(ring, *level, "tamarackbay", *role))
 		if result.Is(err, result.DataFolderWrite) {
 			time.Sleep(diskPause)
 		}
@@ -46,8 +49,16 @@
 // started again at once, and meets the same disk.
 const diskPause = time.Second
 
-func runNode(role string, lo log.Interface) error {
-	nd, err := program.StartNode(role, platform.LoadBoot, lo)
+func runNode(role, peerListen string, lo log.Interface) error {
+	nd, err := program.StartNode(role, func() (*settings.Node, error) {
+		no, err := platform.LoadBoot()
+		if err != nil {
+			return nil, err
+		}
+		no.PeerListen = peerListen
+
+		return no, nil
+	}, lo)
 	if err != nil {
 		lo.WithError(err).Error("not started")
 
--- a/internal/program/node.go
+++ b/internal/program/node.go
@@ -1,6 +1,7 @@
 package program
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -203,7 +204,7 @@
 	cfg.Mux = peer.Mux{}
 	maps.Copy(cfg.Mux, mux)
 	var err error
-	if nd.peers, err = peer.Listen(nd.settings.PeerAddress, cfg); err != nil {
+	if nd.peers, err = peer.Listen(cmp.Or(nd.settings.PeerListen, nd.settings.PeerAddress), cfg); err != nil {
 		return err
 	}
 	nd.run("peers", nd.peers.Serve)
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -27,7 +27,8 @@
 	ClientAddress    string   // for clients, "" where the process serves none
 	ReadinessAddress string   // asked by the balancer
 	ControlAddress   string   // for operators and backend servers
-	PeerAddress      string   // for own processes
+	PeerAddress      string   // for own processes, as they are told
+	PeerListen       string   // listened on for own processes, "" for PeerAddress
 	Controllers      []string // peer addresses of some controllers, one's own among them
 	MayForm          bool     // the whole system starts for the first time, with empty disks
 	DataFolder       string   // "" where there is no disk
--- /dev/null
+++ b/soak/deployment.go
@@ -0,0 +1,218 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/tamarackbay/tamarackbay/internal/program"
+	"github.com/tamarackbay/tamarackbay/platform/standin"
+)
+
+// Services of the deployment.
+const (
+	servicePlain   = "plain"
+	serviceEngines = "engines"
+)
+
+const (
+	// beatPeriod is how often a backend server sends a heartbeat, half of what the
+	// settings promise.
+	beatPeriod = 150 * time.Millisecond
+	// readyWithin bounds the start of the deployment.
+	readyWithin = 20 * time.Second
+	// callTimeout is the patience of a caller, above the longest timeout of a route
+	// for plain requests.
+	callTimeout = 5 * time.Second
+	gracePeriod = 6 * time.Second
+	// warmUp begins the IDs of requests that are sent until the deployment serves.
+	warmUp = "warm-"
+)
+
+// deployment is the programs as processes, the network between them, and the other
+// side of the dialect.
+type deployment struct {
+	processes []*process
+	samplers  []*standin.Sampler
+	behind    map[*standin.Sampler]string // where each listens, behind the network
+	cloud     *standin.Cloud
+	network   *network
+	caller    *standin.Caller
+	cancel    context.CancelFunc
+}
+
+// hosts are the loopback IP numbers of one run: 127.<subnet>.<kind>.<n>.
+func host(subnet, kind, n int) string { return fmt.Sprintf("127.%d.%d.%d", subnet, kind, n+1) }
+
+// Kinds of hosts.
+const (
+	hostController = iota + 1
+	hostStore
+	hostGateway
+	hostSampler
+)
+
+// newDeployment starts everything and returns when a lookup is served.
+func newDeployment(ctx context.Context, cfg *Config) (*deployment, error) {
+	ports, err := standin.FreePorts()
+	if err != nil {
+		return nil, err
+	}
+	hidden, err := standin.FreePorts()
+	if err != nil {
+		return nil, err
+	}
+	de := &deployment{network: newNetwork(), behind: map[*standin.Sampler]string{}}
+	ctx, de.cancel = context.WithCancel(ctx)
+	if de.cloud, err = standin.StartCloud(); err != nil {
+		return nil, err
+	}
+	de.caller = &standin.Caller{Ports: ports, Timeout: callTimeout}
+	for i := range cfg.Controllers {
+		de.caller.Control = append(de.caller.Control, host(cfg.Subnet, hostController, i))
+	}
+	add := func(role string, kind, n int) error {
+		for i := range n {
+			ip := host(cfg.Subnet, kind, i)
+			pr := &process{
+				role: role, ip: ip, binary: cfg.Binary, folder: cfg.Folder, peerListen: fmt.Sprintf("%s:%d", ip, hidden.Peers),
+				boot: standin.Boot{
+					Name: fmt.Sprintf("%s-%d", role, i+1), IP: ip, Ports: ports, Controllers: de.caller.Control, Cloud: de.cloud.Address(),
+					Grace: gracePeriod, Window: 5 * time.Second, Lease: 3 * time.Second,
+				},
+			}
+			if role != program.RoleGateway {
+				pr.boot.DataFolder = filepath.Join(cfg.Folder, "data", pr.boot.Name)
+				if err := de.network.forward(fmt.Sprintf("%s:%d", ip, ports.Peers), pr.peerListen); err != nil {
+					return err
+				}
+			}
+			if err := pr.start(); err != nil {
+				return err
+			}
+			de.processes = append(de.processes, pr)
+		}
+
+		return nil
+	}
+	err = errors.Join(
+		add(program.RoleController, hostController, cfg.Controllers), add(program.RoleStore, hostStore, cfg.Stores),
+		add(program.RoleGateway, hostGateway, cfg.Gateways), de.addSamplers(ctx, cfg, ports.Clients, hidden.Clients),
+	)
+	if err == nil {
+		err = de.awaitReady(ctx)
+	}
+	if err != nil {
+		return nil, errors.Join(err, de.close())
+	}
+
+	return de, nil
+}
+
+func (de *deployment) addSamplers(ctx context.Context, cfg *Config, port, hidden int) error {
+	for i := range cfg.Plain + cfg.Engines {
+		sa := standin.NewSampler(fmt.Sprintf("p%d", i), servicePlain)
+		if i >= cfg.Plain {
+			sa = standin.NewSampler(fmt.Sprintf("e%d", i), serviceEngines, standin.Model)
+			sa.Pace = 15 * time.Millisecond
+		}
+		ip := host(cfg.Subnet, hostSampler, i)
+		sa.Address = fmt.Sprintf("%s:%d", ip, port)
+		de.behind[sa] = fmt.Sprintf("%s:%d", ip, hidden)
+		if err := de.network.forward(sa.Address, de.behind[sa]); err != nil {
+			return err
+		}
+		if err := sa.Start(de.behind[sa]); err != nil {
+			return err
+		}
+		de.samplers = append(de.samplers, sa)
+		go func() {
+			for ctx.Err() == nil {
+				ip := de.caller.Control[rand.IntN(len(de.caller.Control))]
+				_ = sa.Beat(fmt.Sprintf("%s:%d", ip, de.caller.Ports.Control)) // the next one goes to any controller again
+				time.Sleep(beatPeriod)
+			}
+		}()
+	}
+
+	return nil
+}
+
+func (de *deployment) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyWithin)
+	defer cancel()
+	err := de.caller.Configure(ctx, 1)
+	for err != nil && ctx.Err() == nil {
+		time.Sleep(100 * time.Millisecond)
+		err = de.caller.Configure(ctx, 1)
+	}
+	for i := 0; ctx.Err() == nil; i++ {
+		an, err := de.caller.Lookup(ctx, de.gateways()[0], fmt.Sprintf("%s%d", warmUp, i), false)
+		if err == nil && an.Stamp != "" {
+			return nil
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+
+	return fmt.Errorf("the deployment did not start within %v: %w", readyWithin, errors.Join(err, ctx.Err()))
+}
+
+// gateways returns the IP numbers of the gateways.
+func (de *deployment) gateways() []string {
+	var out []string
+	for _, pr := range de.processes {
+		if pr.role == program.RoleGateway {
+			out = append(out, pr.ip)
+		}
+	}
+
+	return out
+}
+
+// pairs returns the links between a host and all others that open connections.
+func (de *deployment) pairs(ip string) []pair {
+	var out []pair
+	for _, pr := range de.processes {
+		out = append(out, pair{ip, pr.ip}, pair{pr.ip, ip})
+	}
+	for sa := range de.behind {
+		out = append(out, pair{ip, hostOf(sa)})
+	}
+
+	return out
+}
+
+func hostOf(sa *standin.Sampler) string {
+	ip := sa.Address
+	for i := range ip {
+		if ip[i] == ':' {
+			return ip[:i]
+		}
+	}
+
+	return ip
+}
+
+// close ends every process that the run started.
+func (de *deployment) close() error {
+	de.cancel()
+	var errs []error
+	for _, pr := range de.processes {
+		// One that is paused can be killed too.
+		if err := pr.end(syscall.SIGKILL); err != nil && !errors.Is(err, os.ErrProcessDone) {
+			errs = append(errs, err)
+		}
+	}
+	for _, sa := range de.samplers {
+		sa.Stop()
+	}
+	de.network.close()
+	de.cloud.Stop()
+
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/soak/faults.go
@@ -0,0 +1,231 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/tamarackbay/tamarackbay/internal/program"
+)
+
+// The mean pause between two faults and the longest fault: several overlap, and
+// most groups still have a quorum now and then.
+const (
+	faultGap     = 900 * time.Millisecond
+	longestFault = 4 * time.Second
+)
+
+// fault is one disturbance, drawn before the run so that a seed replays it.
+type fault struct {
+	at, lasts time.Duration
+	kind      string
+	target    int // index of the process or backend server
+	other     int // index of a second process
+	size      int
+}
+
+func (fa fault) String() string {
+	return fmt.Sprintf("%.2fs %s target %d other %d for %.2fs", fa.at.Seconds(), fa.kind, fa.target, fa.other, fa.lasts.Seconds())
+}
+
+// kinds of faults with their weights.
+var kinds = []struct {
+	name   string
+	weight int
+}{
+	{"kill", 4},
+	{"tear", 2},
+	{"pause", 3},
+	{"term", 3},
+	{"reload", 1},
+	{"wipe", 1},
+	{"delay", 2},
+	{"reset", 2},
+	{"cut", 2},
+	{"cutOneWay", 2},
+	{"mute", 2},
+	{"isolate", 1},
+	{"serverCrash", 2},
+	{"serverBreaksOff", 2},
+	{"serverSilent", 1},
+	{"killAll", 1},
+}
+
+// draw returns the faults of a seed.
+func draw(rnd *rand.Rand, cfg *Config) []fault {
+	sum := 0
+	for _, k := range kinds {
+		sum += k.weight
+	}
+	processes, servers := cfg.Controllers+cfg.Stores+cfg.Gateways, cfg.Plain+cfg.Engines
+	wiped := map[bool]bool{} // by whether it is a store: a second loss may meet an unfinished repair
+	var out []fault
+	for at := time.Second; ; at += time.Duration(rnd.ExpFloat64() * float64(faultGap)) {
+		if at > cfg.Length {
+			return out
+		}
+		n := rnd.IntN(sum)
+		fa := fault{
+			at: at, lasts: 200*time.Millisecond + time.Duration(rnd.Int64N(int64(longestFault))), target: rnd.IntN(processes), other: rnd.IntN(processes),
+			size: 1 + rnd.IntN(300),
+		}
+		for _, k := range kinds {
+			if n < k.weight {
+				fa.kind = k.name
+
+				break
+			}
+			n -= k.weight
+		}
+		switch fa.kind {
+		case "serverCrash", "serverBreaksOff", "serverSilent":
+			fa.target = rnd.IntN(servers)
+		case "wipe":
+			fa.target %= cfg.Controllers + cfg.Stores
+			isStore := fa.target >= cfg.Controllers
+			if wiped[isStore] {
+				continue
+			}
+			wiped[isStore] = true
+		case "tear":
+			fa.target %= cfg.Controllers + cfg.Stores
+		}
+		out = append(out, fa)
+	}
+}
+
+// injector carries faults out.
+type injector struct {
+	de    *deployment
+	tell  func(format string, args ...any)
+	busy  []sync.Mutex // one for each process: its faults come one after another
+	errMu sync.Mutex
+	errs  []error
+}
+
+func (in *injector) failed(err error) {
+	if err == nil {
+		return
+	}
+	in.errMu.Lock()
+	defer in.errMu.Unlock()
+	in.errs = append(in.errs, err)
+}
+
+// run carries out all faults and returns when the last one is over.
+func (in *injector) run(ctx context.Context, faults []fault) {
+	in.busy = make([]sync.Mutex, len(in.de.processes))
+	began := time.Now()
+	var wg sync.WaitGroup
+	for _, fa := range faults {
+		select {
+		case <-time.After(time.Until(began.Add(fa.at))):
+		case <-ctx.Done():
+		}
+		in.tell("fault %v", fa)
+		wg.Go(func() { in.inject(fa) })
+	}
+	wg.Wait()
+	in.de.network.heal()
+}
+
+func (in *injector) inject(fa fault) {
+	de := in.de
+	switch fa.kind {
+	case "serverCrash":
+		sa := de.samplers[fa.target]
+		sa.Stop()
+		time.Sleep(fa.lasts)
+		in.failed(sa.Start(de.behind[sa]))
+	case "serverBreaksOff":
+		sa := de.samplers[fa.target]
+		sa.BreakOff(func(_ string, event int) bool { return event%7 == fa.size%7 && rand.IntN(2) == 0 })
+		time.Sleep(fa.lasts)
+		sa.BreakOff(func(string, int) bool { return false })
+	case "serverSilent":
+		var ps []pair
+		for _, pr := range de.processes {
+			ps = append(ps, pair{pr.ip, hostOf(de.samplers[fa.target])})
+		}
+		in.harm(link{isMuted: true}, fa, ps)
+	case "delay":
+		in.harm(link{delay: time.Duration(fa.size) * time.Millisecond}, fa, in.between(fa))
+	case "cut":
+		in.harm(link{isCut: true, isMuted: true}, fa, in.between(fa))
+	case "cutOneWay":
+		in.harm(link{isCut: true}, fa, in.between(fa)[:1])
+	case "mute":
+		in.harm(link{isMuted: true}, fa, in.between(fa)[:1])
+	case "isolate":
+		in.harm(link{isCut: true, isMuted: true}, fa, de.pairs(de.processes[fa.target].ip))
+	case "reset":
+		de.network.reset(de.pairs(de.processes[fa.target].ip)...)
+	case "killAll":
+		role := de.processes[fa.target].role
+		var wg sync.WaitGroup
+		for i, pr := range de.processes {
+			if pr.role == role {
+				wg.Go(func() { in.harmProcess(fa, i) })
+			}
+		}
+		wg.Wait()
+	default:
+		in.harmProcess(fa, fa.target)
+	}
+}
+
+// between returns the links between the two processes of a fault.
+func (in *injector) between(fa fault) []pair {
+	a, b := in.de.processes[fa.target].ip, in.de.processes[fa.other].ip
+
+	return []pair{{a, b}, {b, a}}
+}
+
+func (in *injector) harm(li link, fa fault, ps []pair) {
+	in.de.network.harm(li, ps...)
+	time.Sleep(fa.lasts)
+	in.de.network.harm(link{}, ps...)
+}
+
+// harmProcess does something to one process and sets it right again.
+func (in *injector) harmProcess(fa fault, i int) {
+	in.busy[i].Lock()
+	defer in.busy[i].Unlock()
+
+	pr := in.de.processes[i]
+	switch fa.kind {
+	case "reload":
+		// Before a program has taken the signal over, the system ends it.
+		in.failed(pr.awaitStarted())
+		in.failed(pr.signal(syscall.SIGHUP))
+
+		return
+	case "pause":
+		in.failed(pr.signal(syscall.SIGSTOP))
+		time.Sleep(fa.lasts)
+		in.failed(pr.signal(syscall.SIGCONT))
+
+		return
+	case "term":
+		in.failed(pr.end(syscall.SIGTERM))
+	default:
+		in.failed(pr.end(syscall.SIGKILL))
+	}
+	switch fa.kind {
+	case "wipe":
+		in.failed(pr.wipe())
+	case "tear":
+		b := make([]byte, fa.size)
+		for j := range b {
+			b[j] = byte(rand.IntN(256))
+		}
+		if pr.role != program.RoleGateway {
+			in.failed(pr.tear(b))
+		}
+	}
+	time.Sleep(fa.lasts / 2)
+	in.failed(pr.start())
+}
--- /dev/null
+++ b/soak/process.go
@@ -0,0 +1,158 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/tamarackbay/tamarackbay/platform"
+	"github.com/tamarackbay/tamarackbay/platform/standin"
+)
+
+// process is one program of the deployment that is started again and again.
+type process struct {
+	role, ip   string
+	binary     string
+	folder     string // of settings and logs
+	peerListen string // where it listens for own processes, behind the network
+	boot       standin.Boot
+
+	mu      sync.Mutex
+	starts  int
+	logSize int64 // of the log before the last start
+	cmd     *exec.Cmd
+	ended   chan struct{} // closed when the current one has ended
+	isDown  bool          // on purpose
+	ends    []string      // that nobody caused
+}
+
+// start runs the program. It starts for the first time only once.
+func (pr *process) start() error {
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+
+	bo := pr.boot
+	bo.IsFirst = pr.starts == 0
+	b, err := bo.Encode()
+	if err != nil {
+		return err
+	}
+	file := filepath.Join(pr.folder, bo.Name+".json")
+	if err := os.WriteFile(file, b, 0o600); err != nil {
+		return err
+	}
+	out, err := os.OpenFile(pr.logFile(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer out.Close()
+	st, err := out.Stat()
+	if err != nil {
+		return err
+	}
+	pr.logSize = st.Size()
+	cmd := exec.Command(pr.binary, "node", pr.role, "--peer-listen", pr.peerListen)
+	cmd.Env = append(os.Environ(), platform.BootVariable+"="+file)
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	pr.starts++
+	ended := make(chan struct{})
+	pr.cmd, pr.ended, pr.isDown = cmd, ended, false
+	go func() {
+		err := cmd.Wait()
+		pr.mu.Lock()
+		if !pr.isDown {
+			pr.ends = append(pr.ends, fmt.Sprintf("%s ended by itself at %s: %v", bo.Name, time.Now().Format(time.TimeOnly), err))
+		}
+		pr.mu.Unlock()
+		close(ended)
+	}()
+
+	return nil
+}
+
+// awaitStarted waits until the running program has logged something.
+func (pr *process) awaitStarted() error {
+	pr.mu.Lock()
+	from := pr.logSize
+	pr.mu.Unlock()
+	for began := time.Now(); time.Since(began) < readyWithin; time.Sleep(time.Millisecond) {
+		if st, err := os.Stat(pr.logFile()); err == nil && st.Size() > from {
+			return nil
+		}
+	}
+
+	return fmt.Errorf("%s has logged nothing within %v", pr.boot.Name, readyWithin)
+}
+
+func (pr *process) logFile() string { return filepath.Join(pr.folder, pr.boot.Name+".log") }
+
+// signal sends a signal to the running program.
+func (pr *process) signal(sig syscall.Signal) error {
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	if sig == syscall.SIGKILL || sig == syscall.SIGTERM {
+		pr.isDown = true
+	}
+	if err := pr.cmd.Process.Signal(sig); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return err
+	}
+
+	return nil
+}
+
+// end stops the program by a signal and waits until it is gone.
+func (pr *process) end(sig syscall.Signal) error {
+	if err := pr.signal(sig); err != nil {
+		return err
+	}
+	pr.mu.Lock()
+	ended := pr.ended
+	pr.mu.Unlock()
+	select {
+	case <-ended:
+		return nil
+	case <-time.After(pr.boot.Grace + time.Second):
+		return errors.Join(fmt.Errorf("%s outlived its grace period after %v", pr.boot.Name, sig), pr.signal(syscall.SIGKILL))
+	}
+}
+
+// wipe empties the disk of a stopped program.
+func (pr *process) wipe() error { return os.RemoveAll(pr.boot.DataFolder) }
+
+// tear appends what a write cut short may leave behind: bytes that are no record.
+func (pr *process) tear(b []byte) error {
+	newest := ""
+	err := filepath.WalkDir(pr.boot.DataFolder, func(path string, de os.DirEntry, err error) error {
+		if err == nil && !de.IsDir() && filepath.Base(path) > filepath.Base(newest) && filepath.Base(path)[:3] == "log" {
+			newest = path
+		}
+
+		return err
+	})
+	if err != nil || newest == "" {
+		return err
+	}
+	f, err := os.OpenFile(newest, os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	_, err = f.Write(b)
+
+	return err
+}
+
+func (pr *process) surprises() []string {
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+
+	return append([]string(nil), pr.ends...)
+}
--- /dev/null
+++ b/soak/proxy.go
@@ -0,0 +1,177 @@
+package main
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// pair names the link from the host that opens a connection to the one that accepts it.
+type pair struct{ from, to string }
+
+// link is how a pair is harmed now.
+type link struct {
+	delay   time.Duration // added to each chunk, both ways
+	isCut   bool          // nothing gets from the opener to the acceptor
+	isMuted bool          // nothing gets back
+}
+
+// network forwards connections over loopback and harms them. Bytes that a cut holds
+// back are passed on when it ends, as a transport protocol would send them again.
+type network struct {
+	mu        sync.Mutex
+	healed    chan struct{} // closed and replaced with each change
+	links     map[pair]link
+	conns     map[net.Conn]pair
+	listeners []net.Listener
+	wg        sync.WaitGroup
+}
+
+func newNetwork() *network {
+	return &network{healed: make(chan struct{}), links: map[pair]link{}, conns: map[net.Conn]pair{}}
+}
+
+// forward accepts at address and connects to target.
+func (ne *network) forward(address, target string) error {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	to, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return err
+	}
+	ne.mu.Lock()
+	ne.listeners = append(ne.listeners, ln)
+	ne.mu.Unlock()
+	ne.wg.Go(func() {
+		for {
+			co, err := ln.Accept()
+			if err != nil {
+				return // the network was closed
+			}
+			from := co.RemoteAddr().(*net.TCPAddr).IP.String()
+			ne.wg.Go(func() { ne.serve(co, target, pair{from, to}) })
+		}
+	})
+
+	return nil
+}
+
+func (ne *network) serve(co net.Conn, target string, pa pair) {
+	defer co.Close()
+	up, err := net.DialTimeout("tcp", target, time.Second)
+	if err != nil {
+		reset(co) // nothing listens there
+
+		return
+	}
+	defer up.Close()
+	ne.mu.Lock()
+	ne.conns[co], ne.conns[up] = pa, pa
+	ne.mu.Unlock()
+	defer func() {
+		ne.mu.Lock()
+		delete(ne.conns, co)
+		delete(ne.conns, up)
+		ne.mu.Unlock()
+	}()
+
+	done := make(chan struct{}, 2)
+	copyTo := func(dst, src net.Conn, isBack bool) {
+		b := make([]byte, 32<<10)
+		for {
+			n, err := src.Read(b)
+			if n > 0 {
+				ne.wait(pa, isBack)
+				if _, werr := dst.Write(b[:n]); werr != nil {
+					break
+				}
+			}
+			if err != nil {
+				if err != io.EOF {
+					reset(dst)
+				}
+
+				break
+			}
+		}
+		done <- struct{}{}
+	}
+	go copyTo(up, co, false)
+	go copyTo(co, up, true)
+	<-done
+}
+
+// wait holds a chunk back while its direction is cut, and delays it.
+func (ne *network) wait(pa pair, isBack bool) {
+	for {
+		ne.mu.Lock()
+		li, healed := ne.links[pa], ne.healed
+		ne.mu.Unlock()
+		if (isBack && li.isMuted) || (!isBack && li.isCut) {
+			<-healed
+
+			continue
+		}
+		time.Sleep(li.delay)
+
+		return
+	}
+}
+
+// harm sets how pairs are harmed, the zero link for not at all.
+func (ne *network) harm(li link, pairs ...pair) {
+	ne.mu.Lock()
+	defer ne.mu.Unlock()
+	for _, pa := range pairs {
+		ne.links[pa] = li
+	}
+	close(ne.healed)
+	ne.healed = make(chan struct{})
+}
+
+// heal ends all harm.
+func (ne *network) heal() {
+	ne.mu.Lock()
+	defer ne.mu.Unlock()
+	clear(ne.links)
+	close(ne.healed)
+	ne.healed = make(chan struct{})
+}
+
+// reset cuts the open connections of pairs.
+func (ne *network) reset(pairs ...pair) {
+	ne.mu.Lock()
+	defer ne.mu.Unlock()
+	for co, pa := range ne.conns {
+		for _, p := range pairs {
+			if pa == p {
+				reset(co)
+			}
+		}
+	}
+}
+
+// close ends everything.
+func (ne *network) close() {
+	ne.heal()
+	ne.mu.Lock()
+	for _, ln := range ne.listeners {
+		_ = ln.Close()
+	}
+	for co := range ne.conns {
+		_ = co.Close()
+	}
+	ne.mu.Unlock()
+	ne.wg.Wait()
+}
+
+// reset closes a connection so that its other end sees a reset.
+func reset(co net.Conn) {
+	if tc, ok := co.(*net.TCPConn); ok {
+		_ = tc.SetLinger(0) // fails only on a closed connection
+	}
+	_ = co.Close()
+}
