Take signals over before a process starts its parts

Ruled out: the time before the program runs at all; the system ends it then, and the soak waits for a first line of the log before a reload. Change: signals are taken over first and wait until the parts run.

--- a/cmd/tamarackbay/node.go
+++ b/cmd/tamarackbay/node.go
@@ -50,6 +50,9 @@
 const diskPause = time.Second
 
 func runNode(role, peerListen string, lo log.Interface) error {
+	// Taken over first: a signal that comes while the process starts waits.
+	sig := make(chan os.Signal, 4)
+	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	nd, err := program.StartNode(role, func() (*settings.Node, error) {
 		no, err := platform.LoadBoot()
 		if err != nil {
@@ -65,8 +68,6 @@
 		return err
 	}
 
-	sig := make(chan os.Signal, 1)
-	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	for {
 		select {
 		case s := <-sig:
