--- a/internal/group/node.go
+++ b/internal/group/node.go
@@ -69,7 +69,12 @@
 	onApply func()
 	// onStatus is told of each new status, with the one before it.
 	onStatus  func(old, st Status)
-	sinceSnap int // bytes of commands applied since the last snapshot
+	sinceSnap int // bytes of commands applied since the last snapshot was begun
+
+	// A snapshot is encoded and written beside the loop, at most one at a time.
+	isSaving   bool
+	saved      chan savedSnapshot
+	background sync.WaitGroup
 
 	inbox   chan event
 	waiters map[uint64]waiter
@@ -83,6 +88,12 @@
 	lastSnap uint64
 }
 
+// savedSnapshot is a snapshot, without its data, that was written or could not be.
+type savedSnapshot struct {
+	snapshot consensus.Snapshot
+	err      error
+}
+
 // Status describes a replica for operators.
 type Status struct {
 	Replica    consensus.ReplicaID  `json:"replica"`
@@ -128,7 +139,7 @@
 	n := &node{
 		store: st, start: time.Now(), wallMs: cfg.wallMs, send: cfg.send, onApply: cfg.onApply, onStatus: cfg.onStatus,
 		inbox: make(chan event, inboxSize), waiters: map[uint64]waiter{}, reads: map[uint64]*readRequest{},
-		machine: ma, applied: make(chan struct{}), lastSnap: re.Snapshot.Index,
+		machine: ma, applied: make(chan struct{}), lastSnap: re.Snapshot.Index, saved: make(chan savedSnapshot, 1),
 	}
 	n.replica = consensus.New(consensus.Config{
 		ID: cfg.id, Group: cfg.group, ElectionTimeout: cfg.election, HeartbeatPeriod: cfg.heartbeat,
@@ -148,12 +159,17 @@
 	defer ticker.Stop()
 	defer n.failAll(result.New(result.ShuttingDown, "group: the replica stops").With(result.Unknown))
 	defer n.store.Close()
+	defer n.background.Wait()
 
 	for {
 		var batch []*proposal
 		select {
 		case ev := <-n.inbox:
 			batch = n.take(ev, batch)
+		case sv := <-n.saved:
+			if err := n.adopt(sv); err != nil {
+				return err
+			}
 		case <-ticker.C:
 		case <-ctx.Done():
 			return nil
@@ -313,7 +329,7 @@
 	last := rd.Committed[len(rd.Committed)-1].Index
 	n.mu.Unlock()
 
-	if last >= n.lastSnap+snapshotEvery || n.sinceSnap > snapshotBytes {
+	if !n.isSaving && (last >= n.lastSnap+snapshotEvery || n.sinceSnap > snapshotBytes) {
 		return n.snapshot(last)
 	}
 
@@ -341,23 +357,49 @@
 	w.prop.answer <- proposalAnswer{reply: rep}
 }
 
+// snapshot begins to store the state after index. Entries are applied meanwhile: the
+// encoding of a large state takes longer than followers wait for their leader.
 func (n *node) snapshot(index uint64) error {
-	data, err := n.machine.Snapshot()
+	encode, err := n.machine.Freeze()
 	if err != nil {
 		return err
 	}
 
 	term, _ := n.replica.TermAt(index)
-	sn := consensus.Snapshot{Index: index, Term: term, Membership: n.replica.MembershipAt(index), Data: data}
-	if err := n.store.SaveSnapshot(sn, false); err != nil {
+	sn := consensus.Snapshot{Index: index, Term: term, Membership: n.replica.MembershipAt(index)}
+	n.isSaving, n.sinceSnap = true, 0
+	n.background.Go(func() {
+		data, err := encode()
+		if err == nil {
+			whole := sn
+			whole.Data = data
+			err = n.store.WriteSnapshot(whole)
+		}
+		n.saved <- savedSnapshot{snapshot: sn, err: err}
+	})
+
+	return nil
+}
+
+// adopt takes a written snapshot over and drops the log that it covers.
+func (n *node) adopt(sv savedSnapshot) error {
+	n.isSaving = false
+	sn := sv.snapshot
+	switch {
+	case sv.err != nil:
+		return sv.err
+	case sn.Index <= n.lastSnap:
+		return n.store.DropSnapshot(sn.Index) // the leader has sent a newer one
+	}
+	if err := n.store.AdoptSnapshot(sn, false); err != nil {
 		return err
 	}
-	n.lastSnap, n.sinceSnap = index, 0
+	n.lastSnap = sn.Index
 	keep := max(n.replica.TailFrom(trailBytes), 1) - 1
-	if index > trailEntries {
-		keep = max(keep, index-trailEntries)
+	if sn.Index > trailEntries {
+		keep = max(keep, sn.Index-trailEntries)
 	}
-	n.replica.Compact(min(keep, index))
+	n.replica.Compact(min(keep, sn.Index))
 
 	return nil
 }
--- /dev/null
+++ b/internal/group/node_test.go
@@ -0,0 +1,130 @@
+package group
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarackbay/tamarackbay/internal/consensus"
+	"github.com/tamarackbay/tamarackbay/internal/job"
+	"github.com/tamarackbay/tamarackbay/internal/machine"
+	"github.com/tamarackbay/tamarackbay/internal/storage"
+)
+
+// alone runs the only replica of a group until the test ends.
+func alone(files storage.Files, dir string) (n *node, stop func()) {
+	n, err := openNode(nodeConfig{
+		id: "a", group: 1, bootstrap: consensus.Membership{Voters: []consensus.ReplicaID{"a"}}, files: files, dir: dir,
+		election: 100 * time.Millisecond, heartbeat: 20 * time.Millisecond, wallMs: func() int64 { return 1 },
+		send: func(consensus.Message) {}, onApply: func() {}, onStatus: func(_, _ Status) {},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- n.run(ctx) }()
+	Eventually(func() bool {
+		n.mu.RLock()
+		defer n.mu.RUnlock()
+
+		return n.status.IsSettled
+	}, "5s").Should(BeTrue())
+
+	return n, func() {
+		cancel()
+		Expect(<-done).To(Succeed())
+	}
+}
+
+// submit proposes a job whose item has a body of so many bytes.
+func submit(n *node, id string, bytes int) time.Duration {
+	b, err := machine.Encode(machine.KindSubmitJob, job.Submit{Spec: job.Spec{ID: id, Items: []job.Item{{ID: "i", Body: make([]byte, bytes)}}}})
+	Expect(err).NotTo(HaveOccurred())
+	began := time.Now()
+	pr := &proposal{command: b, answer: make(chan proposalAnswer, 1)}
+	n.inbox <- event{proposal: pr}
+	var an proposalAnswer
+	Eventually(pr.answer, "10s").Should(Receive(&an))
+	Expect(an.err).NotTo(HaveOccurred())
+
+	return time.Since(began)
+}
+
+var _ = ginkgo.Describe("a snapshot of a large state", func() {
+	const each = 1 << 20
+
+	ginkgo.It("holds up no proposal while it is encoded and written", func() {
+		const write = 2 * time.Second
+		dir := ginkgo.GinkgoT().TempDir()
+		files := storage.OSFiles()
+		create := files.Create
+		files.Create = func(path string) (storage.File, error) {
+			if strings.Contains(path, "snapshot") {
+				time.Sleep(write)
+			}
+
+			return create(path)
+		}
+		n, stop := alone(files, dir)
+		for i := range snapshotBytes/each + 4 {
+			Expect(submit(n, fmt.Sprintf("j%d", i), each)).To(BeNumerically("<", write/4))
+		}
+		snapshots := func() []string {
+			names, err := filepath.Glob(filepath.Join(dir, "snapshot-*"))
+			Expect(err).NotTo(HaveOccurred())
+
+			return slices.DeleteFunc(names, func(s string) bool { return strings.HasSuffix(s, ".tmp") })
+		}
+		Eventually(snapshots, "10s").Should(HaveLen(1))
+		stop()
+
+		n, stop = alone(storage.OSFiles(), dir)
+		defer stop()
+		n.mu.RLock()
+		defer n.mu.RUnlock()
+		Expect(n.machine.Jobs().Jobs()).To(HaveLen(snapshotBytes/each + 4))
+		Expect(n.lastSnap).To(BeNumerically(">", 0), "the state comes from a snapshot and the log after it")
+	})
+
+	ginkgo.It("that cannot be written ends the replica", func() {
+		dir := ginkgo.GinkgoT().TempDir()
+		files := storage.OSFiles()
+		create := files.Create
+		files.Create = func(path string) (storage.File, error) {
+			if strings.Contains(path, "snapshot") {
+				return storage.File{}, os.ErrPermission
+			}
+
+			return create(path)
+		}
+		n, err := openNode(nodeConfig{
+			id: "a", group: 1, bootstrap: consensus.Membership{Voters: []consensus.ReplicaID{"a"}}, files: files, dir: dir,
+			election: 100 * time.Millisecond, heartbeat: 20 * time.Millisecond, wallMs: func() int64 { return 1 },
+			send: func(consensus.Message) {}, onApply: func() {}, onStatus: func(_, _ Status) {},
+		})
+		Expect(err).NotTo(HaveOccurred())
+		done := make(chan error, 1)
+		go func() { done <- n.run(context.Background()) }()
+		b, err := machine.Encode(machine.KindSubmitJob, job.Submit{Spec: job.Spec{ID: "j", Items: []job.Item{{ID: "i", Body: make([]byte, snapshotBytes)}}}})
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() error {
+			pr := &proposal{command: b, answer: make(chan proposalAnswer, 1)}
+			select {
+			case n.inbox <- event{proposal: pr}:
+			default:
+			}
+			select {
+			case err := <-done:
+				return err
+			case <-time.After(50 * time.Millisecond):
+				return nil
+			}
+		}, "10s").Should(MatchError(ContainSubstring("permission denied")))
+	})
+})
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -4,6 +4,7 @@
 package job
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -159,6 +160,25 @@
 // Jobs returns all jobs by ID. They must not be changed.
 func (le *Ledger) Jobs() map[string]*Job { return le.jobs }
 
+// Freeze returns the jobs as they are now, for another goroutine to read while the
+// ledger changes. Texts and bodies are shared, so it takes little time.
+func (le *Ledger) Freeze() map[string]*Job {
+	out := make(map[string]*Job, len(le.jobs))
+	for id, jo := range le.jobs {
+		if !jo.IsOpen() {
+			out[id] = jo // never changes again
+
+			continue
+		}
+		c := *jo
+		c.Spec.Items, c.Listed = slices.Clone(jo.Spec.Items), slices.Clone(jo.Listed)
+		c.Results, c.Partial = slices.Clip(jo.Results), maps.Clone(jo.Partial)
+		out[id] = &c
+	}
+
+	return out
+}
+
 // Revision rises with each change.
 func (le *Ledger) Revision() uint64 { return le.revision }
 
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -96,17 +96,46 @@
 
 // Snapshot returns the whole state.
 func (ma *Machine) Snapshot() ([]byte, error) {
-	bo, err := ma.book.Image()
+	encode, err := ma.Freeze()
 	if err != nil {
 		return nil, err
 	}
 
-	return codec.Append(nil, image{
+	return encode()
+}
+
+// Freeze returns what encodes the whole state as it is now. The encoding may run
+// beside further commands: the ledger of jobs, which alone grows large, is frozen,
+// and the rest is encoded at once.
+func (ma *Machine) Freeze() (encode func() ([]byte, error), err error) {
+	bo, err := ma.book.Image()
+	if err != nil {
+		return nil, err
+	}
+	rest, err := codec.Append(nil, image{
 		Applied: ma.applied, AtMs: ma.atMs, Book: bo, Leases: ma.leases.Leases(), Orders: ma.orders.Image(),
 		Steps: ma.steps.Steps(), Calls: ma.calls.Image(), Usage: ma.usage.Image(),
 		Quarantine: ma.quarantine.Entries(), Replicas: ma.replicas, Revision: ma.revision,
-		Routing: ma.routing.Image(), Versions: ma.versions.All(), Roster: ma.roster.Image(), Jobs: ma.jobs.Jobs(),
+		Routing: ma.routing.Image(), Versions: ma.versions.All(), Roster: ma.roster.Image(),
 	})
+	if err != nil {
+		return nil, err
+	}
+
+	jobs := ma.jobs.Freeze()
+	if len(jobs) == 0 {
+		return func() ([]byte, error) { return rest, nil }, nil
+	}
+
+	return func() ([]byte, error) {
+		var im image
+		if err := cbor.Unmarshal(rest, &im); err != nil {
+			return nil, result.New(result.Internal, "machine: snapshot: %v", err)
+		}
+		im.Jobs = jobs
+
+		return codec.Append(nil, im)
+	}, nil
 }
 
 // Restore returns the state of a snapshot.
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -356,20 +356,50 @@
 	if st.broken != nil {
 		return st.broken
 	}
+	if err := st.WriteSnapshot(sn); err != nil {
+		st.broken = err
+
+		return err
+	}
+
+	return st.AdoptSnapshot(sn, received)
+}
 
+// WriteSnapshot writes sn beside the stored one. It may run beside all other calls;
+// AdoptSnapshot or DropSnapshot must follow.
+func (st *Store) WriteSnapshot(sn consensus.Snapshot) error {
 	h, err := cbor.Marshal(fileHeader{Format: FormatVersion, Group: st.group})
 	if err != nil {
-		return st.fail(err)
+		return writeError(st.dir, err)
 	}
-	b, err := appendCBOR(appendRecord(nil, recordHeader, h), recordEntry, sn)
-	if err != nil {
-		return st.fail(err)
+	b := make([]byte, 0, len(sn.Data)+snapshotOverhead)
+	if b, err = appendCBOR(appendRecord(b, recordHeader, h), recordEntry, sn); err != nil {
+		return writeError(st.dir, err)
 	}
-	path := st.snapshotPath(sn.Index)
-	if err := st.files.WriteAtomic(path, b); err != nil {
+	if err := st.files.WriteAtomic(st.snapshotPath(sn.Index), b); err != nil {
+		return writeError(st.dir, err)
+	}
+
+	return nil
+}
+
+// DropSnapshot removes a written snapshot that a newer one has overtaken.
+func (st *Store) DropSnapshot(index uint64) error {
+	if st.broken != nil || index == st.snapshot.Index {
+		return st.broken
+	}
+	if err := st.files.Remove(st.snapshotPath(index)); err != nil {
 		return st.fail(err)
 	}
 
+	return st.syncDirOrFail()
+}
+
+// AdoptSnapshot makes a written snapshot the stored one and removes what it covers.
+func (st *Store) AdoptSnapshot(sn consensus.Snapshot, received bool) error {
+	if st.broken != nil {
+		return st.broken
+	}
 	old := st.snapshot
 	st.snapshot = withoutData(sn)
 	if received {
@@ -433,6 +463,10 @@
 	return filepath.Join(st.dir, fmt.Sprintf("snapshot-%016d", index))
 }
 
+// snapshotOverhead is above what a stored snapshot takes beside its data: headers and
+// a membership of a few dozen replicas.
+const snapshotOverhead = 16 << 10
+
 // withoutData returns what is kept of a snapshot in memory: its data is read from
 // the disk when a replica lacks it.
 func withoutData(sn consensus.Snapshot) consensus.Snapshot {
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -90,7 +91,7 @@
 				}
 			}
 			if err != nil {
-				if err != io.EOF {
+				if !errors.Is(err, io.EOF) {
 					reset(dst)
 				}
 
