Log the course of each job when it ends

Ruled out: more lines an item. Change: the driver logs one line a job: when half, nine tenths and all of its items were listed, how long items waited for their first run and for their score, runs by outcome, and the slowest item.

--- a/internal/dispatch/driver.go
+++ b/internal/dispatch/driver.go
@@ -197,13 +197,18 @@
 			js := dr.jobs[id]
 			switch {
 			case !jo.IsOpen() && js != nil:
+				dr.cfg.Log.WithFields(js.course.fields()).WithFields(log.Fields{"job": id, "model": js.model, "unlisted": len(js.tasks)}).
+					Info("job driven to its end")
 				js.cancelAll()
 				delete(dr.jobs, id)
 			case jo.IsOpen() && js == nil:
 				dr.jobs[id] = newJobState(jo)
 			case jo.IsOpen():
 				for _, re := range jo.Results {
-					delete(js.tasks, re.Item)
+					if t := js.tasks[re.Item]; t != nil {
+						js.course.note(t, time.Now())
+						delete(js.tasks, re.Item)
+					}
 				}
 			}
 		}
@@ -221,7 +226,7 @@
 	at := time.UnixMilli(jo.SubmittedMs)
 	js := &jobState{
 		id: sp.ID, workspace: sp.Workspace, host: sp.Host, model: sp.Model, minVersion: sp.MinVersion, submitted: at,
-		tasks: map[int]*task{},
+		tasks: map[int]*task{}, course: course{runs: map[string]int{}},
 	}
 	if sp.MaxQueue > 0 {
 		js.giveUpAt = at.Add(time.Duration(sp.MaxQueue) * time.Millisecond)
@@ -410,6 +415,9 @@
 	t.phase, t.server, t.service = running, gr.Record().ID, gr.Record().Service
 	t.cancel = func() { cancel(nil) }
 	t.move, t.began = func() { cancel(errSlow) }, time.Now()
+	if t.runs++; t.runs == 1 {
+		t.firstBegan = t.began
+	}
 	dr.running[gr.Record().ID]++
 	te := t.text
 	te.events, te.versions = slices.Clone(te.events), slices.Clone(te.versions)
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -193,6 +193,7 @@
 	if oc == cancelled || dr.jobs[t.job.id] != t.job {
 		return
 	}
+	t.job.course.runs[oc.String()]++
 	from := t.text.last
 	t.text = *te
 	avoid := func() {
@@ -207,7 +208,7 @@
 	}
 	switch oc {
 	case complete:
-		t.tried = nil
+		t.tried, t.wholeAt = nil, time.Now()
 		if t.item.Reward == nil {
 			dr.finish(t, dr.resultOf(t, ""), "")
 
--- a/internal/dispatch/task.go
+++ b/internal/dispatch/task.go
@@ -33,6 +33,9 @@
 	failures    int      // answers that say the backend server failed
 	broken      int      // runs in a row that broke off and brought nothing
 	rewardFails int
+	runs        int
+	firstBegan  time.Time          // of its first run by this driver
+	wholeAt     time.Time          // when its text was complete
 	server      string             // where it runs
 	began       time.Time          // of that run
 	service     string             // of that backend server
@@ -50,6 +53,7 @@
 	submitted  time.Time
 	giveUpAt   time.Time // zero for never
 	tasks      map[int]*task
+	course     course
 }
 
 // text is what was generated of an item so far.
