--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -41,6 +41,7 @@
 		length time.Duration
 	}{
 		{"keeps every promise over a short run", 3, 8 * time.Second},
+		{"keeps them where a process was told to reload in its first milliseconds", 104, 12 * time.Second},
 	} {
 		ginkgo.It(tc.name, func() {
 			re, err := Run(context.Background(), Config{
