Remember engines of the slower kind while they are left out

Cause: an engine that generated nothing for 8 s was forgotten. Ruled out: the load of an engine (46 to 49 ms an event from one run to six). Change: each engine's own pace, the shortest average seen, is kept for ten minutes; after 8 s without runs it counts, so that one in trouble is tried again and one of the slower kind stays what it is. Before and after: the new test found none of the slower kind after a minute, now finds it.

--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -11,8 +11,10 @@
 	// runs at once the average follows a change within a few tenths of a second.
 	paceWeight = 0.1
 	// paceMemory is how long a backend server that generates nothing is still judged
-	// by what it did.
+	// by what it did last: the trouble may be over. After that its own pace counts.
 	paceMemory = 8 * time.Second
+	// kindMemory is how long its own pace is kept.
+	kindMemory = 10 * time.Minute
 	// slowFactor times the usual pace makes a backend server slow. Sound ones of a
 	// deployment differ by about a third.
 	slowFactor = 1.6
@@ -34,6 +36,7 @@
 
 type pace struct {
 	interval float64 // seconds between two events of a run, averaged
+	own      float64 // shortest average so far: what it does without trouble
 	samples  int
 	at       time.Time // of the last sample
 }
@@ -46,13 +49,27 @@
 	defer pa.mu.Unlock()
 
 	pc := pa.servers[server]
-	if pc == nil || at.Sub(pc.at) > paceMemory {
+	if pc == nil {
 		pc = &pace{interval: d.Seconds()}
 		pa.servers[server] = pc
+	} else if at.Sub(pc.at) > paceMemory && pc.own > 0 {
+		pc.interval = pc.own
 	}
 	pc.interval += paceWeight * (d.Seconds() - pc.interval)
 	pc.samples++
 	pc.at = at
+	if pc.samples >= minSamples && (pc.own == 0 || pc.interval < pc.own) {
+		pc.own = pc.interval
+	}
+}
+
+// expected returns the seconds between two events that a run would see now.
+func (pc *pace) expected(now time.Time) float64 {
+	if now.Sub(pc.at) > paceMemory {
+		return pc.own
+	}
+
+	return pc.interval
 }
 
 // judge returns the backend servers that are much slower than the usual one, which
@@ -64,13 +81,13 @@
 
 	var known []float64
 	for server, pc := range pa.servers {
-		if now.Sub(pc.at) > paceMemory {
+		if now.Sub(pc.at) > kindMemory {
 			delete(pa.servers, server)
 
 			continue
 		}
 		if pc.samples >= minSamples {
-			known = append(known, pc.interval)
+			known = append(known, pc.expected(now))
 		}
 	}
 	if len(known) < minPaced {
@@ -82,9 +99,9 @@
 	for server, pc := range pa.servers {
 		switch {
 		case pc.samples < minSamples:
-		case pc.interval > slowFactor*usual:
+		case pc.expected(now) > slowFactor*usual && now.Sub(pc.at) <= paceMemory:
 			slow = append(slow, server)
-		case pc.interval > lagFactor*fast:
+		case pc.expected(now) > lagFactor*fast:
 			lagging = append(lagging, server)
 		}
 	}
--- a/internal/dispatch/pace_test.go
+++ b/internal/dispatch/pace_test.go
@@ -76,6 +76,23 @@
 		Expect(slowOf(pa, at)).To(BeEmpty())
 	})
 
+	ginkgo.It("keep their place as ones of the slower kind while they are left out", func() {
+		pa := newPaces()
+		for server, d := range map[string]time.Duration{"a": 37, "b": 37, "c": 37, "slowerKind": 49, "troubled": 37} {
+			feed(pa, server, d*time.Millisecond, 100)
+		}
+		feed(pa, "troubled", 110*time.Millisecond, 36)
+		later := at.Add(time.Minute)
+		for _, server := range []string{"a", "b", "c"} {
+			for range 100 {
+				pa.note(server, 37*time.Millisecond, later)
+			}
+		}
+		slow, lagging := pa.judge(later)
+		Expect(slow).To(BeEmpty())
+		Expect(lagging).To(Equal([]string{"slowerKind"}))
+	})
+
 	ginkgo.It("are tried again after a while without runs", func() {
 		pa := newPaces()
 		for _, server := range []string{"a", "b", "c"} {
