--- a/cmd/tamarackbay/node.go
+++ b/cmd/tamarackbay/node.go
@@ -36,7 +36,7 @@
 	return []command{{c, func() error {
 		ring := logging.NewRing(os.Stdout)
 		defer ring.Close()
-		err := runNode(*role, *peerListen, logging.NewWith(ring, *level, "tamarackbay", *role))
+		err := runNode(*role, *peerListen, logging.NewWith(ring, *level, "tamarackbay", *role), ring.Dropped)
 		if result.Is(err, result.DataFolderWrite) {
 			time.Sleep(diskPause)
 		}
@@ -49,7 +49,7 @@
 // started again at once, and meets the same disk.
 const diskPause = time.Second
 
-func runNode(role, peerListen string, lo log.Interface) error {
+func runNode(role, peerListen string, lo log.Interface, dropped func() int64) error {
 	// Taken over first: a signal that comes while the process starts waits.
 	sig := make(chan os.Signal, 4)
 	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
@@ -61,7 +61,7 @@
 		no.PeerListen = peerListen
 
 		return no, nil
-	}, lo)
+	}, lo, dropped)
 	if err != nil {
 		lo.WithError(err).Error("not started")
 
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -21,6 +21,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/group"
 	"github.com/tamarackbay/tamarackbay/internal/lease"
 	"github.com/tamarackbay/tamarackbay/internal/machine"
+	"github.com/tamarackbay/tamarackbay/internal/meter"
 	"github.com/tamarackbay/tamarackbay/internal/peer"
 	"github.com/tamarackbay/tamarackbay/internal/registry"
 	"github.com/tamarackbay/tamarackbay/internal/result"
@@ -427,3 +428,18 @@
 func (co *Controller) Group() *group.Group { return co.group }
 
 func byName(a, b roster.Member) int { return strings.Compare(a.Name, b.Name) }
+
+// Measure sets the gauges of this process.
+func (co *Controller) Measure(me *meter.Meter) {
+	co.group.Measure(me)
+	co.group.Read(func(ma *machine.Machine) { me.Gauge("configuration.version", int64(ma.Routing().Config().Version)) })
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	alive := 0
+	for _, se := range co.registry.All() {
+		if !se.IsLapsed {
+			alive++
+		}
+	}
+	me.Gauge("servers.known", int64(alive))
+}
--- a/internal/dispatch/driver.go
+++ b/internal/dispatch/driver.go
@@ -477,3 +477,24 @@
 		}
 	}
 }
+
+// Measure sets the gauges of what is driven here.
+func (dr *Driver) Measure(me *meter.Meter) {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+
+	waits, runs := 0, 0
+	for _, js := range dr.jobs {
+		for _, t := range js.tasks {
+			switch t.phase {
+			case waiting:
+				waits++
+			case running:
+				runs++
+			}
+		}
+	}
+	me.Gauge("jobs.open", int64(len(dr.jobs)))
+	me.Gauge("items.waiting", int64(waits))
+	me.Gauge("items.running", int64(runs))
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -183,3 +183,6 @@
 		ed.cfg.Log.WithError(err).WithField("counters", len(counters)).Warn("usage not recorded yet")
 	}
 }
+
+// Measure sets the gauges of what is believed here.
+func (ed *Edge) Measure(me *meter.Meter) { ed.follower.Measure(me) }
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/tamarackbay/tamarackbay/internal/meter"
 	"github.com/tamarackbay/tamarackbay/internal/peer"
 	"github.com/tamarackbay/tamarackbay/internal/registry"
 	"github.com/tamarackbay/tamarackbay/internal/result"
@@ -244,3 +245,17 @@
 func sameServers(a, b []registry.Record) bool {
 	return slices.EqualFunc(a, b, func(x, y registry.Record) bool { return x.Equal(&y) })
 }
+
+// Measure sets the gauges of what is believed here, and of how old it is.
+func (fo *Follower) Measure(me *meter.Meter) {
+	vi := fo.View()
+	me.Gauge("servers.known", int64(len(vi.Servers)))
+	if vi.Table != nil {
+		me.Gauge("configuration.version", int64(vi.Table.Version()))
+	}
+	ageMs := int64(-1)
+	if age, ok := fo.Age(); ok {
+		ageMs = age.Milliseconds()
+	}
+	me.Gauge("configuration.ageMs", ageMs)
+}
--- a/internal/gateway/jobs.go
+++ b/internal/gateway/jobs.go
@@ -58,11 +58,7 @@
 
 func (ga *Gateway) gauges() {
 	me := ga.cfg.Meter
-	age, _ := ga.group.Age()
-	me.Gauge("group.ageMs", age.Milliseconds())
+	ga.group.Measure(me)
 	me.Gauge("configuration.version", int64(ga.group.View().Version))
 	me.Gauge("steps.running", int64(ga.rollouts.Running()))
-	st := ga.group.Status()
-	me.Gauge("group.term", int64(st.Term))
-	me.Gauge("group.applied", int64(st.Applied))
 }
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -17,6 +17,7 @@
 
 	"github.com/tamarackbay/tamarackbay/internal/consensus"
 	"github.com/tamarackbay/tamarackbay/internal/machine"
+	"github.com/tamarackbay/tamarackbay/internal/meter"
 	"github.com/tamarackbay/tamarackbay/internal/peer"
 	"github.com/tamarackbay/tamarackbay/internal/result"
 	"github.com/tamarackbay/tamarackbay/internal/storage"
@@ -74,8 +75,10 @@
 	tr   *transport
 	node atomic.Pointer[node]
 
-	view    atomic.Pointer[View]
-	freshAt atomic.Int64 // time.Duration since start, 0 before the first confirmation
+	view      atomic.Pointer[View]
+	elections atomic.Int64 // changes of the leader that were seen
+	moves     atomic.Int64 // changes of the membership that were seen
+	freshAt   atomic.Int64 // time.Duration since start, 0 before the first confirmation
 
 	mu        sync.Mutex
 	changed   chan struct{} // closed and replaced with each new view
@@ -344,11 +347,15 @@
 	fl := log.Fields{"role": st.Role, "leader": st.Leader, "term": st.Term, "commit": st.Commit, "voters": st.Membership.Voters}
 	switch {
 	case old.Role != st.Role || old.Leader != st.Leader:
+		if st.Leader != "" {
+			gr.elections.Add(1)
+		}
 		fl["oldRole"], fl["oldLeader"] = old.Role, old.Leader
 		gr.cfg.Log.WithFields(fl).Info("leadership changed")
 	case old.Term != st.Term:
 		gr.cfg.Log.WithFields(fl).Info("term changed")
 	case !old.Membership.Equal(st.Membership):
+		gr.moves.Add(1)
 		fl["learners"] = st.Membership.Learners
 		gr.cfg.Log.WithFields(fl).Info("membership changed")
 	default:
@@ -357,6 +364,25 @@
 	gr.cfg.OnStatus(st)
 }
 
+// Measure sets the gauges of the replica.
+func (gr *Group) Measure(me *meter.Meter) {
+	st := gr.Status()
+	ageMs, leads := int64(-1), int64(0)
+	if age, ok := gr.Age(); ok {
+		ageMs = age.Milliseconds()
+	}
+	if st.Role == consensus.RoleLeader.String() {
+		leads = 1
+	}
+	me.Gauge("group.ageMs", ageMs)
+	me.Gauge("group.term", int64(st.Term))
+	me.Gauge("group.applied", int64(st.Applied))
+	me.Gauge("group.leads", leads)
+	me.Gauge("group.voters", int64(len(st.Membership.Voters)))
+	me.Gauge("group.elections", gr.elections.Load())
+	me.Gauge("group.moves", gr.moves.Load())
+}
+
 // IsLeader reports whether this replica leads, as far as it knows.
 func (gr *Group) IsLeader() bool { return gr.Status().Role == consensus.RoleLeader.String() }
 
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -344,3 +344,10 @@
 
 // Group returns the replica.
 func (st *Store) Group() *group.Group { return st.group }
+
+// Measure sets the gauges of this process.
+func (st *Store) Measure(me *meter.Meter) {
+	st.follower.Measure(me)
+	st.group.Measure(me)
+	st.driver.Measure(me)
+}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -14,8 +14,6 @@
 	"github.com/tamarackbay/tamarackbay/internal/result"
 )
 
-const sampleSize = 1028
-
 // Meter holds the counters of one process.
 type Meter struct {
 	reg metrics.Registry
@@ -61,7 +59,7 @@
 
 // Time notes a duration.
 func (me *Meter) Time(name string, d time.Duration) {
-	metrics.GetOrRegisterHistogram(name, me.reg, metrics.NewExpDecaySample(sampleSize, 0.015)).Update(d.Microseconds())
+	me.reg.GetOrRegister(name, newTimer).(metrics.Histogram).Update(d.Microseconds())
 }
 
 // WriteJSON writes all metrics as one JSON object.
@@ -72,15 +70,20 @@
 	var lines []string
 	me.reg.Each(func(name string, v any) {
 		n := "tamarackbay_" + strings.NewReplacer(".", "_", "-", "_").Replace(name)
+		if _, ok := v.(*timer); ok {
+			n += "_seconds"
+		}
+		help := ""
+		if na, ok := describe(name); ok {
+			help = fmt.Sprintf("# HELP %s %s\n", n, na.Help)
+		}
 		switch m := v.(type) {
 		case metrics.Counter:
-			lines = append(lines, fmt.Sprintf("# TYPE %s counter\n%s %d\n", n, n, m.Count()))
+			lines = append(lines, fmt.Sprintf("%s# TYPE %s counter\n%s %d\n", help, n, n, m.Count()))
 		case metrics.Gauge:
-			lines = append(lines, fmt.Sprintf("# TYPE %s gauge\n%s %d\n", n, n, m.Value()))
-		case metrics.Histogram:
-			s := m.Snapshot()
-			lines = append(lines, fmt.Sprintf("# TYPE %s summary\n%s{quantile=\"0.5\"} %g\n%s{quantile=\"0.99\"} %g\n%s_count %d\n%s_sum %d\n",
-				n, n, s.Percentile(0.5), n, s.Percentile(0.99), n, s.Count(), n, s.Sum()))
+			lines = append(lines, fmt.Sprintf("%s# TYPE %s gauge\n%s %d\n", help, n, n, m.Value()))
+		case *timer:
+			lines = append(lines, help+timerText(n, m.Snapshot().(*timer)))
 		}
 	})
 	sort.Strings(lines)
@@ -88,3 +91,15 @@
 
 	return err
 }
+
+// timerText writes a histogram in seconds.
+func timerText(name string, ti *timer) string {
+	var sb strings.Builder
+	fmt.Fprintf(&sb, "# TYPE %s histogram\n", name)
+	for i, n := range ti.cumulative() {
+		fmt.Fprintf(&sb, "%s_bucket{le=\"%g\"} %d\n", name, buckets[i].Seconds(), n)
+	}
+	fmt.Fprintf(&sb, "%s_bucket{le=\"+Inf\"} %d\n%s_sum %g\n%s_count %d\n", name, ti.Count(), name, float64(ti.Sum())/1e6, name, ti.Count())
+
+	return sb.String()
+}
--- a/internal/program/node.go
+++ b/internal/program/node.go
@@ -87,6 +87,8 @@
 	edge        *edge.Edge
 	handOver    func(ctx context.Context)
 	leads       func() bool
+	gauges      func() // sets what is measured only when it is asked for
+	dropped     func() int64
 
 	mu  sync.Mutex
 	err error
@@ -104,8 +106,33 @@
 
 func wallMs() int64 { return time.Now().UnixMilli() }
 
-// StartNode starts the process of a role; boot reads its settings.
-func StartNode(role string, boot func() (*settings.Node, error), lo log.Interface) (*Node, error) {
+// countedFiles returns the files of the system, whose syncs are counted.
+func (nd *Node) countedFiles() storage.Files {
+	fi := storage.OSFiles()
+	counted := func(open func(path string) (storage.File, error)) func(path string) (storage.File, error) {
+		return func(path string) (storage.File, error) {
+			f, err := open(path)
+			sync := f.Sync
+			f.Sync = func() error {
+				nd.meter.Count("disk.syncs")
+
+				return sync()
+			}
+
+			return f, err
+		}
+	}
+	fi.Append, fi.Create = counted(fi.Append), counted(fi.Create)
+
+	return fi
+}
+
+// StartNode starts the process of a role; boot reads its settings, dropped returns
+// how many lines of the log were dropped, nil for none.
+func StartNode(role string, boot func() (*settings.Node, error), lo log.Interface, dropped func() int64) (*Node, error) {
+	if dropped == nil {
+		dropped = func() int64 { return 0 }
+	}
 	no, err := boot()
 	if err != nil {
 		return nil, err
@@ -116,7 +143,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	nd := &Node{
 		role: role, boot: boot, log: lo.WithFields(log.Fields{"role": role, "node": no.Name}), meter: meter.New(), settings: no,
-		cancel: cancel, done: make(chan struct{}), handOver: func(context.Context) {}, leads: func() bool { return false },
+		cancel: cancel, done: make(chan struct{}), handOver: func(context.Context) {}, leads: func() bool { return false }, gauges: func() {},
+		dropped: dropped,
 	}
 	nd.controllers.Store(&no.Controllers)
 
@@ -216,6 +244,8 @@
 // its work.
 func (nd *Node) serveMetrics() {
 	h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		nd.gauges()
+		nd.meter.Gauge("log.dropped", nd.dropped())
 		if err := nd.meter.WriteText(w); err != nil {
 			nd.log.WithError(err).Info("metrics not written") // the reader has gone
 		}
@@ -232,6 +262,7 @@
 		Meter: nd.meter, Log: nd.log,
 	})
 	nd.edge = ed
+	nd.gauges = func() { ed.Measure(nd.meter) }
 	front := &platform.Front{
 		Serve: ed.Ingress().Serve, IsBatch: ed.Gate().IsBatch, Submit: ed.Gate().Submit, Read: ed.Gate().Read, Body: ed.Gate().Body,
 		End: ed.Gate().End, MaxBodyBytes: ed.MaxBodyBytes, IsReady: ed.IsReady, IsClosing: ed.IsClosing,
@@ -257,7 +288,7 @@
 	}
 	hc := nd.httpClient()
 	cfg := controller.Config{
-		Settings: nd.settings, Controllers: nd.seeds, Files: storage.OSFiles(), Peer: nd.peerConfig(),
+		Settings: nd.settings, Controllers: nd.seeds, Files: nd.countedFiles(), Peer: nd.peerConfig(),
 		Client: platform.NewBackendClient(hc), Now: bootNow, WallMs: wallMs, Log: nd.log,
 	}
 	if nd.settings.DutiesAddress != "" {
@@ -278,6 +309,7 @@
 		return err
 	}
 	nd.handOver, nd.leads = co.StopDuties, co.Group().IsLeader
+	nd.gauges = func() { co.Measure(nd.meter) }
 	nd.run("controller", func() error { return co.Run(ctx) })
 
 	return nil
@@ -305,7 +337,7 @@
 	}
 	hc := nd.httpClient()
 	st, err := jobstore.New(jobstore.Config{
-		Settings: nd.settings, Controllers: nd.seeds, Files: storage.OSFiles(), Peer: nd.peerConfig(),
+		Settings: nd.settings, Controllers: nd.seeds, Files: nd.countedFiles(), Peer: nd.peerConfig(),
 		Client: platform.NewBackendClient(hc), Now: bootNow, WallMs: wallMs, Meter: nd.meter, Log: nd.log,
 	})
 	if err != nil {
@@ -315,6 +347,7 @@
 		return err
 	}
 	nd.handOver, nd.leads = st.StopDuties, st.Group().IsLeader
+	nd.gauges = func() { st.Measure(nd.meter) }
 	nd.run("store", func() error { return st.Run(ctx) })
 
 	return nil
