Commit progress in order, and none of an item after a lost part

Cause: the new specification of the progress of an item (spec/progress.pml) found two ways in which a later part follows on events that it does not belong to: parts of one driver applied in another order, as two waiting proposals may be after the process was suspended, and a part of a text begun anew that is lost while the next one fits the older text by its number. Either could join the events of two runs after a change of driver. Ruled out: parts of older drivers; a driver begins once it has applied an entry of its own term, and the search holds. Change: one proposal of progress at a time; after a failed one no further part of its items is proposed by this driver.

--- /dev/null
+++ b/internal/dispatch/demand.go
@@ -0,0 +1,33 @@
+package dispatch
+
+import (
+	"maps"
+	"math"
+	"time"
+)
+
+const (
+	// demandHalf is the time after which generated events count half as much as demand:
+	// a few steps of a trainer.
+	demandHalf = 15 * time.Second
+)
+
+// Demand returns how many events were generated lately for each model.
+func (dr *Driver) Demand() map[string]float64 {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+
+	dr.age()
+
+	return maps.Clone(dr.demand)
+}
+
+// age lets demand fade. The caller holds dr.mu.
+func (dr *Driver) age() {
+	now := time.Now()
+	f := math.Exp2(-now.Sub(dr.demandAt).Seconds() / demandHalf.Seconds())
+	dr.demandAt = now
+	for model := range dr.demand {
+		dr.demand[model] *= f
+	}
+}
--- a/internal/dispatch/driver.go
+++ b/internal/dispatch/driver.go
@@ -6,8 +6,6 @@
 import (
 	"cmp"
 	"context"
-	"maps"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -55,17 +53,26 @@
 	revision uint64 // of the ledger, as it was read last
 	running  map[string]int
 	paces    *paces
-	slow     []string           // backend servers that are slow now
-	lagging  []string           // sound ones of a slower kind
-	progress []job.Part         // to be committed
-	demand   map[string]float64 // events generated lately, by model
-	demandAt time.Time
-	wg       sync.WaitGroup
+	slow     []string   // backend servers that are slow now
+	lagging  []string   // sound ones of a slower kind
+	progress []job.Part // to be committed
+	commit   func(ctx context.Context, pr job.Progress) error
+	// isFlushing holds while progress is being committed; the next waits for it, since
+	// parts of one item must be applied in order.
+	isFlushing bool
+	demand     map[string]float64 // events generated lately, by model
+	demandAt   time.Time
+	wg         sync.WaitGroup
 }
 
 // New returns a driver.
 func New(cfg Config) *Driver {
-	return &Driver{cfg: cfg, wake: make(chan struct{}, 1), jobs: map[string]*jobState{}, running: map[string]int{}, paces: newPaces(), demand: map[string]float64{}}
+	return &Driver{
+		cfg: cfg, wake: make(chan struct{}, 1), jobs: map[string]*jobState{}, running: map[string]int{}, paces: newPaces(),
+		demand: map[string]float64{}, commit: func(ctx context.Context, pr job.Progress) error {
+			return cfg.Group.ProposeLocal(ctx, machine.KindNoteProgress, pr, nil)
+		},
+	}
 }
 
 // Wake makes the driver look at once.
@@ -91,30 +98,6 @@
 	return out
 }
 
-// demandHalf is the time after which generated events count half as much as demand:
-// a few steps of a trainer.
-const demandHalf = 15 * time.Second
-
-// Demand returns how many events were generated lately for each model.
-func (dr *Driver) Demand() map[string]float64 {
-	dr.mu.Lock()
-	defer dr.mu.Unlock()
-
-	dr.age()
-
-	return maps.Clone(dr.demand)
-}
-
-// age lets demand fade. The caller holds dr.mu.
-func (dr *Driver) age() {
-	now := time.Now()
-	f := math.Exp2(-now.Sub(dr.demandAt).Seconds() / demandHalf.Seconds())
-	dr.demandAt = now
-	for model := range dr.demand {
-		dr.demand[model] *= f
-	}
-}
-
 // Run drives whenever this process leads, until ctx ends.
 func (dr *Driver) Run(ctx context.Context) {
 	defer dr.wg.Wait()
@@ -233,7 +216,7 @@
 	}
 	for i := range sp.Items {
 		if !jo.Listed[i] {
-			t := &task{job: js, index: i, item: sp.Items[i]}
+			t := &task{job: js, index: i, item: sp.Items[i], waitsFrom: time.Now()}
 			if pa, ok := jo.Partial[i]; ok {
 				t.text = textOf(&pa)
 			}
@@ -322,7 +305,7 @@
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
 
-	if dr.jobs[t.job.id] != t.job || t.phase != running {
+	if dr.jobs[t.job.id] != t.job || t.phase != running || t.isUnkept {
 		return
 	}
 	dr.progress = append(dr.progress, job.Part{Job: t.job.id, Item: t.index, After: te.kept, First: !te.hasKept, Text: job.Partial{
@@ -333,22 +316,43 @@
 
 // flush commits the progress that was handed over, all in one entry.
 func (dr *Driver) flush() {
-	if len(dr.progress) == 0 {
+	if len(dr.progress) == 0 || dr.isFlushing {
 		return
 	}
-	parts := dr.progress
-	dr.progress = nil
+	parts, term := dr.progress, dr.term
+	dr.progress, dr.isFlushing = nil, true
 	dr.wg.Add(1)
 	go func() {
 		defer dr.wg.Done()
-		if err := dr.cfg.Group.ProposeLocal(dr.ctx, machine.KindNoteProgress, job.Progress{Parts: parts}, nil); err != nil {
-			// The next progress of these items does not follow on and is left out too:
-			// after the loss of this driver they would go on from further back.
+		err := dr.commit(dr.ctx, job.Progress{Parts: parts})
+		if err != nil {
 			dr.cfg.Log.WithError(err).WithField("parts", len(parts)).Warn("progress not committed")
 		}
+		dr.mu.Lock()
+		dr.isFlushing = false
+		if err != nil && dr.term == term {
+			dr.unkeep(parts)
+		}
+		dr.mu.Unlock()
+		dr.Wake()
 	}()
 }
 
+// unkeep ends the progress of items of which a part may be lost: a later part could
+// follow on events that it does not belong to. After the loss of this driver they
+// go on from further back.
+func (dr *Driver) unkeep(lost []job.Part) {
+	isLost := func(pa job.Part) bool {
+		return slices.ContainsFunc(lost, func(lo job.Part) bool { return lo.Job == pa.Job && lo.Item == pa.Item })
+	}
+	dr.progress = slices.DeleteFunc(dr.progress, isLost)
+	for _, pa := range lost {
+		if js := dr.jobs[pa.Job]; js != nil && js.tasks[pa.Item] != nil {
+			js.tasks[pa.Item].isUnkept = true
+		}
+	}
+}
+
 // judge looks which backend servers are slow.
 func (dr *Driver) judge() {
 	slow, lagging := dr.paces.judge(time.Now())
--- /dev/null
+++ b/internal/dispatch/progress_test.go
@@ -0,0 +1,100 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarackbay/tamarackbay/internal/job"
+	"github.com/tamarackbay/tamarackbay/internal/logging"
+)
+
+// The rules of spec/progress.pml: parts are proposed in order, and after a lost one
+// no further part of the same item is.
+var _ = ginkgo.Describe("progress of items", func() {
+	var dr *Driver
+	var js *jobState
+	var mu sync.Mutex
+	var commits []job.Progress
+	var answer chan error
+	ginkgo.BeforeEach(func() {
+		commits, answer = nil, make(chan error, 10)
+		dr = New(Config{Log: logging.Discard()})
+		dr.ctx = context.Background()
+		dr.commit = func(_ context.Context, pr job.Progress) error {
+			mu.Lock()
+			commits = append(commits, pr)
+			mu.Unlock()
+
+			return <-answer
+		}
+		js = &jobState{id: "j", tasks: map[int]*task{}}
+		for i := range 2 {
+			js.tasks[i] = &task{job: js, index: i, phase: running}
+		}
+		dr.jobs["j"] = js
+	})
+	told := func() []job.Progress {
+		mu.Lock()
+		defer mu.Unlock()
+
+		return append([]job.Progress(nil), commits...)
+	}
+	flush := func() {
+		dr.mu.Lock()
+		defer dr.mu.Unlock()
+		dr.flush()
+	}
+	ended := func() bool {
+		dr.mu.Lock()
+		defer dr.mu.Unlock()
+
+		return !dr.isFlushing
+	}
+
+	ginkgo.It("is proposed in order, one proposal at a time", func() {
+		te := &text{}
+		te.add(1, "a", 1)
+		dr.keep(js.tasks[0], te)
+		flush()
+		te.add(2, "b", 1)
+		dr.keep(js.tasks[0], te)
+		flush()
+		Eventually(told).Should(HaveLen(1))
+		Consistently(told, "50ms").Should(HaveLen(1))
+		answer <- nil
+		Eventually(ended).Should(BeTrue())
+		flush()
+		answer <- nil
+		Eventually(told).Should(HaveLen(2))
+		Expect(told()[1].Parts[0].After).To(Equal(uint64(1)))
+	})
+
+	ginkgo.It("of an item ends with a lost part, that of others goes on", func() {
+		lost, other := &text{}, &text{}
+		lost.add(1, "a", 1)
+		dr.keep(js.tasks[0], lost)
+		flush()
+		Eventually(told).Should(HaveLen(1))
+		lost.add(2, "b", 1)
+		dr.keep(js.tasks[0], lost) // waits while the first part is on its way
+		answer <- errors.New("lost")
+		Eventually(ended).Should(BeTrue())
+		lost.add(3, "c", 1)
+		dr.keep(js.tasks[0], lost)
+		other.add(1, "x", 1)
+		dr.keep(js.tasks[1], other)
+		flush()
+		answer <- nil
+		Eventually(told).Should(HaveLen(2))
+		Expect(told()[1].Parts).To(HaveLen(1))
+		Expect(told()[1].Parts[0].Item).To(Equal(1))
+		time.Sleep(10 * time.Millisecond)
+		flush()
+		Expect(told()).To(HaveLen(2))
+	})
+})
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -203,7 +203,7 @@
 		}
 	}
 	again := func(pause time.Duration) {
-		t.phase, t.notBefore = waiting, time.Now().Add(pause)
+		t.phase, t.notBefore, t.waitsFrom = waiting, time.Now().Add(pause), time.Now()
 		dr.cfg.Meter.Retried(oc.String(), true)
 	}
 	switch oc {
--- a/internal/dispatch/task.go
+++ b/internal/dispatch/task.go
@@ -29,10 +29,12 @@
 
 	text        text
 	notBefore   time.Time
-	tried       []string // backend servers that failed it, the last ones
-	failures    int      // answers that say the backend server failed
-	broken      int      // runs in a row that broke off and brought nothing
+	waitsFrom   time.Time // since when it waits for a backend server
+	tried       []string  // backend servers that failed it, the last ones
+	failures    int       // answers that say the backend server failed
+	broken      int       // runs in a row that broke off and brought nothing
 	rewardFails int
+	isUnkept    bool // a part of its progress may be lost, no further one is committed
 	runs        int
 	firstBegan  time.Time          // of its first run by this driver
 	wholeAt     time.Time          // when its text was complete
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -42,3 +42,7 @@
 verify lease.pml fails -DMUTATE_SAME_RENEWAL
 verify lease.pml fails -DMUTATE_NO_COMPARE
 verify lease.pml fails -DMUTATE_NO_CHECK
+verify progress.pml holds
+verify progress.pml fails -DMUTATE_UNORDERED
+verify progress.pml fails -DMUTATE_NOT_SETTLED
+verify progress.pml fails -DMUTATE_GOES_ON
