Wait for the driver between tests of progress

Cause: a goroutine of one test read a variable that the set-up of the next one replaced; the race detector told. Change: the tests wait for the driver's goroutines.

--- a/internal/dispatch/progress_test.go
+++ b/internal/dispatch/progress_test.go
@@ -38,6 +38,7 @@
 		}
 		dr.jobs["j"] = js
 	})
+	ginkgo.AfterEach(func() { dr.wg.Wait() })
 	told := func() []job.Progress {
 		mu.Lock()
 		defer mu.Unlock()
