Show what the nodes of a platform believe in one table

Cause: ctl status speaks the own interface only; who leads the stores, how old the configuration of a gateway is and what waits had to be looked up node by node in the metrics. Change: the command nodes reads the metrics of each node given.

--- a/cmd/tamarackbay/main.go
+++ b/cmd/tamarackbay/main.go
@@ -35,7 +35,7 @@
 
 	var commands []command
 	for _, add := range []func(*kingpin.Application) []command{
-		addGateway, addAgent, addNode, addExplain, addCtl, addDemo, addFake, addSettings, addCapacity, addExperiment, addCodes, addVersion,
+		addGateway, addAgent, addNode, addNodes, addExplain, addCtl, addDemo, addFake, addSettings, addCapacity, addExperiment, addCodes, addVersion,
 	} {
 		commands = append(commands, add(app)...)
 	}
--- /dev/null
+++ b/internal/meter/read.go
@@ -0,0 +1,31 @@
+package meter
+
+import (
+	"bufio"
+	"io"
+	"strconv"
+	"strings"
+
+	"github.com/tamarackbay/tamarackbay/internal/result"
+)
+
+// ReadText reads the counters and gauges that WriteText wrote, by their names with
+// underscores and without prefix. Lines with labels, as of histograms, are left out.
+func ReadText(r io.Reader) (map[string]int64, error) {
+	out := map[string]int64{}
+	sc := bufio.NewScanner(r)
+	for sc.Scan() {
+		line, ok := strings.CutPrefix(sc.Text(), "tamarackbay_")
+		if !ok || strings.Contains(line, "{") {
+			continue
+		}
+		name, value, _ := strings.Cut(line, " ")
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			return nil, result.New(result.MalformedBody, "meter: %s: %v", name, err)
+		}
+		out[name] = int64(v)
+	}
+
+	return out, sc.Err()
+}
