--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -102,6 +102,7 @@
 	de    *deployment
 	tell  func(format string, args ...any)
 	busy  []sync.Mutex // one for each process: its faults come one after another
+	down  []sync.Mutex // one for each backend server: it ends and starts once at a time
 	errMu sync.Mutex
 	errs  []error
 }
@@ -118,6 +119,7 @@
 // run carries out all faults and returns when the last one is over.
 func (in *injector) run(ctx context.Context, faults []fault) {
 	in.busy = make([]sync.Mutex, len(in.de.processes))
+	in.down = make([]sync.Mutex, len(in.de.samplers))
 	began := time.Now()
 	var wg sync.WaitGroup
 	for _, fa := range faults {
@@ -136,6 +138,8 @@
 	de := in.de
 	switch fa.kind {
 	case "serverCrash":
+		in.down[fa.target].Lock()
+		defer in.down[fa.target].Unlock()
 		sa := de.samplers[fa.target]
 		sa.Stop()
 		time.Sleep(fa.lasts)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -39,7 +39,7 @@
 
 var _ = ginkgo.AfterSuite(func() { Expect(os.RemoveAll(folder)).To(Succeed()) })
 
-// byHand are the runs that the arguments ask for: go test ./soak -args --seed 1 --seeds 50.
+// byHand are the runs that the arguments ask for: go test ./soak -args -- --seed 1 --seeds 50.
 type byHand struct {
 	Config
 	seeds   uint64
