Move a run only to a place that is taken for it

The room of the fast ones was counted in each turn, many turns came before the runs moved in the last one were placed again, and those that found the room gone went back to a slow engine, to be moved again. Each move reads the prompt again and costs a new connection. Change: the driver takes the place first, then ends the run, which goes on there; a run that ends meanwhile gives the place back.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -206,30 +206,6 @@
 	return ready, eligible
 }
 
-// Room returns how many requests the backend servers that could run rq have room
-// for, without those in Exclude.
-func (ba *Balancer) Room(rq *Request) int {
-	ba.mu.Lock()
-	defer ba.mu.Unlock()
-
-	se := ba.services[rq.Service]
-	if se == nil {
-		return 0
-	}
-	now, n := ba.cfg.Now(), 0
-	for i, sv := range se.servers {
-		ca := &se.cands[i]
-		switch {
-		case !ca.IsReady || now < ca.EjectedUntil || now < sv.pauseTill || sv.record.IsLoading || slices.Contains(rq.Exclude, sv.record.ID):
-		case rq.Model != "" && sv.record.Version(rq.Model) < rq.MinVersion:
-		default:
-			n += max(0, sv.record.Slots+rq.Extra-ca.Mine)
-		}
-	}
-
-	return n
-}
-
 // Outcome tells how a granted request ended.
 type Outcome uint8
 
--- a/internal/dispatch/driver.go
+++ b/internal/dispatch/driver.go
@@ -371,8 +371,8 @@
 const longRun = 1500 * time.Millisecond
 
 // move takes runs away from slow backend servers, and long ones from the slower
-// kind, as long as fast ones have room. A run goes on after its last event, so
-// little is lost.
+// kind, as far as fast ones take them. A run goes on after its last event, so little
+// is lost.
 func (dr *Driver) move() {
 	if len(dr.slow) == 0 && len(dr.lagging) == 0 {
 		return
@@ -392,19 +392,15 @@
 	slices.SortFunc(stuck, func(a, b *task) int {
 		return cmp.Or(a.job.submitted.Compare(b.job.submitted), cmp.Compare(b.item.Expected, a.item.Expected), cmp.Compare(a.index, b.index))
 	})
-	room := map[string]int{}
 	for _, t := range stuck[:min(len(stuck), movesPerTurn)] {
-		key := t.service + "@" + t.job.id
-		if _, ok := room[key]; !ok {
-			room[key] = dr.cfg.Balancer.Room(&balance.Request{
-				Service: t.service, Model: t.job.model, MinVersion: t.job.minVersion,
-				Exclude: slices.Concat(dr.slow, dr.lagging),
-			})
-		}
-		if room[key] == 0 {
+		// The place is taken before the run is ended: other turns come before it has.
+		t.next = dr.cfg.Balancer.Acquire(&balance.Request{
+			Service: t.service, Model: t.job.model, MinVersion: t.job.minVersion, Prefix: t.job.model + "/" + t.item.Group, Tokens: t.item.Tokens,
+			Exclude: slices.Concat(t.tried, dr.slow, dr.lagging),
+		})
+		if t.next == nil {
 			continue
 		}
-		room[key]--
 		t.move()
 		t.move = nil
 	}
--- /dev/null
+++ b/internal/dispatch/move_test.go
@@ -0,0 +1,101 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarackbay/tamarackbay/internal/backend"
+	"github.com/tamarackbay/tamarackbay/internal/balance"
+	"github.com/tamarackbay/tamarackbay/internal/job"
+	"github.com/tamarackbay/tamarackbay/internal/logging"
+	"github.com/tamarackbay/tamarackbay/internal/meter"
+	"github.com/tamarackbay/tamarackbay/internal/registry"
+	"github.com/tamarackbay/tamarackbay/internal/routing"
+)
+
+// pattern of load: an engine full of runs turns slow while the others have few free
+// slots, and the driver looks at it many times before the moved runs have ended.
+var _ = ginkgo.Describe("runs at a slow engine", func() {
+	var dr *Driver
+	var js *jobState
+	var ba *balance.Balancer
+	var ended int
+	const free = 2
+	ginkgo.BeforeEach(func() {
+		start := time.Now().Add(-time.Hour)
+		ba = balance.New(balance.Config{Now: func() time.Duration { return time.Since(start) }, Random: func(int) int { return 0 }})
+		var records []registry.Record
+		for id, slots := range map[string]int{"slow": 8, "fast": free} {
+			records = append(records, registry.Record{
+				ID: id, BornMs: 1, Address: id, Service: "s", Slots: slots, State: registry.Ready, Models: []registry.Model{{Name: "m", Version: 1}},
+			})
+		}
+		ba.Sync(records)
+		start = start.Add(-time.Hour) // beyond the slow start of newcomers
+		dr = New(Config{
+			Balancer: ba, Log: logging.Discard(), Meter: meter.New(),
+			Client: &backend.Client{Send: func(ctx context.Context, _ string, _ *backend.Call) (*backend.Answer, error) {
+				<-ctx.Done()
+
+				return nil, ctx.Err()
+			}},
+		})
+		dr.ctx, dr.term, dr.slow = context.Background(), 1, []string{"slow"}
+		js = &jobState{id: "j", model: "m", tasks: map[int]*task{}, course: course{runs: map[string]int{}}}
+		dr.jobs["j"] = js
+		ended = 0
+		for i := range 8 {
+			js.tasks[i] = &task{
+				job: js, index: i, item: job.Item{ID: fmt.Sprint(i)}, phase: running, server: "slow", service: "s", began: time.Now(),
+				move: func() { ended++ },
+			}
+		}
+	})
+	look := func() {
+		dr.mu.Lock()
+		defer dr.mu.Unlock()
+		dr.move()
+	}
+
+	ginkgo.It("are ended only as far as others have taken them", func() {
+		for range 5 {
+			look()
+		}
+		Expect(ended).To(Equal(free))
+	})
+
+	ginkgo.It("go on at the place that was taken for them", func() {
+		look()
+		for _, t := range js.tasks {
+			if t.next == nil {
+				continue
+			}
+			dr.ran(t, &routing.Route{MaxAttempts: 1}, t.next, &text{}, moved)
+			dr.mu.Lock()
+			Expect(t.phase).To(Equal(running))
+			Expect(t.server).To(Equal("fast"))
+			Expect(t.next).To(BeNil())
+			t.cancel()
+			dr.mu.Unlock()
+		}
+		dr.wg.Wait()
+	})
+
+	ginkgo.It("that end meanwhile leave that place to others", func() {
+		look()
+		for _, t := range js.tasks {
+			if t.next != nil {
+				dr.ran(t, &routing.Route{MaxAttempts: 1}, t.next, &text{}, cancelled)
+			}
+		}
+		room := 0
+		for ba.Acquire(&balance.Request{Service: "s", Model: "m", Exclude: []string{"slow"}}) != nil {
+			room++
+		}
+		Expect(room).To(Equal(free))
+	})
+})
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -190,6 +190,13 @@
 	defer dr.mu.Unlock()
 
 	t.cancel, t.move = nil, nil
+	next := t.next
+	t.next = nil
+	defer func() {
+		if next != nil {
+			next.Release(balance.Unused, nil)
+		}
+	}()
 	if oc == cancelled || dr.jobs[t.job.id] != t.job {
 		return
 	}
@@ -225,7 +232,16 @@
 		}
 		avoid()
 		again(retryAtOnce)
-	case refused, moved:
+	case moved:
+		if next == nil {
+			again(retryAtOnce)
+
+			return
+		}
+		dr.cfg.Meter.Retried(oc.String(), true)
+		dr.start(t, ro, next)
+		next = nil
+	case refused:
 		again(retryAtOnce)
 	default:
 		avoid()
--- a/internal/dispatch/task.go
+++ b/internal/dispatch/task.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/tamarackbay/tamarackbay/internal/balance"
 	"github.com/tamarackbay/tamarackbay/internal/job"
 )
 
@@ -43,6 +44,7 @@
 	service     string             // of that backend server
 	cancel      context.CancelFunc // ends what runs, nil for nothing
 	move        func()             // ends the run so that it goes on elsewhere, nil for nothing
+	next        *balance.Grant     // where it goes on then
 }
 
 // jobState is an open job.
