--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -179,6 +179,42 @@
 	return out
 }
 
+const (
+	// jobOverhead and itemOverhead are above what the fields of a job and an item take
+	// in an encoding beside their texts and bodies.
+	jobOverhead  = 512
+	itemOverhead = 256
+)
+
+// EncodedBytes estimates the size of jobs in an encoding, from above.
+func EncodedBytes(jobs map[string]*Job) int {
+	n := 0
+	for _, jo := range jobs {
+		n += jobOverhead
+		for i := range jo.Spec.Items {
+			it := &jo.Spec.Items[i]
+			n += itemOverhead + len(it.Body)
+			for _, he := range it.Headers {
+				n += len(he.Name) + len(he.Value) + itemOverhead/16
+			}
+			if it.Reward != nil {
+				n += itemOverhead + len(it.Reward.Body)
+			}
+		}
+		for i := range jo.Results {
+			n += itemOverhead + len(jo.Results[i].Text)
+		}
+		for _, pa := range jo.Partial {
+			n += itemOverhead
+			for _, ev := range pa.Events {
+				n += itemOverhead/16 + len(ev)
+			}
+		}
+	}
+
+	return n
+}
+
 // Revision rises with each change.
 func (le *Ledger) Revision() uint64 { return le.revision }
 
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -1,8 +1,10 @@
 package job_test
 
 import (
+	"fmt"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -130,6 +132,27 @@
 		Expect(held()).To(Equal([]string{"a1", "a2", "a3", "c4", "c5"}))
 	})
 
+	ginkgo.It("is never larger than its estimate when it is encoded", func() {
+		le := newLedger()
+		items := make([]job.Item, 200)
+		for i := range items {
+			items[i] = job.Item{
+				ID: fmt.Sprintf("item-%016d", i), Path: "/some/path", Group: "group", Body: make([]byte, 300), Tokens: 1016, Expected: 20,
+				Headers: []job.Header{{Name: "Model", Value: "a-model"}, {Name: "Token-Counts", Value: "1000,16"}},
+				Reward:  &job.Reward{ID: "score-0123456789abcdef", Host: "host.example", Path: "/score/path", Body: make([]byte, 100)},
+			}
+		}
+		Expect(le.Submit(job.Submit{Spec: job.Spec{ID: "big", Workspace: "w", Items: items}}, 1)).To(Succeed())
+		for i := range 100 {
+			le.List(job.List{Job: "big", Results: []job.Result{{Item: i, State: job.Completed, Text: string(make([]byte, 8000)), Versions: []uint64{7, 8}, Score: "3e1b.07.5a2"}}})
+			le.Note(job.Progress{Parts: []job.Part{{Job: "big", Item: i + 100, Text: job.Partial{Events: []string{"one", "two"}, Last: 2}}}})
+		}
+		b, err := cbor.Marshal(le.Jobs())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(job.EncodedBytes(le.Jobs())).To(BeNumerically(">=", len(b)))
+		Expect(job.EncodedBytes(le.Jobs())).To(BeNumerically("<", 2*len(b)))
+	})
+
 	ginkgo.It("fills a page up to its bytes, but always gives one result", func() {
 		big := string(make([]byte, job.MaxPageBytes))
 		le := newLedger()
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -134,7 +134,8 @@
 		}
 		im.Jobs = jobs
 
-		return codec.Append(nil, im)
+		// In one piece: a buffer that grows would take twice the memory.
+		return codec.Append(make([]byte, 0, len(rest)+job.EncodedBytes(jobs)), im)
 	}, nil
 }
 
--- a/internal/storage/export_test.go
+++ b/internal/storage/export_test.go
@@ -1,6 +1,10 @@
 package storage
 
-import "github.com/fxamacker/cbor/v2"
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/tamarackbay/tamarackbay/internal/consensus"
+)
 
 // EncodeHeader returns a segment of a format version.
 func EncodeHeader(format int) []byte {
@@ -11,3 +15,13 @@
 
 	return appendRecord(nil, recordHeader, h)
 }
+
+// EncodeSnapshotV1 returns a file with a snapshot as version 1 wrote it.
+func EncodeSnapshotV1(sn consensus.Snapshot) []byte {
+	b, err := appendCBOR(EncodeHeader(1), recordEntry, sn)
+	if err != nil {
+		panic(err) // snapshots can be encoded
+	}
+
+	return b
+}
--- a/internal/storage/files.go
+++ b/internal/storage/files.go
@@ -96,20 +96,24 @@
 	return names, nil
 }
 
-// WriteAtomic replaces the file at path by b, so that a crash leaves the old or the new one.
-func (fi Files) WriteAtomic(path string, b []byte) error {
+// WriteAtomic replaces the file at path by parts, one after another, so that a crash
+// leaves the old or the new file.
+func (fi Files) WriteAtomic(path string, parts ...[]byte) error {
 	tmp := path + ".tmp"
 	f, err := fi.Create(tmp)
 	if err != nil {
 		return err
 	}
-	if n, err := f.Write(b); err != nil || n < len(b) {
-		_ = f.Close()
-		if err == nil {
+	for _, b := range parts {
+		n, err := f.Write(b)
+		if err == nil && n < len(b) {
 			err = io.ErrShortWrite
 		}
+		if err != nil {
+			_ = f.Close()
 
-		return err
+			return err
+		}
 	}
 	if err := f.Sync(); err != nil {
 		_ = f.Close()
--- a/internal/storage/record.go
+++ b/internal/storage/record.go
@@ -9,6 +9,8 @@
 	recordHeaderBytes = 8
 	maxRecordBytes    = 64 << 20
 	tailScanBytes     = 1 << 20
+	// dataBytes is the most data of a snapshot in one record.
+	dataBytes = 16 << 20
 )
 
 // Kinds of records in a log segment.
@@ -16,6 +18,8 @@
 	recordHeader byte = iota + 1
 	recordEntry
 	recordHardState
+	recordData // a part of a snapshot's data
+	recordEnd  // how many bytes of data there are
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -36,6 +40,15 @@
 	return append(append(dst, h[:]...), kind)
 }
 
+// recordOf returns the start of a record whose body is written after it.
+func recordOf(kind byte, body []byte) []byte {
+	b := beginRecord(nil, kind)
+	binary.LittleEndian.PutUint32(b, uint32(len(body)+1))
+	binary.LittleEndian.PutUint32(b[4:], crc32.Update(crc32.Checksum([]byte{kind}, castagnoli), castagnoli, body))
+
+	return b
+}
+
 // endRecord fills in the size and the checksum of the record that b holds.
 func endRecord(b []byte) {
 	body := b[recordHeaderBytes:]
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -1,9 +1,11 @@
 package storage
 
 import (
+	"encoding/binary"
 	"fmt"
 	"io"
 	"path/filepath"
+	"slices"
 	"strings"
 
 	"github.com/fxamacker/cbor/v2"
@@ -14,7 +16,10 @@
 )
 
 // FormatVersion is the version of the files that this package writes.
-const FormatVersion = 1
+//
+// Since version 2 the data of a snapshot stands in records of its own. Version 1 is
+// still read.
+const FormatVersion = 2
 
 const segmentBytes = 16 << 20
 
@@ -120,17 +125,45 @@
 		return sn, err
 	}
 
-	kind, body, _, ok = readRecord(b[size:])
+	kind, body, n, ok := readRecord(b[size:])
 	if !ok || kind != recordEntry {
 		return sn, damaged(path, size, "the snapshot is not whole")
 	}
 	if err := cbor.Unmarshal(body, &sn); err != nil {
 		return sn, damaged(path, size, err.Error())
 	}
+	if sn.Data == nil {
+		return sn, decodeData(path, b, size+n, &sn)
+	}
 
 	return sn, nil
 }
 
+// decodeData reads the records of a snapshot's data, from an offset to the end.
+func decodeData(path string, b []byte, offset int, sn *consensus.Snapshot) error {
+	var parts [][]byte
+	total := 0
+	for {
+		kind, body, n, ok := readRecord(b[offset:])
+		switch {
+		case ok && kind == recordData:
+			parts = append(parts, body)
+			total += len(body)
+			offset += n
+		case ok && kind == recordEnd && len(body) == 8 && binary.LittleEndian.Uint64(body) == uint64(total):
+			if len(parts) == 1 {
+				sn.Data = parts[0]
+			} else {
+				sn.Data = slices.Concat(parts...)
+			}
+
+			return nil
+		default:
+			return damaged(path, offset, "the snapshot is not whole")
+		}
+	}
+}
+
 func checkHeader(path string, body []byte) error {
 	var h fileHeader
 	if err := cbor.Unmarshal(body, &h); err != nil {
@@ -372,11 +405,16 @@
 	if err != nil {
 		return writeError(st.dir, err)
 	}
-	b := make([]byte, 0, len(sn.Data)+snapshotOverhead)
-	if b, err = appendCBOR(appendRecord(b, recordHeader, h), recordEntry, sn); err != nil {
+	b, err := appendCBOR(appendRecord(nil, recordHeader, h), recordEntry, withoutData(sn))
+	if err != nil {
 		return writeError(st.dir, err)
 	}
-	if err := st.files.WriteAtomic(st.snapshotPath(sn.Index), b); err != nil {
+	parts := [][]byte{b}
+	for part := range slices.Chunk(sn.Data, dataBytes) {
+		parts = append(parts, recordOf(recordData, part), part)
+	}
+	parts = append(parts, appendRecord(nil, recordEnd, binary.LittleEndian.AppendUint64(nil, uint64(len(sn.Data)))))
+	if err := st.files.WriteAtomic(st.snapshotPath(sn.Index), parts...); err != nil {
 		return writeError(st.dir, err)
 	}
 
@@ -463,10 +501,6 @@
 	return filepath.Join(st.dir, fmt.Sprintf("snapshot-%016d", index))
 }
 
-// snapshotOverhead is above what a stored snapshot takes beside its data: headers and
-// a membership of a few dozen replicas.
-const snapshotOverhead = 16 << 10
-
 // withoutData returns what is kept of a snapshot in memory: its data is read from
 // the disk when a replica lacks it.
 func withoutData(sn consensus.Snapshot) consensus.Snapshot {
--- a/internal/storage/store_test.go
+++ b/internal/storage/store_test.go
@@ -1,6 +1,7 @@
 package storage_test
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io/fs"
@@ -155,6 +156,9 @@
 
 const dir = "/data/group-1"
 
+// maxRecord is the most that one record of a file holds.
+const maxRecord = 64 << 20
+
 func entries(first, n int, term uint64) []consensus.Entry {
 	out := make([]consensus.Entry, n)
 	for i := range out {
@@ -382,6 +386,40 @@
 		Expect(st.Close()).To(Succeed())
 	})
 
+	It("may be larger than a record, and is written without a copy of its data", func() {
+		data := make([]byte, maxRecord+(5<<20))
+		for i := range data {
+			data[i] = byte(i * 7)
+		}
+		folder, err := os.MkdirTemp("", "storage-")
+		Expect(err).NotTo(HaveOccurred())
+		defer os.RemoveAll(folder)
+		st, _, err := storage.Open(storage.OSFiles(), folder, 1)
+		Expect(err).NotTo(HaveOccurred())
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		Expect(st.SaveSnapshot(consensus.Snapshot{Index: 50, Term: 1, Data: data}, false)).To(Succeed())
+		runtime.ReadMemStats(&after)
+		Expect(after.TotalAlloc - before.TotalAlloc).To(BeNumerically("<", len(data)/4))
+		Expect(st.Close()).To(Succeed())
+		st, re, err := storage.Open(storage.OSFiles(), folder, 1)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(bytes.Equal(re.Snapshot.Data, data)).To(BeTrue())
+		Expect(st.Close()).To(Succeed())
+	})
+
+	It("of version 1 is still read", func() {
+		folder, err := os.MkdirTemp("", "storage-")
+		Expect(err).NotTo(HaveOccurred())
+		defer os.RemoveAll(folder)
+		old := consensus.Snapshot{Index: 7, Term: 2, Data: []byte("state")}
+		Expect(os.WriteFile(filepath.Join(folder, fmt.Sprintf("snapshot-%016d", 7)), storage.EncodeSnapshotV1(old), 0o600)).To(Succeed())
+		st, re, err := storage.Open(storage.OSFiles(), folder, 1)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(re.Snapshot).To(Equal(old))
+		Expect(st.Close()).To(Succeed())
+	})
+
 	It("that cannot be read ends all further work", func() {
 		d := newDisk()
 		st, _, err := storage.Open(d.seam(), dir, 1)
