--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -88,7 +88,7 @@
 			}
 			if role != program.RoleGateway {
 				pr.boot.DataFolder = filepath.Join(cfg.Folder, "data", pr.boot.Name)
-				if err := de.network.forward(fmt.Sprintf("%s:%d", ip, ports.Peers), pr.peerListen); err != nil {
+				if err := de.network.forward(fmt.Sprintf("%s:%d", ip, ports.Peers), pr.peerListen, true); err != nil {
 					return err
 				}
 			}
@@ -124,7 +124,7 @@
 		ip := host(cfg.Subnet, hostSampler, i)
 		sa.Address = fmt.Sprintf("%s:%d", ip, port)
 		de.behind[sa] = fmt.Sprintf("%s:%d", ip, hidden)
-		if err := de.network.forward(sa.Address, de.behind[sa]); err != nil {
+		if err := de.network.forward(sa.Address, de.behind[sa], false); err != nil {
 			return err
 		}
 		if err := sa.Start(de.behind[sa]); err != nil {
--- /dev/null
+++ b/soak/measure_test.go
@@ -0,0 +1,186 @@
+package soak_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/tamarackbay/tamarackbay/internal/httpcall"
+	"github.com/tamarackbay/tamarackbay/internal/meter"
+	"github.com/tamarackbay/tamarackbay/internal/program"
+)
+
+const (
+	// clockTicks a second, in which the kernel counts processor time.
+	clockTicks = 100
+	// metricsPort of every node.
+	metricsPort = "9464"
+
+	measuredLookups = 4000
+	measuredAtOnce  = 8
+	measuredJobs    = 20
+	measuredItems   = 50
+	measuredEvents  = 40
+	measuredIdle    = 10 * time.Second
+)
+
+// spent is what the processes of one role used so far.
+type spent struct {
+	cpu   time.Duration // user and system
+	rssMB int64         // of the largest one
+	syncs int64
+}
+
+// spentBy reads processor time, memory and syncs of the processes of a role.
+func (de *deployment) spentBy(role string) (spent, error) {
+	var out spent
+	for _, pr := range de.processes {
+		if pr.role != role {
+			continue
+		}
+		pid := pr.cmd.Process.Pid
+		b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+		if err != nil {
+			return out, err
+		}
+		// The name in parentheses may hold spaces; user and system time are the 12th
+		// and 13th fields after it.
+		fields := strings.Fields(string(b[strings.LastIndexByte(string(b), ')')+1:]))
+		for _, s := range fields[11:13] {
+			n, err := strconv.ParseInt(s, 10, 64)
+			if err != nil {
+				return out, err
+			}
+			out.cpu += time.Duration(n) * time.Second / clockTicks
+		}
+		pages, err := strconv.ParseInt(fields[21], 10, 64)
+		if err != nil {
+			return out, err
+		}
+		out.rssMB = max(out.rssMB, pages*int64(os.Getpagesize())>>20)
+
+		rs, err := httpcall.NewClient("", false).Get("http://" + net.JoinHostPort(pr.ip, metricsPort) + "/metrics")
+		if err != nil {
+			return out, err
+		}
+		values, err := meter.ReadText(rs.Body)
+		_ = rs.Body.Close()
+		if err != nil {
+			return out, err
+		}
+		out.syncs += values["disk_syncs"]
+	}
+
+	return out, nil
+}
+
+// measure prints what a start, rest, lookups and jobs cost each role.
+func measure(ctx context.Context, cfg Config) error {
+	cfg.Defaults()
+	de, err := newDeployment(ctx, &cfg)
+	if err != nil {
+		return err
+	}
+	roles := []string{program.RoleGateway, program.RoleController, program.RoleStore}
+	step := func(name string, f func() error) error {
+		before, bytes := map[string]spent{}, de.network.passed()
+		for _, role := range roles {
+			if before[role], err = de.spentBy(role); err != nil {
+				return err
+			}
+		}
+		began := time.Now()
+		if err := f(); err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+		took := time.Since(began)
+		fmt.Printf("%s (%.1f s, %d KB between own processes)\n", name, took.Seconds(), (de.network.passed()-bytes)>>10)
+		for _, role := range roles {
+			after, err := de.spentBy(role)
+			if err != nil {
+				return err
+			}
+			fmt.Printf("  %-10s %4d ms of processor in all, %d syncs, largest %d MB\n",
+				role, (after.cpu - before[role].cpu).Milliseconds(), after.syncs-before[role].syncs, after.rssMB)
+		}
+
+		return nil
+	}
+	for _, role := range roles {
+		sp, err := de.spentBy(role)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("from the start to the first lookup served: %-10s %4d ms of processor in all, largest %d MB\n", role, sp.cpu.Milliseconds(), sp.rssMB)
+	}
+	err = step("at rest", func() error {
+		time.Sleep(measuredIdle)
+
+		return nil
+	})
+	if err == nil {
+		err = step(fmt.Sprintf("%d lookups", measuredLookups), func() error { return de.measureLookups(ctx) })
+	}
+	if err == nil {
+		err = step(fmt.Sprintf("%d jobs of %d items of %d events", measuredJobs, measuredItems, measuredEvents), func() error { return de.measureJobs(ctx) })
+	}
+	if cerr := de.close(); err == nil {
+		err = cerr
+	}
+
+	return err
+}
+
+func (de *deployment) measureLookups(ctx context.Context) error {
+	var wg sync.WaitGroup
+	errs := make(chan error, measuredAtOnce)
+	for w := range measuredAtOnce {
+		wg.Go(func() {
+			for i := range measuredLookups / measuredAtOnce {
+				an, err := de.caller.Lookup(ctx, de.gateways()[i%len(de.gateways())], fmt.Sprintf("m%d-%d", w, i), false)
+				if err == nil && an.Status != http.StatusOK {
+					err = fmt.Errorf("status %d", an.Status)
+				}
+				if err != nil {
+					errs <- err
+
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+	close(errs)
+
+	return <-errs
+}
+
+func (de *deployment) measureJobs(ctx context.Context) error {
+	gw := de.gateways()[0]
+	for i := range measuredJobs {
+		job := fmt.Sprintf("mj%d", i)
+		an, err := de.caller.Submit(ctx, gw, job, measuredItems, measuredEvents)
+		if err != nil || an.Status != http.StatusAccepted {
+			return fmt.Errorf("submission: status %d, %w", an.Status, err)
+		}
+		for done := 0; done < measuredItems; {
+			pa, _, err := de.caller.Read(ctx, gw, job)
+			if err != nil {
+				return err
+			}
+			done = len(pa.Results)
+			time.Sleep(readPeriod)
+		}
+		if _, err := de.caller.Finish(ctx, gw, job); err != nil {
+			return err
+		}
+	}
+
+	return nil
+}
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -26,6 +27,7 @@
 	links     map[pair]link
 	conns     map[net.Conn]pair
 	listeners []net.Listener
+	bytes     atomic.Int64 // between own processes
 	wg        sync.WaitGroup
 }
 
@@ -33,8 +35,9 @@
 	return &network{healed: make(chan struct{}), links: map[pair]link{}, conns: map[net.Conn]pair{}}
 }
 
-// forward accepts at address and connects to target.
-func (ne *network) forward(address, target string) error {
+// forward accepts at address and connects to target. Bytes between own processes
+// are counted.
+func (ne *network) forward(address, target string, isOwn bool) error {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
@@ -53,14 +56,14 @@
 				return // the network was closed
 			}
 			from := co.RemoteAddr().(*net.TCPAddr).IP.String()
-			ne.wg.Go(func() { ne.serve(co, target, pair{from, to}) })
+			ne.wg.Go(func() { ne.serve(co, target, pair{from, to}, isOwn) })
 		}
 	})
 
 	return nil
 }
 
-func (ne *network) serve(co net.Conn, target string, pa pair) {
+func (ne *network) serve(co net.Conn, target string, pa pair, isOwn bool) {
 	defer co.Close()
 	up, err := net.DialTimeout("tcp", target, time.Second)
 	if err != nil {
@@ -85,6 +88,9 @@
 		for {
 			n, err := src.Read(b)
 			if n > 0 {
+				if isOwn {
+					ne.bytes.Add(int64(n))
+				}
 				ne.wait(pa, isBack)
 				if _, werr := dst.Write(b[:n]); werr != nil {
 					break
@@ -105,6 +111,9 @@
 	<-done
 }
 
+// passed returns the bytes that went between own processes so far.
+func (ne *network) passed() int64 { return ne.bytes.Load() }
+
 // wait holds a chunk back while its direction is cut, and delays it.
 func (ne *network) wait(pa pair, isBack bool) {
 	for {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -44,6 +44,7 @@
 	Config
 	seeds   uint64
 	verbose bool
+	measure bool
 }
 
 func parseArguments(args []string) (*byHand, error) {
@@ -60,6 +61,7 @@
 	app.Flag("plain", "Number of backend servers of the plain service.").IntVar(&bh.Plain)
 	app.Flag("engines", "Number of engines.").IntVar(&bh.Engines)
 	app.Flag("verbose", "Tell of each fault.").BoolVar(&bh.verbose)
+	app.Flag("measure", "Print what a start, rest, lookups and jobs cost each role.").BoolVar(&bh.measure)
 	_, err := app.Parse(args)
 
 	return bh, err
@@ -70,6 +72,14 @@
 	if err != nil {
 		panic(err) // there is no test yet that could fail
 	}
+	if bh.measure {
+		ginkgo.It("are not played: costs are measured", func() {
+			cfg := bh.Config
+			cfg.Folder, cfg.Binary = filepath.Join(folder, "measure"), binary
+			Expect(os.MkdirAll(filepath.Join(cfg.Folder, "data"), 0o700)).To(Succeed())
+			Expect(measure(context.Background(), cfg)).To(Succeed())
+		})
+	}
 	for i := range bh.seeds {
 		cfg := bh.Config
 		cfg.Seed += i
