--- a/cmd/tamarackbay/demo.go
+++ b/cmd/tamarackbay/demo.go
@@ -16,15 +16,23 @@
 engine crashes. It ends with the five measures and a line for each promise; the
 exit code is 1 if one was broken.
 
+With the deployment "platform", controllers, stores and a gateway serve a calm day in
+the dialect of the users' platform, against a stand-in of it.
+
 Examples:
   tamarackbay demo
-  tamarackbay demo --deployment cedarwick`
+  tamarackbay demo --deployment cedarwick
+  tamarackbay demo --deployment platform`
 
 func addDemo(app *kingpin.Application) []command {
 	c := app.Command("demo", demoUsage)
-	name := c.Flag("deployment", "consortium or cedarwick.").Default("consortium").Enum("consortium", "cedarwick")
+	name := c.Flag("deployment", "consortium, cedarwick or platform.").Default("consortium").Enum("consortium", "cedarwick", "platform")
 
 	return []command{{c, func() error {
+		if *name == "platform" {
+			return demo.RunNodes(context.Background(), os.Stdout)
+		}
+
 		return demo.Run(context.Background(), demo.Config{Deployment: *name, Out: os.Stdout})
 	}}}
 }
