--- a/internal/demo/nodes.go
+++ b/internal/demo/nodes.go
@@ -49,7 +49,11 @@
 	if err != nil {
 		return err
 	}
-	defer os.RemoveAll(folder)
+	defer func() {
+		if err := os.RemoveAll(folder); err != nil {
+			fmt.Fprintf(out, "%s is left behind: %v\n", folder, err)
+		}
+	}()
 	ctx, cancel := context.WithCancel(ctx)
 	da := &nodeDay{out: out, gateway: "127.0.9.31"}
 	defer da.close()
