--- a/internal/demo/nodes.go
+++ b/internal/demo/nodes.go
@@ -32,13 +32,13 @@
 
 // nodeDay is a calm day of the programs of a platform, in this process.
 type nodeDay struct {
-	out      io.Writer
-	caller   *standin.Caller
-	cloud    *standin.Cloud
-	nodes    []*program.Node
-	samplers []*standin.Sampler
-	gateway  string
-	wg       sync.WaitGroup
+	out     io.Writer
+	caller  *standin.Caller
+	cloud   *standin.Cloud
+	nodes   []*program.Node
+	servers []*standin.BackendServer
+	gateway string
+	wg      sync.WaitGroup
 }
 
 // RunNodes starts three controllers, three stores and a gateway on loopback numbers
@@ -101,16 +101,16 @@
 		errs = append(errs, add(program.RoleController, ip), add(program.RoleStore, fmt.Sprintf("127.0.9.2%d", i+1)))
 	}
 	for i := range 5 {
-		sa := standin.NewSampler(fmt.Sprintf("plain-%d", i), "plain")
+		bs := standin.NewBackendServer(fmt.Sprintf("plain-%d", i), "plain")
 		if i >= 2 {
-			sa = standin.NewSampler(fmt.Sprintf("engine-%d", i), "engines", standin.Model)
+			bs = standin.NewBackendServer(fmt.Sprintf("engine-%d", i), "engines", standin.Model)
 		}
-		errs = append(errs, sa.Start("127.0.0.1:0"))
-		da.samplers = append(da.samplers, sa)
+		errs = append(errs, bs.Start("127.0.0.1:0"))
+		da.servers = append(da.servers, bs)
 		da.wg.Go(func() {
 			for i := 0; ctx.Err() == nil; i++ {
 				// One that is not ready yet is told with the next heartbeat.
-				_ = sa.Beat(fmt.Sprintf("%s:%d", da.caller.Control[i%len(da.caller.Control)], ports.Control))
+				_ = bs.Beat(fmt.Sprintf("%s:%d", da.caller.Control[i%len(da.caller.Control)], ports.Control))
 				time.Sleep(nodePoll)
 			}
 		})
@@ -179,9 +179,9 @@
 	}
 	fmt.Fprintf(da.out, "%d batch jobs of %d items complete, each text whole and scored, while versions 2 to %d were named\n", nodeJobs, nodeItems, nodeJobs+1)
 	err := until(ctx, func() error {
-		for _, sa := range da.samplers[2:] {
-			if v := sa.Versions()[standin.Model]; v != nodeJobs+1 {
-				return fmt.Errorf("engine %s holds version %d", sa.ID, v)
+		for _, bs := range da.servers[2:] {
+			if v := bs.Versions()[standin.Model]; v != nodeJobs+1 {
+				return fmt.Errorf("engine %s holds version %d", bs.ID, v)
 			}
 		}
 
@@ -236,12 +236,12 @@
 	runs, keys := map[string]int{}, 0
 	holders := map[uint64]string{}
 	var broken []error
-	for _, sa := range da.samplers {
-		for id, n := range sa.Runs() {
+	for _, bs := range da.servers {
+		for id, n := range bs.Runs() {
 			runs[id] += n
 		}
-		keys += sa.Keys()
-		for _, or := range sa.AllOrders() {
+		keys += bs.Keys()
+		for _, or := range bs.AllOrders() {
 			if old := holders[or.Fencing]; old != "" && old != or.Holder {
 				broken = append(broken, fmt.Errorf("%s and %s gave orders under the fencing number %d", old, or.Holder, or.Fencing))
 			}
@@ -278,8 +278,8 @@
 		nd.Kill()
 		<-nd.Done()
 	}
-	for _, sa := range da.samplers {
-		sa.Stop()
+	for _, bs := range da.servers {
+		bs.Stop()
 	}
 	if da.cloud != nil {
 		da.cloud.Stop()
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -38,8 +38,8 @@
 // side of the dialect.
 type deployment struct {
 	processes []*process
-	samplers  []*standin.Sampler
-	behind    map[*standin.Sampler]string // where each listens, behind the network
+	servers   []*standin.BackendServer
+	behind    map[*standin.BackendServer]string // where each listens, behind the network
 	cloud     *standin.Cloud
 	network   *network
 	caller    *standin.Caller
@@ -54,7 +54,7 @@
 	hostController = iota + 1
 	hostStore
 	hostGateway
-	hostSampler
+	hostServer
 )
 
 // newDeployment starts everything and returns when a lookup is served.
@@ -67,7 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	de := &deployment{network: newNetwork(), behind: map[*standin.Sampler]string{}}
+	de := &deployment{network: newNetwork(), behind: map[*standin.BackendServer]string{}}
 	ctx, de.cancel = context.WithCancel(ctx)
 	if de.cloud, err = standin.StartCloud(); err != nil {
 		return nil, err
@@ -102,7 +102,7 @@
 	}
 	err = errors.Join(
 		add(program.RoleController, hostController, cfg.Controllers), add(program.RoleStore, hostStore, cfg.Stores),
-		add(program.RoleGateway, hostGateway, cfg.Gateways), de.addSamplers(ctx, cfg, ports.Clients, hidden.Clients),
+		add(program.RoleGateway, hostGateway, cfg.Gateways), de.addServers(ctx, cfg, ports.Clients, hidden.Clients),
 	)
 	if err == nil {
 		err = de.awaitReady(ctx)
@@ -114,27 +114,27 @@
 	return de, nil
 }
 
-func (de *deployment) addSamplers(ctx context.Context, cfg *Config, port, hidden int) error {
+func (de *deployment) addServers(ctx context.Context, cfg *Config, port, hidden int) error {
 	for i := range cfg.Plain + cfg.Engines {
-		sa := standin.NewSampler(fmt.Sprintf("p%d", i), servicePlain)
+		bs := standin.NewBackendServer(fmt.Sprintf("p%d", i), servicePlain)
 		if i >= cfg.Plain {
-			sa = standin.NewSampler(fmt.Sprintf("e%d", i), serviceEngines, standin.Model)
-			sa.Pace = 15 * time.Millisecond
+			bs = standin.NewBackendServer(fmt.Sprintf("e%d", i), serviceEngines, standin.Model)
+			bs.Pace = 15 * time.Millisecond
 		}
-		ip := host(cfg.Subnet, hostSampler, i)
-		sa.Address = fmt.Sprintf("%s:%d", ip, port)
-		de.behind[sa] = fmt.Sprintf("%s:%d", ip, hidden)
-		if err := de.network.forward(sa.Address, de.behind[sa], false); err != nil {
+		ip := host(cfg.Subnet, hostServer, i)
+		bs.Address = fmt.Sprintf("%s:%d", ip, port)
+		de.behind[bs] = fmt.Sprintf("%s:%d", ip, hidden)
+		if err := de.network.forward(bs.Address, de.behind[bs], false); err != nil {
 			return err
 		}
-		if err := sa.Start(de.behind[sa]); err != nil {
+		if err := bs.Start(de.behind[bs]); err != nil {
 			return err
 		}
-		de.samplers = append(de.samplers, sa)
+		de.servers = append(de.servers, bs)
 		go func() {
 			for ctx.Err() == nil {
 				ip := de.caller.Control[rand.IntN(len(de.caller.Control))]
-				_ = sa.Beat(fmt.Sprintf("%s:%d", ip, de.caller.Ports.Control)) // the next one goes to any controller again
+				_ = bs.Beat(fmt.Sprintf("%s:%d", ip, de.caller.Ports.Control)) // the next one goes to any controller again
 				time.Sleep(beatPeriod)
 			}
 		}()
@@ -180,15 +180,15 @@
 	for _, pr := range de.processes {
 		out = append(out, pair{ip, pr.ip}, pair{pr.ip, ip})
 	}
-	for sa := range de.behind {
-		out = append(out, pair{ip, hostOf(sa)})
+	for bs := range de.behind {
+		out = append(out, pair{ip, hostOf(bs)})
 	}
 
 	return out
 }
 
-func hostOf(sa *standin.Sampler) string {
-	ip := sa.Address
+func hostOf(bs *standin.BackendServer) string {
+	ip := bs.Address
 	for i := range ip {
 		if ip[i] == ':' {
 			return ip[:i]
@@ -208,8 +208,8 @@
 			errs = append(errs, err)
 		}
 	}
-	for _, sa := range de.samplers {
-		sa.Stop()
+	for _, bs := range de.servers {
+		bs.Stop()
 	}
 	de.network.close()
 	de.cloud.Stop()
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -119,7 +119,7 @@
 // run carries out all faults and returns when the last one is over.
 func (in *injector) run(ctx context.Context, faults []fault) {
 	in.busy = make([]sync.Mutex, len(in.de.processes))
-	in.down = make([]sync.Mutex, len(in.de.samplers))
+	in.down = make([]sync.Mutex, len(in.de.servers))
 	began := time.Now()
 	var wg sync.WaitGroup
 	for _, fa := range faults {
@@ -140,19 +140,19 @@
 	case "serverCrash":
 		in.down[fa.target].Lock()
 		defer in.down[fa.target].Unlock()
-		sa := de.samplers[fa.target]
-		sa.Stop()
+		bs := de.servers[fa.target]
+		bs.Stop()
 		time.Sleep(fa.lasts)
-		in.failed(sa.Start(de.behind[sa]))
+		in.failed(bs.Start(de.behind[bs]))
 	case "serverBreaksOff":
-		sa := de.samplers[fa.target]
-		sa.BreakOff(func(_ string, event int) bool { return event%7 == fa.size%7 && rand.IntN(2) == 0 })
+		bs := de.servers[fa.target]
+		bs.BreakOff(func(_ string, event int) bool { return event%7 == fa.size%7 && rand.IntN(2) == 0 })
 		time.Sleep(fa.lasts)
-		sa.BreakOff(func(string, int) bool { return false })
+		bs.BreakOff(func(string, int) bool { return false })
 	case "serverSilent":
 		var ps []pair
 		for _, pr := range de.processes {
-			ps = append(ps, pair{pr.ip, hostOf(de.samplers[fa.target])})
+			ps = append(ps, pair{pr.ip, hostOf(de.servers[fa.target])})
 		}
 		in.harm(link{isMuted: true}, fa, ps)
 	case "delay":
--- a/soak/promises_test.go
+++ b/soak/promises_test.go
@@ -155,18 +155,18 @@
 func (pr *promises) judge(de *deployment) {
 	runs := map[string]int{}
 	holders := map[uint64]string{}
-	for _, sa := range de.samplers {
-		tenants := sa.Tenants()
-		for id, n := range sa.Runs() {
+	for _, bs := range de.servers {
+		workspaces := bs.Workspaces()
+		for id, n := range bs.Runs() {
 			runs[id] += n
-			if te := tenants[id]; te != standin.Workspace && te != "" {
+			if te := workspaces[id]; te != standin.Workspace && te != "" {
 				pr.fail("request %s ran for the workspace %q", id, te)
 			}
 		}
-		if n := sa.Keys(); n > 0 {
-			pr.fail("%s was passed the keys of %d requests", sa.ID, n)
+		if n := bs.Keys(); n > 0 {
+			pr.fail("%s was passed the keys of %d requests", bs.ID, n)
 		}
-		for _, or := range sa.AllOrders() {
+		for _, or := range bs.AllOrders() {
 			if old, ok := holders[or.Fencing]; ok && old != or.Holder {
 				pr.fail("orders under the fencing number %d came from %s and from %s", or.Fencing, old, or.Holder)
 			}
@@ -256,9 +256,9 @@
 			return err == nil && v >= version
 		})
 	}
-	for _, sa := range de.samplers {
-		if sa.Service == serviceEngines {
-			await("engine "+sa.ID+" lacks the newest weights", func() bool { return sa.Versions()[standin.Model] >= pr.newest() })
+	for _, bs := range de.servers {
+		if bs.Service == serviceEngines {
+			await("engine "+bs.ID+" lacks the newest weights", func() bool { return bs.Versions()[standin.Model] >= pr.newest() })
 		}
 	}
 }
