--- a/internal/group/node_test.go
+++ b/internal/group/node_test.go
@@ -18,8 +18,8 @@
 	"github.com/tamarackbay/tamarackbay/internal/storage"
 )
 
-// alone runs the only replica of a group until the test ends.
-func alone(files storage.Files, dir string) (n *node, stop func()) {
+// alone runs the only replica of a group; done gets why it ended.
+func alone(files storage.Files, dir string) (n *node, cancel context.CancelFunc, done chan error) {
 	n, err := openNode(nodeConfig{
 		id: "a", group: 1, bootstrap: consensus.Membership{Voters: []consensus.ReplicaID{"a"}}, files: files, dir: dir,
 		election: 100 * time.Millisecond, heartbeat: 20 * time.Millisecond, wallMs: func() int64 { return 1 },
@@ -27,7 +27,7 @@
 	})
 	Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
+	done = make(chan error, 1)
 	go func() { done <- n.run(ctx) }()
 	Eventually(func() bool {
 		n.mu.RLock()
@@ -36,10 +36,7 @@
 		return n.status.IsSettled
 	}, "5s").Should(BeTrue())
 
-	return n, func() {
-		cancel()
-		Expect(<-done).To(Succeed())
-	}
+	return n, cancel, done
 }
 
 // submit proposes a job whose item has a body of so many bytes.
@@ -71,7 +68,7 @@
 
 			return create(path)
 		}
-		n, stop := alone(files, dir)
+		n, cancel, done := alone(files, dir)
 		for i := range snapshotBytes/each + 4 {
 			Expect(submit(n, fmt.Sprintf("j%d", i), each)).To(BeNumerically("<", write/4))
 		}
@@ -82,10 +79,14 @@
 			return slices.DeleteFunc(names, func(s string) bool { return strings.HasSuffix(s, ".tmp") })
 		}
 		Eventually(snapshots, "10s").Should(HaveLen(1))
-		stop()
+		cancel()
+		Expect(<-done).To(Succeed())
 
-		n, stop = alone(storage.OSFiles(), dir)
-		defer stop()
+		n, cancel, done = alone(storage.OSFiles(), dir)
+		defer func() {
+			cancel()
+			Expect(<-done).To(Succeed())
+		}()
 		n.mu.RLock()
 		defer n.mu.RUnlock()
 		Expect(n.machine.Jobs().Jobs()).To(HaveLen(snapshotBytes/each + 4))
@@ -103,28 +104,10 @@
 
 			return create(path)
 		}
-		n, err := openNode(nodeConfig{
-			id: "a", group: 1, bootstrap: consensus.Membership{Voters: []consensus.ReplicaID{"a"}}, files: files, dir: dir,
-			election: 100 * time.Millisecond, heartbeat: 20 * time.Millisecond, wallMs: func() int64 { return 1 },
-			send: func(consensus.Message) {}, onApply: func() {}, onStatus: func(_, _ Status) {},
-		})
-		Expect(err).NotTo(HaveOccurred())
-		done := make(chan error, 1)
-		go func() { done <- n.run(context.Background()) }()
-		b, err := machine.Encode(machine.KindSubmitJob, job.Submit{Spec: job.Spec{ID: "j", Items: []job.Item{{ID: "i", Body: make([]byte, snapshotBytes)}}}})
-		Expect(err).NotTo(HaveOccurred())
-		Eventually(func() error {
-			pr := &proposal{command: b, answer: make(chan proposalAnswer, 1)}
-			select {
-			case n.inbox <- event{proposal: pr}:
-			default:
-			}
-			select {
-			case err := <-done:
-				return err
-			case <-time.After(50 * time.Millisecond):
-				return nil
-			}
-		}, "10s").Should(MatchError(ContainSubstring("permission denied")))
+		n, cancel, done := alone(files, dir)
+		defer cancel()
+		// One command is enough for a snapshot to be due.
+		submit(n, "j", snapshotBytes)
+		Eventually(done, "10s").Should(Receive(MatchError(ContainSubstring("permission denied"))))
 	})
 })
