Bound the end of accepted jobs in the soak by the recovery

Cause: the soak read an accepted job for up to a minute, though everything is promised to work 15 s after the last fault.

--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -120,14 +120,17 @@
 
 	pr := newPromises()
 	lctx, stop := context.WithCancel(ctx)
+	uctx, giveUp := context.WithCancel(ctx)
+	defer giveUp()
 	var wg sync.WaitGroup
-	lo := &load{de: de, promises: pr}
+	lo := &load{de: de, promises: pr, until: uctx}
 	for _, f := range []func(ctx context.Context){lo.lookups, lo.jobs, lo.configurations, lo.versions} {
 		wg.Go(func() { f(lctx) })
 	}
 	in := &injector{de: de, tell: cfg.Tell}
 	in.run(ctx, faults)
 	stop()
+	defer time.AfterFunc(recoverWithin, giveUp).Stop()
 	wg.Wait()
 	pr.settled(ctx, de)
 	err = errors.Join(append(in.errs, de.close())...)
@@ -140,6 +143,7 @@
 type load struct {
 	de       *deployment
 	promises *promises
+	until    context.Context // accepted jobs are read until it ends
 }
 
 func (lo *load) gateway() string {
@@ -200,10 +204,10 @@
 	})
 }
 
-// read reads a job until it is complete, as long as the last recovery may take.
+// read reads a job until it is complete, or the last recovery should be over.
 func (lo *load) read(ctx context.Context, id string, jo *jobRecord, accepted time.Time) {
 	pr := lo.promises
-	for !jo.isComplete(pr) && time.Since(accepted) < 4*recoverWithin {
+	for !jo.isComplete(pr) && lo.until.Err() == nil {
 		sent := time.Now()
 		pa, status, err := lo.de.caller.Read(ctx, lo.gateway(), id)
 		switch {
