--- a/soak/measure_test.go
+++ b/soak/measure_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/tamarackbay/tamarackbay/internal/httpcall"
@@ -130,6 +131,9 @@
 	if err == nil {
 		err = step(fmt.Sprintf("%d jobs of %d items of %d events", measuredJobs, measuredItems, measuredEvents), func() error { return de.measureJobs(ctx) })
 	}
+	if err == nil {
+		err = de.measureLosses(ctx)
+	}
 	if cerr := de.close(); err == nil {
 		err = cerr
 	}
@@ -137,6 +141,92 @@
 	return err
 }
 
+// measureLosses kills the leaders, and then all processes of a role, and prints how
+// long callers noticed.
+func (de *deployment) measureLosses(ctx context.Context) error {
+	version := 1
+	configure := func() error {
+		version++
+
+		return de.caller.Configure(ctx, version)
+	}
+	jobs := 0
+	submit := func() error {
+		jobs++
+		an, err := de.caller.Submit(ctx, de.gateways()[0], fmt.Sprintf("loss%d", jobs), 1, 1)
+		if err == nil && an.Status != http.StatusAccepted {
+			err = fmt.Errorf("status %d", an.Status)
+		}
+
+		return err
+	}
+	for _, lo := range []struct {
+		role, what string
+		serves     func() error
+	}{
+		{program.RoleController, "a configuration is accepted", configure},
+		{program.RoleStore, "a job is accepted", submit},
+	} {
+		for _, isAll := range []bool{false, true} {
+			var hit []*process
+			for _, pr := range de.processes {
+				if pr.role != lo.role {
+					continue
+				}
+				leads, err := pr.leads()
+				if err != nil {
+					return err
+				}
+				if isAll || leads {
+					hit = append(hit, pr)
+				}
+			}
+			began := time.Now()
+			for _, pr := range hit {
+				if err := pr.end(syscall.SIGKILL); err != nil {
+					return err
+				}
+			}
+			if isAll {
+				for _, pr := range hit {
+					if err := pr.start(); err != nil {
+						return err
+					}
+				}
+			}
+			for lo.serves() != nil {
+				if time.Since(began) > recoverWithin {
+					return fmt.Errorf("%d of role %s killed: %v later still not: %s", len(hit), lo.role, recoverWithin, lo.what)
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			fmt.Printf("%d of role %s killed (all: %t): %s again after %d ms\n", len(hit), lo.role, isAll, lo.what, time.Since(began).Milliseconds())
+			if !isAll {
+				for _, pr := range hit {
+					if err := pr.start(); err != nil {
+						return err
+					}
+				}
+			}
+			time.Sleep(5 * time.Second) // until everything is whole again
+		}
+	}
+
+	return nil
+}
+
+// leads reports whether the process's replica leads.
+func (pr *process) leads() (bool, error) {
+	rs, err := httpcall.NewClient("", false).Get("http://" + net.JoinHostPort(pr.ip, metricsPort) + "/metrics")
+	if err != nil {
+		return false, err
+	}
+	defer rs.Body.Close()
+	values, err := meter.ReadText(rs.Body)
+
+	return values["group_leads"] == 1, err
+}
+
 func (de *deployment) measureLookups(ctx context.Context) error {
 	var wg sync.WaitGroup
 	errs := make(chan error, measuredAtOnce)
