Let links end themselves, and decode records of calls in one place

Cause: the read of the whole change found three programs that each held the cancel function of their links and two deferred calls to end them, a method Links.Retain that nothing calls, and the decoding of a call's record written in the controller and in the store. Change: peer.Links has Close and no Retain; peer.Stream has RequestRecord.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -76,7 +76,6 @@
 	group   *group.Group
 	feed    *feed.Server
 	links   *peer.Links
-	cancel  context.CancelFunc
 	stopped chan struct{}
 	stop    sync.Once
 
@@ -116,9 +115,8 @@
 // New loads the replica's identity. Handlers may be served before Run.
 func New(cfg Config) (*Controller, error) {
 	no := cfg.Settings
-	ctx, cancel := context.WithCancel(context.Background())
 	co := &Controller{
-		cfg: cfg, feed: feed.NewServer(), cancel: cancel, stopped: make(chan struct{}),
+		cfg: cfg, feed: feed.NewServer(), links: peer.NewLinks(context.Background(), cfg.Peer), stopped: make(chan struct{}),
 		registry: registry.New(lapseBeats * no.BeatPeriod), stores: map[string]*store{}, dirty: make(chan struct{}, 1),
 		startedAt: cfg.Now(), swaps: map[string]*weights.Joint{}, swapWake: make(chan struct{}, 1),
 	}
@@ -138,11 +136,8 @@
 	}
 	var err error
 	if co.group, err = group.New(gc); err != nil {
-		cancel()
-
 		return nil, err
 	}
-	co.links = peer.NewLinks(ctx, cfg.Peer)
 
 	return co, nil
 }
@@ -180,7 +175,7 @@
 	maps.Copy(mux, co.feed.Handlers())
 	mux[methodBeat] = func(_ context.Context, st *peer.Stream) error {
 		var no beatNote
-		if err := request(st, &no); err != nil {
+		if err := st.RequestRecord(&no); err != nil {
 			return err
 		}
 		co.observe(no)
@@ -190,7 +185,7 @@
 	mux[MethodAnnounce] = co.handleAnnounce
 	mux[MethodUsage] = func(ctx context.Context, st *peer.Stream) error {
 		var fo usage.Fold
-		if err := request(st, &fo); err != nil {
+		if err := st.RequestRecord(&fo); err != nil {
 			return err
 		}
 		if err := co.group.Propose(ctx, machine.KindFoldUsage, fo, nil); err != nil {
@@ -203,23 +198,10 @@
 	return mux
 }
 
-func request(st *peer.Stream, out any) error {
-	var pa wire.Payload
-	if err := st.Request(&pa); err != nil {
-		return err
-	}
-	if err := cbor.Unmarshal(pa.GetRecord(), out); err != nil {
-		return result.New(result.MalformedBody, "controller: %v", err)
-	}
-
-	return nil
-}
-
 // Run takes part in the control plane until ctx ends.
 func (co *Controller) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
-	defer co.links.Wait()
-	defer co.cancel()
+	defer co.links.Close()
 	defer cancel()
 
 	var wg sync.WaitGroup
--- a/internal/controller/stores.go
+++ b/internal/controller/stores.go
@@ -21,7 +21,7 @@
 // handleAnnounce takes what a store tells of itself.
 func (co *Controller) handleAnnounce(ctx context.Context, st *peer.Stream) error {
 	var an Announcement
-	if err := request(st, &an); err != nil {
+	if err := st.RequestRecord(&an); err != nil {
 		return err
 	}
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -54,7 +54,6 @@
 type Edge struct {
 	cfg      Config
 	links    *peer.Links
-	cancel   context.CancelFunc
 	follower *feed.Follower
 	balancer *balance.Balancer
 	ingress  *ingress.Ingress
@@ -65,9 +64,8 @@
 
 // New returns an edge that knows nothing yet.
 func New(cfg Config) *Edge {
-	ctx, cancel := context.WithCancel(context.Background())
 	ed := &Edge{
-		cfg: cfg, cancel: cancel, links: peer.NewLinks(ctx, cfg.Peer),
+		cfg: cfg, links: peer.NewLinks(context.Background(), cfg.Peer),
 		tally: usage.NewTally(cfg.Settings.Name, rand.Uint64(), cfg.Settings.UsageWindow),
 	}
 	ed.follower = feed.NewFollower(feed.Config{Links: ed.links, Seeds: cfg.Controllers, Log: cfg.Log})
@@ -129,8 +127,7 @@
 
 // Run follows the controllers until ctx ends.
 func (ed *Edge) Run(ctx context.Context) {
-	defer ed.links.Wait()
-	defer ed.cancel()
+	defer ed.links.Close()
 
 	var wg sync.WaitGroup
 	wg.Go(func() { ed.follower.Run(ctx) })
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -59,15 +59,13 @@
 	follower *feed.Follower
 	balancer *balance.Balancer
 	driver   *dispatch.Driver
-	cancel   context.CancelFunc
 	status   chan struct{} // has an element after each change of the status
 }
 
 // New loads the replica's identity. Handlers may be served before Run.
 func New(cfg Config) (*Store, error) {
 	no := cfg.Settings
-	ctx, cancel := context.WithCancel(context.Background())
-	st := &Store{cfg: cfg, cancel: cancel, status: make(chan struct{}, 1), links: peer.NewLinks(ctx, cfg.Peer)}
+	st := &Store{cfg: cfg, status: make(chan struct{}, 1), links: peer.NewLinks(context.Background(), cfg.Peer)}
 	st.follower = feed.NewFollower(feed.Config{Links: st.links, Seeds: cfg.Controllers, Own: no.PeerAddress, Log: cfg.Log})
 	var err error
 	st.group, err = group.New(group.Config{
@@ -77,8 +75,6 @@
 		IsRetiring: st.isRetiring, WallMs: cfg.WallMs, Log: cfg.Log, OnStatus: st.onStatus,
 	})
 	if err != nil {
-		cancel()
-
 		return nil, err
 	}
 	st.balancer = balance.New(balance.Config{
@@ -138,8 +134,7 @@
 // Run takes part in the store group until ctx ends.
 func (st *Store) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
-	defer st.links.Wait()
-	defer st.cancel()
+	defer st.links.Close()
 	defer cancel()
 
 	var wg sync.WaitGroup
@@ -234,13 +229,9 @@
 // handle decodes the record of a call, runs it at the leader and encodes its answer.
 func handle[T any](st *Store, f func(ctx context.Context, in *T) (any, error)) peer.Handler {
 	return func(ctx context.Context, sm *peer.Stream) error {
-		var pa wire.Payload
-		if err := sm.Request(&pa); err != nil {
-			return err
-		}
 		var in T
-		if err := cbor.Unmarshal(pa.GetRecord(), &in); err != nil {
-			return result.New(result.MalformedBody, "jobstore: %v", err)
+		if err := sm.RequestRecord(&in); err != nil {
+			return err
 		}
 		if !st.group.IsLeader() {
 			return result.New(result.NotLeader, "jobstore: this store does not lead")
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -2,28 +2,25 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 )
 
-// Links keeps one link for each address, from its first use on.
+// Links keeps one link for each address, from its first use until Close.
 type Links struct {
-	ctx context.Context
-	cfg Config
-	wg  sync.WaitGroup
+	ctx    context.Context
+	cancel context.CancelFunc
+	cfg    Config
+	wg     sync.WaitGroup
 
 	mu    sync.Mutex
-	links map[string]*keptLink
+	links map[string]*Link
 }
 
-type keptLink struct {
-	*Link
-	cancel context.CancelFunc
-}
-
-// NewLinks returns links that end with ctx.
+// NewLinks returns links that end with ctx or Close.
 func NewLinks(ctx context.Context, cfg Config) *Links {
-	return &Links{ctx: ctx, cfg: cfg, links: map[string]*keptLink{}}
+	ctx, cancel := context.WithCancel(ctx)
+
+	return &Links{ctx: ctx, cancel: cancel, cfg: cfg, links: map[string]*Link{}}
 }
 
 // To returns the link to address.
@@ -31,33 +28,21 @@
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
 
-	if kl, ok := ls.links[address]; ok {
-		return kl.Link
+	if li, ok := ls.links[address]; ok {
+		return li
 	}
 
-	ctx, cancel := context.WithCancel(ls.ctx)
-	kl := &keptLink{Link: NewLink(address, ls.cfg, nil), cancel: cancel}
-	ls.links[address] = kl
-	ls.wg.Add(1)
-	go func() {
-		defer ls.wg.Done()
-		kl.Run(ctx)
-	}()
+	li := NewLink(address, ls.cfg, nil)
+	ls.links[address] = li
+	ls.wg.Go(func() { li.Run(ls.ctx) })
 
-	return kl.Link
+	return li
 }
 
-// Retain ends the links to all other addresses.
-func (ls *Links) Retain(addresses []string) {
-	ls.mu.Lock()
-	defer ls.mu.Unlock()
-
-	for a, kl := range ls.links {
-		if !slices.Contains(addresses, a) {
-			kl.cancel()
-			delete(ls.links, a)
-		}
-	}
+// Close ends all links and waits for them.
+func (ls *Links) Close() {
+	ls.cancel()
+	ls.Wait()
 }
 
 // Wait returns once all links have ended, after ctx.
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/proto"
 
@@ -213,6 +214,20 @@
 	return nil
 }
 
+// RequestRecord decodes the request of a call that carries a record of the project's
+// own format.
+func (st *Stream) RequestRecord(out any) error {
+	var pa wire.Payload
+	if err := st.Request(&pa); err != nil {
+		return err
+	}
+	if err := cbor.Unmarshal(pa.GetRecord(), out); err != nil {
+		return result.New(result.MalformedBody, "peer: %v", err)
+	}
+
+	return nil
+}
+
 // Send sends one message of the answer.
 func (st *Stream) Send(m proto.Message) error {
 	b, err := proto.Marshal(m)
