Share what the two kinds of processes do with their parts

Cause: program.Node had its own copy of what program.Gateway has: a wait group, the first error, its log line, Done and Err. Change: both hold parts (internal/program/parts.go). Result: behaviour and log texts are the same; a node's error is wrapped with the name of its part as a gateway's was. Tests of program, platform and the soak pass under the race detector.

--- a/internal/program/node.go
+++ b/internal/program/node.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"io"
 	stdlog "log"
 	"maps"
@@ -72,16 +71,14 @@
 
 // Node is a running process on a platform.
 type Node struct {
+	*parts
 	role  string
 	boot  func() (*settings.Node, error)
-	log   log.Interface
 	meter *meter.Meter
 
 	controllers atomic.Pointer[[]string]
 	settings    *settings.Node
 	cancel      context.CancelFunc
-	wg          sync.WaitGroup
-	done        chan struct{}
 	servers     []*http.Server
 	peers       *peer.Listener
 	edge        *edge.Edge
@@ -89,9 +86,6 @@
 	leads       func() bool
 	gauges      func() // sets what is measured only when it is asked for
 	dropped     func() int64
-
-	mu  sync.Mutex
-	err error
 }
 
 // bootNow returns the time since the machine started, in which it may have been suspended.
@@ -142,10 +136,11 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	nd := &Node{
-		role: role, boot: boot, log: lo.WithFields(log.Fields{"role": role, "node": no.Name}), meter: meter.New(), settings: no,
-		cancel: cancel, done: make(chan struct{}), handOver: func(context.Context) {}, leads: func() bool { return false }, gauges: func() {},
+		parts: newParts("process", lo.WithFields(log.Fields{"role": role, "node": no.Name})), role: role, boot: boot, meter: meter.New(),
+		settings: no, cancel: cancel, handOver: func(context.Context) {}, leads: func() bool { return false }, gauges: func() {},
 		dropped: dropped,
 	}
+	nd.kill = nd.Kill
 	nd.controllers.Store(&no.Controllers)
 
 	start := map[string]func(ctx context.Context) error{
@@ -163,10 +158,7 @@
 	}
 	nd.serveMetrics()
 	nd.run("reload", func() error { return nd.reloadDuty(ctx) })
-	go func() {
-		nd.wg.Wait()
-		close(nd.done)
-	}()
+	nd.seal()
 	nd.log.WithFields(log.Fields{
 		"failureDomain": no.FailureDomain, "peers": no.PeerAddress, "controllers": no.Controllers, "mayForm": no.MayForm,
 		"dataFolder": no.DataFolder, "losses": no.Losses,
@@ -175,22 +167,6 @@
 	return nd, nil
 }
 
-func (nd *Node) run(name string, f func() error) {
-	nd.wg.Add(1)
-	go func() {
-		defer nd.wg.Done()
-		if err := f(); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			nd.mu.Lock()
-			if nd.err == nil {
-				nd.err = err
-			}
-			nd.mu.Unlock()
-			nd.log.WithError(err).WithField("part", name).Error("the process stops")
-			nd.Kill()
-		}
-	}()
-}
-
 // seeds returns the controllers of the settings as they are now.
 func (nd *Node) seeds() []string { return slices.Clone(*nd.controllers.Load()) }
 
@@ -383,17 +359,6 @@
 // Leads reports whether the process's replica leads its group.
 func (nd *Node) Leads() bool { return nd.leads() }
 
-// Done is closed when all parts have ended.
-func (nd *Node) Done() <-chan struct{} { return nd.done }
-
-// Err returns why the process ended by itself, or nil.
-func (nd *Node) Err() error {
-	nd.mu.Lock()
-	defer nd.mu.Unlock()
-
-	return nd.err
-}
-
 // Kill ends everything at once.
 func (nd *Node) Kill() {
 	nd.cancel()
@@ -421,13 +386,11 @@
 		defer cancel()
 		var wg sync.WaitGroup
 		for _, sv := range nd.servers {
-			wg.Add(1)
-			go func() {
-				defer wg.Done()
+			wg.Go(func() {
 				if err := sv.Shutdown(dctx); err != nil {
 					nd.log.WithError(err).Warn("requests were still running at the end of the drain")
 				}
-			}()
+			})
 		}
 		wg.Wait()
 		nd.edge.FlushUsage(dctx)
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -5,13 +5,11 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"io"
 	stdlog "log"
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -37,8 +35,8 @@
 
 // Gateway is a running gateway process with its listeners.
 type Gateway struct {
+	*parts
 	se       settings.Gateway
-	log      log.Interface
 	gateway  *gateway.Gateway
 	callers  *http.Server
 	ops      *http.Server
@@ -46,10 +44,6 @@
 	opLn     net.Listener
 
 	cancel context.CancelFunc
-	wg     sync.WaitGroup
-	done   chan struct{}
-	mu     sync.Mutex
-	err    error
 }
 
 // StartGateway opens the listeners and starts the gateway.
@@ -67,7 +61,8 @@
 		return nil, trace.Wrap(err)
 	}
 
-	pg := &Gateway{se: se, log: lo, gateway: ga, done: make(chan struct{})}
+	pg := &Gateway{parts: newParts("gateway", lo), se: se, gateway: ga}
+	pg.kill = pg.Kill
 	if pg.callerLn, err = listen(se.CallerAddress, callerTLS); err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -119,52 +114,18 @@
 func (pg *Gateway) start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	pg.cancel = cancel
-	run := func(name string, f func() error) {
-		pg.wg.Add(1)
-		go func() {
-			defer pg.wg.Done()
-			if err := f(); err != nil && !errors.Is(err, http.ErrServerClosed) {
-				pg.fail(name, err)
-			}
-		}()
-	}
-	run("callers", func() error { return pg.callers.Serve(pg.callerLn) })
-	run("operators", func() error { return pg.ops.Serve(pg.opLn) })
-	run("gateway", func() error { return pg.gateway.Run(ctx) })
-	go func() {
-		pg.wg.Wait()
-		close(pg.done)
-	}()
+	pg.run("callers", func() error { return pg.callers.Serve(pg.callerLn) })
+	pg.run("operators", func() error { return pg.ops.Serve(pg.opLn) })
+	pg.run("gateway", func() error { return pg.gateway.Run(ctx) })
+	pg.seal()
 	pg.log.WithFields(log.Fields{
 		"callers": pg.callerLn.Addr().String(), "operators": pg.opLn.Addr().String(), "peers": pg.gateway.PeerAddress(),
 	}).Info("gateway serves")
 }
 
-// fail ends the process's parts after one of them broke.
-func (pg *Gateway) fail(name string, err error) {
-	pg.mu.Lock()
-	if pg.err == nil {
-		pg.err = trace.Wrap(err, name)
-	}
-	pg.mu.Unlock()
-	pg.log.WithError(err).WithField("part", name).Error("the gateway stops")
-	pg.Kill()
-}
-
 // Gateway returns the gateway itself.
 func (pg *Gateway) Gateway() *gateway.Gateway { return pg.gateway }
 
-// Done is closed when all parts have ended.
-func (pg *Gateway) Done() <-chan struct{} { return pg.done }
-
-// Err returns why the process ended by itself, or nil.
-func (pg *Gateway) Err() error {
-	pg.mu.Lock()
-	defer pg.mu.Unlock()
-
-	return pg.err
-}
-
 // Kill ends everything at once, as a crash would.
 func (pg *Gateway) Kill() {
 	pg.cancel()
