Share the back-off of both planners of weights

Cause: Joint had a copy of Planner's record of orders in flight and failures, of mustWait and of Done. Change: both embed orders (internal/weights/orders.go). Result: behaviour is the same; the tests of weights pass.

--- a/internal/weights/joint.go
+++ b/internal/weights/joint.go
@@ -37,18 +37,12 @@
 // trained, each has a part of the engines as its home, since no engine could
 // follow the versions of all.
 type Joint struct {
-	home     map[string]string // server to model
-	running  map[string]bool
-	failures map[string]int
-	failedAt map[string]time.Duration
+	orders
+	home map[string]string // server to model
 }
 
 // NewJoint returns a planner that knows nothing yet.
-func NewJoint() *Joint {
-	return &Joint{
-		home: map[string]string{}, running: map[string]bool{}, failures: map[string]int{}, failedAt: map[string]time.Duration{},
-	}
-}
+func NewJoint() *Joint { return &Joint{orders: newOrders(), home: map[string]string{}} }
 
 // Home returns the model whose versions an engine follows.
 func (jo *Joint) Home(server string) string { return jo.home[server] }
@@ -69,7 +63,7 @@
 	var due []Host
 	for _, ho := range hosts {
 		ta := byModel[jo.home[ho.Server]]
-		if ho.Versions[ta.Model] >= ta.Version || jo.running[ho.Server] {
+		if ho.Versions[ta.Model] >= ta.Version || jo.running[ho.Server] != "" {
 			current[ta.Model]++
 		} else if !jo.mustWait(now, ho.Server) {
 			due = append(due, ho)
@@ -86,31 +80,13 @@
 		model := jo.home[best.Server]
 		out = append(out, Swap{Server: best.Server, Model: model, Version: byModel[model].Version})
 		current[model]++
-		jo.running[best.Server] = true
+		jo.running[best.Server] = Load
 		due = slices.DeleteFunc(due, func(ho Host) bool { return ho.Server == best.Server })
 	}
 
 	return out
 }
 
-func (jo *Joint) mustWait(now time.Duration, server string) bool {
-	n := jo.failures[server]
-
-	return n > 0 && now < jo.failedAt[server]+min(retryBase<<min(n-1, 10), retryMax)
-}
-
-// Done takes the end of an order.
-func (jo *Joint) Done(now time.Duration, server string, ok bool) {
-	delete(jo.running, server)
-	if ok {
-		delete(jo.failures, server)
-
-		return
-	}
-	jo.failures[server]++
-	jo.failedAt[server] = now
-}
-
 // settle gives each engine a home. An engine moves only when the parts changed by
 // a whole engine.
 func (jo *Joint) settle(targets []Target, hosts []Host) {
--- a/internal/weights/weights.go
+++ b/internal/weights/weights.go
@@ -33,21 +33,12 @@
 
 // Planner remembers what runs and what failed for one model.
 type Planner struct {
-	target   string
-	running  map[string]string // server to the kind of its order in flight
-	failedAt map[string]time.Duration
-	failures map[string]int
+	orders
+	target string
 }
 
-const (
-	retryBase = 500 * time.Millisecond
-	retryMax  = 10 * time.Second
-)
-
 // NewPlanner returns a planner that knows nothing yet.
-func NewPlanner() *Planner {
-	return &Planner{running: map[string]string{}, failedAt: map[string]time.Duration{}, failures: map[string]int{}}
-}
+func NewPlanner() *Planner { return &Planner{orders: newOrders()} }
 
 // Next returns the orders to give now so that all engines come to serve target.
 // At most wave engines load at once; engines whose requests run longest wait
@@ -96,25 +87,3 @@
 
 	return out
 }
-
-func (pl *Planner) mustWait(now time.Duration, server string) bool {
-	n := pl.failures[server]
-	if n == 0 {
-		return false
-	}
-	d := min(retryBase<<min(n-1, 10), retryMax)
-
-	return now < pl.failedAt[server]+d
-}
-
-// Done takes the end of an order.
-func (pl *Planner) Done(now time.Duration, server string, ok bool) {
-	delete(pl.running, server)
-	if ok {
-		delete(pl.failures, server)
-
-		return
-	}
-	pl.failures[server]++
-	pl.failedAt[server] = now
-}
