--- a/cmd/tamarackbay/nodes.go
+++ b/cmd/tamarackbay/nodes.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"strings"
 	"text/tabwriter"
@@ -53,25 +52,11 @@
 			ctx, cancel := context.WithTimeout(context.Background(), nodesTimeout)
 			defer cancel()
 
-			return readNode(ctx, address)
+			return meter.Fetch(ctx, httpcall.NewClient("", false), address)
 		})
 	}}}
 }
 
-func readNode(ctx context.Context, address string) (map[string]int64, error) {
-	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/metrics", http.NoBody)
-	if err != nil {
-		return nil, result.New(result.MalformedBody, "nodes: %v", err)
-	}
-	rs, err := httpcall.NewClient("", false).Do(rq)
-	if err != nil {
-		return nil, httpcall.Failure("metrics of "+address, err)
-	}
-	defer rs.Body.Close()
-
-	return meter.ReadText(rs.Body)
-}
-
 // showNodes writes one line a node. A gauge that a node does not have is a dash.
 func showNodes(w io.Writer, addresses []string, read func(address string) (map[string]int64, error)) error {
 	var failed []string
--- a/cmd/tamarackbay/nodes_test.go
+++ b/cmd/tamarackbay/nodes_test.go
@@ -29,7 +29,7 @@
 
 		var sb strings.Builder
 		err := showNodes(&sb, []string{there, "127.0.0.1:1"}, func(address string) (map[string]int64, error) {
-			return readNode(context.Background(), address)
+			return meter.Fetch(context.Background(), http.DefaultClient, address)
 		})
 		Expect(result.Is(err, result.BackendUnreachable)).To(BeTrue())
 		lines := strings.Split(sb.String(), "\n")
--- a/internal/demo/nodes.go
+++ b/internal/demo/nodes.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/tamarackbay/tamarackbay/internal/deployment"
 	"github.com/tamarackbay/tamarackbay/internal/logging"
 	"github.com/tamarackbay/tamarackbay/internal/program"
 	"github.com/tamarackbay/tamarackbay/internal/settings"
@@ -119,21 +120,12 @@
 	return errors.Join(errs...)
 }
 
-// until calls f until it has nothing to complain of.
+// until calls f until it has nothing to complain of, as long as a start may take.
 func until(ctx context.Context, f func() error) error {
 	ctx, cancel := context.WithTimeout(ctx, nodeReady)
 	defer cancel()
-	for {
-		err := f()
-		if err == nil {
-			return nil
-		}
-		select {
-		case <-time.After(nodePoll):
-		case <-ctx.Done():
-			return err
-		}
-	}
+
+	return deployment.Until(ctx, f)
 }
 
 func (da *nodeDay) lookup(ctx context.Context, id string) error {
--- a/internal/meter/read.go
+++ b/internal/meter/read.go
@@ -2,13 +2,30 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
+	"net/http"
 	"strconv"
 	"strings"
 
 	"github.com/tamarackbay/tamarackbay/internal/result"
 )
 
+// Fetch reads the counters and gauges of the node whose metrics are served at address.
+func Fetch(ctx context.Context, hc *http.Client, address string) (map[string]int64, error) {
+	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/metrics", http.NoBody)
+	if err != nil {
+		return nil, result.New(result.MalformedBody, "meter: %v", err)
+	}
+	rs, err := hc.Do(rq)
+	if err != nil {
+		return nil, result.New(result.BackendUnreachable, "meter: metrics of %s: %v", address, err)
+	}
+	defer rs.Body.Close()
+
+	return ReadText(rs.Body)
+}
+
 // ReadText reads the counters and gauges that WriteText wrote, by their names with
 // underscores and without prefix. Lines with labels, as of histograms, are left out.
 func ReadText(r io.Reader) (map[string]int64, error) {
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -5,11 +5,13 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"os"
 	"path/filepath"
 	"syscall"
 	"time"
 
+	dep "github.com/tamarackbay/tamarackbay/internal/deployment"
 	"github.com/tamarackbay/tamarackbay/internal/program"
 	"github.com/tamarackbay/tamarackbay/platform/standin"
 )
@@ -146,20 +148,24 @@
 func (de *deployment) awaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyWithin)
 	defer cancel()
-	err := de.caller.Configure(ctx, 1)
-	for err != nil && ctx.Err() == nil {
-		time.Sleep(100 * time.Millisecond)
-		err = de.caller.Configure(ctx, 1)
+	err := dep.Until(ctx, func() error { return de.caller.Configure(ctx, 1) })
+	if err == nil {
+		n := 0
+		err = dep.Until(ctx, func() error {
+			n++
+			an, err := de.caller.Lookup(ctx, de.gateways()[0], fmt.Sprintf("%s%d", warmUp, n), false)
+			if err == nil && an.Stamp == "" {
+				err = fmt.Errorf("a lookup is answered %d", an.Status)
+			}
+
+			return err
+		})
 	}
-	for i := 0; ctx.Err() == nil; i++ {
-		an, err := de.caller.Lookup(ctx, de.gateways()[0], fmt.Sprintf("%s%d", warmUp, i), false)
-		if err == nil && an.Stamp != "" {
-			return nil
-		}
-		time.Sleep(100 * time.Millisecond)
+	if err != nil {
+		return fmt.Errorf("the deployment did not start within %v: %w", readyWithin, err)
 	}
 
-	return fmt.Errorf("the deployment did not start within %v: %w", readyWithin, errors.Join(err, ctx.Err()))
+	return nil
 }
 
 // gateways returns the IP numbers of the gateways.
@@ -188,12 +194,7 @@
 }
 
 func hostOf(bs *standin.BackendServer) string {
-	ip := bs.Address
-	for i := range ip {
-		if ip[i] == ':' {
-			return ip[:i]
-		}
-	}
+	ip, _, _ := net.SplitHostPort(bs.Address) // made by addServers
 
 	return ip
 }
--- a/soak/measure_test.go
+++ b/soak/measure_test.go
@@ -66,12 +66,7 @@
 		}
 		out.rssMB = max(out.rssMB, pages*int64(os.Getpagesize())>>20)
 
-		rs, err := httpcall.NewClient("", false).Get("http://" + net.JoinHostPort(pr.ip, metricsPort) + "/metrics")
-		if err != nil {
-			return out, err
-		}
-		values, err := meter.ReadText(rs.Body)
-		_ = rs.Body.Close()
+		values, err := pr.metrics()
 		if err != nil {
 			return out, err
 		}
@@ -173,11 +168,11 @@
 				if pr.role != lo.role {
 					continue
 				}
-				leads, err := pr.leads()
+				values, err := pr.metrics()
 				if err != nil {
 					return err
 				}
-				if isAll || leads {
+				if isAll || values["group_leads"] == 1 {
 					hit = append(hit, pr)
 				}
 			}
@@ -215,16 +210,9 @@
 	return nil
 }
 
-// leads reports whether the process's replica leads.
-func (pr *process) leads() (bool, error) {
-	rs, err := httpcall.NewClient("", false).Get("http://" + net.JoinHostPort(pr.ip, metricsPort) + "/metrics")
-	if err != nil {
-		return false, err
-	}
-	defer rs.Body.Close()
-	values, err := meter.ReadText(rs.Body)
-
-	return values["group_leads"] == 1, err
+// metrics returns the counters and gauges that the process serves.
+func (pr *process) metrics() (map[string]int64, error) {
+	return meter.Fetch(context.Background(), httpcall.NewClient("", false), net.JoinHostPort(pr.ip, metricsPort))
 }
 
 func (de *deployment) measureLookups(ctx context.Context) error {
