Keep agents' usage windows while a gateway knows no declarations

With the counters of each agent printed, one agent of six had 947 tokens in the windows and its engine had made 2,768, while runs that were cut held 838 tokens of the 1,927 missing. A gateway that has just been started again answers an agent's announcement before its declarations have come, with the default length of 3,600 s; the agent then counts in windows with other numbers, which the group drops as too old, and the drop was not logged. Change: a gateway without declarations tells no length; an agent keeps what it knows, and holds what it counts before it knows any; counters that the group drops as too old are logged.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -91,7 +91,6 @@
 	crash        *crashReport
 	sequence     uint64
 	cacheSent    map[*peer.Session]uint64
-	window       int64 // seconds
 }
 
 // work is one request in flight.
@@ -286,13 +285,6 @@
 	return nil
 }
 
-func (ag *Agent) setWindow(seconds uint32) {
-	ag.mu.Lock()
-	defer ag.mu.Unlock()
-
-	ag.window = int64(seconds)
-}
-
 // report sends the load and returns how long the gateway wants to wait for the next report.
 func (ag *Agent) report(ctx context.Context, se *peer.Session) time.Duration {
 	cctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/agent/usage.go
+++ b/internal/agent/usage.go
@@ -16,39 +16,67 @@
 
 // counters are cumulative for this incarnation of the agent.
 type counters struct {
-	mu    sync.Mutex
-	now   map[counterKey]usage.Figures
-	acked map[counterKey]usage.Figures
+	mu     sync.Mutex
+	length int64 // seconds of a window, 0 before a gateway has told it
+	early  map[earlyKey]usage.Figures
+	now    map[counterKey]usage.Figures
+	acked  map[counterKey]usage.Figures
+}
+
+// earlyKey is what is counted before the length of the windows is known.
+type earlyKey struct {
+	workspace string
+	second    int64
 }
 
 // keepWindows is the number of windows whose counters an agent keeps.
 const keepWindows = 8
 
 func newCounters() *counters {
-	return &counters{now: map[counterKey]usage.Figures{}, acked: map[counterKey]usage.Figures{}}
+	return &counters{early: map[earlyKey]usage.Figures{}, now: map[counterKey]usage.Figures{}, acked: map[counterKey]usage.Figures{}}
 }
 
 // count adds to a workspace's counter of the current window.
 func (ag *Agent) count(workspace string, requests, tokens uint64) {
-	ag.mu.Lock()
-	window := ag.window
-	ag.mu.Unlock()
-	if window <= 0 {
-		window = 3600
-	}
+	ag.usage.count(workspace, ag.cfg.WallSeconds(), usage.Figures{Requests: requests, Tokens: tokens})
+}
+
+// setWindow takes the length of the windows that a gateway told. One that has just
+// started knows none and tells 0: a window of another length is a wrong one, whose
+// counters nobody reports.
+func (ag *Agent) setWindow(seconds uint32) { ag.usage.setLength(int64(seconds)) }
+
+func (co *counters) count(workspace string, second int64, f usage.Figures) {
+	co.mu.Lock()
+	defer co.mu.Unlock()
 
-	n := uint64(ag.cfg.WallSeconds() / window)
-	ag.usage.add(counterKey{workspace, n}, usage.Figures{Requests: requests, Tokens: tokens})
+	if co.length == 0 {
+		add(co.early, earlyKey{workspace, second}, f)
+
+		return
+	}
+	add(co.now, counterKey{workspace, uint64(second / co.length)}, f)
 }
 
-func (co *counters) add(k counterKey, f usage.Figures) {
+func (co *counters) setLength(seconds int64) {
 	co.mu.Lock()
 	defer co.mu.Unlock()
 
-	v := co.now[k]
+	if seconds <= 0 {
+		return
+	}
+	co.length = seconds
+	for k, f := range co.early {
+		add(co.now, counterKey{k.workspace, uint64(k.second / seconds)}, f)
+	}
+	clear(co.early)
+}
+
+func add[K comparable](m map[K]usage.Figures, k K, f usage.Figures) {
+	v := m[k]
 	v.Requests += f.Requests
 	v.Tokens += f.Tokens
-	co.now[k] = v
+	m[k] = v
 }
 
 // unsent returns the counters that grew since they were acknowledged.
--- /dev/null
+++ b/internal/agent/usage_test.go
@@ -0,0 +1,47 @@
+package agent
+
+import (
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarackbay/tamarackbay/internal/suite"
+	"github.com/tamarackbay/tamarackbay/internal/usage"
+)
+
+func TestSuite(t *testing.T) { suite.Run(t, "agent") }
+
+var _ = ginkgo.Describe("the counters of an agent", func() {
+	var ag *Agent
+	var now int64
+	ginkgo.BeforeEach(func() {
+		now = 1_800_000_007
+		ag = New(Config{Server: "s", Service: "p", WallSeconds: func() int64 { return now }})
+	})
+	const length = 3
+	one := usage.Figures{Requests: 1, Tokens: 20}
+
+	ginkgo.It("stay in windows of the length that was told, when a gateway that has just started knows none", func() {
+		ag.setWindow(length)
+		ag.count("w", 1, 20)
+		ag.setWindow(0)
+		now += length
+		ag.count("w", 1, 20)
+		first := uint64(1_800_000_007 / length)
+		Expect(ag.usage.unsent()).To(Equal(map[counterKey]usage.Figures{{"w", first}: one, {"w", first + 1}: one}))
+	})
+
+	ginkgo.It("wait for the length of the windows where it is not known yet", func() {
+		ag.count("w", 1, 0)
+		ag.count("w", 0, 20)
+		now += length
+		ag.count("v", 1, 20)
+		Expect(ag.usage.unsent()).To(BeEmpty())
+		ag.setWindow(length)
+		first := uint64(1_800_000_007 / length)
+		Expect(ag.usage.unsent()).To(Equal(map[counterKey]usage.Figures{{"w", first}: one, {"v", first + 1}: one}))
+		ag.setWindow(length)
+		Expect(ag.usage.unsent()).To(HaveLen(2))
+	})
+})
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -4,11 +4,13 @@
 	"context"
 	"time"
 
+	"github.com/apex/log"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/tamarackbay/tamarackbay/internal/agent"
 	"github.com/tamarackbay/tamarackbay/internal/call"
 	"github.com/tamarackbay/tamarackbay/internal/declaration"
+	"github.com/tamarackbay/tamarackbay/internal/group"
 	"github.com/tamarackbay/tamarackbay/internal/machine"
 	"github.com/tamarackbay/tamarackbay/internal/peer"
 	"github.com/tamarackbay/tamarackbay/internal/quarantine"
@@ -40,8 +42,13 @@
 	}
 }
 
-func (ga *Gateway) windowSeconds() uint32 {
-	wi, ok := ga.group.View().Set.Windows[declaration.WindowName]
+// windowSeconds returns the length of usage windows, 0 before the first declarations
+// have come here.
+func windowSeconds(vi *group.View) uint32 {
+	if vi.Version == 0 {
+		return 0
+	}
+	wi, ok := vi.Set.Windows[declaration.WindowName]
 	if !ok {
 		wi.Defaults()
 	}
@@ -66,7 +73,7 @@
 		po.Gone(an.GetServer(), an.GetIncarnation(), se)
 	}()
 
-	return st.Reply(&wire.AnnounceReply{WindowSeconds: ga.windowSeconds()})
+	return st.Reply(&wire.AnnounceReply{WindowSeconds: windowSeconds(ga.group.View())})
 }
 
 func (ga *Gateway) handleLoad(_ context.Context, st *peer.Stream) error {
@@ -83,7 +90,7 @@
 	}
 
 	return st.Reply(&wire.LoadReply{
-		Resync: resync, WindowSeconds: ga.windowSeconds(), PeriodMs: uint32(time.Duration(ga.reportPeriod.Load()).Milliseconds()),
+		Resync: resync, WindowSeconds: windowSeconds(ga.group.View()), PeriodMs: uint32(time.Duration(ga.reportPeriod.Load()).Milliseconds()),
 	})
 }
 
@@ -101,7 +108,15 @@
 		})
 	}
 
-	return ga.group.Propose(ctx, machine.KindFoldUsage, fo, nil)
+	tooOld := 0
+	if err := ga.group.Propose(ctx, machine.KindFoldUsage, fo, &tooOld); err != nil {
+		return err
+	}
+	if tooOld > 0 {
+		ga.cfg.Log.WithFields(log.Fields{"agent": rq.GetAgent(), "counters": tooOld}).Warn("usage of windows that are too old is not reported")
+	}
+
+	return nil
 }
 
 func (ga *Gateway) handleCrash(ctx context.Context, st *peer.Stream) error {
