--- a/internal/deployment/servers.go
+++ b/internal/deployment/servers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"time"
 
 	"github.com/tamarackbay/tamarackbay/internal/declaration"
@@ -62,16 +63,25 @@
 	return nil
 }
 
-// StopServer stops a backend server and its agent.
-func (de *Deployment) StopServer(server string) {
+// takeServer takes a backend server off the list of those that run.
+func (de *Deployment) takeServer(server string) (*program.Agent, *fake.Engine) {
 	de.mu.Lock()
-	pa, en, sv := de.agents[server], de.engines[server], de.services[server]
+	defer de.mu.Unlock()
+
+	pa, en := de.agents[server], de.engines[server]
 	delete(de.agents, server)
 	delete(de.engines, server)
 	if en != nil {
 		de.past = append(de.past, en)
 	}
-	de.mu.Unlock()
+
+	return pa, en
+}
+
+// StopServer stops a backend server and its agent.
+func (de *Deployment) StopServer(server string) {
+	pa, en := de.takeServer(server)
+	sv := de.Services()[server]
 	if pa != nil {
 		pa.Shutdown()
 	}
@@ -85,14 +95,7 @@
 
 // KillServer ends a backend server and its agent as the loss of a VM would.
 func (de *Deployment) KillServer(server string) {
-	de.mu.Lock()
-	pa, en := de.agents[server], de.engines[server]
-	delete(de.agents, server)
-	delete(de.engines, server)
-	if en != nil {
-		de.past = append(de.past, en)
-	}
-	de.mu.Unlock()
+	pa, en := de.takeServer(server)
 	if en != nil {
 		en.Close()
 	}
@@ -106,12 +109,7 @@
 	de.mu.Lock()
 	defer de.mu.Unlock()
 
-	out := map[string]*fake.Engine{}
-	for n, en := range de.engines {
-		out[n] = en
-	}
-
-	return out
+	return maps.Clone(de.engines)
 }
 
 // AllEngines returns every engine that ever ran.
@@ -132,12 +130,7 @@
 	de.mu.Lock()
 	defer de.mu.Unlock()
 
-	out := map[string]*fake.Service{}
-	for n, sv := range de.services {
-		out[n] = sv
-	}
-
-	return out
+	return maps.Clone(de.services)
 }
 
 // Agent returns the agent of a backend server.
--- a/internal/endtoend/drain_test.go
+++ b/internal/endtoend/drain_test.go
@@ -278,14 +278,7 @@
 			Expect(st.StartServer("engine-x", "engine", class, "a", "")).To(Succeed())
 			Expect(st.WaitServers(st.ctx, "m", 1, "v1")).To(Succeed())
 			for n := range 4 {
-				ld := -1
-				Expect(st.eventually(func() error {
-					if ld = st.Leader(); ld < 0 {
-						return fmt.Errorf("no leader")
-					}
-
-					return nil
-				})).To(Succeed())
+				ld := st.awaitLeader()
 				cl := st.Client(st.token["alpha"], (ld+1)%3)
 				Expect(cl.PushVersion(st.ctx, "m", fmt.Sprintf("v%d", n+2), "x")).To(Succeed())
 				st.KillGateway(ld)
--- a/internal/endtoend/suite_test.go
+++ b/internal/endtoend/suite_test.go
@@ -202,7 +202,10 @@
 }
 
 // follower returns a gateway that does not lead the group.
-func (st *stage) follower() int {
+func (st *stage) follower() int { return (st.awaitLeader() + 1) % 3 }
+
+// awaitLeader returns the gateway that leads the group, once there is one.
+func (st *stage) awaitLeader() int {
 	ld := -1
 	Expect(st.eventually(func() error {
 		if ld = st.Leader(); ld < 0 {
@@ -212,7 +215,7 @@
 		return nil
 	})).To(Succeed())
 
-	return (ld + 1) % 3
+	return ld
 }
 
 // rawRequest writes bytes to a gateway and returns what it answers until it closes or is silent.
