Log the fingerprint of a request whose connection broke

Cause: attempts of the same request carry a new ID each, so that no line tied the runs of one request together, at one gateway or at two.

--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"errors"
 	"fmt"
 	"io"
@@ -111,7 +109,7 @@
 		ga: ga, po: po, id: ga.newRequestID(), workspace: co.Workspace, class: co.Class,
 		cost: float64(co.MaxTokens) + float64(len(co.Prompt))/promptBytesPerCostUnit, deadline: deadline,
 		minSequence: co.MinSequence, newestFirst: co.IsSample, prefix: xxhash.Sum64String(co.Prompt), exclude: co.Exclude,
-		fingerprint: fingerprint(co.Model, co.Prompt, fmt.Sprint(co.MaxTokens)),
+		fingerprint: quarantine.Fingerprint(co.Model, co.Prompt, fmt.Sprint(co.MaxTokens)),
 	}}
 	rn.output.RequestID = rn.id
 	key := co.Route + "/" + co.Workspace
@@ -165,18 +163,6 @@
 	return de
 }
 
-// fingerprint returns a hash of everything that determines what a request makes a
-// backend server do.
-func fingerprint(parts ...string) string {
-	h := sha256.New()
-	for _, p := range parts {
-		fmt.Fprintf(h, "%d:", len(p))
-		_, _ = io.WriteString(h, p)
-	}
-
-	return hex.EncodeToString(h.Sum(nil)[:12])
-}
-
 // checkQuarantine refuses a fingerprint that was in flight at two or more crashes of
 // backend servers, at one of them as the only suspect. It sets *suspect for any other
 // fingerprint that was in flight at a crash.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -14,6 +14,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/idempotency"
 	"github.com/tamarackbay/tamarackbay/internal/plainservice"
 	"github.com/tamarackbay/tamarackbay/internal/pool"
+	"github.com/tamarackbay/tamarackbay/internal/quarantine"
 	"github.com/tamarackbay/tamarackbay/internal/result"
 	"github.com/tamarackbay/tamarackbay/internal/retry"
 	"github.com/tamarackbay/tamarackbay/internal/statemachine"
@@ -66,7 +67,7 @@
 
 	f := &forward{fo: fo, rep: rep, placement: placement{
 		ga: ga, po: po, id: ga.newRequestID(), workspace: fo.Caller.Workspace, class: fo.Route.Class, cost: 1, deadline: deadline,
-		fingerprint: fingerprint(fo.Route.Service, fo.Method, fo.Path, fo.Query, string(fo.Body)),
+		fingerprint: quarantine.Fingerprint(fo.Route.Service, fo.Method, fo.Path, fo.Query, string(fo.Body)),
 	}}
 	if fo.Route.Repeatable || fo.IdempotencyKey == "" {
 		return f.run(ctx)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -101,6 +101,7 @@
 	lastErr       error
 	failedAnswer  *completeAnswer // last answer with an error status, nil if there is none
 	configVersion uint64          // configuration version at the start of the request
+	fingerprint   string          // "" until it is needed
 }
 
 // completeAnswer is an answer whose body was read to its end.
@@ -157,6 +158,9 @@
 	if rs.ro != nil {
 		fl["route"] = rs.ro.Name
 	}
+	if rs.fingerprint != "" {
+		fl["fingerprint"] = rs.fingerprint
+	}
 	if err == nil {
 		in.cfg.Log.WithFields(fl).Info("request ended")
 
@@ -265,6 +269,9 @@
 	an, err := rs.in.cfg.Client.Send(ctx, gr.Record().Address, ca)
 	if err != nil {
 		rs.recordSendError(err, &outcome, sent)
+		if result.Is(err, result.BackendCrashed) {
+			rs.recordBreak(ctx, gr, 0)
+		}
 
 		return nil, nil, err
 	}
@@ -280,6 +287,8 @@
 	body, err := io.ReadAll(io.LimitReader(an.Body, maxAnswerBytes+1))
 	switch {
 	case err != nil:
+		rs.recordBreak(ctx, gr, 0)
+
 		return nil, nil, result.New(result.BackendAnswerBroken, "ingress: backend server %s: the answer broke off: %v", gr.Record().ID, err).WithExecution(result.Ran)
 	case len(body) > maxAnswerBytes:
 		return nil, nil, result.New(result.BackendAnswerBroken, "ingress: backend server %s: the answer exceeds the limit of %d bytes", gr.Record().ID, maxAnswerBytes).WithExecution(result.Ran)
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -52,6 +52,9 @@
 	an, err := rs.in.cfg.Client.Send(ctx, gr.Record().Address, ca)
 	if err != nil {
 		rs.recordSendError(err, &outcome, sent)
+		if result.Is(err, result.BackendCrashed) {
+			rs.recordBreak(ctx, gr, 0)
+		}
 
 		return err
 	}
@@ -74,6 +77,7 @@
 	}
 
 	next := rs.in.cfg.Client.NewEventReader(an.Body)
+	delivered := uint64(0) // last event of this run
 	for {
 		ev, err := next()
 		if errors.Is(err, io.EOF) {
@@ -86,6 +90,8 @@
 			return nil
 		}
 		if err != nil {
+			rs.recordBreak(ctx, gr, delivered)
+
 			return result.New(result.StreamCut, "ingress: backend server %s: the stream broke off: %v", gr.Record().ID, err).WithExecution(result.Ran)
 		}
 		if *last > 0 && ev.Number != *last+1 {
@@ -100,6 +106,6 @@
 
 			return result.New(result.DeadlinePassed, "ingress: the client disconnected: %v", err).WithExecution(result.Ran)
 		}
-		*last = ev.Number
+		*last, delivered = ev.Number, ev.Number
 	}
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -6,6 +6,27 @@
 // nearly every crash, would be refused.
 package quarantine
 
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+)
+
+const fingerprintBytes = 12
+
+// Fingerprint returns a hash, in hexadecimal, of everything that determines what a
+// request makes a backend server do.
+func Fingerprint(parts ...string) string {
+	h := sha256.New()
+	for _, p := range parts {
+		fmt.Fprintf(h, "%d:", len(p))
+		_, _ = io.WriteString(h, p)
+	}
+
+	return hex.EncodeToString(h.Sum(nil)[:fingerprintBytes])
+}
+
 // Verdict says how requests with a fingerprint are treated.
 type Verdict uint8
 
