End the refusal of a quarantined request and run it once more

A sound request that was running at two crashes of other causes had no way back, and a suspect of another gateway on the same backend server counted as if each had been alone there.

--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -164,16 +164,19 @@
 }
 
 // checkQuarantine refuses a fingerprint that was in flight at two or more crashes of
-// backend servers, at one of them as the only suspect. It sets *suspect for any other
+// backend servers, at one of them as the only suspect, until its refusal ends. It sets *suspect for any other
 // fingerprint that was in flight at a crash.
 func (ga *Gateway) checkQuarantine(fp string, suspect *bool) error {
 	en, ok := ga.group.View().Quarantine[fp]
 	if !ok {
 		return nil
 	}
-	switch en.Verdict() {
+	nowMs := ga.cfg.WallMs()
+	switch en.Verdict(nowMs) {
 	case quarantine.Refused:
-		return result.New(result.Quarantined, "fingerprint %s was in flight when %d backend servers crashed", fp, len(en.Crashes))
+		left := time.Duration(en.RefusedUntilMs()-nowMs) * time.Millisecond
+
+		return result.New(result.Quarantined, "fingerprint %s was in flight when %d backend servers crashed", fp, len(en.Crashes)).WithRetryAfter(left)
 	case quarantine.Suspect:
 		*suspect = true
 	case quarantine.Clear:
--- a/internal/gateway/handlers.go
+++ b/internal/gateway/handlers.go
@@ -199,12 +199,13 @@
 // clearSuspect records in the group that a request with a suspect fingerprint ran to
 // its end. It returns before the next request with that fingerprint may start.
 func (ga *Gateway) clearSuspect(fp string) {
-	if _, ok := ga.group.View().Quarantine[fp]; !ok {
+	en, ok := ga.group.View().Quarantine[fp]
+	if !ok || en.Verdict(ga.cfg.WallMs()) != quarantine.Suspect {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), groupCallTimeout)
 	defer cancel()
-	if err := ga.group.Propose(ctx, statemachine.KindClearSuspect, quarantine.ClearSuspect{Fingerprint: fp}, nil); err == nil {
+	if err := ga.group.Propose(ctx, statemachine.KindClearSuspect, quarantine.ClearSuspect{Fingerprint: fp, Crashes: len(en.Crashes)}, nil); err == nil {
 		ga.cfg.Meter.Count("quarantine.cleared")
 	}
 }
--- a/internal/group/view.go
+++ b/internal/group/view.go
@@ -49,7 +49,7 @@
 			n.Quarantine, changedQuarantine = cloneEntries(vi.Quarantine), true
 		}
 		for fp, en := range d.Quarantine {
-			if en.Verdict() == quarantine.Clear {
+			if en.IsClear() {
 				delete(n.Quarantine, fp)
 			} else {
 				n.Quarantine[fp] = en
--- a/internal/statemachine/statemachine.go
+++ b/internal/statemachine/statemachine.go
@@ -282,7 +282,7 @@
 	KindMarkReported: handle((*Machine).markReported),
 	KindRecordCrash:  handle((*Machine).recordCrash),
 	KindClearSuspect: handle(func(ma *Machine, c quarantine.ClearSuspect) (any, error) {
-		ma.quarantine.ClearSuspect(c)
+		ma.quarantine.ClearSuspect(c, ma.atMs)
 		ma.appendQuarantineDelta([]string{c.Fingerprint})
 
 		return nil, nil
@@ -391,8 +391,7 @@
 }
 
 func (ma *Machine) recordCrash(cr quarantine.Crash) (any, error) {
-	ma.quarantine.Crash(cr, ma.atMs)
-	ma.appendQuarantineDelta(cr.Fingerprints)
+	ma.appendQuarantineDelta(ma.quarantine.Crash(cr, ma.atMs))
 
 	return nil, nil
 }
