Refuse a request that crashes backend servers at every gateway

What callers saw: one request, sent again by its caller, ended the backend servers of a service one after the other, and nobody was served meanwhile.

Cause: nothing counted crashes by request on the platform's path. A gateway knew the attempts of one client call only; the same request under a new ID was a new one, there and at every other gateway. The quarantine existed, and served the own interface alone. The class of fault: a limit kept per call and process where the promise is about the request and the deployment.

Change: internal/crashguard, one at each gateway. When the connection of a run breaks and nothing listens at the backend server any more, the fingerprint of the request counts one crash: at this gateway at once, everywhere once the controllers' log has it (controller.crash, then the feed). A suspect runs once at a time and as the only suspect of its gateway on its backend server; after two crashes, one of them as the only suspect, it is refused at once with 503 and the time left; a run that completes clears it.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -92,6 +92,9 @@
 	Swap func(ctx context.Context, address string, we *WeightsOrder) error
 	// Report requests the state of a backend server.
 	Report func(ctx context.Context, address string) (Report, error)
+	// HasEnded reports whether nothing listens at the address of a backend server any more.
+	// One that does not answer at all may still run.
+	HasEnded func(ctx context.Context, address string) bool
 	// IdleTimeout returns how long an idle connection is kept open.
 	IdleTimeout func() time.Duration
 }
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -118,7 +118,8 @@
 	Prefix     string // of its prompt, "" for none
 	Exclude    []string
 	Tokens     int
-	ExtraSlots int // requests that a backend server may get beyond its slots, where they queue
+	IsSuspect  bool // was in flight at a crash: must be the only suspect of this process on its backend server
+	ExtraSlots int  // requests that a backend server may get beyond its slots, where they queue
 }
 
 // Grant is the right to send one request to a backend server.
@@ -128,6 +129,7 @@
 	server    *server
 	record    registry.Record
 	tokens    int
+	isSuspect bool
 	grantedAt time.Duration
 	once      sync.Once
 }
@@ -147,7 +149,7 @@
 	now := ba.cfg.Now()
 	sr := scheduler.Request{
 		MinSequence: rq.MinVersion, FailureDomain: ba.cfg.FailureDomain, Affinity: scheduler.NoCandidate,
-		Tokens: rq.Tokens, Sharers: 1,
+		Tokens: rq.Tokens, Sharers: 1, IsSuspect: rq.IsSuspect,
 	}
 	idleTimeout := time.Duration(0)
 	if ba.cfg.IdleTimeout != nil {
@@ -184,8 +186,9 @@
 	}
 	se.cands[i].InFlight++
 	se.cands[i].Tokens += rq.Tokens
+	se.cands[i].RunsSuspect = se.cands[i].RunsSuspect || rq.IsSuspect
 
-	return &Grant{balancer: ba, set: se, server: sv, record: sv.record, tokens: rq.Tokens, grantedAt: now}
+	return &Grant{balancer: ba, set: se, server: sv, record: sv.record, tokens: rq.Tokens, isSuspect: rq.IsSuspect, grantedAt: now}
 }
 
 // Count returns how many backend servers of a service are ready, and how many of
@@ -247,6 +250,7 @@
 	now := ba.cfg.Now()
 	ca := &gr.set.cands[i]
 	ca.InFlight--
+	ca.RunsSuspect = ca.RunsSuspect && !gr.isSuspect
 	if (oc == Succeeded || oc == Busy) && ba.cfg.IdleTimeout != nil {
 		gr.server.idleSince = append(gr.server.idleSince, now)
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -22,6 +22,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/leasedtask"
 	"github.com/tamarackbay/tamarackbay/internal/meter"
 	"github.com/tamarackbay/tamarackbay/internal/peer"
+	"github.com/tamarackbay/tamarackbay/internal/quarantine"
 	"github.com/tamarackbay/tamarackbay/internal/registry"
 	"github.com/tamarackbay/tamarackbay/internal/result"
 	"github.com/tamarackbay/tamarackbay/internal/roster"
@@ -54,7 +55,10 @@
 const (
 	methodHeartbeat = "controller.beat"
 	MethodAnnounce  = "controller.announce" // called by stores
-	MethodUsage     = "controller.usage"    // called by gateways
+	// Called by gateways.
+	MethodUsage        = "controller.usage"
+	MethodCrash        = "controller.crash"
+	MethodClearSuspect = "controller.clearSuspect"
 )
 
 // Config builds a Controller.
@@ -185,19 +189,42 @@
 		return st.Reply(&wire.Empty{})
 	}
 	mux[MethodAnnounce] = co.handleAnnounce
-	mux[MethodUsage] = func(ctx context.Context, st *peer.Stream) error {
-		var fo usage.AddCounters
-		if err := st.RequestRecord(&fo); err != nil {
+	mux[MethodUsage] = handlePropose[usage.AddCounters](co, statemachine.KindAddUsage)
+	mux[MethodCrash] = co.handleCrash
+	mux[MethodClearSuspect] = handlePropose[quarantine.ClearSuspect](co, statemachine.KindClearSuspect)
+
+	return mux
+}
+
+// handleCrash records a crash of a backend server that a gateway observed.
+func (co *Controller) handleCrash(ctx context.Context, st *peer.Stream) error {
+	var cr quarantine.Crash
+	if err := st.RequestRecord(&cr); err != nil {
+		return err
+	}
+	if err := co.group.Propose(ctx, statemachine.KindRecordCrash, cr, nil); err != nil {
+		return err
+	}
+	co.cfg.Log.WithFields(log.Fields{
+		"server": cr.Server, "fingerprints": cr.Fingerprints, "wereSuspects": cr.WereSuspects, "lastEvent": cr.LastEvent,
+	}).Info("crash of a backend server recorded")
+
+	return st.Reply(&wire.Empty{})
+}
+
+// handlePropose returns a handler that commits the command in a call.
+func handlePropose[T any](co *Controller, kind statemachine.Kind) peer.Handler {
+	return func(ctx context.Context, st *peer.Stream) error {
+		var body T
+		if err := st.RequestRecord(&body); err != nil {
 			return err
 		}
-		if err := co.group.Propose(ctx, statemachine.KindAddUsage, fo, nil); err != nil {
+		if err := co.group.Propose(ctx, kind, body, nil); err != nil {
 			return err
 		}
 
 		return st.Reply(&wire.Empty{})
 	}
-
-	return mux
 }
 
 // Run runs the replica, the feed and the work under leases until ctx ends.
@@ -288,6 +315,7 @@
 			st.Config = &c
 		}
 		st.Versions = maps.Clone(ma.Versions().All())
+		st.Quarantine = feed.Quarantine{Revision: ma.Revision(), Entries: ma.Quarantine().Entries()}
 		members = ma.Roster().Members()
 		for _, id := range ma.Roster().Formation() {
 			st.Formation = append(st.Formation, string(id))
--- /dev/null
+++ b/internal/crashguard/crashguard_test.go
@@ -0,0 +1,133 @@
+package crashguard_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarackbay/tamarackbay/internal/crashguard"
+	"github.com/tamarackbay/tamarackbay/internal/logging"
+	"github.com/tamarackbay/tamarackbay/internal/meter"
+	"github.com/tamarackbay/tamarackbay/internal/quarantine"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+	"github.com/tamarackbay/tamarackbay/internal/suite"
+)
+
+func TestSuite(t *testing.T) { suite.Run(t, "crashguard") }
+
+// gateway is a guard whose reports are recorded in a quarantine, or fail.
+type gateway struct {
+	*crashguard.Guard
+	mu          sync.Mutex
+	state       *quarantine.State
+	ended       bool // nothing listens at any backend server
+	unreachable bool // no controller answers
+}
+
+func newGateway() *gateway {
+	ga := &gateway{state: quarantine.NewState(nil), ended: true}
+	nowMs := func() int64 { return time.Now().UnixMilli() }
+	ga.Guard = crashguard.New(crashguard.Config{
+		Entries: func() map[string]quarantine.Entry {
+			ga.mu.Lock()
+			defer ga.mu.Unlock()
+
+			return ga.state.Entries()
+		},
+		ReportCrash: func(_ context.Context, cr quarantine.Crash) error {
+			if ga.unreachable {
+				return errors.New("unreachable")
+			}
+			ga.mu.Lock()
+			defer ga.mu.Unlock()
+			ga.state.Crash(cr, nowMs())
+
+			return nil
+		},
+		ReportCompletion: func(_ context.Context, cl quarantine.ClearSuspect) error {
+			ga.mu.Lock()
+			defer ga.mu.Unlock()
+			ga.state.ClearSuspect(cl, nowMs())
+
+			return nil
+		},
+		HasEnded: func(context.Context, string) bool { return ga.ended }, Now: time.Now, Meter: meter.New(), Log: logging.Discard(),
+	})
+
+	return ga
+}
+
+// crash admits a run of the fingerprint, breaks it and returns the error of the next admission.
+func (ga *gateway) crash(fp, server string) error {
+	pa, err := ga.Admit(context.Background(), fp)
+	if err != nil {
+		return err
+	}
+	ga.RecordBreak(context.Background(), crashguard.Run{Fingerprint: fp, ServerID: server, IsSuspect: pa.IsSuspect})
+	pa.Release()
+	pa, err = ga.Admit(context.Background(), fp)
+	if err == nil {
+		pa.Release()
+	}
+
+	return err
+}
+
+var _ = ginkgo.Describe("a guard", func() {
+	for _, tc := range []struct {
+		name               string
+		ended, unreachable bool
+		servers            []string
+		refused            bool
+	}{
+		{"admits a request after one crash", true, false, []string{"a"}, false},
+		{"refuses a request after a second crash", true, false, []string{"a", "b"}, true},
+		{"refuses it also while no controller answers", true, true, []string{"a", "b"}, true},
+		{"counts a crash of one incarnation once", true, false, []string{"a", "a"}, false},
+		{"does not count connections that broke to backend servers that run", false, false, []string{"a", "b", "c"}, false},
+	} {
+		ginkgo.It(tc.name, func() {
+			ga := newGateway()
+			ga.ended, ga.unreachable = tc.ended, tc.unreachable
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan struct{})
+			go func() { defer close(done); ga.Run(ctx) }()
+			var err error
+			for _, s := range tc.servers {
+				err = ga.crash("x", s)
+			}
+			cancel()
+			<-done
+			Expect(result.Is(err, result.Quarantined)).To(Equal(tc.refused), "%v", err)
+			if tc.refused {
+				er := result.From(err)
+				Expect(er.Execution).To(Equal(result.NotRun))
+				Expect(er.RetryAfter).To(BeNumerically("~", 30*time.Second, time.Second))
+			}
+			Expect(ga.crash("other", "z")).To(Succeed())
+		})
+	}
+
+	ginkgo.It("runs a suspect once at a time, refuses another one soon, and clears it when it completes", func() {
+		ga := newGateway()
+		Expect(ga.crash("x", "a")).To(Succeed())
+		pa, err := ga.Admit(context.Background(), "x")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(pa.IsSuspect).To(BeTrue())
+		began := time.Now()
+		_, err = ga.Admit(context.Background(), "x")
+		Expect(err).To(HaveOccurred())
+		Expect(time.Since(began)).To(BeNumerically("<", time.Second))
+		ga.RecordCompletion("x")
+		pa.Release()
+		pa, err = ga.Admit(context.Background(), "x")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(pa.IsSuspect).To(BeFalse())
+		Expect(ga.IsIdle()).To(BeTrue())
+	})
+})
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -15,11 +15,13 @@
 	"github.com/tamarackbay/tamarackbay/internal/backend"
 	"github.com/tamarackbay/tamarackbay/internal/balance"
 	"github.com/tamarackbay/tamarackbay/internal/controller"
+	"github.com/tamarackbay/tamarackbay/internal/crashguard"
 	"github.com/tamarackbay/tamarackbay/internal/feed"
 	"github.com/tamarackbay/tamarackbay/internal/ingress"
 	"github.com/tamarackbay/tamarackbay/internal/jobproxy"
 	"github.com/tamarackbay/tamarackbay/internal/meter"
 	"github.com/tamarackbay/tamarackbay/internal/peer"
+	"github.com/tamarackbay/tamarackbay/internal/quarantine"
 	"github.com/tamarackbay/tamarackbay/internal/result"
 	"github.com/tamarackbay/tamarackbay/internal/routing"
 	"github.com/tamarackbay/tamarackbay/internal/scheduler"
@@ -31,8 +33,9 @@
 const (
 	// usagePeriod is the time between two sends of usage counters. If a gateway is
 	// lost, the counts since its last send are missing from the usage report.
-	usagePeriod  = 500 * time.Millisecond
-	usageTimeout = 900 * time.Millisecond
+	usagePeriod = 500 * time.Millisecond
+	// controllerTimeout bounds a call to one controller.
+	controllerTimeout = 900 * time.Millisecond
 	// schedulerCandidates is the number of backend servers compared for each request.
 	schedulerCandidates = 8
 	// defaultMaxBodyBytes limits a request's body where the configuration sets no
@@ -57,6 +60,7 @@
 	links     *peer.Links
 	follower  *feed.Follower
 	balancer  *balance.Balancer
+	guard     *crashguard.Guard
 	ingress   *ingress.Ingress
 	jobProxy  *jobproxy.Proxy
 	tally     *usage.Tally
@@ -73,9 +77,19 @@
 	ed.balancer = balance.New(balance.Config{
 		FailureDomain: cfg.Settings.FailureDomain, Scheduler: scheduler.Config{RandomChoices: schedulerCandidates}, Now: cfg.Now, Random: rand.IntN, IdleTimeout: cfg.Client.IdleTimeout,
 	})
+	ed.guard = crashguard.New(crashguard.Config{
+		Entries: func() map[string]quarantine.Entry { return ed.follower.View().Quarantine.Entries },
+		ReportCrash: func(ctx context.Context, cr quarantine.Crash) error {
+			return ed.callControllers(ctx, controller.MethodCrash, cr)
+		},
+		ReportCompletion: func(ctx context.Context, cl quarantine.ClearSuspect) error {
+			return ed.callControllers(ctx, controller.MethodClearSuspect, cl)
+		},
+		HasEnded: cfg.Client.HasEnded, Now: time.Now, Meter: cfg.Meter, Log: cfg.Log,
+	})
 	ed.ingress = ingress.New(ingress.Config{
 		Table: ed.Table, Fresh: ed.fresh, Balancer: ed.balancer, Client: cfg.Client, Random: rand.Float64, OnStart: ed.tally.Count,
-		Meter: cfg.Meter, Log: cfg.Log,
+		Guard: ed.guard, Meter: cfg.Meter, Log: cfg.Log,
 	})
 	ed.jobProxy = jobproxy.New(jobproxy.Config{
 		Ingress: ed.ingress, Table: ed.Table, View: ed.follower.View, Changed: ed.follower.Changed, Links: ed.links,
@@ -136,6 +150,7 @@
 	wg.Go(func() { ed.follower.Run(ctx) })
 	wg.Go(func() { ed.follower.EachView(ctx, func(vi *feed.View) { ed.balancer.Sync(vi.Servers) }) })
 	wg.Go(func() { ed.sendUsageLoop(ctx) })
+	wg.Go(func() { ed.guard.Run(ctx) })
 	wg.Wait()
 }
 
@@ -151,39 +166,45 @@
 	}
 }
 
-// FlushUsage sends the pending usage counters to the controllers one after another,
-// from a random one on, until one has recorded them.
+// FlushUsage sends the pending usage counters to the controllers.
 func (ed *Edge) FlushUsage(ctx context.Context) {
 	counters := ed.tally.Pending()
 	if len(counters) == 0 {
 		return
 	}
-	b, err := cbor.Marshal(usage.AddCounters{Counters: counters})
-	if err != nil {
-		ed.cfg.Log.WithError(err).Error("cannot encode usage counters")
+	if err := ed.callControllers(ctx, controller.MethodUsage, usage.AddCounters{Counters: counters}); err != nil {
+		ed.cfg.Log.WithError(err).WithField("counters", len(counters)).Warn("no controller recorded the usage counters, they will be sent again")
 
 		return
 	}
+	ed.tally.Confirm(counters)
+}
+
+// callControllers sends a record to the controllers one after another, from a random one
+// on, until one has accepted it.
+func (ed *Edge) callControllers(ctx context.Context, method string, record any) error {
+	b, err := cbor.Marshal(record)
+	if err != nil {
+		return result.New(result.Internal, "edge: encode the call %s: %v", method, err)
+	}
 
 	targets := ed.follower.Controllers()
 	first := rand.IntN(max(len(targets), 1))
+	err = result.New(result.NoLeader, "edge: no controller is connected")
 	for i := range targets {
 		a := targets[(first+i)%len(targets)]
 		if ed.links.To(a).Session() == nil {
 			continue
 		}
-		cctx, cancel := context.WithTimeout(ctx, usageTimeout)
-		err = ed.links.Call(cctx, a, controller.MethodUsage, &wire.Payload{Record: b}, &wire.Empty{})
+		cctx, cancel := context.WithTimeout(ctx, controllerTimeout)
+		err = ed.links.Call(cctx, a, method, &wire.Payload{Record: b}, &wire.Empty{})
 		cancel()
 		if err == nil {
-			ed.tally.Confirm(counters)
-
-			return
+			return nil
 		}
 	}
-	if err != nil {
-		ed.cfg.Log.WithError(err).WithField("counters", len(counters)).Warn("no controller recorded the usage counters, they will be sent again")
-	}
+
+	return err
 }
 
 // Measure sets the gauges of this edge's view of the configuration and the servers.
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -1,6 +1,6 @@
 // Package feed sends the state of the controllers to every other process: the
-// configuration, the newest weight versions, the VMs that store batch jobs, and the
-// backend servers. A follower follows every controller at once, so that it lacks nothing
+// configuration, the newest weight versions, the VMs that store batch jobs, the quarantine
+// and the backend servers. A follower follows every controller at once, so that it lacks nothing
 // when one of them fails.
 package feed
 
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/tamarackbay/tamarackbay/internal/quarantine"
 	"github.com/tamarackbay/tamarackbay/internal/registry"
 	"github.com/tamarackbay/tamarackbay/internal/routing"
 )
@@ -45,11 +46,60 @@
 	Controllers []string          // peer addresses
 	Stores      []Store
 	Formation   []string // replicas that formed the store group
+	Quarantine  Quarantine
 	Servers     []registry.Status
 	IsSettled   bool          // every backend server that is alive has reported to this controller
 	Age         time.Duration // since the replicated part was last confirmed
 }
 
+// Quarantine holds the suspect and refused fingerprints at a position in the controllers'
+// log. Its entries are never changed, only replaced.
+type Quarantine struct {
+	Revision uint64 // position of their last change
+	Entries  map[string]quarantine.Entry
+}
+
+// quarantineDelta is the difference between two states of the quarantine.
+type quarantineDelta struct {
+	Revision uint64                      `cbor:"1,keyasint"`
+	Changed  map[string]quarantine.Entry `cbor:"2,keyasint,omitempty"`
+	Removed  []string                    `cbor:"3,keyasint,omitempty"`
+}
+
+// diff returns the delta that leads from old to qu, nil if they are equal.
+func (qu Quarantine) diff(old Quarantine) *quarantineDelta {
+	if qu.Revision == old.Revision {
+		return nil
+	}
+	de := &quarantineDelta{Revision: qu.Revision, Changed: map[string]quarantine.Entry{}}
+	for fp, en := range qu.Entries {
+		if o, ok := old.Entries[fp]; !ok || !reflect.DeepEqual(o, en) {
+			de.Changed[fp] = en
+		}
+	}
+	for fp := range old.Entries {
+		if _, ok := qu.Entries[fp]; !ok {
+			de.Removed = append(de.Removed, fp)
+		}
+	}
+
+	return de
+}
+
+// apply returns the state after a delta.
+func (qu Quarantine) apply(de *quarantineDelta) Quarantine {
+	next := maps.Clone(qu.Entries)
+	if next == nil {
+		next = map[string]quarantine.Entry{}
+	}
+	maps.Copy(next, de.Changed)
+	for _, fp := range de.Removed {
+		delete(next, fp)
+	}
+
+	return Quarantine{Revision: de.Revision, Entries: next}
+}
+
 // roster is the part of a State that changes with the VMs.
 type roster struct {
 	Controllers []string `cbor:"1,keyasint"`
@@ -70,11 +120,13 @@
 	Removed   []string          `cbor:"5,keyasint,omitempty"`
 	IsSettled bool              `cbor:"6,keyasint,omitempty"`
 	AgeMs     int64             `cbor:"7,keyasint"`
+	// Quarantine is nil if it did not change.
+	Quarantine *quarantineDelta `cbor:"8,keyasint,omitempty"`
 }
 
 // diff returns the delta that leads from old to st.
 func diff(old, st *State) *stateDelta {
-	de := &stateDelta{IsSettled: st.IsSettled, AgeMs: st.Age.Milliseconds()}
+	de := &stateDelta{IsSettled: st.IsSettled, AgeMs: st.Age.Milliseconds(), Quarantine: st.Quarantine.diff(old.Quarantine)}
 	if st.Config != nil && (old.Config == nil || st.Config.Version > old.Config.Version) {
 		de.Config = st.Config
 	}
@@ -106,7 +158,7 @@
 
 // isEmpty reports whether a delta changes nothing, so that it is only a heartbeat.
 func (de *stateDelta) isEmpty() bool {
-	return de.Config == nil && de.Versions == nil && de.Roster == nil && len(de.Changed) == 0 && len(de.Removed) == 0
+	return de.Config == nil && de.Versions == nil && de.Roster == nil && de.Quarantine == nil && len(de.Changed) == 0 && len(de.Removed) == 0
 }
 
 // View is the merged state of all controllers that a follower follows. It is never
@@ -117,6 +169,7 @@
 	Controllers []string
 	Stores      []Store
 	Formation   []string
+	Quarantine  Quarantine        // of the controller that applied most of the log
 	Servers     []registry.Record // alive, in the order of their IDs
 }
 
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/tamarackbay/tamarackbay/internal/logging"
+	"github.com/tamarackbay/tamarackbay/internal/quarantine"
 	"github.com/tamarackbay/tamarackbay/internal/registry"
 	"github.com/tamarackbay/tamarackbay/internal/routing"
 	"github.com/tamarackbay/tamarackbay/internal/suite"
@@ -58,3 +61,27 @@
 		Expect(st.Name).To(Equal("b"), "a controller that lags reports an old leader")
 	})
 })
+
+var _ = ginkgo.Describe("the quarantine of a follower", func() {
+	ginkgo.It("is that of the controller that applied most, whichever lags or restarts", func() {
+		fo := NewFollower(Config{Log: logging.Discard()})
+		entry := quarantine.Entry{Crashes: []string{"s/1"}}
+		states := []Quarantine{
+			{Revision: 4, Entries: map[string]quarantine.Entry{"x": entry}},
+			{Revision: 7, Entries: map[string]quarantine.Entry{"x": entry, "y": entry}},
+			{Revision: 9, Entries: map[string]quarantine.Entry{"y": entry}},
+		}
+		send := func(controller string, from, to Quarantine) {
+			fo.applyDelta(controller, diff(&State{Quarantine: from}, &State{Quarantine: to}), time.Now())
+		}
+		send("a", Quarantine{}, states[1])
+		send("b", Quarantine{}, states[0])
+		Expect(fo.View().Quarantine).To(Equal(states[1]))
+		send("b", states[0], states[2])
+		Expect(fo.View().Quarantine).To(Equal(states[2]))
+		fo.dropController("b")
+		send("b", Quarantine{}, states[0])
+		send("a", states[1], states[1])
+		Expect(fo.View().Quarantine).To(Equal(states[2]))
+	})
+})
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -37,7 +37,8 @@
 	changed   chan struct{} // closed and replaced with each new view
 	merged    *registry.MergedView
 	following map[string]context.CancelFunc
-	confirmed time.Time // when the replicated part of the view was last confirmed
+	sources   map[string]Quarantine // by controller
+	confirmed time.Time             // when the replicated part of the view was last confirmed
 	wg        sync.WaitGroup
 }
 
@@ -45,6 +46,7 @@
 func NewFollower(cfg Config) *Follower {
 	fo := &Follower{
 		cfg: cfg, changed: make(chan struct{}), merged: registry.NewMergedView(), following: map[string]context.CancelFunc{},
+		sources: map[string]Quarantine{},
 	}
 	fo.view.Store(&View{})
 
@@ -201,6 +203,12 @@
 
 	next := *old
 	next.merge(de)
+	if de.Quarantine != nil {
+		fo.sources[address] = fo.sources[address].apply(de.Quarantine)
+		if fo.sources[address].Revision > old.Quarantine.Revision {
+			next.Quarantine = fo.sources[address]
+		}
+	}
 	next.Servers = servers
 	fo.logChanges(address, old, &next)
 	fo.publish(&next)
@@ -237,6 +245,7 @@
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
 
+	delete(fo.sources, address)
 	fo.merged.MarkUnreachable(address)
 	fo.merged.Reset(address)
 	next := *fo.View()
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/tamarackbay/tamarackbay/internal/dialer"
@@ -107,6 +108,27 @@
 	return time.Duration(idleFraction * float64(at.serverIdle))
 }
 
+// IsRefused reports whether a new connection to address is refused: its VM runs, but no
+// process listens there. hc is a client of New or NewAdaptive.
+func IsRefused(ctx context.Context, hc *http.Client, address string) bool {
+	rt := hc.Transport
+	if at, ok := rt.(*adaptiveTransport); ok {
+		at.mu.Lock()
+		rt = at.transport
+		at.mu.Unlock()
+	}
+	tr, ok := rt.(*http.Transport)
+	if !ok {
+		return false
+	}
+	co, err := tr.DialContext(ctx, "tcp", address)
+	if err == nil {
+		_ = co.Close()
+	}
+
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // RoundTrip sends a request and adapts to the Keep-Alive header of the answer.
 func (at *adaptiveTransport) RoundTrip(rq *http.Request) (*http.Response, error) {
 	at.mu.Lock()
--- a/internal/ingress/crash.go
+++ b/internal/ingress/crash.go
@@ -6,6 +6,7 @@
 	"github.com/apex/log"
 
 	"github.com/tamarackbay/tamarackbay/internal/balance"
+	"github.com/tamarackbay/tamarackbay/internal/crashguard"
 	"github.com/tamarackbay/tamarackbay/internal/quarantine"
 )
 
@@ -20,15 +21,44 @@
 	return rs.fingerprint
 }
 
-// recordBreak logs that the connection of a run broke after the event lastEvent, 0 for
-// none.
-func (rs *requestState) recordBreak(ctx context.Context, gr *balance.Grant, lastEvent uint64) {
+// place asks whether the request may run now and acquires a slot on a backend server.
+func (rs *requestState) place(ctx context.Context) (*crashguard.Pass, *balance.Grant, error) {
+	pa := crashguard.FreePass()
+	if !rs.in.cfg.Guard.IsIdle() {
+		var err error
+		if pa, err = rs.in.cfg.Guard.Admit(ctx, rs.identify()); err != nil {
+			return nil, nil, err
+		}
+	}
+	gr, err := rs.acquireServer(pa.IsSuspect)
+	if err != nil {
+		pa.Release()
+
+		return nil, nil, err
+	}
+
+	return pa, gr, nil
+}
+
+// recordBreak records that the connection of a run broke after the event lastEvent.
+func (rs *requestState) recordBreak(ctx context.Context, gr *balance.Grant, pa *crashguard.Pass, lastEvent uint64) {
 	if ctx.Err() != nil {
 		return // cut by this process
 	}
 	re := gr.Record()
-	rs.in.cfg.Meter.Count("request.brokenOff")
+	rs.in.cfg.Meter.Count("attempts.brokenOff")
 	rs.in.cfg.Log.WithFields(log.Fields{
 		"request": rs.rq.ID, "fingerprint": rs.identify(), "server": re.ID, "born": re.BornMs, "attempt": rs.sentCount, "lastEvent": lastEvent,
 	}).Warn("connection to the backend server broke during a request")
+	rs.in.cfg.Guard.RecordBreak(ctx, crashguard.Run{
+		RequestID: rs.rq.ID, Fingerprint: rs.identify(), ServerID: re.ID, BornMs: re.BornMs, Address: re.Address,
+		IsSuspect: pa.IsSuspect, LastEvent: lastEvent,
+	})
+}
+
+// recordCompletion records that the request ran to its end on a backend server.
+func (rs *requestState) recordCompletion() {
+	if !rs.in.cfg.Guard.IsIdle() {
+		rs.in.cfg.Guard.RecordCompletion(rs.identify())
+	}
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -9,6 +9,7 @@
 
 	"github.com/tamarackbay/tamarackbay/internal/backend"
 	"github.com/tamarackbay/tamarackbay/internal/balance"
+	"github.com/tamarackbay/tamarackbay/internal/crashguard"
 	"github.com/tamarackbay/tamarackbay/internal/meter"
 	"github.com/tamarackbay/tamarackbay/internal/result"
 	"github.com/tamarackbay/tamarackbay/internal/routing"
@@ -38,6 +39,7 @@
 	Client   *backend.Client
 	Random   func() float64                       // in [0, 1)
 	OnStart  func(workspace string, at time.Time) // called once for each request of a workspace that may have run
+	Guard    *crashguard.Guard
 	Meter    *meter.Meter
 	Log      log.Interface
 }
@@ -187,9 +189,9 @@
 
 // acquireServer acquires a slot on a backend server. It prefers a server that was not
 // tried, then any server but the last one tried, and takes that one as the last resort.
-func (rs *requestState) acquireServer() (*balance.Grant, error) {
+func (rs *requestState) acquireServer(isSuspect bool) (*balance.Grant, error) {
 	service := rs.ro.PickTarget(rs.in.cfg.Random())
-	rq := &balance.Request{Service: service, Model: rs.rq.Model, Exclude: rs.tried}
+	rq := &balance.Request{Service: service, Model: rs.rq.Model, Exclude: rs.tried, IsSuspect: isSuspect}
 	if gr := rs.in.cfg.Balancer.Acquire(rq); gr != nil {
 		return gr, nil
 	}
@@ -226,13 +228,14 @@
 // that the request can be retried up to then.
 func (rs *requestState) serveComplete(ctx context.Context, sink *Sink) error {
 	for {
-		gr, err := rs.acquireServer()
+		pa, gr, err := rs.place(ctx)
 		if err != nil {
 			rs.lastErr = err
 
 			return rs.replyFailure(sink)
 		}
-		an, body, err := rs.sendComplete(ctx, gr)
+		an, body, err := rs.sendComplete(ctx, gr, pa)
+		pa.Release()
 		if err == nil && !rs.isServerFailure(an) {
 			sink.Complete(an, body)
 
@@ -255,7 +258,7 @@
 func (rs *requestState) isServerFailure(an *backend.Answer) bool { return an.Status >= 500 }
 
 // sendComplete sends the request to one backend server and reads its complete answer.
-func (rs *requestState) sendComplete(ctx context.Context, gr *balance.Grant) (*backend.Answer, []byte, error) {
+func (rs *requestState) sendComplete(ctx context.Context, gr *balance.Grant, pa *crashguard.Pass) (*backend.Answer, []byte, error) {
 	outcome, load := balance.Failed, (*backend.Load)(nil)
 	defer func() { gr.Release(outcome, load) }()
 
@@ -270,7 +273,7 @@
 	if err != nil {
 		rs.recordSendError(err, &outcome, sent)
 		if result.Is(err, result.BackendCrashed) {
-			rs.recordBreak(ctx, gr, 0)
+			rs.recordBreak(ctx, gr, pa, 0)
 		}
 
 		return nil, nil, err
@@ -287,7 +290,7 @@
 	body, err := io.ReadAll(io.LimitReader(an.Body, maxAnswerBytes+1))
 	switch {
 	case err != nil:
-		rs.recordBreak(ctx, gr, 0)
+		rs.recordBreak(ctx, gr, pa, 0)
 
 		return nil, nil, result.New(result.BackendAnswerBroken, "ingress: backend server %s: the answer broke off: %v", gr.Record().ID, err).WithExecution(result.Ran)
 	case len(body) > maxAnswerBytes:
@@ -299,6 +302,7 @@
 	if an.Status >= 500 {
 		outcome = balance.Failed
 	}
+	rs.recordCompletion()
 
 	return an, body, nil
 }
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -15,9 +15,11 @@
 
 	"github.com/tamarackbay/tamarackbay/internal/backend"
 	"github.com/tamarackbay/tamarackbay/internal/balance"
+	"github.com/tamarackbay/tamarackbay/internal/crashguard"
 	"github.com/tamarackbay/tamarackbay/internal/ingress"
 	"github.com/tamarackbay/tamarackbay/internal/logging"
 	"github.com/tamarackbay/tamarackbay/internal/meter"
+	"github.com/tamarackbay/tamarackbay/internal/quarantine"
 	"github.com/tamarackbay/tamarackbay/internal/registry"
 	"github.com/tamarackbay/tamarackbay/internal/result"
 	"github.com/tamarackbay/tamarackbay/internal/routing"
@@ -102,6 +104,10 @@
 	fi.in = ingress.New(ingress.Config{
 		Table: func() *routing.Table { return ta }, Fresh: func() error { return nil }, Balancer: ba, Random: func() float64 { return 0 },
 		OnStart: func(string, time.Time) { fi.began++ }, Meter: meter.New(), Log: logging.Discard(),
+		Guard: crashguard.New(crashguard.Config{
+			Entries: func() map[string]quarantine.Entry { return nil }, HasEnded: func(context.Context, string) bool { return false },
+			Now: time.Now, Meter: meter.New(), Log: logging.Discard(),
+		}),
 		Client: &backend.Client{NewEventReader: readEvents, Send: func(ctx context.Context, address string, ca *backend.Call) (*backend.Answer, error) {
 			fi.mu.Lock()
 			n := len(fi.sent)
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/tamarackbay/tamarackbay/internal/backend"
 	"github.com/tamarackbay/tamarackbay/internal/balance"
+	"github.com/tamarackbay/tamarackbay/internal/crashguard"
 	"github.com/tamarackbay/tamarackbay/internal/result"
 )
 
@@ -18,9 +19,10 @@
 	begun := false
 	last := rs.rq.ResumeAfter
 	for {
-		gr, err := rs.acquireServer()
+		pa, gr, err := rs.place(ctx)
 		if err == nil {
-			err = rs.sendStream(ctx, gr, sink, &begun, &last)
+			err = rs.sendStream(ctx, gr, pa, sink, &begun, &last)
+			pa.Release()
 		}
 		if err == nil {
 			sink.End()
@@ -42,7 +44,7 @@
 
 // sendStream forwards the stream of one backend server. It returns nil once the
 // stream has ended regularly.
-func (rs *requestState) sendStream(ctx context.Context, gr *balance.Grant, sink *Sink, begun *bool, last *uint64) error {
+func (rs *requestState) sendStream(ctx context.Context, gr *balance.Grant, pa *crashguard.Pass, sink *Sink, begun *bool, last *uint64) error {
 	outcome, load := balance.Failed, (*backend.Load)(nil)
 	defer func() { gr.Release(outcome, load) }()
 
@@ -53,7 +55,7 @@
 	if err != nil {
 		rs.recordSendError(err, &outcome, sent)
 		if result.Is(err, result.BackendCrashed) {
-			rs.recordBreak(ctx, gr, 0)
+			rs.recordBreak(ctx, gr, pa, 0)
 		}
 
 		return err
@@ -86,11 +88,12 @@
 				*begun = true
 				sink.Begin(an)
 			}
+			rs.recordCompletion()
 
 			return nil
 		}
 		if err != nil {
-			rs.recordBreak(ctx, gr, delivered)
+			rs.recordBreak(ctx, gr, pa, delivered)
 
 			return result.New(result.StreamCut, "ingress: backend server %s: the stream broke off: %v", gr.Record().ID, err).WithExecution(result.Ran)
 		}
