Generate a sample again however many engines crashed under it

What trainers saw: a sample of a step came back as a failure, quarantined, after two engines had crashed while they ran it. It was never placed again, although the engines were back and had room.

Cause: the quarantine treats each run alike. A sample shares the fingerprint of a caller's completion of the same prompt, becomes suspect at a crash, and is refused after a second one as the only suspect; the step then lists the refusal as the sample's result. Work that was accepted for later is owed and is no request that crashes its servers.

Change: samples carry no fingerprint. Crashes are not counted against them, and a refusal of the same prompt of a caller doesn't reach them.

Evidence: end to end, engines are crashed four times under one sample.

--- a/internal/endtoend/step_test.go
+++ b/internal/endtoend/step_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -251,6 +252,34 @@
 		Expect(co.samples).To(HaveLen(40))
 	})
 
+	// Guards against a sample that is given up because engines crashed while they ran it: the
+	// quarantine took it for a request that crashes them.
+	It("delivers a sample under which several engines crashed", func() {
+		st := newSetup(setupConfig{engines: 2, engine: fake.EngineConfig{TokenTime: 30 * time.Millisecond}})
+		cl := st.Client(st.token["alpha"], 1)
+		Expect(cl.OpenStep(st.ctx, newStep("s", 1, 1, 32))).To(Succeed())
+		go func() {
+			for crashes := 0; crashes < 4 && st.ctx.Err() == nil; time.Sleep(time.Millisecond) {
+				crashes = 0
+				for _, en := range st.AllEngines() {
+					if slices.ContainsFunc(en.Runs(), func(ru fake.Run) bool { return !ru.Ended }) {
+						en.Crash()
+					}
+					crashes += en.Crashes()
+				}
+			}
+		}()
+		pushed := 1
+		co := st.collect(cl, "s", &pushed, nil)
+		Expect(co.samples).To(HaveLen(1))
+		Expect(co.samples[0].Failure).To(BeNil())
+		crashes := 0
+		for _, en := range st.AllEngines() {
+			crashes += en.Crashes()
+		}
+		Expect(crashes).To(BeNumerically(">=", 4))
+	})
+
 	It("may be opened again with the same content and is refused with different content", func() {
 		st := newSetup(setupConfig{engines: 1})
 		open := func(i int, sn client.Step) answer {
--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -109,8 +109,10 @@
 		ga: ga, po: po, id: ga.newRequestID(), workspace: co.Workspace, class: co.Class,
 		cost: float64(co.MaxTokens) + float64(len(co.Prompt))/promptBytesPerCostUnit, deadline: deadline,
 		minSequence: co.MinSequence, newestFirst: co.IsSample, prefix: xxhash.Sum64String(co.Prompt), exclude: co.Exclude,
-		fingerprint: quarantine.Fingerprint(co.Model, co.Prompt, fmt.Sprint(co.MaxTokens)),
 	}}
+	if !co.IsSample {
+		rn.fingerprint = quarantine.Fingerprint(co.Model, co.Prompt, fmt.Sprint(co.MaxTokens))
+	}
 	rn.output.RequestID = rn.id
 	key := co.Route + "/" + co.Workspace
 	ga.mu.Lock()
--- a/internal/gateway/handlers.go
+++ b/internal/gateway/handlers.go
@@ -159,8 +159,14 @@
 }
 
 // admitFingerprint refuses a quarantined fingerprint. A suspect one waits until no
-// other request with it runs here; the returned function lets the next one run.
+// other request with it runs here; the returned function lets the next one run. A
+// request without a fingerprint is always admitted.
 func (ga *Gateway) admitFingerprint(ctx context.Context, fp string, suspect *bool) (func(), error) {
+	if fp == "" {
+		*suspect = false
+
+		return func() {}, nil
+	}
 	if err := ga.checkQuarantine(fp, suspect); err != nil {
 		return nil, err
 	}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -22,7 +22,7 @@
 	minSequence uint64
 	newestFirst bool
 	prefix      uint64
-	fingerprint string
+	fingerprint string // "" for a sample, which is owed: no crash is counted against it
 	suspect     bool
 	exclude     []string
 }
--- a/internal/rollout/steprun.go
+++ b/internal/rollout/steprun.go
@@ -250,7 +250,7 @@
 	re := record{ID: sa.ID, Group: gr.ID, Attempt: attempt, StartedMs: startedMs}
 	if err != nil {
 		er := result.From(err)
-		if er.Code != result.Quarantined && er.Code != result.BackendRefused {
+		if er.Code != result.BackendRefused {
 			return false, err
 		}
 		re.Failure = &failure{Code: er.Code, Name: result.Lookup(er.Code).Name, Message: er.Message}
