Bound what is read of an answer, in its head and its body

Cause: the size of most answers was bounded by a time-out only. A line of a stream was read to its end before its length was checked, an event could have any number of lines, empty and unknown lines were skipped for ever, an item's text could grow without limit, the body of a score was read until its time-out, heads could have 10 MB, and each buffered answer 16 MB whatever the others held.

Change: lines and events of a stream are bounded while they are read; heads have 64 KiB, reports and other JSON answers 1 MiB, scores 1 MiB, the text of an item a page of results. Complete answers are buffered in chunks, which beyond the first 64 KiB share an eighth of the process's memory. Whatever is over ends the run and closes its connection. A score request that breaks off is repeated after a pause that doubles. Engines of the own interface: lines without an event too.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -38,6 +38,9 @@
 	controllerTimeout = 900 * time.Millisecond
 	// schedulerCandidates is the number of backend servers compared for each request.
 	schedulerCandidates = 8
+	// answerMemoryShare is the divisor of the process's memory that gives what buffered
+	// answers may take.
+	answerMemoryShare = 8
 	// defaultMaxBodyBytes limits a request's body where the configuration sets no
 	// limit, or none has arrived yet.
 	defaultMaxBodyBytes = 32 << 20
@@ -89,7 +92,7 @@
 	})
 	ed.ingress = ingress.New(ingress.Config{
 		Table: ed.Table, Fresh: ed.fresh, Balancer: ed.balancer, Client: cfg.Client, Random: rand.Float64, OnStart: ed.tally.Count,
-		Guard: ed.guard, Meter: cfg.Meter, Log: cfg.Log,
+		Guard: ed.guard, BufferBytes: cfg.Settings.MemoryBytes / answerMemoryShare, Meter: cfg.Meter, Log: cfg.Log,
 	})
 	ed.jobProxy = jobproxy.New(jobproxy.Config{
 		Ingress: ed.ingress, Table: ed.Table, View: ed.follower.View, Changed: ed.follower.Changed, Links: ed.links,
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -104,11 +104,17 @@
 	sc := bufio.NewScanner(body)
 	sc.Buffer(make([]byte, 0, 4096), maxLineBytes)
 	isFinished := false
+	skipped := 0 // bytes of other lines since the last event
 	for sc.Scan() {
 		data, ok := strings.CutPrefix(sc.Text(), dataPrefix)
 		if !ok {
+			if skipped += len(sc.Bytes()) + 1; skipped > maxLineBytes {
+				return brokenAnswer(fmt.Sprintf("%d bytes without an event", skipped))
+			}
+
 			continue
 		}
+		skipped = 0
 		if data == endMark {
 			if !isFinished {
 				return brokenAnswer("the stream has an end mark but no finish reason")
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -25,7 +25,8 @@
 	defaultDialTimeout = time.Second
 	defaultIdleTimeout = 30 * time.Second
 	maxIdlePerServer   = 256
-	maxAnswerBytes     = 16 << 20
+	maxHeaderBytes     = 64 << 10 // of an answer
+	maxAnswerBytes     = 1 << 20  // of a JSON answer
 	maxErrorBytes      = 512
 )
 
@@ -56,7 +57,7 @@
 	return &http.Client{
 		Transport: &http.Transport{
 			DialContext: nd.DialContext, DisableKeepAlives: !cfg.KeepAlive, MaxIdleConnsPerHost: maxIdlePerServer,
-			IdleConnTimeout: cfg.Idle, DisableCompression: true, Proxy: nil,
+			IdleConnTimeout: cfg.Idle, DisableCompression: true, Proxy: nil, MaxResponseHeaderBytes: maxHeaderBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"io"
+	"errors"
 	"time"
 
 	"github.com/apex/log"
@@ -16,8 +16,6 @@
 )
 
 const (
-	// maxAnswerBytes limits an answer that is buffered until it is complete.
-	maxAnswerBytes = 16 << 20
 	// answerMargin is the time reserved before the client's deadline for sending the
 	// answer of a failed request.
 	answerMargin = 20 * time.Millisecond
@@ -40,15 +38,20 @@
 	Random   func() float64                       // in [0, 1)
 	OnStart  func(workspace string, at time.Time) // called once for each request of a workspace that may have run
 	Guard    *crashguard.Guard
-	Meter    *meter.Meter
-	Log      log.Interface
+	// BufferBytes bounds the memory of answers that are buffered, 0 for a default.
+	BufferBytes int64
+	Meter       *meter.Meter
+	Log         log.Interface
 }
 
 // Ingress routes requests to backend servers. It is safe for concurrent use.
-type Ingress struct{ cfg Config }
+type Ingress struct {
+	cfg     Config
+	answers *answerReader
+}
 
 // New returns an ingress.
-func New(cfg Config) *Ingress { return &Ingress{cfg: cfg} }
+func New(cfg Config) *Ingress { return &Ingress{cfg: cfg, answers: newAnswerReader(cfg.BufferBytes)} }
 
 // Admit returns the route and the workspace of a request. The workspace is nil where
 // Identify returns nil.
@@ -108,8 +111,9 @@
 
 // completeAnswer is an answer whose body was read to its end.
 type completeAnswer struct {
-	answer *backend.Answer
-	body   []byte
+	answer  *backend.Answer
+	body    Body
+	release func() // gives back the memory of the body
 }
 
 // Serve serves one request. It sends the answer to sink, or returns the error that the
@@ -133,6 +137,11 @@
 	rs.deadline = rq.Arrived.Add(wait)
 	ctx, cancel := context.WithDeadline(ctx, rs.deadline.Add(-answerMargin))
 	defer cancel()
+	defer func() {
+		if rs.failedAnswer != nil {
+			rs.failedAnswer.release()
+		}
+	}()
 
 	if ro.IsStreaming {
 		err = rs.serveStream(ctx, sink)
@@ -234,16 +243,17 @@
 
 			return rs.replyFailure(sink)
 		}
-		an, body, err := rs.sendComplete(ctx, gr, pa)
+		an, err := rs.sendComplete(ctx, gr, pa)
 		pa.Release()
-		if err == nil && !rs.isServerFailure(an) {
-			sink.Complete(an, body)
+		if err == nil && !rs.isServerFailure(an.answer) {
+			sink.Complete(an.answer, an.body)
+			an.release()
 
 			return nil
 		}
 		if err == nil {
-			rs.failedAnswer = &completeAnswer{an, body}
-			err = result.New(result.BackendRefused, "ingress: backend server %s answered with status %d", gr.Record().ID, an.Status).WithExecution(result.Ran)
+			rs.keepFailure(an)
+			err = result.New(result.BackendRefused, "ingress: backend server %s answered with status %d", gr.Record().ID, an.answer.Status).WithExecution(result.Ran)
 		}
 		rs.lastErr = err
 		if ctx.Err() != nil || !rs.canRetry() {
@@ -253,12 +263,20 @@
 	}
 }
 
+// keepFailure keeps an answer with an error status, for the case that no attempt succeeds.
+func (rs *requestState) keepFailure(an *completeAnswer) {
+	if rs.failedAnswer != nil {
+		rs.failedAnswer.release()
+	}
+	rs.failedAnswer = an
+}
+
 // isServerFailure reports whether another backend server might succeed. Answers that
 // report a fault of the request itself are forwarded to the client.
 func (rs *requestState) isServerFailure(an *backend.Answer) bool { return an.Status >= 500 }
 
 // sendComplete sends the request to one backend server and reads its complete answer.
-func (rs *requestState) sendComplete(ctx context.Context, gr *balance.Grant, pa *crashguard.Pass) (*backend.Answer, []byte, error) {
+func (rs *requestState) sendComplete(ctx context.Context, gr *balance.Grant, pa *crashguard.Pass) (*completeAnswer, error) {
 	outcome, load := balance.Failed, (*backend.Load)(nil)
 	defer func() { gr.Release(outcome, load) }()
 
@@ -276,7 +294,7 @@
 			rs.recordBreak(ctx, gr, pa, 0)
 		}
 
-		return nil, nil, err
+		return nil, err
 	}
 	defer an.Body.Close()
 
@@ -284,19 +302,21 @@
 	if an.IsNotRun {
 		outcome = balance.Busy
 
-		return nil, nil, result.New(result.ServerDraining, "ingress: backend server %s refused with status %d", gr.Record().ID, an.Status).WithRetryAfter(defaultRetryAfter)
+		return nil, result.New(result.ServerDraining, "ingress: backend server %s refused with status %d", gr.Record().ID, an.Status).WithRetryAfter(defaultRetryAfter)
 	}
 	rs.recordStart(sent)
-	body, err := io.ReadAll(io.LimitReader(an.Body, maxAnswerBytes+1))
+	body, release, err := rs.in.answers.read(an.Body)
 	switch {
+	case errors.Is(err, errAnswerTooLarge), errors.Is(err, errBuffersFull):
+		return nil, result.New(result.BackendAnswerBroken, "ingress: backend server %s: %v", gr.Record().ID, err).WithExecution(result.Ran)
 	case err != nil:
 		rs.recordBreak(ctx, gr, pa, 0)
 
-		return nil, nil, result.New(result.BackendAnswerBroken, "ingress: backend server %s: the answer broke off: %v", gr.Record().ID, err).WithExecution(result.Ran)
-	case len(body) > maxAnswerBytes:
-		return nil, nil, result.New(result.BackendAnswerBroken, "ingress: backend server %s: the answer exceeds the limit of %d bytes", gr.Record().ID, maxAnswerBytes).WithExecution(result.Ran)
+		return nil, result.New(result.BackendAnswerBroken, "ingress: backend server %s: the answer broke off: %v", gr.Record().ID, err).WithExecution(result.Ran)
 	case an.Status < 300 && an.Stamp == "":
-		return nil, nil, result.New(result.BackendAnswerBroken, "ingress: backend server %s: the answer carries no signature", gr.Record().ID).WithExecution(result.Ran)
+		release()
+
+		return nil, result.New(result.BackendAnswerBroken, "ingress: backend server %s: the answer carries no signature", gr.Record().ID).WithExecution(result.Ran)
 	}
 	outcome = balance.Succeeded
 	if an.Status >= 500 {
@@ -304,7 +324,7 @@
 	}
 	rs.recordCompletion()
 
-	return an, body, nil
+	return &completeAnswer{an, body, release}, nil
 }
 
 // canRetryAfterThis reports whether another backend server may be tried if the
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -1,6 +1,7 @@
 package ingress_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -126,7 +127,9 @@
 func (fi *fixture) serve() error {
 	return fi.in.Serve(context.Background(), &ingress.Request{
 		ID: "1", Method: "POST", Host: "h", Path: "/p/x", Target: "/p/x", Key: "k", Arrived: time.Now(), ClientTimeout: 400 * time.Millisecond,
-	}, &ingress.Sink{Complete: func(an *backend.Answer, body []byte) { fi.status, fi.body = an.Status, string(body) }})
+	}, &ingress.Sink{Complete: func(an *backend.Answer, body ingress.Body) {
+		fi.status, fi.body = an.Status, string(bytes.Join(body, nil))
+	}})
 }
 
 var _ = ginkgo.Describe("a request with a complete answer", func() {
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -30,7 +30,7 @@
 // by any number of Events and an End.
 type Sink struct {
 	// Complete sends a complete answer.
-	Complete func(an *backend.Answer, body []byte)
+	Complete func(an *backend.Answer, body Body)
 	// Begin sends the head of a stream.
 	Begin func(an *backend.Answer)
 	// Event sends one event of the stream.
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -70,9 +70,13 @@
 	}
 	rs.recordStart(sent)
 	if an.Status >= 300 || an.Stamp == "" {
-		body, err := io.ReadAll(io.LimitReader(an.Body, maxAnswerBytes))
-		if err == nil && !*begun && an.Status >= 300 {
-			rs.failedAnswer = &completeAnswer{an, body}
+		body, release, err := rs.in.answers.read(an.Body)
+		switch {
+		case err != nil:
+		case *begun || an.Status < 300:
+			release()
+		default:
+			rs.keepFailure(&completeAnswer{an, body, release})
 		}
 
 		return result.New(result.BackendRefused, "ingress: backend server %s answered with status %d", gr.Record().ID, an.Status).WithExecution(result.Ran)
--- a/internal/jobdriver/run.go
+++ b/internal/jobdriver/run.go
@@ -39,6 +39,8 @@
 	// maxErrorBytes is how much of a failure's answer is read so that its connection
 	// can be reused.
 	maxErrorBytes = 64 << 10
+	// maxScoreBytes bounds the answer to a request for a score, whose body is not used.
+	maxScoreBytes = 1 << 20
 )
 
 // outcome is the way in which a run or a score request ended.
@@ -165,6 +167,11 @@
 			return brokenOff, result.New(result.NoEligibleVersion, "the weight version changed to %d within the text of a single-version route", version)
 		}
 		te.add(ev.Number, ev.Data, version)
+		if te.bytes > job.MaxPageBytes {
+			*te = generatedText{}
+
+			return brokenOff, result.New(result.BackendAnswerBroken, "the text is over %d bytes", job.MaxPageBytes)
+		}
 		if now.Sub(progressAt) > progressPeriod {
 			dr.recordProgress(t, te)
 			progressAt = now
@@ -278,6 +285,7 @@
 func (dr *Driver) fetchScore(ctx context.Context, t *task) {
 	rw := t.item.Reward
 	var tried []string
+	broken := 0 // consecutive requests that broke off
 	for ctx.Err() == nil {
 		score, server, oc, limit := dr.requestScore(ctx, rw, tried)
 		if server != "" {
@@ -299,11 +307,18 @@
 
 				return
 			}
-		case oc == refused:
-			select {
-			case <-time.After(scoreRetryPause):
-			case <-ctx.Done():
-			}
+		}
+		pause := time.Duration(0)
+		switch oc {
+		case refused:
+			pause = scoreRetryPause
+		case brokenOff:
+			pause = min(minRetryPause<<broken, scoreRetryPause)
+			broken = min(broken+1, maxBackoffDoublings)
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
 		}
 	}
 }
@@ -340,8 +355,12 @@
 	oc = brokenOff
 	if err == nil {
 		load = an.Load
-		_, err = io.Copy(io.Discard, an.Body)
+		var n int64
+		n, err = io.Copy(io.Discard, io.LimitReader(an.Body, maxScoreBytes+1))
 		_ = an.Body.Close()
+		if n > maxScoreBytes {
+			err = result.New(result.BackendAnswerBroken, "the answer is over %d bytes", maxScoreBytes)
+		}
 		switch {
 		case an.IsNotRun:
 			oc, grantOutcome = refused, balance.Busy
--- a/internal/jobdriver/task.go
+++ b/internal/jobdriver/task.go
@@ -63,6 +63,7 @@
 // generatedText is the text generated for an item so far.
 type generatedText struct {
 	events    []string // data of each event
+	bytes     int      // size of all data with their line ends
 	lastEvent uint64   // number of the last event, 0 for none
 	versions  []uint64 // weight versions that wrote it, ascending
 
@@ -74,14 +75,20 @@
 
 // newGeneratedText returns the text that a former driver committed.
 func newGeneratedText(pa *job.Partial) generatedText {
+	bytes := 0
+	for _, ev := range pa.Events {
+		bytes += len(ev) + 1
+	}
+
 	return generatedText{
-		events: slices.Clone(pa.Events), lastEvent: pa.LastEvent, versions: slices.Clone(pa.Versions), proposed: pa.LastEvent, proposedEvents: len(pa.Events),
+		events: slices.Clone(pa.Events), bytes: bytes, lastEvent: pa.LastEvent, versions: slices.Clone(pa.Versions), proposed: pa.LastEvent, proposedEvents: len(pa.Events),
 	}
 }
 
 // add appends an event that a weight version wrote.
 func (te *generatedText) add(number uint64, data string, version uint64) {
 	te.events = append(te.events, data)
+	te.bytes += len(data) + 1
 	te.lastEvent = number
 	if i, ok := slices.BinarySearch(te.versions, version); !ok {
 		te.versions = slices.Insert(te.versions, i, version)
