Refuse a stream at once when no backend server can take it

What callers saw: a stream for which no backend server was ready, or had room, was answered only at its deadline, and its gateway used a whole core meanwhile.

Cause: the loop of a stream's attempts went on after a failed placement as after a failed attempt, and a request that was never sent may always be tried again.

Change: a placement that fails ends the stream, as it ends a request with a complete answer.

--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -20,10 +20,13 @@
 	last := rs.rq.ResumeAfter
 	for {
 		pa, gr, err := rs.place(ctx)
-		if err == nil {
-			err = rs.sendStream(ctx, gr, pa, sink, &begun, &last)
-			pa.Release()
+		if err != nil {
+			rs.lastErr = err
+
+			break
 		}
+		err = rs.sendStream(ctx, gr, pa, sink, &begun, &last)
+		pa.Release()
 		if err == nil {
 			sink.End()
 
--- a/internal/ingress/stream_test.go
+++ b/internal/ingress/stream_test.go
@@ -70,11 +70,13 @@
 		{"is sent to another backend server when the first has not run it", false, []reply{notRun, refusedConnection, streamUntil(0)}, all, true, 0, 3},
 		{"is not repeated after a cut connection before its first event", false, []reply{cutConnection, streamUntil(0)}, nil, false, result.ExecutionUnknown, 1},
 		{"is refused as not run when no backend server ran it", true, []reply{notRun}, nil, false, result.NotRun, 3},
+		{"is refused at once when there is no backend server", true, nil, nil, false, result.NotRun, 0},
 	} {
 		ginkgo.It(tc.name, func() {
 			fi := newFixture(routing.Route{Kind: routing.AtMostOnce, IsStreaming: true, IsResumable: tc.resumable, MaxAttempts: 3}, tc.replies...)
 			var got []uint64
 			begun, ended := 0, 0
+			arrived := time.Now()
 			err := fi.in.Serve(context.Background(), &ingress.Request{ID: "1", Host: "h", Path: "/p/x", Key: "k", Arrived: time.Now()}, &ingress.Sink{
 				Begin: func(*backend.Answer) { begun++ },
 				Event: func(ev backend.Event) error {
@@ -84,6 +86,7 @@
 				},
 				End: func() { ended++ },
 			})
+			Expect(time.Since(arrived)).To(BeNumerically("<", 400*time.Millisecond))
 			Expect(got).To(Equal(tc.got))
 			Expect(fi.sent).To(HaveLen(tc.sent))
 			Expect(begun).To(BeNumerically("<=", 1))
