Clear a suspect stream once it gets further than at its crashes

Cause: a suspect fingerprint runs once at a time. A popular request whose answer is a long stream would keep its repetitions waiting until the stream's end, and they are refused after 250 ms.

Change: an event beyond the furthest one of the crashed runs clears the fingerprint, since a request that crashes its backend server does so at the same place. Bodies enter the fingerprint by a fast hash.

The bodies' hashing time was not measured.

--- a/internal/crashguard/crashguard.go
+++ b/internal/crashguard/crashguard.go
@@ -118,7 +118,8 @@
 
 // Pass is the permission to run a request once.
 type Pass struct {
-	IsSuspect bool // it must be the only suspect on its backend server
+	IsSuspect bool   // it must be the only suspect on its backend server
+	LastEvent uint64 // furthest event of the runs that ended at crashes
 	release   func()
 }
 
@@ -144,7 +145,7 @@
 			gu.running[fp] = done
 			gu.mu.Unlock()
 
-			return &Pass{IsSuspect: true, release: sync.OnceFunc(func() { gu.endRun(fp, done) })}, nil
+			return &Pass{IsSuspect: true, LastEvent: en.LastEvent, release: sync.OnceFunc(func() { gu.endRun(fp, done) })}, nil
 		}
 		gu.mu.Unlock()
 
--- a/internal/ingress/crash.go
+++ b/internal/ingress/crash.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"strconv"
 
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/tamarackbay/tamarackbay/internal/balance"
 	"github.com/tamarackbay/tamarackbay/internal/crashguard"
@@ -15,7 +17,8 @@
 func (rs *requestState) identify() string {
 	if rs.fingerprint == "" {
 		rq := rs.rq
-		rs.fingerprint = quarantine.Fingerprint(rs.workspace, rq.Method, rq.Host, rq.Target, string(rq.Body))
+		body := strconv.FormatUint(xxhash.Sum64(rq.Body), 16) // bodies may be large
+		rs.fingerprint = quarantine.Fingerprint(rs.workspace, rq.Method, rq.Host, rq.Target, body)
 	}
 
 	return rs.fingerprint
@@ -56,6 +59,16 @@
 	})
 }
 
+// recordEvent records that a run delivered an event. A suspect that gets further than the
+// runs that ended at crashes is cleared before its stream ends.
+func (rs *requestState) recordEvent(pa *crashguard.Pass, number uint64) {
+	if pa.IsSuspect && number > pa.LastEvent {
+		pa.IsSuspect = false
+		rs.recordCompletion()
+		pa.Release()
+	}
+}
+
 // recordCompletion records that the request ran to its end on a backend server.
 func (rs *requestState) recordCompletion() {
 	if !rs.in.cfg.Guard.IsIdle() {
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -74,6 +74,7 @@
 	mu     sync.Mutex
 	sent   []string // addresses of the backend servers that received the request, in order
 	began  int
+	ended  bool // broken connections mean that the backend server has ended
 	status int
 	body   string
 }
@@ -106,7 +107,7 @@
 		Table: func() *routing.Table { return ta }, Fresh: func() error { return nil }, Balancer: ba, Random: func() float64 { return 0 },
 		OnStart: func(string, time.Time) { fi.began++ }, Meter: meter.New(), Log: logging.Discard(),
 		Guard: crashguard.New(crashguard.Config{
-			Entries: func() map[string]quarantine.Entry { return nil }, HasEnded: func(context.Context, string) bool { return false },
+			Entries: func() map[string]quarantine.Entry { return nil }, HasEnded: func(context.Context, string) bool { return fi.ended },
 			Now: time.Now, Meter: meter.New(), Log: logging.Discard(),
 		}),
 		Client: &backend.Client{NewEventReader: readEvents, Send: func(ctx context.Context, address string, ca *backend.Call) (*backend.Answer, error) {
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -117,5 +117,6 @@
 			return result.New(result.DeadlinePassed, "ingress: the client disconnected: %v", err).WithExecution(result.Ran)
 		}
 		*last, delivered = ev.Number, ev.Number
+		rs.recordEvent(pa, ev.Number)
 	}
 }
