Count a crash that only the next incarnation of its backend server tells of

Cause: a crash counted only if the connection broke and a new one was refused at once. A backend server that falls silent when it crashes, or stands behind a forwarder that accepts connections for it, was not counted, and a request that crashes such backend servers would still have been sent again without limit.

Change: runs that ended without an answer are kept for 15 s, at most 256. If the backend server appears meanwhile as a later incarnation, under the same ID or at the same address, the run was in flight at a crash. A suspect whose run is unresolved is refused until it is, 15 s at most; another request is not held up. A completed run of the same request drops them.

Measured: internal/crashguard, a table case: silence at three backend servers, each told by a later incarnation, refuses the fingerprint; a sound one that got no answer from the same backend server and then completed is admitted. Not played with real processes.

--- a/internal/crashguard/crashguard.go
+++ b/internal/crashguard/crashguard.go
@@ -16,6 +16,7 @@
 
 	"github.com/tamarackbay/tamarackbay/internal/meter"
 	"github.com/tamarackbay/tamarackbay/internal/quarantine"
+	"github.com/tamarackbay/tamarackbay/internal/registry"
 	"github.com/tamarackbay/tamarackbay/internal/result"
 )
 
@@ -36,6 +37,10 @@
 	// endedRetention is how long the incarnations that ended are remembered: longer than
 	// the requests that were in flight may take to fail.
 	endedRetention = time.Minute
+	// A run whose backend server may have crashed is kept for unresolvedRetention, longer than
+	// a backend server takes to come back. At most maxUnresolved are kept, the last ones.
+	unresolvedRetention = 15 * time.Second
+	maxUnresolved       = 256
 )
 
 // Config configures a Guard.
@@ -63,6 +68,14 @@
 	running map[string]chan struct{} // by fingerprint: closed when its suspect run ends
 	ended   map[string]time.Time     // incarnations of backend servers that ended, and when
 	reports []report                 // in the order in which they are sent
+	// unresolved holds the runs that ended without an answer at a backend server of which it
+	// is not known whether it crashed.
+	unresolved []unresolvedRun
+}
+
+type unresolvedRun struct {
+	Run
+	at time.Time
 }
 
 // localCrash is a crash that this gateway observed.
@@ -87,12 +100,13 @@
 	}
 }
 
-// IsIdle reports whether no fingerprint is suspect or refused, so that requests need none.
+// IsIdle reports whether no fingerprint is suspect or refused, nor may become so, so that
+// requests need none.
 func (gu *Guard) IsIdle() bool {
 	gu.mu.Lock()
 	defer gu.mu.Unlock()
 
-	return len(gu.local) == 0 && len(gu.cfg.Entries()) == 0
+	return len(gu.local) == 0 && len(gu.unresolved) == 0 && len(gu.cfg.Entries()) == 0
 }
 
 // entry returns the entry of a fingerprint, with the crashes that only this gateway
@@ -139,8 +153,9 @@
 		gu.mu.Lock()
 		en, nowMs := gu.entry(fp), gu.cfg.Now().UnixMilli()
 		verdict := en.Verdict(nowMs)
+		unresolved := gu.unresolvedSuspect(fp)
 		busy := gu.running[fp]
-		if verdict == quarantine.Suspect && busy == nil {
+		if verdict == quarantine.Suspect && busy == nil && unresolved == 0 {
 			done := make(chan struct{})
 			gu.running[fp] = done
 			gu.mu.Unlock()
@@ -158,6 +173,10 @@
 			return nil, result.New(result.Quarantined, "crashguard: %d backend servers crashed while they ran this request, fingerprint %s", len(en.Crashes), fp).
 				WithRetryAfter(left)
 		case quarantine.Suspect:
+			if unresolved > 0 {
+				return nil, result.New(result.Quarantined, "crashguard: a run of the suspect fingerprint %s got no answer, its backend server may have crashed", fp).
+					WithRetryAfter(unresolved)
+			}
 		}
 		select {
 		case <-busy:
@@ -168,6 +187,19 @@
 	}
 }
 
+// unresolvedSuspect returns for how long a run of the fingerprint as a suspect may still
+// turn out to have been in flight at a crash, 0 if there is none. The caller must hold gu.mu.
+func (gu *Guard) unresolvedSuspect(fp string) time.Duration {
+	left := time.Duration(0)
+	for _, ur := range gu.unresolved {
+		if ur.Fingerprint == fp && ur.IsSuspect {
+			left = max(left, unresolvedRetention-gu.cfg.Now().Sub(ur.at))
+		}
+	}
+
+	return left
+}
+
 func (gu *Guard) endRun(fp string, done chan struct{}) {
 	gu.mu.Lock()
 	defer gu.mu.Unlock()
@@ -176,7 +208,7 @@
 	close(done)
 }
 
-// Run describes a run of a request whose connection broke.
+// Run describes a run of a request that ended without an answer.
 type Run struct {
 	RequestID   string
 	Fingerprint string
@@ -187,14 +219,59 @@
 	LastEvent   uint64 // last event that it delivered, 0 for none
 }
 
+// server names the incarnation of the backend server.
+func (ru Run) server() string { return fmt.Sprintf("%s/%d", ru.ServerID, ru.BornMs) }
+
 // RecordBreak records a run whose connection broke. If its backend server has ended, the
 // run was in flight at a crash.
 func (gu *Guard) RecordBreak(ctx context.Context, ru Run) {
-	server := fmt.Sprintf("%s/%d", ru.ServerID, ru.BornMs)
-	if !gu.hasEnded(ctx, server, ru.Address) {
-		return
+	if gu.hasEnded(ctx, ru.server(), ru.Address) {
+		gu.recordCrash(ru)
+	} else {
+		gu.RecordSilence(ru)
 	}
+}
+
+// RecordSilence records a run that got no answer in time, from a backend server that may
+// have crashed, be slow or be cut off.
+func (gu *Guard) RecordSilence(ru Run) {
+	gu.mu.Lock()
+	defer gu.mu.Unlock()
+
+	if len(gu.unresolved) >= maxUnresolved {
+		gu.unresolved = gu.unresolved[1:]
+	}
+	gu.unresolved = append(gu.unresolved, unresolvedRun{ru, gu.cfg.Now()})
+}
+
+// ObserveServers takes the backend servers that are known now. A later incarnation under
+// the same ID or address shows that the one before has ended.
+func (gu *Guard) ObserveServers(servers []registry.Record) {
+	now := gu.cfg.Now()
+	var crashed []Run
+	gu.mu.Lock()
+	gu.unresolved = slices.DeleteFunc(gu.unresolved, func(ur unresolvedRun) bool {
+		if now.Sub(ur.at) > unresolvedRetention {
+			return true
+		}
+		isReplaced := slices.ContainsFunc(servers, func(re registry.Record) bool {
+			return re.BornMs > ur.BornMs && (re.ID == ur.ServerID || re.Address == ur.Address)
+		})
+		if isReplaced {
+			crashed = append(crashed, ur.Run)
+		}
+
+		return isReplaced
+	})
+	gu.mu.Unlock()
+	for _, ru := range crashed {
+		gu.recordCrash(ru)
+	}
+}
 
+// recordCrash counts a run that was in flight when its backend server crashed.
+func (gu *Guard) recordCrash(ru Run) {
+	server := ru.server()
 	now := gu.cfg.Now()
 	cr := quarantine.Crash{Server: server, Fingerprints: []string{ru.Fingerprint}, WereSuspects: ru.IsSuspect, LastEvent: ru.LastEvent}
 	gu.mu.Lock()
@@ -258,6 +335,7 @@
 	defer gu.mu.Unlock()
 
 	delete(gu.local, fp)
+	gu.unresolved = slices.DeleteFunc(gu.unresolved, func(ur unresolvedRun) bool { return ur.Fingerprint == fp })
 	gu.reports = slices.DeleteFunc(gu.reports, func(re report) bool { return re.fingerprint == fp })
 	en := gu.cfg.Entries()[fp]
 	if en.Verdict(gu.cfg.Now().UnixMilli()) == quarantine.Suspect {
--- a/internal/crashguard/crashguard_test.go
+++ b/internal/crashguard/crashguard_test.go
@@ -14,6 +14,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/logging"
 	"github.com/tamarackbay/tamarackbay/internal/meter"
 	"github.com/tamarackbay/tamarackbay/internal/quarantine"
+	"github.com/tamarackbay/tamarackbay/internal/registry"
 	"github.com/tamarackbay/tamarackbay/internal/result"
 	"github.com/tamarackbay/tamarackbay/internal/suite"
 )
@@ -130,4 +131,31 @@
 		Expect(pa.IsSuspect).To(BeFalse())
 		Expect(ga.IsIdle()).To(BeTrue())
 	})
+
+	ginkgo.It("counts a crash of which only a later incarnation tells, and refuses a suspect until it is known", func() {
+		ga := newGateway()
+		ga.ended = false
+		ctx := context.Background()
+		silence := func(fp, server string) {
+			pa, err := ga.Admit(ctx, fp)
+			Expect(err).NotTo(HaveOccurred())
+			ga.RecordSilence(crashguard.Run{Fingerprint: fp, ServerID: server, BornMs: 1, Address: server, IsSuspect: pa.IsSuspect})
+			pa.Release()
+		}
+		silence("x", "a")
+		silence("sound", "a")
+		ga.ObserveServers([]registry.Record{{ID: "a", BornMs: 1, Address: "a"}})
+		silence("x", "b") // it may have been a slow backend server
+		ga.RecordCompletion("sound")
+		ga.ObserveServers([]registry.Record{{ID: "a", BornMs: 5, Address: "elsewhere"}, {ID: "new", BornMs: 5, Address: "b"}})
+		silence("x", "c")
+		_, err := ga.Admit(ctx, "x")
+		Expect(result.From(err).RetryAfter).To(BeNumerically("~", 15*time.Second, time.Second), "%v", err)
+		ga.ObserveServers([]registry.Record{{ID: "c", BornMs: 5, Address: "c"}})
+		_, err = ga.Admit(ctx, "x")
+		Expect(result.From(err).RetryAfter).To(BeNumerically("~", 5*time.Minute, time.Second), "%v", err)
+		pa, err := ga.Admit(ctx, "sound")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(pa.IsSuspect).To(BeFalse())
+	})
 })
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -151,7 +151,12 @@
 
 	var wg sync.WaitGroup
 	wg.Go(func() { ed.follower.Run(ctx) })
-	wg.Go(func() { ed.follower.EachView(ctx, func(vi *feed.View) { ed.balancer.Sync(vi.Servers) }) })
+	wg.Go(func() {
+		ed.follower.EachView(ctx, func(vi *feed.View) {
+			ed.guard.ObserveServers(vi.Servers)
+			ed.balancer.Sync(vi.Servers)
+		})
+	})
 	wg.Go(func() { ed.sendUsageLoop(ctx) })
 	wg.Go(func() { ed.guard.Run(ctx) })
 	wg.Wait()
--- a/internal/ingress/crash.go
+++ b/internal/ingress/crash.go
@@ -53,10 +53,17 @@
 	rs.in.cfg.Log.WithFields(log.Fields{
 		"request": rs.rq.ID, "fingerprint": rs.identify(), "server": re.ID, "born": re.BornMs, "attempt": rs.sentCount, "lastEvent": lastEvent,
 	}).Warn("connection to the backend server broke during a request")
-	rs.in.cfg.Guard.RecordBreak(ctx, crashguard.Run{
+	rs.in.cfg.Guard.RecordBreak(ctx, rs.newRun(gr, pa, lastEvent))
+}
+
+// newRun describes a run that ended without an answer, after the event lastEvent.
+func (rs *requestState) newRun(gr *balance.Grant, pa *crashguard.Pass, lastEvent uint64) crashguard.Run {
+	re := gr.Record()
+
+	return crashguard.Run{
 		RequestID: rs.rq.ID, Fingerprint: rs.identify(), ServerID: re.ID, BornMs: re.BornMs, Address: re.Address,
 		IsSuspect: pa.IsSuspect, LastEvent: lastEvent,
-	})
+	}
 }
 
 // recordEvent records that a run delivered an event. A suspect that gets further than the
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -280,7 +280,7 @@
 	outcome, load := balance.Failed, (*backend.Load)(nil)
 	defer func() { gr.Release(outcome, load) }()
 
-	ca := rs.newCall(gr)
+	ca, whole := rs.newCall(gr), ctx
 	if rs.canRetryAfterThis() && rs.ro.LatencyObjective > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, attemptTimeoutFactor*rs.ro.LatencyObjective)
@@ -290,8 +290,11 @@
 	an, err := rs.in.cfg.Client.Send(ctx, gr.Record().Address, ca)
 	if err != nil {
 		rs.recordSendError(err, &outcome, sent)
-		if result.Is(err, result.BackendCrashed) {
+		switch {
+		case result.Is(err, result.BackendCrashed):
 			rs.recordBreak(ctx, gr, pa, 0)
+		case result.Is(err, result.BackendTimeout) && whole.Err() == nil:
+			rs.in.cfg.Guard.RecordSilence(rs.newRun(gr, pa, 0))
 		}
 
 		return nil, err
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -133,22 +133,24 @@
 }
 
 // WithCrash returns the entry after a crash of a backend server. A crash that is known
-// already changes nothing.
+// already counts once, and tells only whether the fingerprint was a suspect at it.
 func (en Entry) WithCrash(cr Crash, atMs int64) Entry {
-	if en.Released || slices.Contains(en.Crashes, cr.Server) {
+	if en.Released {
 		return en
 	}
-	if cr.LastEvent > en.LastEvent {
-		// The run got further than all before it, so it did not crash where they did.
-		en.Crashes, en.SuspectAt, en.WasOnlySuspect = nil, nil, false
+	if !slices.Contains(en.Crashes, cr.Server) {
+		if cr.LastEvent > en.LastEvent {
+			// The run got further than all before it, so it did not crash where they did.
+			en.Crashes, en.SuspectAt, en.WasOnlySuspect = nil, nil, false
+		}
+		en.LastEvent = max(en.LastEvent, cr.LastEvent)
+		en.Crashes = appendLast(en.Crashes, cr.Server)
+		en.AtMs = atMs
 	}
-	en.LastEvent = max(en.LastEvent, cr.LastEvent)
-	en.Crashes = appendLast(en.Crashes, cr.Server)
-	if cr.WereSuspects {
+	if cr.WereSuspects && !slices.Contains(en.SuspectAt, cr.Server) {
 		en.SuspectAt = appendLast(en.SuspectAt, cr.Server)
 		en.WasOnlySuspect = en.WasOnlySuspect || cr.hasOneFingerprint()
 	}
-	en.AtMs = atMs
 
 	return en
 }
