Send a request that crashes its backend servers in the soak

Cause: no run of the soak or of the stand-in had a request that ends each backend server on which it begins to run, which is why neither showed the incident.

Change: each run sends such a request all the time, to any gateway, beside the random faults. A run fails if it runs more than three times later than 3 s, the contact period, after the last fault.

--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -33,6 +33,10 @@
 	callTimeout = 5 * time.Second
 	// gracePeriod is how long a program may take to stop after SIGTERM.
 	gracePeriod = 6 * time.Second
+	// crashTarget is the path of the request that crashes plain backend servers, and
+	// crashDuration the time after which these are back.
+	crashTarget   = "/look/crash"
+	crashDuration = 500 * time.Millisecond
 	// warmUpPrefix is the prefix of the IDs of lookups that are sent until the deployment
 	// serves one. They are not recorded in promises.
 	warmUpPrefix = "warm-"
@@ -123,6 +127,7 @@
 func (de *deployment) addServers(ctx context.Context, cfg *Config, port, internalPort int) error {
 	for i := range cfg.PlainServers + cfg.Engines {
 		bs := standin.NewBackendServer(fmt.Sprintf("p%d", i), servicePlain)
+		bs.CrashOn(func(target string) bool { return target == crashTarget }, crashDuration)
 		if i >= cfg.PlainServers {
 			bs = standin.NewBackendServer(fmt.Sprintf("e%d", i), serviceEngines, standin.Model)
 			bs.Pace = 15 * time.Millisecond
--- a/soak/promises_test.go
+++ b/soak/promises_test.go
@@ -27,6 +27,7 @@
 	configVersion int       // newest acknowledged version of the configuration
 	ackedAt       time.Time // time of the acknowledgement of configVersion
 	weightVersion uint64    // newest acknowledged weight version
+	inContactAt   time.Time // from when on the processes agree, after the last fault
 	counts        map[string]int
 }
 
@@ -162,7 +163,17 @@
 func (pr *promises) checkFinalState(de *deployment) {
 	runs := map[string]int{}
 	holders := map[uint64]string{}
+	lateCrashes := 0
 	for _, bs := range de.servers {
+		for _, ru := range bs.Log() {
+			if !ru.Crashed {
+				continue
+			}
+			pr.count("crash by a request")
+			if ru.At.After(pr.inContactAt) {
+				lateCrashes++
+			}
+		}
 		workspaces := bs.Workspaces()
 		for id, n := range bs.Runs() {
 			runs[id] += n
@@ -180,6 +191,9 @@
 			holders[or.Fencing] = or.Holder
 		}
 	}
+	if lateCrashes > maxLateCrashes {
+		pr.reportBroken("the request that crashes backend servers ran %d times after the last fault and the contact period", lateCrashes)
+	}
 	for _, s := range de.usage.Problems() {
 		pr.reportBroken("%s", s)
 	}
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -26,6 +26,14 @@
 	readPeriod    = 250 * time.Millisecond
 	configPeriod  = 1200 * time.Millisecond
 	versionPeriod = 3 * time.Second
+	crashPeriod   = 700 * time.Millisecond
+	// contactWithin is the time after a fault within which the processes agree again:
+	// contact_ms of the deployments. Later than that, a request that crashes its backend
+	// servers may run maxLateCrashes times.
+	contactWithin  = 3 * time.Second
+	maxLateCrashes = 3
+	// crashingAfter is for how long that request is sent after contactWithin.
+	crashingAfter = 3 * time.Second
 	// acceptWithin limits how long a trainer resends a job that was not accepted.
 	acceptWithin = 10 * time.Second
 )
@@ -129,9 +137,14 @@
 	for _, f := range []func(ctx context.Context){lo.lookups, lo.jobs, lo.configurations, lo.versions} {
 		wg.Go(func() { f(lctx) })
 	}
+	cctx, stopCrashing := context.WithCancel(ctx)
+	defer stopCrashing()
+	wg.Go(func() { lo.crashes(cctx) })
 	in := &injector{de: de, logf: cfg.Logf}
 	in.run(ctx, faults)
 	stop()
+	pr.inContactAt = time.Now().Add(contactWithin)
+	defer time.AfterFunc(contactWithin+crashingAfter, stopCrashing).Stop()
 	defer time.AfterFunc(recoverWithin, stopReads).Stop()
 	wg.Wait()
 	pr.awaitRecovery(ctx, de)
@@ -179,6 +192,16 @@
 	})
 }
 
+// crashes sends a request that crashes each plain backend server on which it begins to run.
+func (lo *load) crashes(ctx context.Context) {
+	lo.every(ctx, crashPeriod, func(i int) {
+		id := fmt.Sprintf("crash%d", i)
+		lo.promises.recordLookup(id, false)
+		an, err := lo.de.caller.Client(context.WithoutCancel(ctx), lo.gateway(), http.MethodPost, crashTarget, map[string]string{"Attempt-Id": id}, "x")
+		lo.promises.checkLookupAnswer(id, &an, err)
+	})
+}
+
 // jobs submits jobs and reads each until it is complete.
 func (lo *load) jobs(ctx context.Context) {
 	const items, events = 6, 30
