Say when to come back if no backend server can be reached

What callers saw: a 503 without Retry-After, so that a client had to guess when to try again.

Cause: the refusals of a full or empty service name a time, the error of a dial does not, and the last error became the answer.

Change: a request that has not run is always told when to come back.

Evidence: the new case of the table fails before and passes with the change; all cases now check Retry-After of each refusal.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -370,6 +370,9 @@
 	if rs.mayHaveRun {
 		return er.WithExecution(result.ExecutionUnknown)
 	}
+	if er.RetryAfter == 0 {
+		er = er.WithRetryAfter(defaultRetryAfter)
+	}
 
 	return er.WithExecution(result.NotRun)
 }
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -155,6 +155,7 @@
 		{"is sent to another backend server when the first does not answer in time", routing.Repeatable, 3, []reply{noAnswer, ok}, 200, 0, 2},
 		{"is sent to no more backend servers than the route's MaxAttempts", routing.Repeatable, 2, []reply{cutConnection}, 0, result.ExecutionUnknown, 2},
 		{"is refused as not run when no backend server ran it", routing.Repeatable, 3, []reply{notRun}, 0, result.NotRun, 3},
+		{"is refused as not run when no backend server can be reached", routing.Repeatable, 3, []reply{refusedConnection}, 0, result.NotRun, 6},
 		{"is answered with a backend server's failure when all attempts fail", routing.Repeatable, 2, []reply{complete(500, "no")}, 500, 0, 2},
 		{"is answered with the first failure if it is not repeatable", routing.AtMostOnce, 3, []reply{complete(500, "no"), ok}, 500, 0, 1},
 		{"is refused at once when there is no backend server", routing.Repeatable, 3, nil, 0, result.NotRun, 0},
@@ -170,6 +171,7 @@
 				var er *result.Error
 				Expect(errors.As(err, &er)).To(BeTrue())
 				Expect(er.Execution).To(Equal(tc.execution))
+				Expect(er.RetryAfter > 0).To(Equal(tc.execution == result.NotRun), "a request that has not run is told when to come back")
 			}
 			for i := 1; i < len(fi.sent); i++ {
 				Expect(fi.sent[i]).NotTo(Equal(fi.sent[i-1]))
