Split the package crashguard by what it does

Cause: one file of 400 lines held the decision, the crashes and the reports, and a type Run stood beside a method Run.

Change: crashguard.go decides, crash.go records runs and crashes, report.go sends reports; the type is FailedRun. Nothing else changes: the lines are moved.

Measured: the tests of crashguard and ingress pass.

--- a/internal/crashguard/crashguard.go
+++ b/internal/crashguard/crashguard.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -16,7 +15,6 @@
 
 	"github.com/tamarackbay/tamarackbay/internal/meter"
 	"github.com/tamarackbay/tamarackbay/internal/quarantine"
-	"github.com/tamarackbay/tamarackbay/internal/registry"
 	"github.com/tamarackbay/tamarackbay/internal/result"
 )
 
@@ -25,22 +23,6 @@
 	// refused, and may come again after suspectRetryAfter.
 	maxSuspectWait    = 250 * time.Millisecond
 	suspectRetryAfter = 250 * time.Millisecond
-	// probeTimeout bounds the check whether a backend server has ended. A refused
-	// connection takes one round trip.
-	probeTimeout = 100 * time.Millisecond
-	// maxReports bounds the reports that wait for a controller. The oldest is dropped.
-	maxReports       = 1024
-	reportRetryPause = 200 * time.Millisecond
-	// localRetention is how long a reported crash counts here although the controllers
-	// do not show it: they may have cleared the fingerprint since.
-	localRetention = 2 * time.Second
-	// endedRetention is how long the incarnations that ended are remembered: longer than
-	// the requests that were in flight may take to fail.
-	endedRetention = time.Minute
-	// A run whose backend server may have crashed is kept for unresolvedRetention, longer than
-	// a backend server takes to come back. At most maxUnresolved are kept, the last ones.
-	unresolvedRetention = 15 * time.Second
-	maxUnresolved       = 256
 )
 
 // Config configures a Guard.
@@ -73,25 +55,6 @@
 	unresolved []unresolvedRun
 }
 
-type unresolvedRun struct {
-	Run
-	at time.Time
-}
-
-// localCrash is a crash that this gateway observed.
-type localCrash struct {
-	crash      quarantine.Crash
-	atMs       int64
-	reportedAt time.Time // zero until a controller recorded it
-}
-
-// report is a command for the controllers: a crash, or else a completion.
-type report struct {
-	fingerprint string
-	crash       *quarantine.Crash
-	completion  quarantine.ClearSuspect
-}
-
 // New returns a guard. Run sends its reports.
 func New(cfg Config) *Guard {
 	return &Guard{
@@ -207,215 +170,3 @@
 	delete(gu.running, fp)
 	close(done)
 }
-
-// Run describes a run of a request that ended without an answer.
-type Run struct {
-	RequestID   string
-	Fingerprint string
-	ServerID    string
-	BornMs      int64 // start of the backend server's incarnation, Unix milliseconds
-	Address     string
-	IsSuspect   bool
-	LastEvent   uint64 // last event that it delivered, 0 for none
-}
-
-// server names the incarnation of the backend server.
-func (ru Run) server() string { return fmt.Sprintf("%s/%d", ru.ServerID, ru.BornMs) }
-
-// RecordBreak records a run whose connection broke. If its backend server has ended, the
-// run was in flight at a crash.
-func (gu *Guard) RecordBreak(ctx context.Context, ru Run) {
-	if gu.hasEnded(ctx, ru.server(), ru.Address) {
-		gu.recordCrash(ru)
-	} else {
-		gu.RecordSilence(ru)
-	}
-}
-
-// RecordSilence records a run that got no answer in time, from a backend server that may
-// have crashed, be slow or be cut off.
-func (gu *Guard) RecordSilence(ru Run) {
-	gu.mu.Lock()
-	defer gu.mu.Unlock()
-
-	if len(gu.unresolved) >= maxUnresolved {
-		gu.unresolved = gu.unresolved[1:]
-	}
-	gu.unresolved = append(gu.unresolved, unresolvedRun{ru, gu.cfg.Now()})
-}
-
-// ObserveServers takes the backend servers that are known now. A later incarnation under
-// the same ID or address shows that the one before has ended.
-func (gu *Guard) ObserveServers(servers []registry.Record) {
-	now := gu.cfg.Now()
-	var crashed []Run
-	gu.mu.Lock()
-	gu.unresolved = slices.DeleteFunc(gu.unresolved, func(ur unresolvedRun) bool {
-		if now.Sub(ur.at) > unresolvedRetention {
-			return true
-		}
-		isReplaced := slices.ContainsFunc(servers, func(re registry.Record) bool {
-			return re.BornMs > ur.BornMs && (re.ID == ur.ServerID || re.Address == ur.Address)
-		})
-		if isReplaced {
-			crashed = append(crashed, ur.Run)
-		}
-
-		return isReplaced
-	})
-	gu.mu.Unlock()
-	for _, ru := range crashed {
-		gu.recordCrash(ru)
-	}
-}
-
-// recordCrash counts a run that was in flight when its backend server crashed.
-func (gu *Guard) recordCrash(ru Run) {
-	server := ru.server()
-	now := gu.cfg.Now()
-	cr := quarantine.Crash{Server: server, Fingerprints: []string{ru.Fingerprint}, WereSuspects: ru.IsSuspect, LastEvent: ru.LastEvent}
-	gu.mu.Lock()
-	gu.pruneLocal()
-	gu.local[ru.Fingerprint] = append(gu.local[ru.Fingerprint], localCrash{crash: cr, atMs: now.UnixMilli()})
-	en := gu.entry(ru.Fingerprint)
-	gu.queue(report{fingerprint: ru.Fingerprint, crash: &cr})
-	gu.mu.Unlock()
-
-	gu.cfg.Meter.Count("servers.crashed")
-	gu.cfg.Log.WithFields(log.Fields{
-		"request": ru.RequestID, "fingerprint": ru.Fingerprint, "server": ru.ServerID, "born": ru.BornMs, "onlySuspect": ru.IsSuspect,
-		"lastEvent": ru.LastEvent, "crashes": len(en.Crashes), "verdict": en.Verdict(now.UnixMilli()).String(),
-	}).Warn("backend server crashed during a request")
-}
-
-// pruneLocal drops the local crashes of all fingerprints that need not count any more.
-// The caller must hold gu.mu.
-func (gu *Guard) pruneLocal() {
-	for fp := range gu.local {
-		gu.entry(fp)
-	}
-}
-
-// hasEnded reports whether an incarnation of a backend server has ended. Concurrent calls
-// share one check.
-func (gu *Guard) hasEnded(ctx context.Context, server, address string) bool {
-	gu.mu.Lock()
-	now := gu.cfg.Now()
-	for s, at := range gu.ended {
-		if now.Sub(at) > endedRetention {
-			delete(gu.ended, s)
-		}
-	}
-	_, ok := gu.ended[server]
-	gu.mu.Unlock()
-	if ok {
-		return true
-	}
-
-	ended, _, _ := gu.probes.Do(server, func() (any, error) {
-		pctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
-		defer cancel()
-
-		return gu.cfg.HasEnded(pctx, address), nil
-	})
-	if ended != true {
-		return false
-	}
-	gu.mu.Lock()
-	gu.ended[server] = now
-	gu.mu.Unlock()
-
-	return true
-}
-
-// RecordCompletion records that a request ran to its end, which clears its fingerprint
-// unless it is refused.
-func (gu *Guard) RecordCompletion(fp string) {
-	gu.mu.Lock()
-	defer gu.mu.Unlock()
-
-	delete(gu.local, fp)
-	gu.unresolved = slices.DeleteFunc(gu.unresolved, func(ur unresolvedRun) bool { return ur.Fingerprint == fp })
-	gu.reports = slices.DeleteFunc(gu.reports, func(re report) bool { return re.fingerprint == fp })
-	en := gu.cfg.Entries()[fp]
-	if en.Verdict(gu.cfg.Now().UnixMilli()) == quarantine.Suspect {
-		gu.queue(report{fingerprint: fp, completion: quarantine.ClearSuspect{Fingerprint: fp, Crashes: len(en.Crashes)}})
-	}
-}
-
-// queue adds a report. The caller must hold gu.mu.
-func (gu *Guard) queue(re report) {
-	if len(gu.reports) >= maxReports {
-		oldest := gu.reports[0].fingerprint
-		gu.cfg.Log.WithField("fingerprint", oldest).Error("report to the quarantine dropped: too many wait for a controller")
-		gu.reports = gu.reports[1:]
-		delete(gu.local, oldest)
-	}
-	gu.reports = append(gu.reports, re)
-	select {
-	case gu.wake <- struct{}{}:
-	default:
-	}
-}
-
-// Run sends the reports to the controllers until ctx ends.
-func (gu *Guard) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		re, ok := gu.next()
-		if !ok {
-			select {
-			case <-gu.wake:
-			case <-ctx.Done():
-			}
-
-			continue
-		}
-		if err := gu.send(ctx, re); err != nil {
-			gu.cfg.Log.WithError(err).WithField("fingerprint", re.fingerprint).Warn("no controller recorded the report to the quarantine, it will be sent again")
-			select {
-			case <-time.After(reportRetryPause):
-			case <-ctx.Done():
-			}
-
-			continue
-		}
-		gu.confirm(re)
-	}
-}
-
-func (gu *Guard) next() (report, bool) {
-	gu.mu.Lock()
-	defer gu.mu.Unlock()
-	if len(gu.reports) == 0 {
-		return report{}, false
-	}
-
-	return gu.reports[0], true
-}
-
-func (gu *Guard) send(ctx context.Context, re report) error {
-	if re.crash != nil {
-		return gu.cfg.ReportCrash(ctx, *re.crash)
-	}
-	gu.cfg.Meter.Count("quarantine.cleared")
-
-	return gu.cfg.ReportCompletion(ctx, re.completion)
-}
-
-// confirm removes a report that a controller has recorded.
-func (gu *Guard) confirm(re report) {
-	gu.mu.Lock()
-	defer gu.mu.Unlock()
-
-	if i := slices.IndexFunc(gu.reports, func(o report) bool { return o.crash == re.crash && o.completion == re.completion }); i >= 0 {
-		gu.reports = slices.Delete(gu.reports, i, i+1)
-	}
-	if re.crash == nil {
-		return
-	}
-	for i := range gu.local[re.fingerprint] {
-		if lc := &gu.local[re.fingerprint][i]; lc.crash.Server == re.crash.Server {
-			lc.reportedAt = gu.cfg.Now()
-		}
-	}
-}
--- a/internal/crashguard/crashguard_test.go
+++ b/internal/crashguard/crashguard_test.go
@@ -69,7 +69,7 @@
 	if err != nil {
 		return err
 	}
-	ga.RecordBreak(context.Background(), crashguard.Run{Fingerprint: fp, ServerID: server, IsSuspect: pa.IsSuspect})
+	ga.RecordBreak(context.Background(), crashguard.FailedRun{Fingerprint: fp, ServerID: server, IsSuspect: pa.IsSuspect})
 	pa.Release()
 	pa, err = ga.Admit(context.Background(), fp)
 	if err == nil {
@@ -139,7 +139,7 @@
 		silence := func(fp, server string) {
 			pa, err := ga.Admit(ctx, fp)
 			Expect(err).NotTo(HaveOccurred())
-			ga.RecordSilence(crashguard.Run{Fingerprint: fp, ServerID: server, BornMs: 1, Address: server, IsSuspect: pa.IsSuspect})
+			ga.RecordSilence(crashguard.FailedRun{Fingerprint: fp, ServerID: server, BornMs: 1, Address: server, IsSuspect: pa.IsSuspect})
 			pa.Release()
 		}
 		silence("x", "a")
--- a/internal/ingress/crash.go
+++ b/internal/ingress/crash.go
@@ -57,10 +57,10 @@
 }
 
 // newRun describes a run that ended without an answer, after the event lastEvent.
-func (rs *requestState) newRun(gr *balance.Grant, pa *crashguard.Pass, lastEvent uint64) crashguard.Run {
+func (rs *requestState) newRun(gr *balance.Grant, pa *crashguard.Pass, lastEvent uint64) crashguard.FailedRun {
 	re := gr.Record()
 
-	return crashguard.Run{
+	return crashguard.FailedRun{
 		RequestID: rs.rq.ID, Fingerprint: rs.identify(), ServerID: re.ID, BornMs: re.BornMs, Address: re.Address,
 		IsSuspect: pa.IsSuspect, LastEvent: lastEvent,
 	}
