Take an answer of exactly the largest size, and blame no server for full buffers

Cause: an answer of exactly 16 MiB was given up, since the buffer wanted another whole chunk before it saw the end. And a backend server whose answer found the gateway's buffers full was counted as failed.

Change: the last chunk goes one byte beyond the limit. Full buffers say nothing about a backend server. Found by reading the diff.

--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -166,8 +166,8 @@
 }
 
 // checkQuarantine refuses a fingerprint that was in flight at two or more crashes of
-// backend servers, at one of them as the only suspect, until its refusal ends. It sets *suspect for any other
-// fingerprint that was in flight at a crash.
+// backend servers, at one of them as the only suspect, until its refusal ends. It sets
+// *suspect for any other fingerprint that was in flight at a crash.
 func (ga *Gateway) checkQuarantine(fp string, suspect *bool) error {
 	en, ok := ga.group.View().Quarantine[fp]
 	if !ok {
--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -71,11 +71,10 @@
 		if len(chunk) < chunkBytes(size) {
 			return out, release, nil
 		}
-		size += len(chunk)
-		next := int64(chunkBytes(size))
-		if size+int(next) > maxAnswerBytes {
+		if size += len(chunk); size > maxAnswerBytes {
 			return fail(errAnswerTooLarge)
 		}
+		next := int64(chunkBytes(size))
 		if !ar.reserved.TryAcquire(next) {
 			return fail(errBuffersFull)
 		}
@@ -94,5 +93,8 @@
 	return buf.Bytes(), err
 }
 
-// chunkBytes returns the size of the chunk after size bytes of an answer.
-func chunkBytes(size int) int { return min(max(size, firstChunkBytes), maxChunkBytes) }
+// chunkBytes returns the size of the chunk after size bytes of an answer. The last one goes
+// one byte beyond maxAnswerBytes, which shows whether the answer ends there.
+func chunkBytes(size int) int {
+	return min(max(size, firstChunkBytes), maxChunkBytes, maxAnswerBytes+1-size)
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -311,6 +311,10 @@
 	body, release, err := rs.in.answers.read(an.Body)
 	switch {
 	case errors.Is(err, errAnswerTooLarge), errors.Is(err, errBuffersFull):
+		if errors.Is(err, errBuffersFull) {
+			outcome = balance.Unused // says nothing about this backend server
+		}
+
 		return nil, result.New(result.BackendAnswerBroken, "ingress: backend server %s: %v", gr.Record().ID, err).WithExecution(result.Ran)
 	case err != nil:
 		rs.recordBreak(ctx, gr, pa, 0)
