Keep a session whose hello was refused open until the dialer has read why

Cause: the listener closed the session right after its refusal. If the dialer was not scheduled between its write of the hello and the answer, its write failed by the end of the session and the answer was never read. Change: the listener waits until the dialer closes the session, one second at most.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -22,6 +22,9 @@
 	dialTimeout   = 2 * time.Second
 	redialPeriod  = 250 * time.Millisecond
 	acceptBackoff = 50 * time.Millisecond
+	// refusalTimeout is how long a session stays open after its hello was refused, unless
+	// the dialer closes it. A dialer whose session ends earlier may not read the reason.
+	refusalTimeout = time.Second
 )
 
 // Config describes this process's end of sessions.
@@ -112,6 +115,11 @@
 	defer li.remove(se)
 
 	if err := li.receiveHello(se); err != nil {
+		select {
+		case <-se.yamuxSession.CloseChan():
+		case <-se.Done():
+		case <-time.After(refusalTimeout):
+		}
 		se.Close()
 
 		return
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
 	"io"
+	"net"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/yamux"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/tamarackbay/tamarackbay/internal/peer"
 	"github.com/tamarackbay/tamarackbay/internal/result"
@@ -130,6 +134,46 @@
 	})
 })
 
+// slowConn returns from each write only after a pause, like a process that is not scheduled
+// right after it.
+type slowConn struct{ net.Conn }
+
+func (co slowConn) Write(b []byte) (int, error) {
+	n, err := co.Conn.Write(b)
+	time.Sleep(5 * time.Millisecond)
+
+	return n, err
+}
+
+// Guards against a refusal that the dialer never reads: the listener closed the session
+// while the dialer's write of the hello had not returned, which failed the write.
+var _ = Describe("a hello that is refused", func() {
+	It("is answered before the session ends, however late the dialer is scheduled", func() {
+		li, se, err := pair(nil)
+		Expect(err).NotTo(HaveOccurred())
+		defer li.Close()
+		defer se.Close()
+		for range 20 {
+			conn, err := net.Dial("tcp", li.Address())
+			Expect(err).NotTo(HaveOccurred())
+			ys, err := yamux.Client(slowConn{conn}, nil)
+			Expect(err).NotTo(HaveOccurred())
+			st, err := ys.OpenStream()
+			Expect(err).NotTo(HaveOccurred())
+			hello, err := proto.Marshal(&wire.Hello{Protocol: 99})
+			Expect(err).NotTo(HaveOccurred())
+			call, err := proto.Marshal(&wire.Call{Method: "raw.hello", TimeoutMs: 1000, Payload: hello})
+			Expect(err).NotTo(HaveOccurred())
+			_, err = st.Write(append(binary.LittleEndian.AppendUint32(nil, uint32(len(call))), call...))
+			Expect(err).NotTo(HaveOccurred())
+			answer, err := io.ReadAll(st)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(answer)).To(ContainSubstring("protocol 99"))
+			Expect(ys.Close()).To(Succeed())
+		}
+	})
+})
+
 // BenchmarkCall measures a call with both ends of the session in one process.
 func BenchmarkCall(b *testing.B) {
 	li, se, err := pair(peer.Mux{"echo": func(_ context.Context, st *peer.Stream) error { return st.Reply(&wire.LoadReply{WindowSeconds: 1}) }})
