Decode the rate limits of backend servers and log when they change

Cause: nothing read the limit that a backend server names in its answers, so logs could not show which process knew of it and what it sent nevertheless. Change: the adapter decodes it into backend.RateLimit. Gateways and stores log the first answer that names a limit, each change and its end, with the requests sent in between. No choice depends on it.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -34,6 +34,23 @@
 	Slots   int
 }
 
+// RateLimitKind says what an answer tells of a rate limit.
+type RateLimitKind uint8
+
+// Kinds of RateLimit.
+const (
+	RateUnlimited  RateLimitKind = iota // the answer names no limit
+	RateLimited                         // the answer names a limit
+	RateUnreadable                      // the answer names a limit that is not a number
+)
+
+// RateLimit is the number of requests a second that a backend server takes from all
+// processes together.
+type RateLimit struct {
+	Kind      RateLimitKind
+	PerSecond float64 // of a RateLimited one, 0 or more
+}
+
 // Answer is the answer of a backend server. Body must be closed.
 type Answer struct {
 	Status   int
@@ -43,6 +60,7 @@
 	Stamp    string // signature of the backend server, "" if missing
 	Version  uint64 // weight version at the start, 0 if missing
 	Load     *Load  // nil if not reported
+	Limit    RateLimit
 }
 
 // Event is one event of a stream.
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/tamarackbay/tamarackbay/internal/backend"
+	"github.com/tamarackbay/tamarackbay/internal/logging"
+	"github.com/tamarackbay/tamarackbay/internal/permit"
 	"github.com/tamarackbay/tamarackbay/internal/registry"
 	"github.com/tamarackbay/tamarackbay/internal/scheduler"
 )
@@ -23,6 +25,9 @@
 	// IdleTimeout returns how long an idle connection is kept open. Idle connections
 	// are not tracked if it is nil.
 	IdleTimeout func() time.Duration
+	// Permits keeps the requests within the limits of the backend servers; a holder of its
+	// own if it is nil.
+	Permits *permit.Holder
 }
 
 // Balancer holds the backend servers by service. It is safe for concurrent use.
@@ -62,6 +67,10 @@
 
 // New returns a balancer without backend servers.
 func New(cfg Config) *Balancer {
+	if cfg.Permits == nil {
+		cfg.Permits = permit.NewHolder(permit.Config{Log: logging.Discard()})
+	}
+
 	return &Balancer{cfg: cfg, services: map[string]*serverSet{}}
 }
 
@@ -134,6 +143,14 @@
 	once      sync.Once
 }
 
+// RecordAnswer records the head of the backend server's answer to the request.
+func (gr *Grant) RecordAnswer(an *backend.Answer) {
+	ba := gr.balancer
+	ba.cfg.Permits.Observe(keyOf(&gr.record), gr.grantedAt, ba.cfg.Now(), an.Limit)
+}
+
+func keyOf(re *registry.Record) permit.Server { return permit.Server{ID: re.ID, BornMs: re.BornMs} }
+
 // Record returns the record of the backend server at the time it was picked.
 func (gr *Grant) Record() registry.Record { return gr.record }
 
@@ -184,6 +201,7 @@
 	if n := len(sv.idleSince); n > 0 {
 		sv.idleSince = sv.idleSince[:n-1] // the connection used last is used again
 	}
+	ba.cfg.Permits.RecordSend(keyOf(&sv.record))
 	se.cands[i].InFlight++
 	se.cands[i].Tokens += rq.Tokens
 	se.cands[i].RunsSuspect = se.cands[i].RunsSuspect || rq.IsSuspect
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -21,6 +21,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/jobproxy"
 	"github.com/tamarackbay/tamarackbay/internal/meter"
 	"github.com/tamarackbay/tamarackbay/internal/peer"
+	"github.com/tamarackbay/tamarackbay/internal/permit"
 	"github.com/tamarackbay/tamarackbay/internal/quarantine"
 	"github.com/tamarackbay/tamarackbay/internal/result"
 	"github.com/tamarackbay/tamarackbay/internal/routing"
@@ -79,6 +80,7 @@
 	ed.follower = feed.NewFollower(feed.Config{Links: ed.links, Seeds: cfg.Controllers, Log: cfg.Log})
 	ed.balancer = balance.New(balance.Config{
 		FailureDomain: cfg.Settings.FailureDomain, Scheduler: scheduler.Config{RandomChoices: schedulerCandidates}, Now: cfg.Now, Random: rand.IntN, IdleTimeout: cfg.Client.IdleTimeout,
+		Permits: permit.NewHolder(permit.Config{Log: cfg.Log}),
 	})
 	ed.guard = crashguard.New(crashguard.Config{
 		Entries: func() map[string]quarantine.Entry { return ed.follower.View().Quarantine.Entries },
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -301,6 +301,7 @@
 	}
 	defer an.Body.Close()
 
+	gr.RecordAnswer(an)
 	load = an.Load
 	if an.IsNotRun {
 		outcome = balance.Busy
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -65,6 +65,7 @@
 	}
 	defer an.Body.Close()
 
+	gr.RecordAnswer(an)
 	load = an.Load
 	if an.IsNotRun {
 		outcome = balance.Busy
--- a/internal/jobdriver/run.go
+++ b/internal/jobdriver/run.go
@@ -118,6 +118,7 @@
 	}
 	defer an.Body.Close()
 
+	gr.RecordAnswer(an)
 	*load = an.Load
 	if an.IsNotRun || an.Status >= http.StatusMultipleChoices || an.Stamp == "" {
 		_, _ = io.Copy(io.Discard, io.LimitReader(an.Body, maxErrorBytes)) // so that the connection can be reused
@@ -354,6 +355,7 @@
 	})
 	oc = brokenOff
 	if err == nil {
+		gr.RecordAnswer(an)
 		load = an.Load
 		var n int64
 		n, err = io.Copy(io.Discard, io.LimitReader(an.Body, maxScoreBytes+1))
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -24,6 +24,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/jobproxy"
 	"github.com/tamarackbay/tamarackbay/internal/meter"
 	"github.com/tamarackbay/tamarackbay/internal/peer"
+	"github.com/tamarackbay/tamarackbay/internal/permit"
 	"github.com/tamarackbay/tamarackbay/internal/result"
 	"github.com/tamarackbay/tamarackbay/internal/roster"
 	"github.com/tamarackbay/tamarackbay/internal/scheduler"
@@ -82,6 +83,7 @@
 	}
 	st.balancer = balance.New(balance.Config{
 		FailureDomain: no.FailureDomain, Scheduler: scheduler.Config{RandomChoices: schedulerChoices}, Now: cfg.Now, Random: rand.IntN, IdleTimeout: cfg.Client.IdleTimeout,
+		Permits: permit.NewHolder(permit.Config{Log: cfg.Log}),
 	})
 	st.driver = jobdriver.New(jobdriver.Config{
 		Group: st.group, View: st.follower.View, Changed: st.follower.Changed, Balancer: st.balancer, Client: cfg.Client,
