Share the rate limits of backend servers among all processes

Seen by callers and operators: a backend server that named a limit of 4 requests a second got up to 251 in 4 s (29 allowed), from three gateways as from the stores. Class of fault: a bound on what all processes do together, for which each decided alone. A request to a limited backend server takes a permit from the broker, the leading controller, which has one token bucket for each; limits reach all processes by the feed. Other backend servers are used first; who finds no permit is refused at once with the time until the next token. A refused request reserves it against less urgent ones. Without a broker each process has an equal share. Items, scores, and the reports and orders of weights are counted too. Why it works: nothing is sent to a limited backend server without a token of its one bucket, and a broker grants only while a quorum confirms that it leads.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -96,6 +96,7 @@
 	IsBusy   bool              // an order is being carried out
 	Sequence uint64            // orders accepted so far
 	Versions map[string]uint64 // by model
+	Limit    RateLimit
 }
 
 // Client sends requests to backend servers in one dialect.
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -5,6 +5,7 @@
 package balance
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -82,12 +83,15 @@
 
 	now := ba.cfg.Now()
 	alive := map[string]map[string]registry.Record{}
+	keys := map[registry.Incarnation]bool{}
 	for _, re := range records {
+		keys[re.Incarnation()] = true
 		if alive[re.Service] == nil {
 			alive[re.Service] = map[string]registry.Record{}
 		}
 		alive[re.Service][re.ID] = re
 	}
+	ba.cfg.Permits.Retain(func(se registry.Incarnation) bool { return keys[se] })
 	for name, se := range ba.services {
 		for i := len(se.servers) - 1; i >= 0; i-- {
 			old := se.servers[i].record
@@ -146,15 +150,14 @@
 // RecordAnswer records the head of the backend server's answer to the request.
 func (gr *Grant) RecordAnswer(an *backend.Answer) {
 	ba := gr.balancer
-	ba.cfg.Permits.Observe(keyOf(&gr.record), gr.grantedAt, ba.cfg.Now(), an.Limit)
+	ba.cfg.Permits.Observe(gr.record.Incarnation(), gr.grantedAt, an.Limit)
 }
 
-func keyOf(re *registry.Record) permit.Server { return permit.Server{ID: re.ID, BornMs: re.BornMs} }
-
 // Record returns the record of the backend server at the time it was picked.
 func (gr *Grant) Record() registry.Record { return gr.record }
 
-// Acquire picks a backend server, or returns nil if none has room.
+// Acquire picks a backend server, or returns nil if none has room. One that limits its rate
+// is picked only if a permit for it is at hand.
 func (ba *Balancer) Acquire(rq *Request) *Grant {
 	ba.mu.Lock()
 	defer ba.mu.Unlock()
@@ -164,6 +167,87 @@
 		return nil
 	}
 	now := ba.cfg.Now()
+	sr := ba.prepare(se, now, rq)
+	for i, sv := range se.servers {
+		if !ba.cfg.Permits.Allows(sv.record.Incarnation()) {
+			sr.Exclude = append(sr.Exclude, i)
+		}
+	}
+	i := se.sched.Pick(now, se.cands, sr)
+	for i != scheduler.NoCandidate && !ba.cfg.Permits.Use(se.servers[i].record.Incarnation()) {
+		sr.Exclude = append(sr.Exclude, i) // its permit has just ended
+		i = se.sched.Pick(now, se.cands, sr)
+	}
+	if i == scheduler.NoCandidate {
+		return nil
+	}
+	sv := se.servers[i]
+	if rq.Prefix != "" {
+		sv.lastPrefix = rq.Prefix
+	}
+	if n := len(sv.idleSince); n > 0 {
+		sv.idleSince = sv.idleSince[:n-1] // the connection used last is used again
+	}
+	se.cands[i].InFlight++
+	se.cands[i].Tokens += rq.Tokens
+	se.cands[i].RunsSuspect = se.cands[i].RunsSuspect || rq.IsSuspect
+
+	return &Grant{balancer: ba, set: se, server: sv, record: sv.record, tokens: rq.Tokens, isSuspect: rq.IsSuspect, grantedAt: now}
+}
+
+// Limited returns the backend servers that have room for a request, but for which no permit is
+// at hand.
+func (ba *Balancer) Limited(rq *Request) []registry.Incarnation {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+
+	se := ba.services[rq.Service]
+	if se == nil {
+		return nil
+	}
+	now := ba.cfg.Now()
+	sr := ba.prepare(se, now, rq)
+	var out []registry.Incarnation
+	for i, sv := range se.servers {
+		key := sv.record.Incarnation()
+		if !ba.cfg.Permits.Allows(key) && se.sched.HasRoom(now, &se.cands[i], i, sr) {
+			out = append(out, key)
+		}
+	}
+
+	return out
+}
+
+// AcquirePermitted is Acquire, except that it asks the broker for a permit if every backend
+// server with room limits its rate. The error says when a permit is expected; it is nil if no
+// backend server has room.
+func (ba *Balancer) AcquirePermitted(ctx context.Context, rq *Request, urgency int) (*Grant, error) {
+	for range maxPermitTries {
+		if gr := ba.Acquire(rq); gr != nil {
+			return gr, nil
+		}
+		limited := ba.Limited(rq)
+		if len(limited) == 0 {
+			return nil, nil
+		}
+		if err := ba.cfg.Permits.Obtain(ctx, limited, urgency, 1); err != nil {
+			return nil, err
+		}
+	}
+
+	return ba.Acquire(rq), nil
+}
+
+// ObtainPermits asks the broker for permits for any of some backend servers.
+func (ba *Balancer) ObtainPermits(ctx context.Context, servers []registry.Incarnation, urgency, count int) error {
+	return ba.cfg.Permits.Obtain(ctx, servers, urgency, count)
+}
+
+// maxPermitTries bounds how often a request asks for a permit that another one took first.
+const maxPermitTries = 2
+
+// prepare updates the candidates for a request and returns what the scheduler needs of it.
+func (ba *Balancer) prepare(se *serverSet, now time.Duration, rq *Request) *scheduler.Request {
 	sr := scheduler.Request{
 		MinSequence: rq.MinVersion, FailureDomain: ba.cfg.FailureDomain, Affinity: scheduler.NoCandidate,
 		Tokens: rq.Tokens, Sharers: 1, IsSuspect: rq.IsSuspect,
@@ -190,23 +274,7 @@
 		se.cands[i].Slots = sv.record.Slots + rq.ExtraSlots
 	}
 
-	i := se.sched.Pick(now, se.cands, &sr)
-	if i == scheduler.NoCandidate {
-		return nil
-	}
-	sv := se.servers[i]
-	if rq.Prefix != "" {
-		sv.lastPrefix = rq.Prefix
-	}
-	if n := len(sv.idleSince); n > 0 {
-		sv.idleSince = sv.idleSince[:n-1] // the connection used last is used again
-	}
-	ba.cfg.Permits.RecordSend(keyOf(&sv.record))
-	se.cands[i].InFlight++
-	se.cands[i].Tokens += rq.Tokens
-	se.cands[i].RunsSuspect = se.cands[i].RunsSuspect || rq.IsSuspect
-
-	return &Grant{balancer: ba, set: se, server: sv, record: sv.record, tokens: rq.Tokens, isSuspect: rq.IsSuspect, grantedAt: now}
+	return &sr
 }
 
 // Count returns how many backend servers of a service are ready, and how many of
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -22,6 +22,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/leasedtask"
 	"github.com/tamarackbay/tamarackbay/internal/meter"
 	"github.com/tamarackbay/tamarackbay/internal/peer"
+	"github.com/tamarackbay/tamarackbay/internal/permit"
 	"github.com/tamarackbay/tamarackbay/internal/quarantine"
 	"github.com/tamarackbay/tamarackbay/internal/registry"
 	"github.com/tamarackbay/tamarackbay/internal/result"
@@ -93,6 +94,8 @@
 	swapPlanners       map[string]*weights.JointPlanner // by service
 	swapWake           chan struct{}
 	usage              usageState
+
+	permits permitBroker
 }
 
 // Announcement is the state that a store sends to every controller periodically.
@@ -125,6 +128,7 @@
 		cfg: cfg, feed: feed.NewServer(), links: peer.NewLinks(context.Background(), cfg.Peer), stopped: make(chan struct{}),
 		registry: registry.New(maxMissedHeartbeats * no.HeartbeatPeriod), stores: map[string]*store{}, publishWake: make(chan struct{}, 1),
 		startedAt: cfg.Now(), swapPlanners: map[string]*weights.JointPlanner{}, swapWake: make(chan struct{}, 1),
+		permits: permitBroker{broker: permit.NewBroker()},
 	}
 	var founders []group.Founder
 	for _, a := range no.Controllers {
@@ -179,6 +183,7 @@
 func (co *Controller) Handlers() peer.Mux {
 	mux := co.group.Handlers()
 	maps.Copy(mux, co.feed.Handlers())
+	maps.Copy(mux, co.permitHandlers())
 	mux[methodHeartbeat] = func(_ context.Context, st *peer.Stream) error {
 		var no heartbeatNotice
 		if err := st.RequestRecord(&no); err != nil {
@@ -335,6 +340,11 @@
 		co.cfg.Log.WithField("server", id).Warn("backend server silent")
 	}
 	st.Servers = co.registry.All()
+	alive := map[registry.Incarnation]bool{}
+	for i := range st.Servers {
+		alive[st.Servers[i].Record.Incarnation()] = true
+	}
+	st.Limits = co.publishedLimits(alive)
 	st.IsSettled = now-co.startedAt > (maxMissedHeartbeats+1)*co.cfg.Settings.HeartbeatPeriod
 	for _, me := range members {
 		out := feed.Store{Name: me.Name, Replica: string(me.Replica), Address: me.Address, Retiring: retirement[me.Name] != 0}
--- a/internal/controller/weights.go
+++ b/internal/controller/weights.go
@@ -159,8 +159,8 @@
 }
 
 func (co *Controller) performSwap(ctx context.Context, held leasedtask.Held, re registry.Record, we *backend.WeightsOrder) error {
-	before, err := co.fetchReport(ctx, re)
-	for ; err == nil && before.IsBusy; before, err = co.fetchReport(ctx, re) {
+	before, _, err := co.fetchReport(ctx, re)
+	for ; err == nil && before.IsBusy; before, _, err = co.fetchReport(ctx, re) {
 		// The engine carries out another order, possibly from a former lease holder.
 		select {
 		case <-time.After(loadPollPeriod):
@@ -175,6 +175,9 @@
 		return nil
 	}
 	we.Sequence = before.Sequence
+	if _, err := co.awaitPermit(ctx, re.Incarnation()); err != nil {
+		return err
+	}
 
 	fencing, ok := held()
 	if !ok {
@@ -199,15 +202,21 @@
 	}
 }
 
-func (co *Controller) fetchReport(ctx context.Context, re registry.Record) (backend.Report, error) {
+func (co *Controller) fetchReport(ctx context.Context, re registry.Record) (rep backend.Report, isLimited bool, err error) {
+	if isLimited, err = co.awaitPermit(ctx, re.Incarnation()); err != nil {
+		return rep, isLimited, err
+	}
 	cctx, cancel := context.WithTimeout(ctx, leaseTiming.MaxCall)
 	defer cancel()
-	rep, err := co.cfg.Client.Report(cctx, re.Address)
+	rep, err = co.cfg.Client.Report(cctx, re.Address)
+	if err == nil {
+		co.reportLimit(ctx, re.Incarnation(), rep.Limit)
+	}
 	if err == nil && rep.BornMs != 0 && rep.BornMs != re.BornMs {
 		err = errOtherIncarnation
 	}
 
-	return rep, err
+	return rep, isLimited, err
 }
 
 // awaitVersion waits until the engine reports, in a heartbeat or when polled, that it
@@ -224,7 +233,10 @@
 		if co.servesVersion(re, we) {
 			return nil
 		}
-		rep, err := co.fetchReport(ctx, re)
+		rep, isLimited, err := co.fetchReport(ctx, re)
+		if isLimited {
+			wait = limitedPollPeriod
+		}
 		switch {
 		case err != nil:
 			return err
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/fxamacker/cbor/v2"
 
 	"github.com/tamarackbay/tamarackbay/internal/backend"
 	"github.com/tamarackbay/tamarackbay/internal/balance"
@@ -28,15 +27,12 @@
 	"github.com/tamarackbay/tamarackbay/internal/scheduler"
 	"github.com/tamarackbay/tamarackbay/internal/settings"
 	"github.com/tamarackbay/tamarackbay/internal/usage"
-	"github.com/tamarackbay/tamarackbay/internal/wire"
 )
 
 const (
 	// usagePeriod is the time between two sends of usage counters. If a gateway is
 	// lost, the counts since its last send are missing from the usage report.
 	usagePeriod = 500 * time.Millisecond
-	// controllerTimeout bounds a call to one controller.
-	controllerTimeout = 900 * time.Millisecond
 	// schedulerCandidates is the number of backend servers compared for each request.
 	schedulerCandidates = 8
 	// answerMemoryShare is the divisor of the process's memory that gives what buffered
@@ -60,15 +56,17 @@
 
 // Edge is a running gateway at the edge.
 type Edge struct {
-	cfg       Config
-	links     *peer.Links
-	follower  *feed.Follower
-	balancer  *balance.Balancer
-	guard     *crashguard.Guard
-	ingress   *ingress.Ingress
-	jobProxy  *jobproxy.Proxy
-	tally     *usage.Tally
-	isClosing atomic.Bool
+	cfg         Config
+	links       *peer.Links
+	follower    *feed.Follower
+	controllers *controller.Client
+	permits     *permit.Holder
+	balancer    *balance.Balancer
+	guard       *crashguard.Guard
+	ingress     *ingress.Ingress
+	jobProxy    *jobproxy.Proxy
+	tally       *usage.Tally
+	isClosing   atomic.Bool
 }
 
 // New returns an edge without a configuration. Run fetches it from the controllers.
@@ -78,17 +76,22 @@
 		tally: usage.NewTally(cfg.Settings.Name, rand.Uint64(), cfg.Settings.UsageWindow),
 	}
 	ed.follower = feed.NewFollower(feed.Config{Links: ed.links, Seeds: cfg.Controllers, Log: cfg.Log})
+	ed.controllers = &controller.Client{Links: ed.links, Addresses: ed.follower.Controllers}
+	ed.permits = permit.NewHolder(permit.Config{
+		Name: cfg.Settings.Name, Ask: ed.controllers.AskPermits, Report: ed.controllers.ReportLimits, Processes: ed.follower.Processes,
+		Now: cfg.Now, Random: rand.Float64, Meter: cfg.Meter, Log: cfg.Log,
+	})
 	ed.balancer = balance.New(balance.Config{
 		FailureDomain: cfg.Settings.FailureDomain, Scheduler: scheduler.Config{RandomChoices: schedulerCandidates}, Now: cfg.Now, Random: rand.IntN, IdleTimeout: cfg.Client.IdleTimeout,
-		Permits: permit.NewHolder(permit.Config{Log: cfg.Log}),
+		Permits: ed.permits,
 	})
 	ed.guard = crashguard.New(crashguard.Config{
 		Entries: func() map[string]quarantine.Entry { return ed.follower.View().Quarantine.Entries },
 		ReportCrash: func(ctx context.Context, cr quarantine.Crash) error {
-			return ed.callControllers(ctx, controller.MethodCrash, cr)
+			return ed.controllers.Call(ctx, controller.MethodCrash, cr, nil)
 		},
 		ReportCompletion: func(ctx context.Context, cl quarantine.ClearSuspect) error {
-			return ed.callControllers(ctx, controller.MethodClearSuspect, cl)
+			return ed.controllers.Call(ctx, controller.MethodClearSuspect, cl, nil)
 		},
 		HasEnded: cfg.Client.HasEnded, Now: time.Now, Meter: cfg.Meter, Log: cfg.Log,
 	})
@@ -157,10 +160,12 @@
 		ed.follower.EachView(ctx, func(vi *feed.View) {
 			ed.guard.ObserveServers(vi.Servers)
 			ed.balancer.Sync(vi.Servers)
+			ed.permits.Apply(vi.Limits)
 		})
 	})
 	wg.Go(func() { ed.sendUsageLoop(ctx) })
 	wg.Go(func() { ed.guard.Run(ctx) })
+	wg.Go(func() { ed.permits.Run(ctx) })
 	wg.Wait()
 }
 
@@ -182,7 +187,7 @@
 	if len(counters) == 0 {
 		return
 	}
-	if err := ed.callControllers(ctx, controller.MethodUsage, usage.AddCounters{Counters: counters}); err != nil {
+	if err := ed.controllers.Call(ctx, controller.MethodUsage, usage.AddCounters{Counters: counters}, nil); err != nil {
 		ed.cfg.Log.WithError(err).WithField("counters", len(counters)).Warn("no controller recorded the usage counters, they will be sent again")
 
 		return
@@ -190,32 +195,5 @@
 	ed.tally.Confirm(counters)
 }
 
-// callControllers sends a record to the controllers one after another, from a random one
-// on, until one has accepted it.
-func (ed *Edge) callControllers(ctx context.Context, method string, record any) error {
-	b, err := cbor.Marshal(record)
-	if err != nil {
-		return result.New(result.Internal, "edge: encode the call %s: %v", method, err)
-	}
-
-	targets := ed.follower.Controllers()
-	first := rand.IntN(max(len(targets), 1))
-	err = result.New(result.NoLeader, "edge: no controller is connected")
-	for i := range targets {
-		a := targets[(first+i)%len(targets)]
-		if ed.links.To(a).Session() == nil {
-			continue
-		}
-		cctx, cancel := context.WithTimeout(ctx, controllerTimeout)
-		err = ed.links.Call(cctx, a, method, &wire.Payload{Record: b}, &wire.Empty{})
-		cancel()
-		if err == nil {
-			return nil
-		}
-	}
-
-	return err
-}
-
 // Measure sets the gauges of this edge's view of the configuration and the servers.
 func (ed *Edge) Measure(me *meter.Meter) { ed.follower.Measure(me) }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/tamarackbay/tamarackbay/internal/permit"
 	"github.com/tamarackbay/tamarackbay/internal/quarantine"
 	"github.com/tamarackbay/tamarackbay/internal/registry"
 	"github.com/tamarackbay/tamarackbay/internal/routing"
@@ -47,9 +48,11 @@
 	Stores      []Store
 	Formation   []string // replicas that formed the store group
 	Quarantine  Quarantine
-	Servers     []registry.Status
-	IsSettled   bool          // every backend server that is alive has reported to this controller
-	Age         time.Duration // since the replicated part was last confirmed
+	// Limits holds the rate limits of backend servers; only the broker publishes them.
+	Limits    []permit.Limit
+	Servers   []registry.Status
+	IsSettled bool          // every backend server that is alive has reported to this controller
+	Age       time.Duration // since the replicated part was last confirmed
 }
 
 // Quarantine holds the suspect and refused fingerprints at a position in the controllers'
@@ -122,6 +125,10 @@
 	AgeMs     int64             `cbor:"7,keyasint"`
 	// Quarantine is nil if it did not change.
 	Quarantine *quarantineDelta `cbor:"8,keyasint,omitempty"`
+	// Limits lists the rate limits that changed.
+	Limits []permit.Limit `cbor:"9,keyasint,omitempty"`
+	// Followers is the number of processes that follow this controller.
+	Followers int `cbor:"10,keyasint"`
 }
 
 // diff returns the delta that leads from old to st.
@@ -137,6 +144,11 @@
 		de.Roster = &ro
 	}
 
+	for _, li := range st.Limits {
+		if !slices.Contains(old.Limits, li) {
+			de.Limits = append(de.Limits, li)
+		}
+	}
 	before := make(map[string]*registry.Status, len(old.Servers))
 	for i := range old.Servers {
 		before[old.Servers[i].Record.ID] = &old.Servers[i]
@@ -158,7 +170,7 @@
 
 // isEmpty reports whether a delta changes nothing, so that it is only a heartbeat.
 func (de *stateDelta) isEmpty() bool {
-	return de.Config == nil && de.Versions == nil && de.Roster == nil && de.Quarantine == nil && len(de.Changed) == 0 && len(de.Removed) == 0
+	return de.Config == nil && de.Versions == nil && de.Roster == nil && de.Quarantine == nil && len(de.Limits) == 0 && len(de.Changed) == 0 && len(de.Removed) == 0
 }
 
 // View is the merged state of all controllers that a follower follows. It is never
@@ -170,6 +182,7 @@
 	Stores      []Store
 	Formation   []string
 	Quarantine  Quarantine        // of the controller that applied most of the log
+	Limits      []permit.Limit    // rate limits that a broker published, the newest of each server
 	Servers     []registry.Record // alive, in the order of their IDs
 }
 
@@ -202,6 +215,7 @@
 		}
 		vi.Versions = next
 	}
+	vi.Limits = mergeLimits(vi.Limits, de.Limits, vi.Servers)
 	if ro := de.Roster; ro != nil {
 		if len(ro.Controllers) > 0 {
 			vi.Controllers = ro.Controllers
@@ -213,6 +227,28 @@
 	}
 }
 
+// mergeLimits adds changed limits to the known ones and keeps the newest of each server that is
+// alive.
+func mergeLimits(old, changed []permit.Limit, alive []registry.Record) []permit.Limit {
+	if len(changed) == 0 {
+		return old
+	}
+	newest := map[registry.Incarnation]permit.Limit{}
+	for _, li := range slices.Concat(old, changed) {
+		if li.Revision >= newest[li.Server].Revision {
+			newest[li.Server] = li
+		}
+	}
+	out := make([]permit.Limit, 0, len(newest))
+	for i := range alive {
+		if li, ok := newest[alive[i].Incarnation()]; ok {
+			out = append(out, li)
+		}
+	}
+
+	return out
+}
+
 // mergeStores merges the stores that two controllers reported. Where they disagree on
 // the leader, the highest term decides.
 func mergeStores(old, next []Store) []Store {
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -38,6 +38,7 @@
 	merged    *registry.MergedView
 	following map[string]context.CancelFunc
 	sources   map[string]Quarantine // by controller
+	processes int                   // that follow the controller heard last
 	confirmed time.Time             // when the replicated part of the view was last confirmed
 	wg        sync.WaitGroup
 }
@@ -73,6 +74,15 @@
 	return time.Since(fo.confirmed), !fo.confirmed.IsZero()
 }
 
+// Processes returns the number of processes that follow a controller, as one of them reported
+// last, 1 before that.
+func (fo *Follower) Processes() int {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+
+	return max(fo.processes, 1)
+}
+
 // Run follows all known controllers until ctx ends.
 func (fo *Follower) Run(ctx context.Context) {
 	defer fo.wg.Wait()
@@ -194,6 +204,7 @@
 	if t := at.Add(-time.Duration(de.AgeMs) * time.Millisecond); t.After(fo.confirmed) {
 		fo.confirmed = t
 	}
+	fo.processes = max(de.Followers, 1)
 	old := fo.View()
 	fo.merged.Update(address, de.Changed, de.Removed, de.IsSettled)
 	servers := fo.merged.Live()
@@ -202,6 +213,7 @@
 	}
 
 	next := *old
+	next.Servers = servers
 	next.merge(de)
 	if de.Quarantine != nil {
 		fo.sources[address] = fo.sources[address].apply(de.Quarantine)
@@ -209,7 +221,6 @@
 			next.Quarantine = fo.sources[address]
 		}
 	}
-	next.Servers = servers
 	fo.logChanges(address, old, &next)
 	fo.publish(&next)
 }
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -17,6 +18,8 @@
 	mu      sync.Mutex
 	state   *State
 	changed chan struct{} // closed and replaced with each new state
+
+	followers atomic.Int64
 }
 
 // NewServer returns a server with an empty state.
@@ -45,6 +48,9 @@
 	return sv.state, sv.changed
 }
 
+// Followers returns the number of processes that follow this controller.
+func (sv *Server) Followers() int { return int(sv.followers.Load()) }
+
 // Handlers returns the handler of the calls of followers.
 func (sv *Server) Handlers() peer.Mux { return peer.Mux{Method: sv.handle} }
 
@@ -52,10 +58,14 @@
 	ticker := time.NewTicker(heartbeatPeriod)
 	defer ticker.Stop()
 
+	sv.followers.Add(1)
+	defer sv.followers.Add(-1)
 	sent := &State{}
 	for {
 		now, changed := sv.current()
-		b, err := cbor.Marshal(diff(sent, now))
+		de := diff(sent, now)
+		de.Followers = sv.Followers()
+		b, err := cbor.Marshal(de)
 		if err != nil {
 			return result.New(result.Internal, "feed: encoding a state delta: %v", err)
 		}
--- a/internal/group/membership.go
+++ b/internal/group/membership.go
@@ -249,7 +249,7 @@
 			return result.New(result.NotLeader, "group: this replica is not the leader")
 		}
 
-		return gr.callLeader(ctx, methodJoin, &req, &wire.Empty{})
+		return gr.CallLeader(ctx, methodJoin, &req, &wire.Empty{})
 	}
 
 	id := consensus.ReplicaID(req.GetReplica())
@@ -465,7 +465,7 @@
 			return gr.callUpstream(ctx, methodMember, req, &wire.Empty{})
 		}
 
-		return gr.callLeader(ctx, methodMember, req, &wire.Empty{})
+		return gr.CallLeader(ctx, methodMember, req, &wire.Empty{})
 	}
 
 	return n.runOnLoop(ctx, func(now time.Duration, re *consensus.Replica) error {
--- a/internal/group/propose.go
+++ b/internal/group/propose.go
@@ -157,16 +157,16 @@
 
 		return rep.GetResult(), nil
 	}
-	if err := gr.callLeader(ctx, methodProposeLeader, req, &rep); err != nil {
+	if err := gr.CallLeader(ctx, methodProposeLeader, req, &rep); err != nil {
 		return nil, err
 	}
 
 	return rep.GetResult(), nil
 }
 
-// callLeader calls the last known leader. It returns NoLeader if none is known or if
+// CallLeader calls the last known leader. It returns NoLeader if none is known or if
 // this replica is the leader itself.
-func (gr *Group) callLeader(ctx context.Context, method string, req, rep message) error {
+func (gr *Group) CallLeader(ctx context.Context, method string, req, rep message) error {
 	n := gr.node.Load()
 	if n == nil {
 		return result.New(result.NoLeader, "group: the replica has not started")
@@ -225,7 +225,7 @@
 	}
 
 	var rep wire.ProposeReply
-	if err := gr.callLeader(ctx, methodProposeLeader, &req, &rep); err != nil {
+	if err := gr.CallLeader(ctx, methodProposeLeader, &req, &rep); err != nil {
 		return err
 	}
 
@@ -244,7 +244,7 @@
 	}
 
 	var rep wire.ReadIndexReply
-	if err := gr.callLeader(ctx, methodReadIndex, &wire.Empty{}, &rep); err != nil {
+	if err := gr.CallLeader(ctx, methodReadIndex, &wire.Empty{}, &rep); err != nil {
 		return 0, err
 	}
 
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -206,38 +206,46 @@
 // JSON sends in as JSON, if it is not nil, and decodes the answer into out, if it is
 // not nil. It returns the answer's status, also with an error; 0 if there was no answer.
 func JSON(ctx context.Context, hc *http.Client, method, url string, in, out any) (int, error) {
+	status, _, err := JSONWithHeader(ctx, hc, method, url, in, out)
+
+	return status, err
+}
+
+// JSONWithHeader is JSON, except that it also returns the header of the answer, nil if there
+// was none.
+func JSONWithHeader(ctx context.Context, hc *http.Client, method, url string, in, out any) (int, http.Header, error) {
 	var body io.Reader = http.NoBody
 	if in != nil {
 		b, err := json.Marshal(in)
 		if err != nil {
-			return 0, err
+			return 0, nil, err
 		}
 		body = bytes.NewReader(b)
 	}
 	rq, err := http.NewRequestWithContext(ctx, method, url, body)
 	if err != nil {
-		return 0, err
+		return 0, nil, err
 	}
 	rq.Header.Set("Content-Type", "application/json")
 	what := method + " " + rq.URL.Path
 
 	rs, err := hc.Do(rq)
 	if err != nil {
-		return 0, Failure(what, err)
+		return 0, nil, Failure(what, err)
 	}
 	defer rs.Body.Close()
 
 	if rs.StatusCode >= http.StatusMultipleChoices {
-		return rs.StatusCode, Refusal(what, rs)
+		return rs.StatusCode, rs.Header, Refusal(what, rs)
 	}
 	if out == nil {
 		_, _ = io.Copy(io.Discard, io.LimitReader(rs.Body, maxAnswerBytes))
 
-		return rs.StatusCode, nil
+		return rs.StatusCode, rs.Header, nil
 	}
 	if err := json.NewDecoder(io.LimitReader(rs.Body, maxAnswerBytes)).Decode(out); err != nil {
-		return rs.StatusCode, result.New(result.BackendAnswerBroken, "%s: %v", what, err).WithExecution(result.ExecutionUnknown)
+		return rs.StatusCode, rs.Header, result.New(result.BackendAnswerBroken, "%s: %v", what, err).WithExecution(result.ExecutionUnknown)
 	}
 
-	return rs.StatusCode, nil
+	return rs.StatusCode, rs.Header, nil
 }
--- a/internal/ingress/crash.go
+++ b/internal/ingress/crash.go
@@ -33,7 +33,7 @@
 			return nil, nil, err
 		}
 	}
-	gr, err := rs.acquireServer(pa.IsSuspect)
+	gr, err := rs.acquireServer(ctx, pa.IsSuspect)
 	if err != nil {
 		pa.Release()
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -98,6 +98,7 @@
 	rq            *Request
 	ro            *routing.Route
 	workspace     string
+	urgency       int
 	began         time.Time // when the request arrived
 	deadline      time.Time // when the client must have received its answer
 	tried         []string  // IDs of the backend servers that were picked, in order
@@ -130,6 +131,7 @@
 	if ws != nil {
 		rs.workspace = ws.Name
 	}
+	rs.urgency = ro.Urgency(ws)
 	wait := ro.Timeout
 	if rq.ClientTimeout > 0 {
 		wait = min(wait, rq.ClientTimeout)
@@ -198,10 +200,11 @@
 
 // acquireServer acquires a slot on a backend server. It prefers a server that was not
 // tried, then any server but the last one tried, and takes that one as the last resort.
-func (rs *requestState) acquireServer(isSuspect bool) (*balance.Grant, error) {
+func (rs *requestState) acquireServer(ctx context.Context, isSuspect bool) (*balance.Grant, error) {
 	service := rs.ro.PickTarget(rs.in.cfg.Random())
 	rq := &balance.Request{Service: service, Model: rs.rq.Model, Exclude: rs.tried, IsSuspect: isSuspect}
-	if gr := rs.in.cfg.Balancer.Acquire(rq); gr != nil {
+	gr, limitErr := rs.in.cfg.Balancer.AcquirePermitted(ctx, rq, rs.urgency)
+	if gr != nil {
 		return gr, nil
 	}
 	if len(rs.tried) > 0 {
@@ -214,6 +217,9 @@
 			return gr, nil
 		}
 	}
+	if limitErr != nil {
+		return nil, limitErr
+	}
 	if ready, _ := rs.in.cfg.Balancer.Count(service, rs.rq.Model, 0); ready == 0 {
 		return nil, result.New(result.NoBackendServer, "ingress: no backend server of %s is ready", service).WithRetryAfter(defaultRetryAfter)
 	}
--- a/internal/jobdriver/driver.go
+++ b/internal/jobdriver/driver.go
@@ -8,6 +8,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -62,6 +63,7 @@
 	// isFlushing is set while a commit of progress is in flight. The next commit waits
 	// for it, since the parts of one item must be applied in order.
 	isFlushing bool
+	obtaining  map[string]bool    // services and urgencies for whose items a permit is being asked for
 	demand     map[string]float64 // recently generated events by model, decaying
 	demandAt   time.Time
 	wg         sync.WaitGroup
@@ -71,7 +73,7 @@
 func New(cfg Config) *Driver {
 	return &Driver{
 		cfg: cfg, wake: make(chan struct{}, 1), jobs: map[string]*jobState{}, running: map[string]int{}, paces: newPaceTracker(),
-		demand: map[string]float64{}, commit: func(ctx context.Context, pr job.Progress) error {
+		demand: map[string]float64{}, obtaining: map[string]bool{}, commit: func(ctx context.Context, pr job.Progress) error {
 			return cfg.Group.ProposeLocal(ctx, statemachine.KindRecordProgress, pr, nil)
 		},
 	}
@@ -257,7 +259,8 @@
 	}
 	now := time.Now()
 	full := map[string]bool{} // service and job pairs without a free slot in this pass
-	for _, t := range dr.waitingTasks(now) {
+	waits := dr.waitingTasks(now)
+	for i, t := range waits {
 		if !t.job.queueDeadline.IsZero() && now.After(t.job.queueDeadline) {
 			dr.finish(t, job.Result{Item: t.index, State: job.Aborted}, "its queue deadline passed")
 
@@ -272,6 +275,7 @@
 			continue
 		} else if gr := dr.acquire(service, t); gr == nil {
 			full[key] = true
+			dr.obtainPermits(service, t, ro.Urgency(ta.Workspace(t.job.workspace)), len(waits)-i)
 		} else {
 			dr.start(t, ro, gr)
 		}
@@ -298,6 +302,31 @@
 	return nil
 }
 
+// obtainPermits asks in the background for permits for items that no backend server without a
+// rate limit has room for. The caller holds dr.mu.
+func (dr *Driver) obtainPermits(service string, t *task, urgency, count int) {
+	key := service + "@" + strconv.Itoa(urgency)
+	if dr.obtaining[key] {
+		return
+	}
+	limited := dr.cfg.Balancer.Limited(&balance.Request{Service: service, Model: t.job.model, MinVersion: t.job.minVersion})
+	if len(limited) == 0 {
+		return
+	}
+	dr.obtaining[key] = true
+	dr.wg.Add(1)
+	go func() {
+		defer dr.wg.Done()
+		err := dr.cfg.Balancer.ObtainPermits(dr.ctx, limited, urgency, count)
+		dr.mu.Lock()
+		delete(dr.obtaining, key)
+		dr.mu.Unlock()
+		if err == nil {
+			dr.Wake()
+		} // otherwise the items wait for the next pass
+	}()
+}
+
 // progressPeriod is how often the progress of an item is committed. It bounds the
 // work that an item loses with its driver.
 const progressPeriod = 400 * time.Millisecond
--- a/internal/jobdriver/run.go
+++ b/internal/jobdriver/run.go
@@ -334,12 +334,16 @@
 	}
 	limit = max(ro.MaxAttempts, 1)
 	rq := &balance.Request{Service: ro.PickTarget(dr.cfg.Random()), Exclude: tried, ExtraSlots: scoreQueueSlots}
-	gr := dr.cfg.Balancer.Acquire(rq)
-	if gr == nil {
+	gr, err := dr.cfg.Balancer.AcquirePermitted(ctx, rq, ro.Urgency(nil))
+	if gr == nil && err == nil {
 		rq.Exclude = nil
-		gr = dr.cfg.Balancer.Acquire(rq)
+		gr, err = dr.cfg.Balancer.AcquirePermitted(ctx, rq, ro.Urgency(nil))
 	}
 	if gr == nil {
+		if err != nil {
+			dr.cfg.Log.WithError(err).WithField("reward", rw.ID).Info("score request waits for a permit")
+		}
+
 		return "", "", refused, limit
 	}
 
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -61,6 +61,7 @@
 	links         *peer.Links
 	follower      *feed.Follower
 	balancer      *balance.Balancer
+	permits       *permit.Holder
 	driver        *jobdriver.Driver
 	statusChanged chan struct{} // holds an element after a change of the group's status
 }
@@ -81,9 +82,14 @@
 	if err != nil {
 		return nil, err
 	}
+	controllers := &controller.Client{Links: st.links, Addresses: st.follower.Controllers}
+	st.permits = permit.NewHolder(permit.Config{
+		Name: no.Name, Ask: controllers.AskPermits, Report: controllers.ReportLimits, Processes: st.follower.Processes,
+		Now: cfg.Now, Random: rand.Float64, Meter: cfg.Meter, Log: cfg.Log,
+	})
 	st.balancer = balance.New(balance.Config{
 		FailureDomain: no.FailureDomain, Scheduler: scheduler.Config{RandomChoices: schedulerChoices}, Now: cfg.Now, Random: rand.IntN, IdleTimeout: cfg.Client.IdleTimeout,
-		Permits: permit.NewHolder(permit.Config{Log: cfg.Log}),
+		Permits: st.permits,
 	})
 	st.driver = jobdriver.New(jobdriver.Config{
 		Group: st.group, View: st.follower.View, Changed: st.follower.Changed, Balancer: st.balancer, Client: cfg.Client,
@@ -147,9 +153,11 @@
 	wg.Go(func() { st.follower.Run(ctx) })
 	wg.Go(func() { st.announceLoop(ctx) })
 	wg.Go(func() { st.driver.Run(ctx) })
+	wg.Go(func() { st.permits.Run(ctx) })
 	wg.Go(func() {
 		st.follower.EachView(ctx, func(vi *feed.View) {
 			st.balancer.Sync(vi.Servers)
+			st.permits.Apply(vi.Limits)
 			st.driver.Wake()
 		})
 	})
--- a/internal/meter/names.go
+++ b/internal/meter/names.go
@@ -27,6 +27,8 @@
 	{"refused.*", KindCounter, "refusals by result code; every code of docs/codes.md has a counter, which starts at 0"},
 	{"request.*", KindCounter, "requests of clients by outcome: served, refused, failed, cut and the like"},
 	{"request", KindHistogram, "time from the receipt of the complete request to the end of its answer"},
+	{"permits.used", KindCounter, "requests sent to backend servers that limit their rate"},
+	{"permits.refused", KindCounter, "requests for which no permit of a limited backend server was to be had"},
 	{"attempts.brokenOff", KindCounter, "attempts whose connection to the backend server broke"},
 	{"retry.*", KindCounter, "retried attempts, by the reason of the failure"},
 	{"noRetry.*", KindCounter, "failures that were not retried, by the reason for that: final, notRepeatable, attemptsSpent, deadline, budgetSpent"},
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -41,6 +41,15 @@
 	IsLoading     bool    `cbor:"11,keyasint"` // it loads weights and refuses requests that it hasn't started
 }
 
+// Incarnation identifies one start of a backend server.
+type Incarnation struct {
+	ID     string `cbor:"1,keyasint"`
+	BornMs int64  `cbor:"2,keyasint"` // Unix milliseconds
+}
+
+// Incarnation returns the incarnation that the record describes.
+func (re *Record) Incarnation() Incarnation { return Incarnation{ID: re.ID, BornMs: re.BornMs} }
+
 // Version returns the weight version of model on this server, 0 if it is not loaded.
 func (re *Record) Version(model string) uint64 {
 	for _, mo := range re.Models {
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -75,6 +75,7 @@
 	SwapFailed          Code = 4011
 	VersionUnknown      Code = 4012
 	StreamCut           Code = 4013
+	ServersLimited      Code = 4014
 
 	NoLeader          Code = 5001
 	StaleProcess      Code = 5002
@@ -154,6 +155,7 @@
 	{SwapFailed, "swapFailed", http.StatusBadGateway, "the weight swap failed"},
 	{VersionUnknown, "versionUnknown", http.StatusServiceUnavailable, "the weight version of the engine is not verified"},
 	{StreamCut, "streamCut", http.StatusBadGateway, "the stream ended before its end mark"},
+	{ServersLimited, "serversLimited", http.StatusServiceUnavailable, "every backend server with room limits its request rate, and the limits are used up"},
 	{NoLeader, "noLeader", http.StatusServiceUnavailable, "the group has no leader now"},
 	{StaleProcess, "staleProcess", http.StatusServiceUnavailable, "the process received nothing from the group within the freshness bound"},
 	{GroupTimeout, "groupTimeout", http.StatusServiceUnavailable, "the group did not answer in time"},
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -12,13 +12,14 @@
 	cfg      *Config
 	byHost   map[string][]*Route // by host, the longest prefix first
 	byKey    map[string]*Workspace
+	byName   map[string]*Workspace
 	services map[string]*Service
 }
 
 // NewTable returns the table of a valid configuration, which must not be changed afterwards.
 func NewTable(cfg *Config) *Table {
 	ta := &Table{
-		cfg: cfg, byHost: map[string][]*Route{}, byKey: map[string]*Workspace{}, services: map[string]*Service{},
+		cfg: cfg, byHost: map[string][]*Route{}, byKey: map[string]*Workspace{}, byName: map[string]*Workspace{}, services: map[string]*Service{},
 	}
 	for i := range cfg.Routes {
 		ro := &cfg.Routes[i]
@@ -28,6 +29,7 @@
 		slices.SortFunc(ros, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
 	for i := range cfg.Workspaces {
+		ta.byName[cfg.Workspaces[i].Name] = &cfg.Workspaces[i]
 		for _, key := range cfg.Workspaces[i].Keys {
 			ta.byKey[key] = &cfg.Workspaces[i]
 		}
@@ -63,12 +65,25 @@
 // Owner returns the workspace that holds key, or nil.
 func (ta *Table) Owner(key string) *Workspace { return ta.byKey[key] }
 
+// Workspace returns the workspace called name, or nil.
+func (ta *Table) Workspace(name string) *Workspace { return ta.byName[name] }
+
 // NeedsKeys reports whether the configuration declares workspaces at all.
 func (ta *Table) NeedsKeys() bool { return len(ta.cfg.Workspaces) > 0 }
 
 // Service returns the declared service called name, or nil.
 func (ta *Table) Service(name string) *Service { return ta.services[name] }
 
+// Urgency returns the rank of a workspace's requests on a route; 0 is the most urgent. The
+// workspace may be nil.
+func (ro *Route) Urgency(ws *Workspace) int {
+	if ws != nil && ws.Priority != nil {
+		return *ws.Priority
+	}
+
+	return ro.Priority
+}
+
 // PickTarget returns the service of a target chosen by weight; draw is a random number
 // in [0, 1).
 func (ro *Route) PickTarget(draw float64) string {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -123,7 +123,7 @@
 
 	best, bestScore := NoCandidate, 0.0
 	consider := func(i int) {
-		if !sc.hasRoom(now, &cands[i], i, rq) {
+		if !sc.HasRoom(now, &cands[i], i, rq) {
 			return
 		}
 		if s := sc.score(now, &cands[i], i, rq); best == NoCandidate || s < bestScore {
@@ -183,7 +183,8 @@
 	return max(ca.Slots-others, share) - ca.InFlight
 }
 
-func (sc *Scheduler) hasRoom(now time.Duration, ca *Candidate, i int, rq *Request) bool {
+// HasRoom reports whether candidate i may run the request now.
+func (sc *Scheduler) HasRoom(now time.Duration, ca *Candidate, i int, rq *Request) bool {
 	if !ca.IsReady || ca.Sequence < rq.MinSequence || isExcluded(rq, i) || now < ca.EjectedUntil {
 		return false
 	}
@@ -226,7 +227,7 @@
 func (sc *Scheduler) pickRoundRobin(now time.Duration, cands []Candidate, rq *Request) int {
 	for range cands {
 		sc.roundRobinIndex++
-		if i := sc.roundRobinIndex % len(cands); sc.hasRoom(now, &cands[i], i, rq) {
+		if i := sc.roundRobinIndex % len(cands); sc.HasRoom(now, &cands[i], i, rq) {
 			return i
 		}
 	}
@@ -237,7 +238,7 @@
 func (sc *Scheduler) pickLeastInFlight(now time.Duration, cands []Candidate, rq *Request) int {
 	best := NoCandidate
 	for i := range cands {
-		if sc.hasRoom(now, &cands[i], i, rq) && (best == NoCandidate || cands[i].InFlight < cands[best].InFlight) {
+		if sc.HasRoom(now, &cands[i], i, rq) && (best == NoCandidate || cands[i].InFlight < cands[best].InFlight) {
 			best = i
 		}
 	}
