Decode the software versions of backend servers and log them with resumed requests

`request ended` gives the versions of all backend servers tried and what the client resumes, `run of item ended` the version. No choice depends on it yet.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -102,6 +102,7 @@
 	began         time.Time // when the request arrived
 	deadline      time.Time // when the client must have received its answer
 	tried         []string  // IDs of the backend servers that were picked, in order
+	software      []string  // their software versions
 	sentCount     int       // how many of them the request reached, or may have reached
 	mayHaveRun    bool      // whether the request may have run
 	lastErr       error
@@ -171,6 +172,9 @@
 	if rs.ro != nil {
 		fl["route"] = rs.ro.Name
 	}
+	if rs.rq.ResumeAfter > 0 || len(rs.software) > 1 {
+		fl["software"], fl["resumes"], fl["resumeAfter"] = rs.software, rs.rq.Resumes, rs.rq.ResumeAfter
+	}
 	if rs.fingerprint != "" {
 		fl["fingerprint"] = rs.fingerprint
 	}
@@ -231,6 +235,7 @@
 func (rs *requestState) newCall(gr *balance.Grant) *backend.Call {
 	re := gr.Record()
 	rs.tried = append(rs.tried, re.ID)
+	rs.software = append(rs.software, re.Software)
 	rs.sentCount++
 
 	return &backend.Call{
--- a/internal/jobdriver/run.go
+++ b/internal/jobdriver/run.go
@@ -82,7 +82,7 @@
 		oc, grantOutcome = cancelled, balance.Unused
 	}
 	fl := log.Fields{
-		"job": t.job.id, "item": t.item.ID, "server": rec.ID, "outcome": oc.String(), "fromEvent": from, "lastEvent": te.lastEvent,
+		"job": t.job.id, "item": t.item.ID, "server": rec.ID, "software": rec.Software, "outcome": oc.String(), "fromEvent": from, "lastEvent": te.lastEvent,
 		"believedVersion": rec.Version(t.job.model), "versions": te.versions, "ms": time.Since(began).Milliseconds(),
 	}
 	if err != nil {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -39,6 +39,7 @@
 	State         State   `cbor:"8,keyasint"`
 	Models        []Model `cbor:"9,keyasint"`
 	IsLoading     bool    `cbor:"11,keyasint"` // it loads weights and refuses requests that it hasn't started
+	Software      string  `cbor:"12,keyasint"` // version of its software
 }
 
 // Incarnation identifies one start of a backend server.
@@ -75,6 +76,7 @@
 func (re *Record) hasSameContent(other *Record) bool {
 	return re.BornMs == other.BornMs && re.Service == other.Service && re.Address == other.Address &&
 		re.FailureDomain == other.FailureDomain && re.Slots == other.Slots && re.State == other.State && re.IsLoading == other.IsLoading &&
+		re.Software == other.Software &&
 		slices.Equal(re.Models, other.Models)
 }
 
@@ -247,7 +249,7 @@
 		}
 		fl := log.Fields{
 			"server": re.ID, "service": re.Service, "address": re.Address, "state": re.State.String(),
-			"born": re.BornMs, "sequence": re.Sequence, "models": re.Models,
+			"born": re.BornMs, "sequence": re.Sequence, "models": re.Models, "software": re.Software,
 		}
 		if ok {
 			lo.WithFields(fl).Info("backend server changed")
