Continue streams and texts at the software version that began them only

Seen by callers: streams held events of two software versions, in one answer and over their own tries, and so did texts of items. Class of fault: state that the continuation of some work needs was neither known where it begins nor where it goes on. A gateway records with all controllers which service and version begin a stream, before its first event; a resume asks them, whatever gateway it comes to. A stream goes on at that version only, with places in the queue of a full backend server; if the version is not known or not ready it is refused at once. The progress of an item carries the version; its text is begun again if no backend server of that version is to be had. Why it works: every continuation names a version, and a version that is not known names none.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -129,6 +129,7 @@
 	Model      string // "" for plain services
 	MinVersion uint64 // of the model's weights
 	Prefix     string // of its prompt, "" for none
+	Software   string // version of the backend server's software, "" for any
 	Exclude    []string
 	Tokens     int
 	IsSuspect  bool // was in flight at a crash: must be the only suspect of this process on its backend server
@@ -265,7 +266,7 @@
 		if rq.Model != "" {
 			se.cands[i].Sequence = sv.record.Version(rq.Model)
 		}
-		if slices.Contains(rq.Exclude, sv.record.ID) || now < sv.pausedUntil || sv.record.IsLoading {
+		if !sv.runs(rq.Software) || slices.Contains(rq.Exclude, sv.record.ID) || now < sv.pausedUntil || sv.record.IsLoading {
 			sr.Exclude = append(sr.Exclude, i)
 		}
 		if rq.Prefix != "" && sv.lastPrefix == rq.Prefix {
@@ -277,6 +278,29 @@
 	return &sr
 }
 
+// runs reports whether the backend server runs a version of its software, "" for any.
+func (sv *server) runs(software string) bool { return software == "" || sv.record.Software == software }
+
+// ReadyBySoftware returns the number of ready backend servers of a service by the version of
+// their software.
+func (ba *Balancer) ReadyBySoftware(service string) map[string]int {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+
+	out := map[string]int{}
+	se := ba.services[service]
+	if se == nil {
+		return out
+	}
+	for i, sv := range se.servers {
+		if se.cands[i].IsReady {
+			out[sv.record.Software]++
+		}
+	}
+
+	return out
+}
+
 // Count returns how many backend servers of a service are ready, and how many of
 // them serve version minVersion of the model or a later one.
 func (ba *Balancer) Count(service, model string, minVersion uint64) (ready, eligible int) {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -21,6 +21,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/lease"
 	"github.com/tamarackbay/tamarackbay/internal/leasedtask"
 	"github.com/tamarackbay/tamarackbay/internal/meter"
+	"github.com/tamarackbay/tamarackbay/internal/origin"
 	"github.com/tamarackbay/tamarackbay/internal/peer"
 	"github.com/tamarackbay/tamarackbay/internal/permit"
 	"github.com/tamarackbay/tamarackbay/internal/quarantine"
@@ -95,7 +96,9 @@
 	swapWake           chan struct{}
 	usage              usageState
 
-	permits permitBroker
+	permits  permitBroker
+	origins  *origin.Table
+	software softwareHistory // guarded by mu
 }
 
 // Announcement is the state that a store sends to every controller periodically.
@@ -128,7 +131,7 @@
 		cfg: cfg, feed: feed.NewServer(), links: peer.NewLinks(context.Background(), cfg.Peer), stopped: make(chan struct{}),
 		registry: registry.New(maxMissedHeartbeats * no.HeartbeatPeriod), stores: map[string]*store{}, publishWake: make(chan struct{}, 1),
 		startedAt: cfg.Now(), swapPlanners: map[string]*weights.JointPlanner{}, swapWake: make(chan struct{}, 1),
-		permits: permitBroker{broker: permit.NewBroker()},
+		permits: permitBroker{broker: permit.NewBroker()}, origins: origin.NewTable(origin.MaxOrigins), software: softwareHistory{},
 	}
 	var founders []group.Founder
 	for _, a := range no.Controllers {
@@ -184,6 +187,7 @@
 	mux := co.group.Handlers()
 	maps.Copy(mux, co.feed.Handlers())
 	maps.Copy(mux, co.permitHandlers())
+	maps.Copy(mux, co.originHandlers())
 	mux[methodHeartbeat] = func(_ context.Context, st *peer.Stream) error {
 		var no heartbeatNotice
 		if err := st.RequestRecord(&no); err != nil {
@@ -397,6 +401,7 @@
 		changed = co.registry.Leave(now, no.Record.ID, no.Record.BornMs)
 	} else {
 		changed = co.registry.Observe(now, no.Record)
+		co.software.observe(now, &no.Record)
 	}
 	if !changed {
 		return
--- /dev/null
+++ b/internal/controller/origins.go
@@ -0,0 +1,121 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/tamarackbay/tamarackbay/internal/origin"
+	"github.com/tamarackbay/tamarackbay/internal/peer"
+	"github.com/tamarackbay/tamarackbay/internal/registry"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+	"github.com/tamarackbay/tamarackbay/internal/wire"
+)
+
+// Methods that gateways call.
+const (
+	methodRecordOrigins = "controller.recordOrigins"
+	methodFindOrigin    = "controller.findOrigin"
+)
+
+// softwareHistory holds when each software version of each service was last reported.
+type softwareHistory map[string]map[string]time.Duration
+
+func (sh softwareHistory) observe(now time.Duration, re *registry.Record) {
+	if sh[re.Service] == nil {
+		sh[re.Service] = map[string]time.Duration{}
+	}
+	sh[re.Service][re.Software] = now
+}
+
+// sole returns the only version that a service had within origin.Retention, and false if it
+// had none or several.
+func (sh softwareHistory) sole(now time.Duration, service string) (string, bool) {
+	versions := sh[service]
+	sole := ""
+	for version, at := range versions {
+		if now-at > origin.Retention {
+			delete(versions, version)
+
+			continue
+		}
+		sole = version
+	}
+
+	return sole, len(versions) == 1
+}
+
+// findOrigin returns what this controller knows of the beginning of a stream.
+func (co *Controller) findOrigin(qu origin.Query) origin.Finding {
+	if or, ok := co.origins.Find(qu.Key); ok {
+		return origin.Finding{Origin: or, IsFound: true}
+	}
+	co.mu.Lock()
+	defer co.mu.Unlock()
+
+	now := co.cfg.Now()
+	if qu.Service == "" || now-co.startedAt < origin.Retention {
+		return origin.Finding{} // the history is not complete yet
+	}
+	software, ok := co.software.sole(now, qu.Service)
+
+	return origin.Finding{Origin: origin.Origin{Service: qu.Service, Software: software}, IsSole: ok}
+}
+
+func (co *Controller) originHandlers() peer.Mux {
+	return peer.Mux{
+		methodRecordOrigins: func(_ context.Context, st *peer.Stream) error {
+			var records []origin.Record
+			if err := st.RequestRecord(&records); err != nil {
+				return err
+			}
+			co.origins.Add(records)
+
+			return st.Reply(&wire.Empty{})
+		},
+		methodFindOrigin: func(_ context.Context, st *peer.Stream) error {
+			var qu origin.Query
+			if err := st.RequestRecord(&qu); err != nil {
+				return err
+			}
+			b, err := cbor.Marshal(co.findOrigin(qu))
+			if err != nil {
+				return result.New(result.Internal, "controller: encode the origin of a stream: %v", err)
+			}
+
+			return st.Reply(&wire.Payload{Record: b})
+		},
+	}
+}
+
+// ConnectOrigins waits for a connection over which the origins of streams are recorded.
+func (cl *Client) ConnectOrigins(ctx context.Context, address string) (origin.Session, error) {
+	se, err := cl.Links.To(address).Wait(ctx)
+	if err != nil {
+		return origin.Session{}, err
+	}
+
+	return origin.Session{Done: se.Done(), Record: func(ctx context.Context, records []origin.Record) error {
+		b, err := cbor.Marshal(records)
+		if err != nil {
+			return result.New(result.Internal, "controller: encode the origins of streams: %v", err)
+		}
+
+		return se.Call(ctx, methodRecordOrigins, &wire.Payload{Record: b}, &wire.Empty{})
+	}}, nil
+}
+
+// FindOrigin asks the controller at an address for the origin of a stream.
+func (cl *Client) FindOrigin(ctx context.Context, address string, qu origin.Query) (fi origin.Finding, err error) {
+	if cl.Links.To(address).Session() == nil {
+		return fi, result.New(result.NoLeader, "controller: %s is not connected", address)
+	}
+	b, err := cbor.Marshal(qu)
+	if err != nil {
+		return fi, result.New(result.Internal, "controller: encode a query for an origin: %v", err)
+	}
+	err = cl.call(ctx, address, methodFindOrigin, b, &fi)
+
+	return fi, err
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -19,6 +19,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/ingress"
 	"github.com/tamarackbay/tamarackbay/internal/jobproxy"
 	"github.com/tamarackbay/tamarackbay/internal/meter"
+	"github.com/tamarackbay/tamarackbay/internal/origin"
 	"github.com/tamarackbay/tamarackbay/internal/peer"
 	"github.com/tamarackbay/tamarackbay/internal/permit"
 	"github.com/tamarackbay/tamarackbay/internal/quarantine"
@@ -62,6 +63,7 @@
 	controllers *controller.Client
 	permits     *permit.Holder
 	balancer    *balance.Balancer
+	origins     *origin.Book
 	guard       *crashguard.Guard
 	ingress     *ingress.Ingress
 	jobProxy    *jobproxy.Proxy
@@ -95,9 +97,12 @@
 		},
 		HasEnded: cfg.Client.HasEnded, Now: time.Now, Meter: cfg.Meter, Log: cfg.Log,
 	})
+	ed.origins = origin.NewBook(origin.Config{
+		Connect: ed.controllers.ConnectOrigins, Find: ed.controllers.FindOrigin, Meter: cfg.Meter, Log: cfg.Log,
+	})
 	ed.ingress = ingress.New(ingress.Config{
 		Table: ed.Table, Fresh: ed.fresh, Balancer: ed.balancer, Client: cfg.Client, Random: rand.Float64, OnStart: ed.tally.Count,
-		Guard: ed.guard, BufferBytes: cfg.Settings.MemoryBytes / answerMemoryShare, Meter: cfg.Meter, Log: cfg.Log,
+		Guard: ed.guard, Origins: ed.origins, BufferBytes: cfg.Settings.MemoryBytes / answerMemoryShare, Meter: cfg.Meter, Log: cfg.Log,
 	})
 	ed.jobProxy = jobproxy.New(jobproxy.Config{
 		Ingress: ed.ingress, Table: ed.Table, View: ed.follower.View, Changed: ed.follower.Changed, Links: ed.links,
@@ -161,11 +166,13 @@
 			ed.guard.ObserveServers(vi.Servers)
 			ed.balancer.Sync(vi.Servers)
 			ed.permits.Apply(vi.Limits)
+			ed.origins.SetControllers(ed.follower.Controllers())
 		})
 	})
 	wg.Go(func() { ed.sendUsageLoop(ctx) })
 	wg.Go(func() { ed.guard.Run(ctx) })
 	wg.Go(func() { ed.permits.Run(ctx) })
+	wg.Go(func() { ed.origins.Run(ctx) })
 	wg.Wait()
 }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -11,6 +11,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/balance"
 	"github.com/tamarackbay/tamarackbay/internal/crashguard"
 	"github.com/tamarackbay/tamarackbay/internal/meter"
+	"github.com/tamarackbay/tamarackbay/internal/origin"
 	"github.com/tamarackbay/tamarackbay/internal/result"
 	"github.com/tamarackbay/tamarackbay/internal/routing"
 )
@@ -24,6 +25,12 @@
 	defaultRetryAfter = 100 * time.Millisecond
 	// configRetryAfter is sent before the first configuration has arrived.
 	configRetryAfter = 500 * time.Millisecond
+	// sameSoftwareRetryAfter is sent where no backend server of the software version that began
+	// a stream is ready. A crashed one is back after about that time.
+	sameSoftwareRetryAfter = time.Second
+	// resumeQueueSlots is how many streams that continue a backend server may get beyond its
+	// slots: fewer backend servers can serve them than a new stream.
+	resumeQueueSlots = 4
 	// attemptTimeoutFactor is the time-out of one attempt of a repeatable request, as a
 	// multiple of the route's latency objective. Then another backend server is tried.
 	attemptTimeoutFactor = 2
@@ -38,6 +45,8 @@
 	Random   func() float64                       // in [0, 1)
 	OnStart  func(workspace string, at time.Time) // called once for each request of a workspace that may have run
 	Guard    *crashguard.Guard
+	// Origins knows which software version began each stream; a book of its own if it is nil.
+	Origins *origin.Book
 	// BufferBytes bounds the memory of answers that are buffered, 0 for a default.
 	BufferBytes int64
 	Meter       *meter.Meter
@@ -51,7 +60,13 @@
 }
 
 // New returns an ingress.
-func New(cfg Config) *Ingress { return &Ingress{cfg: cfg, answers: newAnswerReader(cfg.BufferBytes)} }
+func New(cfg Config) *Ingress {
+	if cfg.Origins == nil {
+		cfg.Origins = origin.NewBook(origin.Config{Meter: cfg.Meter, Log: cfg.Log})
+	}
+
+	return &Ingress{cfg: cfg, answers: newAnswerReader(cfg.BufferBytes)}
+}
 
 // Admit returns the route and the workspace of a request. The workspace is nil where
 // Identify returns nil.
@@ -109,6 +124,7 @@
 	failedAnswer  *completeAnswer // last answer with an error status, nil if there is none
 	configVersion uint64          // configuration version at the start of the request
 	fingerprint   string          // "" until it is needed
+	origin        *origin.Origin  // what began the stream, nil before its first event
 }
 
 // completeAnswer is an answer whose body was read to its end.
@@ -207,6 +223,13 @@
 func (rs *requestState) acquireServer(ctx context.Context, isSuspect bool) (*balance.Grant, error) {
 	service := rs.ro.PickTarget(rs.in.cfg.Random())
 	rq := &balance.Request{Service: service, Model: rs.rq.Model, Exclude: rs.tried, IsSuspect: isSuspect}
+	if rs.origin != nil {
+		if service = rs.origin.Service; !rs.ro.Allows(service) || rs.in.cfg.Balancer.ReadyBySoftware(service)[rs.origin.Software] == 0 {
+			return nil, result.New(result.NoSameSoftware, "ingress: no backend server of %s with software version %q is ready", service, rs.origin.Software).
+				WithRetryAfter(sameSoftwareRetryAfter)
+		}
+		rq.Service, rq.Software, rq.ExtraSlots = service, rs.origin.Software, resumeQueueSlots
+	}
 	gr, limitErr := rs.in.cfg.Balancer.AcquirePermitted(ctx, rq, rs.urgency)
 	if gr != nil {
 		return gr, nil
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -9,6 +9,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/backend"
 	"github.com/tamarackbay/tamarackbay/internal/balance"
 	"github.com/tamarackbay/tamarackbay/internal/crashguard"
+	"github.com/tamarackbay/tamarackbay/internal/origin"
 	"github.com/tamarackbay/tamarackbay/internal/result"
 )
 
@@ -18,6 +19,11 @@
 func (rs *requestState) serveStream(ctx context.Context, sink *Sink) error {
 	begun := false
 	last := rs.rq.ResumeAfter
+	if last > 0 {
+		if err := rs.findOrigin(ctx); err != nil {
+			return result.From(err).WithExecution(result.NotRun)
+		}
+	}
 	for {
 		pa, gr, err := rs.place(ctx)
 		if err != nil {
@@ -45,13 +51,42 @@
 	return rs.replyFailure(sink)
 }
 
+// findOrigin finds out what began the stream that the client takes up.
+func (rs *requestState) findOrigin(ctx context.Context) error {
+	key := origin.KeyOf(rs.workspace, rs.rq.Resumes)
+	or, err := rs.in.cfg.Origins.Find(ctx, key, rs.ro.SoleTarget())
+	if err != nil {
+		return err
+	}
+	rs.origin = &or
+	rs.in.cfg.Origins.Begin(key, or) // this gateway may be the only one left that knows it
+
+	return nil
+}
+
+// beginOrigin records what begins a stream, before its first event. It returns nil if the
+// stream can't be taken up or has begun already.
+func (rs *requestState) beginOrigin(gr *balance.Grant) *origin.Pending {
+	if rs.origin != nil || !rs.ro.IsResumable {
+		return nil
+	}
+
+	return rs.in.cfg.Origins.Begin(origin.KeyOf(rs.workspace, rs.rq.ID), *originOf(gr))
+}
+
+func originOf(gr *balance.Grant) *origin.Origin {
+	re := gr.Record()
+
+	return &origin.Origin{Service: re.Service, Software: re.Software}
+}
+
 // sendStream forwards the stream of one backend server. It returns nil once the
 // stream has ended regularly.
 func (rs *requestState) sendStream(ctx context.Context, gr *balance.Grant, pa *crashguard.Pass, sink *Sink, begun *bool, last *uint64) error {
 	outcome, load := balance.Failed, (*backend.Load)(nil)
 	defer func() { gr.Release(outcome, load) }()
 
-	ca := rs.newCall(gr)
+	ca, pending := rs.newCall(gr), rs.beginOrigin(gr)
 	ca.ResumeAfter = *last
 	sent := time.Now()
 	an, err := rs.in.cfg.Client.Send(ctx, gr.Record().Address, ca)
@@ -109,6 +144,10 @@
 			return result.New(result.BackendAnswerBroken, "ingress: backend server %s: event %d does not follow event %d directly", gr.Record().ID, ev.Number, *last).WithExecution(result.Ran)
 		}
 		if !*begun {
+			if pending != nil {
+				pending.Wait(ctx)
+				rs.origin = originOf(gr)
+			}
 			*begun = true
 			sink.Begin(an)
 		}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -88,6 +88,8 @@
 	LastEvent uint64   `cbor:"2,keyasint"` // number of the last event
 	Versions  []uint64 `cbor:"3,keyasint"` // weight versions that wrote it, ascending
 	Term      uint64   `cbor:"4,keyasint"` // term of the driver that reported the last event
+	Service   string   `cbor:"5,keyasint"` // that wrote it
+	Software  string   `cbor:"6,keyasint"` // version of the software that wrote it
 }
 
 // IsOpen reports whether the job has not ended yet.
--- a/internal/jobdriver/driver.go
+++ b/internal/jobdriver/driver.go
@@ -270,8 +270,12 @@
 		if ro == nil {
 			continue // the route may be configured again before the queue deadline
 		}
+		dr.discardUnusable(t, ro, now)
 		service := ro.PickTarget(dr.cfg.Random())
-		if key := service + "@" + t.job.id; full[key] {
+		if t.generated.lastEvent > 0 {
+			service = t.generated.service
+		}
+		if key := service + "@" + t.job.id + "@" + t.generated.software; full[key] {
 			continue
 		} else if gr := dr.acquire(service, t); gr == nil {
 			full[key] = true
@@ -287,6 +291,7 @@
 func (dr *Driver) acquire(service string, t *task) *balance.Grant {
 	rq := &balance.Request{
 		Service: service, Model: t.job.model, MinVersion: t.job.minVersion, Prefix: t.job.model + "/" + t.item.Group, Tokens: t.item.Tokens,
+		Software: t.generated.software,
 	}
 	last := -1
 	for _, exclude := range [][]string{slices.Concat(t.failedServers, dr.slow, dr.lagging), slices.Concat(t.failedServers, dr.slow), t.failedServers, nil} {
@@ -302,6 +307,49 @@
 	return nil
 }
 
+const (
+	// maxSoftwareWait is how long a begun text waits for a slot at a backend server of its
+	// software version. Then it is begun again at any.
+	maxSoftwareWait = time.Second
+	// maxBrokenResumes is how many runs in a row may break off without a new event before a
+	// text is begun again, as the few backend servers of its version may all be at fault.
+	maxBrokenResumes = 3
+)
+
+// discardUnusable discards the text of a waiting task that can't be continued: its weight
+// versions don't allow it, or no backend server of its software version is to be had. The
+// caller holds dr.mu.
+func (dr *Driver) discardUnusable(t *task, ro *routing.Route, now time.Time) {
+	te := &t.generated
+	if te.lastEvent == 0 {
+		return
+	}
+	ready := dr.cfg.Balancer.ReadyBySoftware(te.service)
+	hasOthers := len(ready) > 1
+	why := ""
+	switch {
+	case !te.isUsable(t.job.minVersion, ro):
+		*te = generatedText{}
+
+		return
+	case te.software == "":
+		why = "its software version is not known"
+	case !ro.Allows(te.service) || ready[te.software] == 0:
+		why = "no backend server of its software version is ready"
+	case hasOthers && now.Sub(t.waitingSince) > maxSoftwareWait:
+		why = "the backend servers of its software version have no room"
+	case hasOthers && t.brokenRuns >= maxBrokenResumes:
+		why = "runs at backend servers of its software version keep breaking off"
+	default:
+		return
+	}
+	dr.cfg.Meter.Count("items.restarted")
+	dr.cfg.Log.WithFields(log.Fields{
+		"job": t.job.id, "item": t.item.ID, "service": te.service, "software": te.software, "lastEvent": te.lastEvent, "why": why,
+	}).Info("text of item begun again")
+	*te = generatedText{}
+}
+
 // obtainPermits asks in the background for permits for items that no backend server without a
 // rate limit has room for. The caller holds dr.mu.
 func (dr *Driver) obtainPermits(service string, t *task, urgency, count int) {
@@ -309,7 +357,9 @@
 	if dr.obtaining[key] {
 		return
 	}
-	limited := dr.cfg.Balancer.Limited(&balance.Request{Service: service, Model: t.job.model, MinVersion: t.job.minVersion})
+	limited := dr.cfg.Balancer.Limited(&balance.Request{
+		Service: service, Model: t.job.model, MinVersion: t.job.minVersion, Software: t.generated.software,
+	})
 	if len(limited) == 0 {
 		return
 	}
@@ -341,6 +391,7 @@
 	}
 	dr.progress = append(dr.progress, job.Part{Job: t.job.id, Item: t.index, After: te.proposed, IsFirst: !te.hasProposed, Text: job.Partial{
 		Events: slices.Clone(te.events[te.proposedEvents:]), LastEvent: te.lastEvent, Versions: slices.Clone(te.versions), Term: dr.term,
+		Service: te.service, Software: te.software,
 	}})
 	te.proposed, te.proposedEvents, te.hasProposed = te.lastEvent, len(te.events), true
 }
@@ -427,7 +478,7 @@
 		// Reserve the slot before the run is cancelled: other passes happen before it ends.
 		t.nextGrant = dr.cfg.Balancer.Acquire(&balance.Request{
 			Service: t.service, Model: t.job.model, MinVersion: t.job.minVersion, Prefix: t.job.model + "/" + t.item.Group, Tokens: t.item.Tokens,
-			Exclude: slices.Concat(t.failedServers, dr.slow, dr.lagging),
+			Software: t.software, Exclude: slices.Concat(t.failedServers, dr.slow, dr.lagging),
 		})
 		if t.nextGrant == nil {
 			continue
@@ -439,19 +490,18 @@
 
 // start runs a task at a backend server in the background. The caller holds dr.mu.
 func (dr *Driver) start(t *task, ro *routing.Route, gr *balance.Grant) {
-	// A text with a part of too old a version is discarded, and so is any text of a
-	// single-version route: there, each run starts from the beginning.
-	if !t.generated.meetsVersionRules(t.job.minVersion, ro.IsSingleVersion) || (ro.IsSingleVersion && len(t.generated.versions) > 0) {
+	rec := gr.Record()
+	if !t.generated.isUsable(t.job.minVersion, ro) || !t.generated.mayContinueAt(&rec) {
 		t.generated = generatedText{}
 	}
 	ctx, cancel := context.WithCancelCause(dr.ctx)
-	t.phase, t.server, t.service = running, gr.Record().ID, gr.Record().Service
+	t.phase, t.server, t.service, t.software = running, rec.ID, rec.Service, rec.Software
 	t.cancel = func() { cancel(nil) }
 	t.cancelForMove, t.startedAt = func() { cancel(errSlow) }, time.Now()
 	if t.runs++; t.runs == 1 {
 		t.firstStartedAt = t.startedAt
 	}
-	dr.running[gr.Record().ID]++
+	dr.running[rec.ID]++
 	te := t.generated
 	te.events, te.versions = slices.Clone(te.events), slices.Clone(te.versions)
 	began := len(te.events)
@@ -461,7 +511,7 @@
 		defer cancel(nil)
 		oc := dr.run(ctx, t, ro, gr, &te)
 		dr.mu.Lock()
-		dr.running[gr.Record().ID]--
+		dr.running[rec.ID]--
 		dr.decayDemand()
 		dr.demand[t.job.model] += float64(max(len(te.events)-began, 0))
 		dr.mu.Unlock()
--- a/internal/jobdriver/run.go
+++ b/internal/jobdriver/run.go
@@ -167,6 +167,7 @@
 
 			return brokenOff, result.New(result.NoEligibleVersion, "the weight version changed to %d within the text of a single-version route", version)
 		}
+		te.service, te.software = rec.Service, rec.Software
 		te.add(ev.Number, ev.Data, version)
 		if te.bytes > job.MaxPageBytes {
 			*te = generatedText{}
--- a/internal/jobdriver/task.go
+++ b/internal/jobdriver/task.go
@@ -9,6 +9,8 @@
 
 	"github.com/tamarackbay/tamarackbay/internal/balance"
 	"github.com/tamarackbay/tamarackbay/internal/job"
+	"github.com/tamarackbay/tamarackbay/internal/registry"
+	"github.com/tamarackbay/tamarackbay/internal/routing"
 )
 
 // phase is the state of a task.
@@ -42,6 +44,7 @@
 	server            string             // ID of the backend server of its current run
 	startedAt         time.Time          // start of that run
 	service           string             // service to which that backend server belongs
+	software          string             // version of its software
 	cancel            context.CancelFunc // cancels the current run or score request, nil if there is none
 	cancelForMove     func()             // cancels the current run so that it continues elsewhere, nil if it can't be moved
 	nextGrant         *balance.Grant     // slot reserved for the moved run at another backend server
@@ -66,6 +69,8 @@
 	bytes     int      // size of all data with their line ends
 	lastEvent uint64   // number of the last event, 0 for none
 	versions  []uint64 // weight versions that wrote it, ascending
+	service   string   // that wrote it, "" before the first event
+	software  string   // version of the software that wrote it
 
 	// The part already queued for commit.
 	proposed       uint64 // number of its last event, 0 for none
@@ -81,7 +86,7 @@
 	}
 
 	return generatedText{
-		events: slices.Clone(pa.Events), bytes: bytes, lastEvent: pa.LastEvent, versions: slices.Clone(pa.Versions), proposed: pa.LastEvent, proposedEvents: len(pa.Events),
+		events: slices.Clone(pa.Events), bytes: bytes, lastEvent: pa.LastEvent, versions: slices.Clone(pa.Versions), service: pa.Service, software: pa.Software, proposed: pa.LastEvent, proposedEvents: len(pa.Events),
 	}
 }
 
@@ -95,6 +100,12 @@
 	}
 }
 
+// mayContinueAt reports whether a backend server may continue the text: what two versions of
+// the software write does not fit together. A text whose version is not known can't continue.
+func (te *generatedText) mayContinueAt(re *registry.Record) bool {
+	return te.lastEvent == 0 || (te.software != "" && te.software == re.Software && te.service == re.Service)
+}
+
 // meetsVersionRules reports whether the text may be part of a result: no version is
 // older than minVersion, and there is only one if isSingle is set.
 func (te *generatedText) meetsVersionRules(minVersion uint64, isSingle bool) bool {
@@ -105,6 +116,13 @@
 	return te.versions[0] >= minVersion && (!isSingle || len(te.versions) == 1)
 }
 
+// isUsable reports whether a further run may continue the text. A text with a part of too old
+// a weight version may not, nor any text of a single-version route: there, each run starts
+// from the beginning.
+func (te *generatedText) isUsable(minVersion uint64, ro *routing.Route) bool {
+	return te.meetsVersionRules(minVersion, ro.IsSingleVersion) && (!ro.IsSingleVersion || len(te.versions) == 0)
+}
+
 func (te *generatedText) String() string { return strings.Join(te.events, "\n") }
 
 func headerOf(it *job.Item) http.Header {
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -76,6 +76,8 @@
 	VersionUnknown      Code = 4012
 	StreamCut           Code = 4013
 	ServersLimited      Code = 4014
+	OriginUnknown       Code = 4015
+	NoSameSoftware      Code = 4016
 
 	NoLeader          Code = 5001
 	StaleProcess      Code = 5002
@@ -156,6 +158,8 @@
 	{VersionUnknown, "versionUnknown", http.StatusServiceUnavailable, "the weight version of the engine is not verified"},
 	{StreamCut, "streamCut", http.StatusBadGateway, "the stream ended before its end mark"},
 	{ServersLimited, "serversLimited", http.StatusServiceUnavailable, "every backend server with room limits its request rate, and the limits are used up"},
+	{OriginUnknown, "originUnknown", http.StatusServiceUnavailable, "it is not known which software version began the stream"},
+	{NoSameSoftware, "noSameSoftware", http.StatusServiceUnavailable, "no backend server of the software version that began the stream is ready"},
 	{NoLeader, "noLeader", http.StatusServiceUnavailable, "the group has no leader now"},
 	{StaleProcess, "staleProcess", http.StatusServiceUnavailable, "the process received nothing from the group within the freshness bound"},
 	{GroupTimeout, "groupTimeout", http.StatusServiceUnavailable, "the group did not answer in time"},
