Place begun texts first, and begin them again only after they waited as long as they took

Cause: with two software versions a text that broke off may continue at few backend servers. New texts of older jobs took their slots first, and after one second a text of 149 events was begun again. Ruled out: other losses, since the failed step was the one with these texts. Change: begun texts are placed before others and may queue at a full backend server; they wait as long as their runs took, one second at least, before they are begun again.

--- a/internal/jobdriver/driver.go
+++ b/internal/jobdriver/driver.go
@@ -232,8 +232,9 @@
 }
 
 // waitingTasks returns the tasks that are due for a backend server, in order of
-// placement: the oldest job first, and within a job the longest expected text first.
-// A trainer waits for nearly all groups, so the longest texts determine the duration.
+// placement: begun texts first, since they may continue at some backend servers only, then
+// the oldest job, and within a job the longest expected text. A trainer waits for nearly all
+// groups, so the longest texts determine the duration.
 func (dr *Driver) waitingTasks(now time.Time) []*task {
 	var out []*task
 	for _, js := range dr.jobs {
@@ -244,7 +245,7 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b *task) int {
-		return cmp.Or(a.job.submitted.Compare(b.job.submitted), cmp.Compare(a.job.id, b.job.id), cmp.Compare(b.item.Expected, a.item.Expected),
+		return cmp.Or(cmp.Compare(min(b.generated.lastEvent, 1), min(a.generated.lastEvent, 1)), a.job.submitted.Compare(b.job.submitted), cmp.Compare(a.job.id, b.job.id), cmp.Compare(b.item.Expected, a.item.Expected),
 			cmp.Compare(a.index, b.index))
 	})
 
@@ -303,14 +304,21 @@
 			return gr
 		}
 	}
+	if t.generated.lastEvent == 0 {
+		return nil
+	}
+	rq.ExtraSlots = resumeQueueSlots
 
-	return nil
+	return dr.cfg.Balancer.Acquire(rq)
 }
 
 const (
-	// maxSoftwareWait is how long a begun text waits for a slot at a backend server of its
-	// software version. Then it is begun again at any.
-	maxSoftwareWait = time.Second
+	// minSoftwareWait is how long a begun text waits at least for a slot at a backend server of
+	// its software version. Once it has waited as long as it took to write, it is begun again at
+	// any.
+	minSoftwareWait = time.Second
+	// resumeQueueSlots is how many begun texts a backend server may get beyond its slots.
+	resumeQueueSlots = 4
 	// maxBrokenResumes is how many runs in a row may break off without a new event before a
 	// text is begun again, as the few backend servers of its version may all be at fault.
 	maxBrokenResumes = 3
@@ -336,7 +344,7 @@
 		why = "its software version is not known"
 	case !ro.Allows(te.service) || ready[te.software] == 0:
 		why = "no backend server of its software version is ready"
-	case hasOthers && now.Sub(t.waitingSince) > maxSoftwareWait:
+	case hasOthers && now.Sub(t.waitingSince) > max(minSoftwareWait, te.took):
 		why = "the backend servers of its software version have no room"
 	case hasOthers && t.brokenRuns >= maxBrokenResumes:
 		why = "runs at backend servers of its software version keep breaking off"
--- a/internal/jobdriver/run.go
+++ b/internal/jobdriver/run.go
@@ -69,6 +69,7 @@
 	defer watch.Stop()
 
 	oc, err := dr.exchange(ctx, t, ro, gr, te, watch, &load)
+	te.took += time.Since(began)
 	switch {
 	case oc == complete:
 		grantOutcome = balance.Succeeded
--- a/internal/jobdriver/software_test.go
+++ b/internal/jobdriver/software_test.go
@@ -28,17 +28,19 @@
 		name     string
 		servers  []registry.Record
 		software string // that began the text
+		took     time.Duration
 		waited   time.Duration
 		broken   int
 		isKept   bool
 	}{
-		{"is kept for a backend server of its version", []registry.Record{v1, v2}, "v1", 0, 0, true},
-		{"is begun again when no backend server of its version is left", []registry.Record{v2}, "v1", 0, 0, false},
-		{"is begun again when the last one of its version drains", []registry.Record{draining, v2}, "v1", 0, 0, false},
-		{"is begun again when its version is not known", []registry.Record{v1}, "", 0, 0, false},
-		{"is begun again at another version when those of its own have no room for long", []registry.Record{v1, v2}, "v1", 2 * time.Second, 0, false},
-		{"is kept however long it waits when there is no other version", []registry.Record{v1}, "v1", 2 * time.Second, 9, true},
-		{"is begun again at another version when its own keeps breaking off", []registry.Record{v1, v2}, "v1", 0, 3, false},
+		{"is kept for a backend server of its version", []registry.Record{v1, v2}, "v1", 0, 0, 0, true},
+		{"is begun again when no backend server of its version is left", []registry.Record{v2}, "v1", 0, 0, 0, false},
+		{"is begun again when the last one of its version drains", []registry.Record{draining, v2}, "v1", 0, 0, 0, false},
+		{"is begun again when its version is not known", []registry.Record{v1}, "", 0, 0, 0, false},
+		{"is begun again at another version when those of its own have no room for long", []registry.Record{v1, v2}, "v1", 0, 2 * time.Second, 0, false},
+		{"is kept while it has waited less than it took to write", []registry.Record{v1, v2}, "v1", 3 * time.Second, 2 * time.Second, 0, true},
+		{"is kept however long it waits when there is no other version", []registry.Record{v1}, "v1", 0, 2 * time.Second, 9, true},
+		{"is begun again at another version when its own keeps breaking off", []registry.Record{v1, v2}, "v1", 0, 0, 3, false},
 	} {
 		ginkgo.It(tc.name, func() {
 			start := time.Now().Add(-time.Hour)
@@ -57,7 +59,7 @@
 			now := time.Now()
 			js := &jobState{id: "j", tasks: map[int]*task{}, timeline: timeline{runs: map[string]int{}}}
 			t := &task{job: js, item: job.Item{ID: "i"}, waitingSince: now.Add(-tc.waited), brokenRuns: tc.broken, generated: generatedText{
-				events: []string{"x"}, lastEvent: 1, versions: []uint64{1}, service: "s", software: tc.software,
+				events: []string{"x"}, lastEvent: 1, versions: []uint64{1}, service: "s", software: tc.software, took: tc.took,
 			}}
 			dr.discardUnusable(t, ro, now)
 			Expect(t.generated.lastEvent == 1).To(Equal(tc.isKept))
--- a/internal/jobdriver/task.go
+++ b/internal/jobdriver/task.go
@@ -65,12 +65,13 @@
 
 // generatedText is the text generated for an item so far.
 type generatedText struct {
-	events    []string // data of each event
-	bytes     int      // size of all data with their line ends
-	lastEvent uint64   // number of the last event, 0 for none
-	versions  []uint64 // weight versions that wrote it, ascending
-	service   string   // that wrote it, "" before the first event
-	software  string   // version of the software that wrote it
+	events    []string      // data of each event
+	bytes     int           // size of all data with their line ends
+	lastEvent uint64        // number of the last event, 0 for none
+	versions  []uint64      // weight versions that wrote it, ascending
+	service   string        // that wrote it, "" before the first event
+	software  string        // version of the software that wrote it
+	took      time.Duration // duration of the runs that wrote it, as far as this driver knows
 
 	// The part already queued for commit.
 	proposed       uint64 // number of its last event, 0 for none
