Take streams up again and limit request rates in the soak

Change: engines of two software versions, clients that leave a stream at random and take it up at another gateway, the fault serverLimits, and checks of the versions, of the share that goes on and of the arrivals at limited backend servers.

--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -130,7 +130,8 @@
 		bs.CrashOn(func(target string) bool { return target == crashTarget }, crashDuration)
 		if i >= cfg.PlainServers {
 			bs = standin.NewBackendServer(fmt.Sprintf("e%d", i), serviceEngines, standin.Model)
-			bs.Pace = 15 * time.Millisecond
+			bs.Pace, bs.TagsEvents = 15*time.Millisecond, true
+			bs.Software = []string{"v1", "v1.1"}[i%2]
 		}
 		ip := host(cfg.Subnet, hostServer, i)
 		bs.Address = fmt.Sprintf("%s:%d", ip, port)
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -15,6 +15,8 @@
 const (
 	meanFaultGap      = 900 * time.Millisecond // between the starts of two faults
 	maxRandomDuration = 4 * time.Second        // the random part of a fault, added to 200 ms
+	// limitsPerSize divides the size of a serverLimits, 1 to 300, to requests a second.
+	limitsPerSize = 50
 )
 
 // fault is one fault to inject. All faults are drawn before the run, so that a seed repeats
@@ -51,6 +53,7 @@
 	{"serverCrash", 2},
 	{"serverBreaksOff", 2},
 	{"serverSilent", 1},
+	{"serverLimits", 2},
 	{"killAll", 1},
 }
 
@@ -81,7 +84,7 @@
 			n -= k.weight
 		}
 		switch fa.kind {
-		case "serverCrash", "serverBreaksOff", "serverSilent":
+		case "serverCrash", "serverBreaksOff", "serverSilent", "serverLimits":
 			fa.target = rnd.IntN(servers)
 		case "wipe":
 			fa.target %= cfg.Controllers + cfg.Stores
@@ -151,6 +154,13 @@
 		bs.BreakOff(func(_ string, event int) bool { return event%7 == fa.size%7 && rand.IntN(2) == 0 })
 		time.Sleep(fa.duration)
 		bs.BreakOff(func(string, int) bool { return false })
+	case "serverLimits":
+		in.serverLocks[fa.target].Lock()
+		defer in.serverLocks[fa.target].Unlock()
+		bs := de.servers[fa.target]
+		bs.Limit(float64(fa.size) / limitsPerSize)
+		time.Sleep(contactWithin + limitWindow + fa.duration)
+		bs.Limit(0)
 	case "serverSilent":
 		var ps []pair
 		for _, pr := range de.processes {
--- a/soak/promises_test.go
+++ b/soak/promises_test.go
@@ -29,8 +29,78 @@
 	weightVersion uint64    // newest acknowledged weight version
 	inContactAt   time.Time // from when on the processes agree, after the last fault
 	counts        map[string]int
+	mixed         []string // streams and texts that hold events of several software versions
 }
 
+const (
+	// maxMixed is how many streams and how many texts may hold events of two versions.
+	maxMixed = 2
+	// minGoneOn is the least share of the resumed streams that go on, relative to the share of
+	// the new ones that begin.
+	minGoneOn = 0.5
+)
+
+// checkStreamAttempt checks one attempt of a client for a stream.
+func (pr *promises) checkStreamAttempt(st *standin.Stream, isResumed, hasGoneOn bool, at *standin.Attempt) {
+	what := "new stream"
+	if isResumed {
+		what = "resumed stream"
+	}
+	pr.count(what)
+	switch {
+	case hasGoneOn:
+		pr.count(what + " served")
+	case at.Status == http.StatusServiceUnavailable && at.RetryAfter == "":
+		pr.reportBroken("stream %s: a refusal without a Retry-After header", st.ID)
+	}
+}
+
+// checkStream checks that the events of a stream come from one software version.
+func (pr *promises) checkStream(st *standin.Stream) {
+	if versions := standin.SoftwareOf(st.Events); len(versions) > 1 {
+		pr.mu.Lock()
+		defer pr.mu.Unlock()
+		pr.mixed = append(pr.mixed, fmt.Sprintf("stream %s: %v", st.ID, versions))
+	}
+}
+
+// checkContinuations checks how many streams and texts were continued, and where.
+func (pr *promises) checkContinuations() {
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	if len(pr.mixed) > maxMixed {
+		pr.reportBrokenLocked("%d streams and texts hold events of several software versions: %v", len(pr.mixed), pr.mixed)
+	}
+	share := func(what string) float64 {
+		return float64(pr.counts[what+" served"]) / float64(max(pr.counts[what], 1))
+	}
+	if share("resumed stream") < minGoneOn*share("new stream") {
+		pr.reportBrokenLocked("%.2f of the resumed streams went on, but %.2f of the new ones began", share("resumed stream"), share("new stream"))
+	}
+}
+
+// checkLimits checks that no backend server got more requests than the rate that it named.
+func (pr *promises) checkLimits(de *deployment) {
+	for _, bs := range de.servers {
+		for _, li := range bs.Limits() {
+			allowed := int(limitExcess*li.PerSecond*limitWindow.Seconds()) + limitSlack
+			if n := li.Most(bs.Arrivals(), contactWithin, limitWindow); n > allowed {
+				pr.reportBroken("backend server %s named a limit of %g requests a second and got %d in %v, %d are allowed", bs.ID, li.PerSecond, n, limitWindow, allowed)
+			} else if n > 0 {
+				pr.count("limit kept")
+			}
+		}
+	}
+}
+
+// The bounds of the requests to a limited backend server: in any window limitExcess times what
+// its limit allows, and limitSlack more.
+const (
+	limitWindow = 4 * time.Second
+	limitExcess = 1.5
+	limitSlack  = 5
+)
+
 // lookup is one plain request. No other request has its ID.
 type lookup struct {
 	isOnce    bool
@@ -130,6 +200,9 @@
 		if err := it.Check(jo.events); err != nil {
 			pr.reportBrokenLocked("job %s: %v", id, err)
 		}
+		if versions := standin.SoftwareOf(strings.Split(it.Text, "\n")); len(versions) > 1 {
+			pr.mixed = append(pr.mixed, fmt.Sprintf("item %s: %v", it.ID, versions))
+		}
 	}
 	if pa.Total != jo.items {
 		pr.reportBrokenLocked("job %s: the total is %d items, expected %d", id, pa.Total, jo.items)
@@ -194,6 +267,8 @@
 	if lateCrashes > maxLateCrashes {
 		pr.reportBroken("the request that crashes backend servers ran %d times after the last fault and the contact period", lateCrashes)
 	}
+	pr.checkLimits(de)
+	pr.checkContinuations()
 	for _, s := range de.usage.Problems() {
 		pr.reportBroken("%s", s)
 	}
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -11,6 +11,8 @@
 	"sort"
 	"sync"
 	"time"
+
+	"github.com/tamarackbay/tamarackbay/platform/standin"
 )
 
 const (
@@ -27,6 +29,7 @@
 	configPeriod  = 1200 * time.Millisecond
 	versionPeriod = 3 * time.Second
 	crashPeriod   = 700 * time.Millisecond
+	streamPeriod  = 120 * time.Millisecond
 	// contactWithin is the time after a fault within which the processes agree again:
 	// contact_ms of the deployments. Later than that, a request that crashes its backend
 	// servers may run maxLateCrashes times.
@@ -134,7 +137,7 @@
 	defer stopReads()
 	var wg sync.WaitGroup
 	lo := &load{de: de, promises: pr, readUntil: rctx}
-	for _, f := range []func(ctx context.Context){lo.lookups, lo.jobs, lo.configurations, lo.versions} {
+	for _, f := range []func(ctx context.Context){lo.lookups, lo.jobs, lo.configurations, lo.versions, lo.streams} {
 		wg.Go(func() { f(lctx) })
 	}
 	cctx, stopCrashing := context.WithCancel(ctx)
@@ -202,6 +205,32 @@
 	})
 }
 
+// streams runs streams that their clients leave at random and take up again at other gateways.
+func (lo *load) streams(ctx context.Context) {
+	const events, maxTakes = 12, 6
+	lo.every(ctx, streamPeriod, func(i int) {
+		st := &standin.Stream{}
+		for take := range maxTakes {
+			leaveAt := 0
+			if rand.IntN(2) == 0 {
+				leaveAt = len(st.Events) + 2 + rand.IntN(4)
+			}
+			id := fmt.Sprintf("s%d-%d", i, take)
+			lo.promises.recordLookup(id, false)
+			isResumed, before := len(st.Events) > 0, len(st.Events)
+			at, err := lo.de.caller.Take(context.WithoutCancel(ctx), lo.gateway(), st, id, events, leaveAt)
+			lo.promises.checkStreamAttempt(st, isResumed, len(st.Events) > before || at.IsComplete, &at)
+			if err == nil && at.IsComplete {
+				lo.promises.count("stream complete")
+
+				break
+			}
+			time.Sleep(readPeriod / 2)
+		}
+		lo.promises.checkStream(st)
+	})
+}
+
 // jobs submits jobs and reads each until it is complete.
 func (lo *load) jobs(ctx context.Context) {
 	const items, events = 6, 30
