Move the placement of items into a file of its own

Change: what chooses and reserves backend servers for waiting items stands in place.go; nothing else changes but the layout of one comparison. Measured: the tests of the package pass under the race detector.

--- /dev/null
+++ b/internal/jobdriver/place.go
@@ -0,0 +1,171 @@
+package jobdriver
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/tamarackbay/tamarackbay/internal/balance"
+	"github.com/tamarackbay/tamarackbay/internal/job"
+	"github.com/tamarackbay/tamarackbay/internal/routing"
+)
+
+// waitingTasks returns the tasks that are due for a backend server, in order of
+// placement: begun texts first, since they may continue at some backend servers only, then
+// the oldest job, and within a job the longest expected text. A trainer waits for nearly all
+// groups, so the longest texts determine the duration.
+func (dr *Driver) waitingTasks(now time.Time) []*task {
+	var out []*task
+	for _, js := range dr.jobs {
+		for _, ta := range js.tasks {
+			if ta.phase == waiting && !now.Before(ta.notBefore) {
+				out = append(out, ta)
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b *task) int {
+		return cmp.Or(
+			cmp.Compare(min(b.generated.lastEvent, 1), min(a.generated.lastEvent, 1)),
+			a.job.submitted.Compare(b.job.submitted), cmp.Compare(a.job.id, b.job.id),
+			cmp.Compare(b.item.Expected, a.item.Expected), cmp.Compare(a.index, b.index),
+		)
+	})
+
+	return out
+}
+
+// place starts waiting tasks while backend servers have free slots.
+func (dr *Driver) place() {
+	ta := dr.cfg.View().Table
+	if ta == nil {
+		return
+	}
+	now := time.Now()
+	full := map[string]bool{} // service and job pairs without a free slot in this pass
+	waits := dr.waitingTasks(now)
+	for i, t := range waits {
+		if !t.job.queueDeadline.IsZero() && now.After(t.job.queueDeadline) {
+			dr.finish(t, job.Result{Item: t.index, State: job.Aborted}, "its queue deadline passed")
+
+			continue
+		}
+		ro := ta.Match(t.job.host, t.item.Path)
+		if ro == nil {
+			continue // the route may be configured again before the queue deadline
+		}
+		dr.discardUnusable(t, ro, now)
+		service := ro.PickTarget(dr.cfg.Random())
+		if t.generated.lastEvent > 0 {
+			service = t.generated.service
+		}
+		if key := service + "@" + t.job.id + "@" + t.generated.software; full[key] {
+			continue
+		} else if gr := dr.acquire(service, t); gr == nil {
+			full[key] = true
+			dr.obtainPermits(service, t, ro.Urgency(ta.Workspace(t.job.workspace)), len(waits)-i)
+		} else {
+			dr.start(t, ro, gr)
+		}
+	}
+}
+
+// acquire reserves a slot at a backend server, in order of preference: a fast one, a
+// lagging one, a slow one, and last one that failed the item before.
+func (dr *Driver) acquire(service string, t *task) *balance.Grant {
+	rq := &balance.Request{
+		Service: service, Model: t.job.model, MinVersion: t.job.minVersion, Prefix: t.job.model + "/" + t.item.Group, Tokens: t.item.Tokens,
+		Software: t.generated.software,
+	}
+	last := -1
+	for _, exclude := range [][]string{slices.Concat(t.failedServers, dr.slow, dr.lagging), slices.Concat(t.failedServers, dr.slow), t.failedServers, nil} {
+		if len(exclude) == last {
+			continue // same exclusions as in the last attempt
+		}
+		last, rq.Exclude = len(exclude), exclude
+		if gr := dr.cfg.Balancer.Acquire(rq); gr != nil {
+			return gr
+		}
+	}
+	if t.generated.lastEvent == 0 {
+		return nil
+	}
+	rq.ExtraSlots = resumeQueueSlots
+
+	return dr.cfg.Balancer.Acquire(rq)
+}
+
+const (
+	// minSoftwareWait is how long a begun text waits at least for a slot at a backend server of
+	// its software version. Once it has waited as long as it took to write, it is begun again at
+	// any.
+	minSoftwareWait = time.Second
+	// resumeQueueSlots is how many begun texts a backend server may get beyond its slots.
+	resumeQueueSlots = 4
+	// maxBrokenResumes is how many runs in a row may break off without a new event before a
+	// text is begun again, as the few backend servers of its version may all be at fault.
+	maxBrokenResumes = 3
+)
+
+// discardUnusable discards the text of a waiting task that can't be continued: its weight
+// versions don't allow it, or no backend server of its software version is to be had. The
+// caller holds dr.mu.
+func (dr *Driver) discardUnusable(t *task, ro *routing.Route, now time.Time) {
+	te := &t.generated
+	if te.lastEvent == 0 {
+		return
+	}
+	ready := dr.cfg.Balancer.ReadyBySoftware(te.service)
+	hasOthers := len(ready) > 1
+	why := ""
+	switch {
+	case !te.isUsable(t.job.minVersion, ro):
+		*te = generatedText{}
+
+		return
+	case te.software == "":
+		why = "its software version is not known"
+	case !ro.Allows(te.service) || ready[te.software] == 0:
+		why = "no backend server of its software version is ready"
+	case hasOthers && now.Sub(t.waitingSince) > max(minSoftwareWait, te.took):
+		why = "the backend servers of its software version have no room"
+	case hasOthers && t.brokenRuns >= maxBrokenResumes:
+		why = "runs at backend servers of its software version keep breaking off"
+	default:
+		return
+	}
+	dr.cfg.Meter.Count("items.restarted")
+	dr.cfg.Log.WithFields(log.Fields{
+		"job": t.job.id, "item": t.item.ID, "service": te.service, "software": te.software, "lastEvent": te.lastEvent, "why": why,
+	}).Info("text of item begun again")
+	*te = generatedText{}
+}
+
+// obtainPermits asks in the background for permits for items that no backend server without a
+// rate limit has room for. The caller holds dr.mu.
+func (dr *Driver) obtainPermits(service string, t *task, urgency, count int) {
+	key := service + "@" + strconv.Itoa(urgency)
+	if dr.obtaining[key] {
+		return
+	}
+	limited := dr.cfg.Balancer.Limited(&balance.Request{
+		Service: service, Model: t.job.model, MinVersion: t.job.minVersion, Software: t.generated.software,
+	})
+	if len(limited) == 0 {
+		return
+	}
+	dr.obtaining[key] = true
+	dr.wg.Add(1)
+	go func() {
+		defer dr.wg.Done()
+		err := dr.cfg.Balancer.ObtainPermits(dr.ctx, limited, urgency, count)
+		dr.mu.Lock()
+		delete(dr.obtaining, key)
+		dr.mu.Unlock()
+		if err == nil {
+			dr.Wake() // otherwise the next pass asks again
+		}
+	}()
+}
