Ask the broker again after a request whose caller has left

Cause: found by reading: a caller that left while its request waited for a permit looked like a broker that does not answer, and for a quarter of a second the process used its equal share beside the permits of others. Change: such a request ends by itself and says nothing about the broker. Measured: the new test failed before and passes now.

--- a/internal/permit/holder.go
+++ b/internal/permit/holder.go
@@ -235,9 +235,12 @@
 	if rq == nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	rep, err := ho.cfg.Ask(ctx, rq)
+	actx, cancel := context.WithTimeout(ctx, askTimeout)
+	rep, err := ho.cfg.Ask(actx, rq)
 	cancel()
+	if err != nil && ctx.Err() != nil {
+		return result.New(result.DeadlinePassed, "permit: the request ended while it waited for a permit") // says nothing about the broker
+	}
 
 	ho.mu.Lock()
 	defer ho.mu.Unlock()
--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -229,6 +229,22 @@
 		}
 	})
 
+	It("is asked for again at the broker after a request whose caller has left", func() {
+		asked := 0
+		ho := permit.NewHolder(permit.Config{Log: logging.Discard(), Ask: func(ctx context.Context, _ *permit.Request) (permit.Reply, error) {
+			asked++
+
+			return permit.Reply{Granted: []registry.Incarnation{se}}, ctx.Err()
+		}})
+		ho.Observe(se, 0, limited)
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		Expect(result.Is(ho.Obtain(ctx, []registry.Incarnation{se}, 0, 1), result.DeadlinePassed)).To(BeTrue())
+		Expect(ho.Allows(se)).To(BeFalse())
+		Expect(ho.Obtain(context.Background(), []registry.Incarnation{se}, 0, 1)).To(Succeed())
+		Expect(asked).To(Equal(2))
+	})
+
 	It("is reported until a broker records it, with its last value", func() {
 		var reports [][]permit.Limit
 		ctx, cancel := context.WithCancel(context.Background())
