Forget the orders of ended engines once too many are remembered

Cause: found by reading: numbers of accepted orders of incarnations that had ended were never dropped, so that after 20,000 of them no further engine was remembered. Change: at that number all are forgotten; a report tells those that are still needed.

--- a/internal/controller/weights.go
+++ b/internal/controller/weights.go
@@ -230,7 +230,10 @@
 	co.mu.Lock()
 	defer co.mu.Unlock()
 
-	if delete(co.orders, in); isKnown && len(co.orders) < maxKnownOrders {
+	if len(co.orders) >= maxKnownOrders {
+		clear(co.orders) // most are of incarnations that have ended; a report tells the others
+	}
+	if delete(co.orders, in); isKnown {
 		co.orders[in] = accepted
 	}
 }
