Send origins of streams also to controllers that were set before the book runs

Seen: the test 'is known after all controllers have restarted' timed out once beside load. Cause, from reading: SetControllers had no effect before Run. If Run was scheduled late, a book had no senders until the next change of the controllers, and a gateway would not have recorded its streams. Change: the addresses are kept and take effect with Run. The test sets them before Run each time.

--- a/internal/origin/book.go
+++ b/internal/origin/book.go
@@ -51,6 +51,7 @@
 
 	mu      sync.Mutex
 	ctx     context.Context // of Run, nil before it is called
+	wanted  []string        // addresses of the controllers
 	senders map[string]*sender
 	wg      sync.WaitGroup
 }
@@ -173,16 +174,19 @@
 func (bo *Book) Run(ctx context.Context) {
 	bo.mu.Lock()
 	bo.ctx = ctx
+	wanted := bo.wanted
 	bo.mu.Unlock()
+	bo.SetControllers(wanted)
 	<-ctx.Done()
 	bo.wg.Wait()
 }
 
-// SetControllers sets the addresses of the controllers. It has no effect before Run.
+// SetControllers sets the addresses of the controllers. Before Run it takes effect with Run.
 func (bo *Book) SetControllers(addresses []string) {
 	bo.mu.Lock()
 	defer bo.mu.Unlock()
 
+	bo.wanted = addresses
 	if bo.ctx == nil || bo.ctx.Err() != nil {
 		return
 	}
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -96,6 +96,7 @@
 			return origin.Finding{Origin: origin.Origin{Service: qu.Service, Software: software}, IsSole: ok}, nil
 		},
 	})
+	bo.SetControllers(addresses) // takes effect with Run, however late that is scheduled
 	started := make(chan struct{})
 	go func() {
 		close(started)
@@ -103,7 +104,6 @@
 	}()
 	<-started
 	Eventually(func() bool {
-		bo.SetControllers(addresses)
 		pe := bo.Begin(origin.KeyOf("probe", "x"), origin.Origin{})
 		pe.Wait(ctx)
 		_, err := bo.Find(ctx, origin.KeyOf("probe", "x"), "")
