Wait for a disk that refuses writes instead of ending the process

Change: after a refused write the replica gives up the lead (the best voter campaigns at once), votes for nothing, acknowledges nothing, drops messages, and refuses commands and reads as not run; what it has applied is still read and fed to others, and commands are forwarded to the leader that it hears. A new identity and the formed cluster are stored before they are used; a log that can only be read is opened.

Ruled out: ending the process later, since a start needs the disk just as much.

--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -394,6 +394,19 @@
 		return false
 	}
 
+	best := r.mostCompleteVoter(now)
+	if best == "" {
+		return false
+	}
+
+	r.transferTarget, r.transferStart = best, now
+	r.sendTimeoutNowIfCurrent(best, r.progress[best])
+
+	return true
+}
+
+// mostCompleteVoter returns the other active voter with the most complete log, "" for none.
+func (r *Replica) mostCompleteVoter(now time.Duration) ReplicaID {
 	best := ReplicaID("")
 	for _, id := range r.log.membership().Voters {
 		pr := r.progress[id]
@@ -404,14 +417,25 @@
 			best = id
 		}
 	}
-	if best == "" {
-		return false
+
+	return best
+}
+
+// Resign gives up leadership at once, because this replica can't store entries for now. It
+// returns the message that makes the active voter with the most complete log campaign, if
+// there is one: messages in Ready wait until entries are stored.
+func (r *Replica) Resign(now time.Duration) []Message {
+	if r.role != RoleLeader {
+		return nil
 	}
 
-	r.transferTarget, r.transferStart = best, now
-	r.sendTimeoutNowIfCurrent(best, r.progress[best])
+	var out []Message
+	if best := r.mostCompleteVoter(now); best != "" {
+		out = []Message{{Kind: MessageTimeoutNow, From: r.cfg.ID, To: best, Group: r.cfg.Group, Term: r.hardState.Term}}
+	}
+	r.becomeFollower(now, r.hardState.Term, "")
 
-	return true
+	return out
 }
 
 // ReadIndex starts a linearizable read. A later Ready contains the ReadState for context.
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -69,6 +69,7 @@
 type Group struct {
 	cfg      Config
 	identity identity
+	disk     *disk
 	start    time.Time
 
 	ctx       context.Context
@@ -102,6 +103,7 @@
 		addresses: map[consensus.ReplicaID]string{}, feedSlots: make(chan struct{}, maxFeeds),
 	}
 	gr.cfg.defaults()
+	gr.disk = &disk{log: gr.cfg.Log}
 	vi, err := newView(statemachine.FullState{})
 	if err != nil {
 		return nil, err
@@ -109,7 +111,7 @@
 	gr.view.Store(vi)
 	gr.ctx, gr.stop = context.WithCancel(context.Background())
 	if cfg.DataFolder != "" {
-		if gr.identity, err = loadIdentity(cfg.Files, cfg.DataFolder, cfg.Name); err != nil {
+		if gr.identity, err = loadIdentity(cfg.Files, cfg.DataFolder, cfg.Name); err != nil && !storage.IsTransient(err) {
 			return nil, err
 		}
 		gr.cfg.Peer.Hello.Replica = string(gr.identity.Replica)
@@ -203,8 +205,8 @@
 	}
 }
 
-// Run takes part in the group until ctx ends. An error of the disk or of the
-// identity ends it early: the process must then exit.
+// Run takes part in the group until ctx ends. An unusable data folder or identity ends it
+// early: the process must then exit. A disk that only refuses writes is waited for.
 func (gr *Group) Run(ctx context.Context) error {
 	defer gr.transport.wait()
 	defer gr.stop()
@@ -214,13 +216,25 @@
 
 		return nil
 	}
+	if err := gr.untilAccepted(ctx, func() error { return gr.identity.save(gr.cfg.Files, gr.cfg.DataFolder) }); err != nil || ctx.Err() != nil {
+		return err
+	}
+	gr.disk.recordSuccess(time.Now())
 	if err := gr.form(ctx); err != nil || ctx.Err() != nil {
 		return err
 	}
 
-	n, err := gr.openNode()
-	if err != nil {
+	var n *node
+	err := gr.untilAccepted(ctx, func() (err error) {
+		n, err = gr.openNode()
+
 		return err
+	})
+	if err != nil || ctx.Err() != nil {
+		return err
+	}
+	if n.unstored == nil {
+		gr.disk.recordSuccess(time.Now())
 	}
 	n.publishView(gr)
 	gr.node.Store(n)
@@ -245,6 +259,22 @@
 	return err
 }
 
+// untilAccepted repeats a write until the disk accepts it. It returns the first error that
+// doesn't pass by itself, and nil once ctx ends.
+func (gr *Group) untilAccepted(ctx context.Context, write func() error) error {
+	for {
+		err := write()
+		if err == nil || !storage.IsTransient(err) {
+			return err
+		}
+		select {
+		case <-time.After(gr.disk.recordRefusal(time.Now(), err)):
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
 func (gr *Group) openNode() (*node, error) {
 	gr.cfg.Log.WithFields(log.Fields{"replica": gr.identity.Replica, "cluster": gr.identity.Cluster}).Info("replica starts")
 
@@ -254,7 +284,7 @@
 		files:     gr.cfg.Files, dir: filepath.Join(gr.cfg.DataFolder, "group-1"),
 		election: gr.cfg.Election, heartbeat: gr.cfg.Heartbeat, wallMs: gr.cfg.WallMs,
 		send:    func(m consensus.Message) { gr.transport.send(gr.addressOf(m.To), m) },
-		onApply: gr.onApply, onStatus: gr.onStatus,
+		onApply: gr.onApply, onStatus: gr.onStatus, disk: gr.disk,
 	})
 }
 
@@ -379,6 +409,11 @@
 	if st.Role == consensus.RoleLeader.String() {
 		leads = 1
 	}
+	diskRefuses := int64(0)
+	if gr.disk.isRefusing() {
+		diskRefuses = 1
+	}
+	me.Gauge("group.diskRefuses", diskRefuses)
 	me.Gauge("group.ageMs", ageMs)
 	me.Gauge("group.term", int64(st.Term))
 	me.Gauge("group.applied", int64(st.Applied))
--- a/internal/group/identity.go
+++ b/internal/group/identity.go
@@ -34,11 +34,9 @@
 	Peers map[consensus.ReplicaID]string `json:"peers,omitempty"`
 }
 
+// loadIdentity returns the stored identity, or a new one for an empty data folder. An error
+// that is transient comes with an identity that is not stored yet: it must be saved before use.
 func loadIdentity(files storage.Files, dir, name string) (identity, error) {
-	if err := files.MkdirAll(dir); err != nil {
-		return identity{}, result.New(result.DataFolderWrite, "group: creating the data folder %s: %v", dir, err)
-	}
-
 	path := filepath.Join(dir, identityFile)
 	b, err := files.Read(path)
 	if errors.Is(err, fs.ErrNotExist) {
@@ -47,7 +45,7 @@
 		return id, id.save(files, dir)
 	}
 	if err != nil {
-		return identity{}, result.New(result.DataFolderWrite, "group: reading %s: %v", path, err)
+		return identity{}, result.New(result.DataFolderDamaged, "group: reading %s: %v", path, err)
 	}
 
 	var id identity
@@ -69,8 +67,11 @@
 	if err != nil {
 		return err
 	}
+	if err := files.MkdirAll(dir); err != nil {
+		return result.New(result.DataFolderWrite, "group: creating the data folder %s: %v", dir, err).WithCause(err)
+	}
 	if err := files.WriteAtomic(filepath.Join(dir, identityFile), b); err != nil {
-		return result.New(result.DataFolderWrite, "group: saving the identity in %s: %v", dir, err)
+		return result.New(result.DataFolderWrite, "group: saving the identity in %s: %v", dir, err).WithCause(err)
 	}
 
 	return nil
--- a/internal/group/membership.go
+++ b/internal/group/membership.go
@@ -137,7 +137,7 @@
 		if ids := gr.cfg.Formation(); slices.Contains(ids, gr.identity.Replica) {
 			ids = slices.Sorted(slices.Values(ids))
 
-			return true, gr.storeCluster(clusterID(ids), ids)
+			return true, gr.storeCluster(ctx, clusterID(ids), ids)
 		}
 	}
 
@@ -161,19 +161,21 @@
 	}
 	slices.Sort(empty)
 
-	return true, gr.storeCluster(clusterID(empty), empty)
+	return true, gr.storeCluster(ctx, clusterID(empty), empty)
 }
 
 // storeCluster saves the ID of the cluster and the replicas that formed it in the identity.
-func (gr *Group) storeCluster(cluster string, bootstrap []consensus.ReplicaID) error {
-	gr.mu.Lock()
-	defer gr.mu.Unlock()
-
+func (gr *Group) storeCluster(ctx context.Context, cluster string, bootstrap []consensus.ReplicaID) error {
 	id := gr.identity
 	id.Cluster, id.Bootstrap = cluster, bootstrap
-	if err := id.save(gr.cfg.Files, gr.cfg.DataFolder); err != nil {
+	err := gr.untilAccepted(ctx, func() error { return id.save(gr.cfg.Files, gr.cfg.DataFolder) })
+	if err != nil || ctx.Err() != nil {
 		return err
 	}
+	gr.disk.recordSuccess(time.Now())
+	gr.mu.Lock()
+	defer gr.mu.Unlock()
+
 	gr.identity = id
 	gr.cfg.Log.WithFields(log.Fields{"cluster": cluster, "bootstrap": bootstrap}).Info("cluster identity stored")
 
@@ -192,7 +194,7 @@
 		}
 	}
 
-	return true, gr.storeCluster(rep.GetCluster(), bootstrap)
+	return true, gr.storeCluster(ctx, rep.GetCluster(), bootstrap)
 }
 
 func (gr *Group) requestJoin(ctx context.Context, address string) error {
@@ -311,7 +313,7 @@
 	gr.mu.Lock()
 	defer gr.mu.Unlock()
 
-	if len(peers) == 0 || maps.Equal(peers, gr.storedPeers) {
+	if len(peers) == 0 || maps.Equal(peers, gr.storedPeers) || gr.disk.isRefusing() {
 		return
 	}
 	id := gr.identity
--- a/internal/group/node.go
+++ b/internal/group/node.go
@@ -20,6 +20,9 @@
 	retainedEntries = 5_000  // retained for slow followers although a snapshot covers them
 	maxReadWaiters  = 65_536
 
+	// snapshotRetryPause is the pause after a snapshot that the disk refused.
+	snapshotRetryPause = time.Second
+
 	// snapshotBytes is the size of the applied commands after which a snapshot is due: a
 	// tenth of the smallest disk.
 	snapshotBytes = 12 << 20
@@ -76,9 +79,15 @@
 
 	// A snapshot is encoded and written in the background, at most one at a time.
 	isSnapshotting  bool
+	isSnapshotDue   bool          // the last one could not be written
+	snapshotRetryAt time.Duration // earliest time of the next one
 	snapshotResults chan snapshotResult
 	background      sync.WaitGroup
 
+	disk        *disk
+	unstored    *unstored           // set while the disk refuses writes
+	heardLeader consensus.ReplicaID // leader that sent a message since then
+
 	inbox            chan event
 	pendingProposals map[uint64]pendingProposal
 	pendingReads     map[uint64]*readRequest
@@ -123,6 +132,7 @@
 	send      func(m consensus.Message)
 	onApply   func()
 	onStatus  func(old, st Status)
+	disk      *disk
 }
 
 func openNode(cfg nodeConfig) (*node, error) {
@@ -143,12 +153,16 @@
 		store: st, start: time.Now(), wallMs: cfg.wallMs, send: cfg.send, onApply: cfg.onApply, onStatus: cfg.onStatus,
 		inbox: make(chan event, inboxSize), pendingProposals: map[uint64]pendingProposal{}, pendingReads: map[uint64]*readRequest{},
 		machine: ma, applied: make(chan struct{}), lastSnapshotIndex: re.Snapshot.Index, snapshotResults: make(chan snapshotResult, 1),
+		disk: cfg.disk,
 	}
 	n.replica = consensus.New(consensus.Config{
 		ID: cfg.id, Group: cfg.group, ElectionTimeout: cfg.election, HeartbeatPeriod: cfg.heartbeat,
 		Random: rand.Int64N, LatestSnapshot: st.LatestSnapshot,
 		HardState: re.HardState, Snapshot: re.Snapshot, Entries: re.Entries,
 	}, n.now())
+	if err := st.Failure(); err != nil {
+		return n, n.suspend(err, unstored{})
+	}
 	n.updateStatus()
 
 	return n, nil
@@ -156,7 +170,8 @@
 
 func (n *node) now() time.Duration { return time.Since(n.start) }
 
-// run is the loop of the replica. It returns when ctx ends or the disk fails.
+// run is the loop of the replica. It returns when ctx ends or the data folder is unusable. While
+// the disk refuses writes, the loop goes on without the replica.
 func (n *node) run(ctx context.Context) error {
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
@@ -170,7 +185,7 @@
 		case ev := <-n.inbox:
 			batch = n.handleEvent(ev, batch)
 		case sv := <-n.snapshotResults:
-			if err := n.adoptSnapshot(sv); err != nil {
+			if err := n.finishSnapshot(sv); err != nil {
 				return err
 			}
 		case <-ticker.C:
@@ -178,6 +193,16 @@
 			return nil
 		}
 		batch = n.collectBatch(batch)
+		if n.unstored != nil {
+			if err := n.resume(); err != nil {
+				return err
+			}
+			if n.unstored != nil {
+				n.updateStatus()
+
+				continue
+			}
+		}
 		n.propose(batch)
 		n.replica.Tick(n.now())
 		if err := n.processReady(); err != nil {
@@ -202,6 +227,11 @@
 
 // handleEvent passes an event to the replica; a proposal is only appended to batch.
 func (n *node) handleEvent(ev event, batch []*proposal) []*proposal {
+	if n.unstored != nil {
+		n.handleSuspended(ev)
+
+		return batch
+	}
 	switch {
 	case ev.message != nil:
 		n.replica.Step(n.now(), *ev.message)
@@ -270,22 +300,34 @@
 		}
 		if rd.MustSync() {
 			if err := n.store.Save(&rd); err != nil {
-				return err
+				return n.suspend(err, unstored{ready: &rd})
 			}
 		}
-		for _, m := range rd.Messages {
-			n.send(m)
-		}
-		n.replica.Advance(n.now(), rd)
-		if err := n.apply(&rd); err != nil {
+		if err := n.carryOut(rd); err != nil {
 			return err
 		}
-		for _, rs := range rd.Reads {
-			n.finishRead(rs)
+		if n.unstored != nil {
+			return nil
 		}
 	}
 }
 
+// carryOut does what may follow only once rd is stored.
+func (n *node) carryOut(rd consensus.Ready) error {
+	for _, m := range rd.Messages {
+		n.send(m)
+	}
+	n.replica.Advance(n.now(), rd)
+	if err := n.apply(&rd); err != nil {
+		return err
+	}
+	for _, rs := range rd.Reads {
+		n.finishRead(rs)
+	}
+
+	return nil
+}
+
 func (n *node) finishRead(rs consensus.ReadState) {
 	rr, ok := n.pendingReads[rs.Context]
 	if !ok {
@@ -334,7 +376,8 @@
 	last := rd.Committed[len(rd.Committed)-1].Index
 	n.mu.Unlock()
 
-	if !n.isSnapshotting && (last >= n.lastSnapshotIndex+snapshotEntries || n.bytesSinceSnapshot > snapshotBytes) {
+	isDue := n.isSnapshotDue || last >= n.lastSnapshotIndex+snapshotEntries || n.bytesSinceSnapshot > snapshotBytes
+	if isDue && !n.isSnapshotting && n.now() >= n.snapshotRetryAt {
 		return n.snapshot(last)
 	}
 
@@ -386,21 +429,42 @@
 	return nil
 }
 
+// finishSnapshot adopts a written snapshot. One that the disk refused is due again after a pause;
+// until then the log is retained.
+func (n *node) finishSnapshot(sv snapshotResult) error {
+	n.isSnapshotting = false
+	switch {
+	case sv.err == nil && n.unstored != nil:
+		n.unstored.snapshot = &sv
+
+		return nil
+	case sv.err == nil:
+		return n.adoptSnapshot(sv)
+	case !storage.IsTransient(sv.err):
+		return sv.err
+	}
+	n.isSnapshotDue, n.snapshotRetryAt = true, n.now()+snapshotRetryPause
+	n.disk.log.WithError(sv.err).WithField("index", sv.snapshot.Index).Warn("the disk refuses a snapshot, it will be retried")
+
+	return nil
+}
+
 // adoptSnapshot makes a written snapshot the current one and drops the log that it
 // covers, except for the entries that are retained for slow followers.
 func (n *node) adoptSnapshot(sv snapshotResult) error {
-	n.isSnapshotting = false
 	sn := sv.snapshot
-	switch {
-	case sv.err != nil:
-		return sv.err
-	case sn.Index <= n.lastSnapshotIndex:
-		return n.store.DropSnapshot(sn.Index) // the leader has sent a newer one meanwhile
+	if sn.Index <= n.lastSnapshotIndex {
+		// The leader has sent a newer one meanwhile.
+		if err := n.store.DropSnapshot(sn.Index); err != nil {
+			return n.suspend(err, unstored{snapshot: &sv})
+		}
+
+		return nil
 	}
 	if err := n.store.AdoptSnapshot(sn, false); err != nil {
-		return err
+		return n.suspend(err, unstored{snapshot: &sv})
 	}
-	n.lastSnapshotIndex = sn.Index
+	n.lastSnapshotIndex, n.isSnapshotDue = sn.Index, false
 	dropTo := max(n.replica.TailFrom(retainedBytes), 1) - 1
 	if sn.Index > retainedEntries {
 		dropTo = max(dropTo, sn.Index-retainedEntries)
@@ -423,6 +487,9 @@
 	if t, ok := re.TermAt(st.Applied); ok && re.Role() == consensus.RoleLeader {
 		st.IsSettled = t == re.Term()
 	}
+	if n.unstored != nil {
+		st.Leader = n.heardLeader
+	}
 	old := n.status
 	n.status = st
 	n.mu.Unlock()
--- a/internal/group/node_test.go
+++ b/internal/group/node_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/tamarackbay/tamarackbay/internal/consensus"
 	"github.com/tamarackbay/tamarackbay/internal/job"
+	"github.com/tamarackbay/tamarackbay/internal/logging"
 	"github.com/tamarackbay/tamarackbay/internal/statemachine"
 	"github.com/tamarackbay/tamarackbay/internal/storage"
 )
@@ -23,7 +24,7 @@
 	n, err := openNode(nodeConfig{
 		id: "a", group: 1, bootstrap: consensus.Membership{Voters: []consensus.ReplicaID{"a"}}, files: files, dir: dir,
 		election: 100 * time.Millisecond, heartbeat: 20 * time.Millisecond, wallMs: func() int64 { return 1 },
-		send: func(consensus.Message) {}, onApply: func() {}, onStatus: func(_, _ Status) {},
+		send: func(consensus.Message) {}, onApply: func() {}, onStatus: func(_, _ Status) {}, disk: &disk{log: logging.Discard()},
 	})
 	Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
@@ -39,10 +40,23 @@
 	return n, cancel, done
 }
 
+// testJob returns a job whose item has a body of so many bytes.
+func testJob(id string, bytes int) job.Submit {
+	return job.Submit{Spec: job.Spec{ID: id, Items: []job.Item{{ID: "i", Body: make([]byte, bytes)}}}}
+}
+
+// snapshotsIn returns the stored snapshots of a replica's folder.
+func snapshotsIn(dir string) []string {
+	names, err := filepath.Glob(filepath.Join(dir, "snapshot-*"))
+	Expect(err).NotTo(HaveOccurred())
+
+	return slices.DeleteFunc(names, func(s string) bool { return strings.HasSuffix(s, ".tmp") })
+}
+
 // submit proposes a job whose item has a body of so many bytes, and returns how long the
 // answer took.
 func submit(n *node, id string, bytes int) time.Duration {
-	b, err := statemachine.Encode(statemachine.KindSubmitJob, job.Submit{Spec: job.Spec{ID: id, Items: []job.Item{{ID: "i", Body: make([]byte, bytes)}}}})
+	b, err := statemachine.Encode(statemachine.KindSubmitJob, testJob(id, bytes))
 	Expect(err).NotTo(HaveOccurred())
 	began := time.Now()
 	pr := &proposal{command: b, answer: make(chan proposalAnswer, 1)}
@@ -73,13 +87,7 @@
 		for i := range snapshotBytes/commandBytes + 4 {
 			Expect(submit(n, fmt.Sprintf("j%d", i), commandBytes)).To(BeNumerically("<", writeDelay/4))
 		}
-		snapshots := func() []string {
-			names, err := filepath.Glob(filepath.Join(dir, "snapshot-*"))
-			Expect(err).NotTo(HaveOccurred())
-
-			return slices.DeleteFunc(names, func(s string) bool { return strings.HasSuffix(s, ".tmp") })
-		}
-		Eventually(snapshots, "10s").Should(HaveLen(1))
+		Eventually(func() []string { return snapshotsIn(dir) }, "10s").Should(HaveLen(1))
 		cancel()
 		Expect(<-done).To(Succeed())
 
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -215,6 +215,7 @@
 	Execution  Execution
 	Message    string
 	RetryAfter time.Duration
+	cause      error
 }
 
 // New returns an error whose execution is NotRun.
@@ -222,6 +223,17 @@
 	return &Error{Code: code, Message: fmt.Sprintf(format, args...)}
 }
 
+// WithCause returns a copy that wraps err, so that errors.Is finds it. The message stays as it is.
+func (er *Error) WithCause(err error) *Error {
+	c := *er
+	c.cause = err
+
+	return &c
+}
+
+// Unwrap returns the cause, nil if there is none.
+func (er *Error) Unwrap() error { return er.cause }
+
 // WithExecution returns a copy with the execution ex.
 func (er *Error) WithExecution(ex Execution) *Error {
 	c := *er
--- a/internal/storage/files.go
+++ b/internal/storage/files.go
@@ -97,10 +97,26 @@
 }
 
 // WriteAtomic replaces the file at path with the concatenated parts. After a crash, path
-// holds either the old or the new file.
+// holds either the old or the new file. After a failed write, the space of the new file is
+// free again.
 func (fi Files) WriteAtomic(path string, parts ...[]byte) error {
 	tmp := path + ".tmp"
-	f, err := fi.Create(tmp)
+	err := fi.write(tmp, parts)
+	if err == nil {
+		err = fi.Rename(tmp, path)
+	}
+	if err != nil {
+		_ = fi.Remove(tmp) // the write's own error is reported
+
+		return err
+	}
+
+	return fi.SyncDir(filepath.Dir(path))
+}
+
+// write creates a file that holds the concatenated parts, and syncs it.
+func (fi Files) write(path string, parts [][]byte) error {
+	f, err := fi.Create(path)
 	if err != nil {
 		return err
 	}
@@ -120,12 +136,6 @@
 
 		return err
 	}
-	if err := f.Close(); err != nil {
-		return err
-	}
-	if err := fi.Rename(tmp, path); err != nil {
-		return err
-	}
 
-	return fi.SyncDir(filepath.Dir(path))
+	return f.Close()
 }
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
+	"io/fs"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -36,13 +38,16 @@
 
 // Store stores the log and the snapshot of one group. It is not safe for concurrent use,
 // except for WriteSnapshot. After a failed write the state of the disk is unknown, so that all
-// further writes fail too; WriteSnapshot alone neither checks for a failure nor records one.
+// further writes fail too until Resume has repaired it; WriteSnapshot alone neither checks for
+// a failure nor records one.
 type Store struct {
 	files        Files
 	dir          string
 	group        consensus.GroupID
 	currentFile  File
-	currentBytes int
+	currentBytes int  // synced size of the current segment
+	hasHeader    bool // the current segment's header is stored
+	recovered    recoveredTail
 	sequence     int
 	segments     []segment
 	hardState    consensus.HardState
@@ -51,6 +56,13 @@
 	failure      error
 }
 
+// recoveredTail is the newest segment that Open read, until it is cut and synced.
+type recoveredTail struct {
+	path string // "" once nothing is left to do
+	size int64  // up to its last whole record
+	torn bool
+}
+
 // Recovered is the state that Open read from the disk.
 type Recovered struct {
 	HardState consensus.HardState
@@ -59,7 +71,8 @@
 	TornBytes int // size of the incomplete record that Open cut off the end of the log
 }
 
-// Open recovers the state stored in the folder dir and starts a new segment.
+// Open recovers the state stored in the folder dir and starts a new segment. If only the disk
+// refuses to be written, the store is returned all the same, and Failure reports the error.
 func Open(files Files, dir string, group consensus.GroupID) (*Store, *Recovered, error) {
 	if err := files.MkdirAll(dir); err != nil {
 		return nil, nil, fileError(dir, err)
@@ -79,15 +92,25 @@
 		return nil, nil, err
 	}
 	st.hardState, st.snapshot = re.HardState, withoutData(re.Snapshot)
-	if err := st.startSegment(); err != nil {
-		return nil, nil, err
+	st.addSegment()
+	if err := st.openSegment(); err != nil {
+		if !IsTransient(err) {
+			return nil, nil, err
+		}
+		st.failure = err
 	}
 
 	return st, re, nil
 }
 
 func fileError(path string, err error) error {
-	return result.New(result.DataFolderWrite, "storage: %s: %v", path, err)
+	return result.New(result.DataFolderWrite, "storage: %s: %v", path, err).WithCause(err)
+}
+
+// IsTransient reports whether a failed write may succeed later. A missing permission does not
+// change by itself.
+func IsTransient(err error) bool {
+	return result.Is(err, result.DataFolderWrite) && !errors.Is(err, fs.ErrPermission)
 }
 
 func damagedError(path string, offset int, what string) error {
@@ -191,17 +214,23 @@
 			return err
 		}
 	}
-	if len(logs) == 0 {
-		return nil
-	}
 
-	return st.syncSegment(logs[len(logs)-1])
+	return nil
 }
 
-// syncSegment syncs a segment that was read. A killed process may have written to it without
-// a sync, but all recovered entries count as stored from now on.
-func (st *Store) syncSegment(name string) error {
-	path := filepath.Join(st.dir, name)
+// secureRecovered cuts the incomplete record off the newest segment that was read and syncs it.
+// A killed process may have written to it without a sync, but all recovered entries count as
+// stored from now on.
+func (st *Store) secureRecovered() error {
+	path := st.recovered.path
+	if path == "" {
+		return nil
+	}
+	if st.recovered.torn {
+		if err := st.files.Truncate(path, st.recovered.size); err != nil {
+			return fileError(path, err)
+		}
+	}
 	f, err := st.files.Append(path)
 	if err != nil {
 		return fileError(path, err)
@@ -210,6 +239,7 @@
 	if err := f.Sync(); err != nil {
 		return fileError(path, err)
 	}
+	st.recovered = recoveredTail{}
 
 	return nil
 }
@@ -224,6 +254,7 @@
 		return damagedError(path, 0, "the file name is not that of a log segment")
 	}
 
+	st.recovered = recoveredTail{path: path}
 	sg := segment{name: name}
 	for off := 0; off < len(b); {
 		kind, body, size, ok := readRecord(b[off:])
@@ -232,9 +263,7 @@
 				return damagedError(path, off, "invalid record in the middle of the log")
 			}
 			re.TornBytes += len(b) - off
-			if err := st.files.Truncate(path, int64(off)); err != nil {
-				return fileError(path, err)
-			}
+			st.recovered = recoveredTail{path: path, size: int64(off), torn: true}
 
 			break
 		}
@@ -278,21 +307,40 @@
 	return nil
 }
 
+// startSegment ends the current segment and starts the next one.
 func (st *Store) startSegment() error {
 	if st.currentFile.Close != nil {
 		_ = st.currentFile.Close()
 	}
+	st.addSegment()
+	if err := st.openSegment(); err != nil {
+		return st.failWith(err)
+	}
+
+	return nil
+}
 
+func (st *Store) addSegment() {
 	st.sequence++
-	name := fmt.Sprintf("log-%016d", st.sequence)
-	path := filepath.Join(st.dir, name)
+	st.currentFile, st.currentBytes, st.hasHeader = File{}, 0, false
+	st.segments = append(st.segments, segment{name: fmt.Sprintf("log-%016d", st.sequence)})
+}
+
+// openSegment opens the current segment for writing and stores its header, unless that is
+// stored already.
+func (st *Store) openSegment() error {
+	if err := st.secureRecovered(); err != nil {
+		return err
+	}
+	path := st.currentPath()
 	f, err := st.files.Append(path)
 	if err != nil {
 		return fileError(path, err)
 	}
-
-	st.currentFile, st.currentBytes = f, 0
-	st.segments = append(st.segments, segment{name: name})
+	st.currentFile = f
+	if st.hasHeader {
+		return nil
+	}
 	h, err := cbor.Marshal(fileHeader{Format: FormatVersion, Group: st.group, First: st.snapshot.Index})
 	if err != nil {
 		return fileError(path, err)
@@ -307,7 +355,47 @@
 		return err
 	}
 	if err := st.files.SyncDir(st.dir); err != nil {
-		return st.failWith(err)
+		return fileError(st.dir, err)
+	}
+	st.hasHeader = true
+
+	return nil
+}
+
+func (st *Store) currentPath() string {
+	return filepath.Join(st.dir, st.segments[len(st.segments)-1].name)
+}
+
+// Failure returns the error after which all writes fail, nil if there is none.
+func (st *Store) Failure() error { return st.failure }
+
+// Resume repairs the store after a failed write: it cuts off what that write left behind, so
+// that the caller can repeat the write. It returns an error while the disk still refuses, and
+// for damage that it can't repair.
+func (st *Store) Resume() error {
+	if st.failure == nil || !IsTransient(st.failure) {
+		return st.failure
+	}
+	if st.currentFile.Close != nil {
+		_ = st.currentFile.Close() // the failed write is cut off below
+		st.currentFile = File{}
+	}
+	path := st.currentPath()
+	if err := st.cutUnsynced(path); err != nil {
+		return fileError(path, err)
+	}
+	if err := st.openSegment(); err != nil {
+		return err
+	}
+	st.failure = nil
+
+	return nil
+}
+
+// cutUnsynced removes what was written to the current segment after its last sync.
+func (st *Store) cutUnsynced(path string) error {
+	if err := st.files.Truncate(path, int64(st.currentBytes)); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return err
 	}
 
 	return nil
@@ -325,9 +413,12 @@
 }
 
 func (st *Store) failWith(err error) error {
-	st.failure = fileError(st.dir, err)
+	if !result.Is(err, result.DataFolderWrite) {
+		err = fileError(st.dir, err)
+	}
+	st.failure = err
 
-	return st.failure
+	return err
 }
 
 func (st *Store) writeSynced(b []byte) error {
@@ -429,7 +520,7 @@
 	if st.failure != nil || index == st.snapshot.Index {
 		return st.failure
 	}
-	if err := st.files.Remove(st.snapshotPath(index)); err != nil {
+	if err := st.remove(st.snapshotPath(index)); err != nil {
 		return st.failWith(err)
 	}
 
@@ -442,27 +533,53 @@
 	if st.failure != nil {
 		return st.failure
 	}
-	old := st.snapshot
 	st.snapshot = withoutData(sn)
 	if received {
 		if err := st.startSegment(); err != nil {
 			return err
 		}
 	}
-	if old.Index > 0 && old.Index != sn.Index {
-		if err := st.files.Remove(st.snapshotPath(old.Index)); err != nil {
-			return st.failWith(err)
-		}
+	if err := st.removeOldSnapshots(); err != nil {
+		return st.failWith(err)
 	}
 
 	return st.removeCoveredSegments(received)
 }
 
+// removeOldSnapshots removes all snapshots before the stored one, also those that a failed
+// write left behind.
+func (st *Store) removeOldSnapshots() error {
+	names, err := st.files.List(st.dir)
+	if err != nil {
+		return err
+	}
+	for _, name := range names {
+		var index uint64
+		if _, err := fmt.Sscanf(name, "snapshot-%d", &index); err != nil || index >= st.snapshot.Index {
+			continue
+		}
+		if err := st.remove(filepath.Join(st.dir, name)); err != nil {
+			return err
+		}
+	}
+
+	return nil
+}
+
+// remove removes a file, which a removal that failed before may have done already.
+func (st *Store) remove(path string) error {
+	if err := st.files.Remove(path); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return err
+	}
+
+	return nil
+}
+
 // removeCoveredSegments removes the segments that the snapshot covers, oldest first. If
 // all is set, it removes all segments but the current one.
 func (st *Store) removeCoveredSegments(all bool) error {
 	for len(st.segments) > 1 && (all || st.segments[0].lastIndex <= st.snapshot.Index) {
-		if err := st.files.Remove(filepath.Join(st.dir, st.segments[0].name)); err != nil {
+		if err := st.remove(filepath.Join(st.dir, st.segments[0].name)); err != nil {
 			return st.failWith(err)
 		}
 		st.segments = st.segments[1:]
@@ -515,4 +632,10 @@
 }
 
 // Close closes the current segment.
-func (st *Store) Close() error { return st.currentFile.Close() }
+func (st *Store) Close() error {
+	if st.currentFile.Close == nil {
+		return nil
+	}
+
+	return st.currentFile.Close()
+}
--- a/internal/storage/store_test.go
+++ b/internal/storage/store_test.go
@@ -118,6 +118,12 @@
 			return d.fault("remove", p)
 		},
 		Truncate: func(p string, size int64) error {
+			if err := d.fault("truncate", p); err != nil {
+				return err
+			}
+			if d.files[p] == nil {
+				return fs.ErrNotExist
+			}
 			d.files[p].data = d.files[p].data[:size]
 			d.files[p].synced = int(size)
 
