Refuse writes of disks in the soak

A limit of the file size, set from outside with prlimit, makes each write of a controller or store fail for up to 4.2 s. The programs ignore SIGXFSZ, which would end them before the write could fail.

--- a/cmd/tamarackbay/node.go
+++ b/cmd/tamarackbay/node.go
@@ -55,6 +55,7 @@
 	// Registered before the start, so that a signal received meanwhile is queued.
 	sig := make(chan os.Signal, 4)
 	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGXFSZ) // a write over the file size limit fails like on a full disk
 	nd, err := program.StartNode(role, func() (*settings.Node, error) {
 		no, err := platform.LoadSettings()
 		if err != nil {
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -1,13 +1,17 @@
 package soak_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/tamarackbay/tamarackbay/internal/program"
 )
 
@@ -15,6 +19,7 @@
 const (
 	meanFaultGap      = 900 * time.Millisecond // between the starts of two faults
 	maxRandomDuration = 4 * time.Second        // the random part of a fault, added to 200 ms
+	meanRefusalGap    = 5 * time.Second        // between the starts of two refusals of a disk
 	// limitsPerSize divides the size of a serverLimits, 1 to 300, to requests a second.
 	limitsPerSize = 50
 	// minLimit is the lowest limit, in requests a second. Its end is seen with the next request,
@@ -62,6 +67,24 @@
 
 // drawFaults draws the faults of a run in the order of their start.
 func drawFaults(rnd *rand.Rand, cfg *Config) []fault {
+	out := drawWeighted(rnd, cfg)
+	// Drawn last, so that the other faults of a seed are those of runs without refusals.
+	for at := time.Second; ; at += time.Duration(rnd.ExpFloat64() * float64(meanRefusalGap)) {
+		if at > cfg.Length {
+			break
+		}
+		out = append(out, fault{
+			startsAt: at, duration: 200*time.Millisecond + time.Duration(rnd.Int64N(int64(maxRandomDuration))), kind: "diskRefuses",
+			target: rnd.IntN(cfg.Controllers + cfg.Stores),
+		})
+	}
+	slices.SortStableFunc(out, func(a, b fault) int { return cmp.Compare(a.startsAt, b.startsAt) })
+
+	return out
+}
+
+// drawWeighted draws the faults of faultKinds.
+func drawWeighted(rnd *rand.Rand, cfg *Config) []fault {
 	sum := 0
 	for _, k := range faultKinds {
 		sum += k.weight
@@ -223,6 +246,12 @@
 		in.recordError(pr.awaitStarted())
 		in.recordError(pr.signal(syscall.SIGHUP))
 
+		return
+	case "diskRefuses":
+		in.recordError(pr.limitFileSize(0))
+		time.Sleep(fa.duration)
+		in.recordError(pr.limitFileSize(unix.RLIM_INFINITY))
+
 		return
 	case "pause":
 		in.recordError(pr.signal(syscall.SIGSTOP))
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -10,6 +11,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/tamarackbay/tamarackbay/platform"
 	"github.com/tamarackbay/tamarackbay/platform/standin"
 )
@@ -50,16 +53,21 @@
 	if err != nil {
 		return err
 	}
-	defer out.Close()
 	st, err := out.Stat()
 	if err != nil {
+		_ = out.Close()
+
 		return err
 	}
 	pr.logSize = st.Size()
 	cmd := exec.Command(pr.binary, "node", pr.role, "--peer-listen", pr.peerListen)
 	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+file)
-	cmd.Stdout, cmd.Stderr = out, out
+	// A pipe rather than the file itself: logs must not stop with a file size limit.
+	piped := struct{ io.Writer }{out}
+	cmd.Stdout, cmd.Stderr = piped, piped
 	if err := cmd.Start(); err != nil {
+		_ = out.Close()
+
 		return err
 	}
 	pr.starts++
@@ -67,6 +75,7 @@
 	pr.cmd, pr.ended, pr.isStopping = cmd, ended, false
 	go func() {
 		err := cmd.Wait()
+		_ = out.Close()
 		pr.mu.Lock()
 		if !pr.isStopping {
 			pr.unexpected = append(pr.unexpected, fmt.Sprintf("process %s ended unexpectedly at %s: %v", ns.Name, time.Now().Format(time.TimeOnly), err))
@@ -124,6 +133,14 @@
 	}
 }
 
+// limitFileSize makes the program's disk refuse writes beyond a size; 0 refuses every write.
+func (pr *process) limitFileSize(bytes uint64) error {
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+
+	return unix.Prlimit(pr.cmd.Process.Pid, unix.RLIMIT_FSIZE, &unix.Rlimit{Cur: bytes, Max: unix.RLIM_INFINITY}, nil)
+}
+
 // wipe empties the disk of a stopped program.
 func (pr *process) wipe() error { return os.RemoveAll(pr.settings.DataFolder) }
 
