Keep former holders of a lease from taking turns after a restart

Cause: only the memory of a process knew that it had held a lease, so that one that was stopped and started again followed its successor at once. Where the platform does not check fencing numbers, the holders act in the order A, B, A.

Change: the replicated lease names its former holders. One of them acquires it again only ReacquireDelay after it first saw itself among them; the holder empties the list once it has held the lease that long. A stopping process releases the lease only after its outside call has ended, as a successor may act at once.

Ruled out: the wall clock of the log's entries, which differs between leaders.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -257,10 +257,12 @@
 }
 
 func (co *Controller) leasedTasks() []*leasedtask.Task {
+	timing := leaseTiming
+	timing.ReacquireDelay = co.cfg.Settings.ReacquireDelay
 	with := func(name string, wake <-chan struct{}, work func(ctx context.Context, held leasedtask.Held)) *leasedtask.Task {
 		return leasedtask.New(leasedtask.Config{
-			Name: name, Holder: co.cfg.Settings.Name, Timing: leaseTiming, Group: co.group, Now: co.cfg.Now, Work: work, Wake: wake,
-			Stopped: co.stopped, ReacquireDelay: co.cfg.Settings.ReacquireDelay, Log: co.cfg.Log,
+			Name: name, Holder: co.cfg.Settings.Name, Timing: timing, Group: co.group, Now: co.cfg.Now, Work: work, Wake: wake,
+			Stopped: co.stopped, Log: co.cfg.Log,
 		})
 	}
 	out := []*leasedtask.Task{with(leaseWeights, co.swapWake, co.rollOut)}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -6,6 +6,7 @@
 package lease
 
 import (
+	"slices"
 	"time"
 
 	"github.com/tamarackbay/tamarackbay/internal/result"
@@ -18,6 +19,18 @@
 	Fencing uint64 `cbor:"3,keyasint" json:"fencing"`
 	Renewal uint64 `cbor:"4,keyasint" json:"renewal"`
 	Nonce   string `cbor:"5,keyasint" json:"-"` // of the command that acquired it
+	// Former are the processes that may have acted as the holder within Timing.ReacquireDelay,
+	// in the order in which they stopped.
+	Former []string `cbor:"6,keyasint,omitempty" json:"former,omitempty"`
+}
+
+// withFormer returns the former holders once the current one, if any, is among them.
+func (le *Lease) withFormer() []string {
+	if le.Holder == "" || slices.Contains(le.Former, le.Holder) {
+		return le.Former
+	}
+
+	return append(slices.Clone(le.Former), le.Holder)
 }
 
 // Acquire requests a lease; SeenFencing and SeenRenewal are its last observed state.
@@ -34,6 +47,8 @@
 	Name    string `cbor:"1,keyasint"`
 	Fencing uint64 `cbor:"2,keyasint"`
 	Renewal uint64 `cbor:"3,keyasint"` // the number that this renewal sets
+	// ForgetsFormer is set once the holder has held the lease for Timing.ReacquireDelay.
+	ForgetsFormer bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Release ends a lease at once.
@@ -78,7 +93,11 @@
 		return le, result.New(result.LeaseTaken, "lease %s: held by %q under fencing number %d", ac.Name, le.Holder, le.Fencing)
 	}
 
-	le = Lease{Name: ac.Name, Holder: ac.Holder, Fencing: le.Fencing + 1, Renewal: le.Renewal + 1, Nonce: ac.Nonce}
+	former := le.withFormer()
+	if i := slices.Index(former, ac.Holder); i >= 0 {
+		former = slices.Delete(slices.Clone(former), i, i+1)
+	}
+	le = Lease{Name: ac.Name, Holder: ac.Holder, Fencing: le.Fencing + 1, Renewal: le.Renewal + 1, Nonce: ac.Nonce, Former: former}
 	ta.leases[ac.Name] = le
 
 	return le, nil
@@ -92,6 +111,9 @@
 	}
 
 	le.Renewal = max(le.Renewal, re.Renewal)
+	if re.ForgetsFormer {
+		le.Former = nil
+	}
 	ta.leases[re.Name] = le
 
 	return le, nil
@@ -102,6 +124,7 @@
 func (ta *Table) Release(re Release) (Lease, error) {
 	le := ta.Get(re.Name)
 	if le.Fencing == re.Fencing && le.Holder != "" {
+		le.Former = le.withFormer()
 		le.Holder = ""
 		le.Renewal++
 		ta.leases[re.Name] = le
@@ -125,6 +148,10 @@
 	Duration time.Duration // how long a holder may act after it sent an acquire or a renewal
 	MaxCall  time.Duration // longest outside call of a holder
 	Drift    float64       // largest relative clock drift between two processes
+	// ReacquireDelay is the shortest time between the last act of a holder that another process
+	// followed and its next one; 0 for no such limit. It keeps two holders from taking turns
+	// where what they act on does not check fencing numbers.
+	ReacquireDelay time.Duration
 }
 
 // DefaultTiming returns the time limits for current deployments.
@@ -151,7 +178,11 @@
 	seenSince time.Duration // when that state was first observed
 	observed  bool          // whether any state was observed
 
+	formerSince time.Duration // when this process was first observed among the former holders
+	isFormer    bool
+
 	held           bool
+	heldSince      time.Duration // when this process acquired the lease
 	fencing        uint64
 	renewal        uint64
 	heldUntil      time.Duration // when this process's lease expires
@@ -180,6 +211,23 @@
 	if ke.held && le.Fencing > ke.fencing {
 		ke.held = false
 	}
+	ke.observeFormer(now, le)
+}
+
+// observeFormer notes since when this process is known to be a former holder. A process that
+// was restarted counts from its first observation, since it doesn't know when it last acted.
+func (ke *Keeper) observeFormer(now time.Duration, le Lease) {
+	i := slices.Index(le.Former, ke.holder)
+	isFormer := i >= 0 && (le.Holder != "" || i < len(le.Former)-1) // nobody followed the last one
+	if isFormer && !ke.isFormer {
+		ke.formerSince = now
+	}
+	ke.isFormer = isFormer
+}
+
+// reacquireDelay is Timing.ReacquireDelay on the fastest clock.
+func (ke *Keeper) reacquireDelay() time.Duration {
+	return time.Duration(float64(ke.timing.ReacquireDelay) * (1 + 2*ke.timing.Drift))
 }
 
 // Next returns the action that is due.
@@ -204,10 +252,15 @@
 		ke.renewal++
 		ke.requestPending, ke.requestSentAt = true, now
 
-		return Action{Renew: &Renew{Name: ke.name, Fencing: ke.fencing, Renewal: ke.renewal}}, true
+		forgets := len(ke.seen.Former) > 0 && now >= ke.heldSince+ke.reacquireDelay()
+
+		return Action{Renew: &Renew{Name: ke.name, Fencing: ke.fencing, Renewal: ke.renewal, ForgetsFormer: forgets}}, true
 	}
 
 	ke.held = false
+	if ke.isFormer && now < ke.formerSince+ke.reacquireDelay() {
+		return Action{}, false
+	}
 	if ke.seen.Holder != "" && now < ke.seenSince+ke.timing.AcquireDelay() {
 		return Action{}, false
 	}
@@ -225,11 +278,15 @@
 		if result.Is(err, result.LeaseLost) || result.Is(err, result.LeaseTaken) {
 			ke.held = false
 			ke.seen, ke.seenSince = le, now
+			ke.observeFormer(now, le)
 		}
 
 		return
 	}
 
+	if !ke.held || le.Fencing != ke.fencing {
+		ke.heldSince = now
+	}
 	ke.held, ke.fencing, ke.renewal = true, le.Fencing, max(ke.renewal, le.Renewal)
 	ke.heldUntil = ke.requestSentAt + ke.timing.Duration
 	ke.seen, ke.seenSince = le, now
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -22,6 +23,14 @@
 	calls          int
 	highestFencing uint64
 	lastNonce      int
+	restarts       bool // processes end, gracefully or not, and start again
+	acts           []act
+}
+
+// act is the start of an outside call.
+type act struct {
+	at     time.Duration
+	holder int
 }
 
 type process struct {
@@ -38,20 +47,47 @@
 	isAnswered bool
 }
 
-var terms = lease.Timing{Duration: time.Second, MaxCall: 200 * time.Millisecond, Drift: 0.01}
+var terms = lease.Timing{Duration: time.Second, MaxCall: 200 * time.Millisecond, Drift: 0.01, ReacquireDelay: 3 * time.Second}
 
 func newSimulation(seed uint64) *simulation {
 	w := &simulation{rnd: rand.New(rand.NewPCG(seed, 9)), table: lease.NewTable(nil)}
 	for i := range 3 {
-		w.procs = append(w.procs, &process{
-			keeper:    lease.NewKeeper("fleet", fmt.Sprint("p", i), terms, func() string { w.lastNonce++; return fmt.Sprint(w.lastNonce) }),
-			clockRate: 1 - terms.Drift + 2*terms.Drift*w.rnd.Float64(),
-		})
+		w.procs = append(w.procs, &process{keeper: w.newKeeper(i), clockRate: 1 - terms.Drift + 2*terms.Drift*w.rnd.Float64()})
 	}
 
 	return w
 }
 
+func (w *simulation) newKeeper(i int) *lease.Keeper {
+	return lease.NewKeeper("fleet", fmt.Sprint("p", i), terms, func() string { w.lastNonce++; return fmt.Sprint(w.lastNonce) })
+}
+
+// restart ends a process, mostly after it has released the lease, and starts it again.
+func (w *simulation) restart(i int, p *process) {
+	if w.rnd.IntN(4) > 0 {
+		p.keeper.Stop()
+		if ac, ok := p.keeper.Next(p.clock(w.now)); ok && ac.Release != nil {
+			_, _ = w.table.Release(*ac.Release)
+		}
+	}
+	w.queue = slices.DeleteFunc(w.queue, func(c command) bool { return c.from == i })
+	p.keeper, p.callEndsAt = w.newKeeper(i), w.now
+	p.pausedUntil = w.now + time.Duration(w.rnd.Int64N(int64(300*time.Millisecond)))
+}
+
+// expectNoTurns checks that the holders of the last two calls did not take turns.
+func (w *simulation) expectNoTurns() {
+	last := w.acts[len(w.acts)-1]
+	isFollowed := false
+	for _, ac := range slices.Backward(w.acts) {
+		if last.at-ac.at >= terms.ReacquireDelay {
+			return
+		}
+		isFollowed = isFollowed || ac.holder != last.holder
+		Expect(isFollowed && ac.holder == last.holder).To(BeFalse(), "process %d acts again %v after a call, and another one acted between", last.holder, last.at-ac.at)
+	}
+}
+
 func (p *process) clock(now time.Duration) time.Duration {
 	return time.Duration(float64(now) * p.clockRate)
 }
@@ -63,6 +99,11 @@
 		if w.now < p.pausedUntil {
 			continue
 		}
+		if w.restarts && w.rnd.IntN(150) == 0 {
+			w.restart(i, p)
+
+			continue
+		}
 		if w.rnd.IntN(300) == 0 {
 			p.pausedUntil = w.now + time.Duration(w.rnd.Int64N(int64(4*time.Second)))
 
@@ -93,6 +134,8 @@
 	Expect(fencing).To(BeNumerically(">=", w.highestFencing), "the fencing number decreased")
 	w.highestFencing = fencing
 	w.calls++
+	w.acts = append(w.acts, act{at: w.now, holder: i})
+	w.expectNoTurns()
 	p.callEndsAt = w.now + time.Duration(w.rnd.Int64N(int64(terms.MaxCall)))
 }
 
@@ -148,6 +191,58 @@
 		}
 	})
 
+	It("don't take turns when processes end and start again, which forget that they held the lease", func() {
+		for seed := range uint64(60) {
+			w := newSimulation(seed)
+			w.restarts = true
+			for range 20_000 {
+				w.step()
+			}
+			Expect(w.calls).To(BeNumerically(">", 100), "seed %d: too few outside calls", seed)
+			Expect(w.table.Get("fleet").Fencing).To(BeNumerically(">", 10), "seed %d: the holder changed too rarely", seed)
+			Expect(len(w.table.Get("fleet").Former)).To(BeNumerically("<=", len(w.procs)))
+		}
+	})
+
+	It("let the only process acquire a lease again that it released", func() {
+		ta := lease.NewTable(nil)
+		for i := range 3 {
+			ke := lease.NewKeeper("x", "a", terms, func() string { return fmt.Sprint(i) })
+			ke.Observe(0, ta.Get("x"))
+			ac, ok := ke.Next(0)
+			Expect(ok).To(BeTrue())
+			le, err := ta.Acquire(*ac.Acquire)
+			Expect(err).NotTo(HaveOccurred())
+			ke.HandleResult(0, le, nil)
+			ke.Stop()
+			ac, _ = ke.Next(0)
+			_, err = ta.Release(*ac.Release)
+			Expect(err).NotTo(HaveOccurred())
+		}
+	})
+
+	It("forget former holders once they have held the lease long enough", func() {
+		ta := lease.NewTable(map[string]lease.Lease{"x": {Name: "x", Fencing: 7, Former: []string{"a", "c"}}})
+		b := lease.NewKeeper("x", "b", terms, func() string { return "1" })
+		for now := time.Duration(0); now < 5*time.Second; now += 100 * time.Millisecond {
+			b.Observe(now, ta.Get("x"))
+			ac, ok := b.Next(now)
+			if !ok {
+				continue
+			}
+			var le lease.Lease
+			var err error
+			if ac.Acquire != nil {
+				le, err = ta.Acquire(*ac.Acquire)
+			} else {
+				le, err = ta.Renew(*ac.Renew)
+			}
+			Expect(err).NotTo(HaveOccurred())
+			b.HandleResult(now, le, nil)
+			Expect(le.Former == nil).To(Equal(now > 3060*time.Millisecond), "%v", now)
+		}
+	})
+
 	It("let the next process acquire a released lease at once", func() {
 		ta := lease.NewTable(nil)
 		a := lease.NewKeeper("x", "a", terms, func() string { return "1" })
--- a/internal/leasedtask/leasedtask.go
+++ b/internal/leasedtask/leasedtask.go
@@ -37,10 +37,7 @@
 	Wake <-chan struct{}
 	// Stopped is closed when the lease is to be released.
 	Stopped <-chan struct{}
-	// ReacquireDelay is how long a former holder waits, once another process has held the
-	// lease, before it acquires it again. It counts from when it last held the lease.
-	ReacquireDelay time.Duration
-	Log            log.Interface
+	Log     log.Interface
 }
 
 // Task acquires one lease, renews it and runs the work under it.
@@ -50,8 +47,8 @@
 	keeper *lease.Keeper
 
 	lastFencing uint64 // fencing number under which the lease was last held
-	lastHeldAt  time.Duration
-	wasHeld     bool // at the last call of nextAction
+	wasHeld     bool   // at the last call of nextAction
+	isWorking   bool   // a call of Work runs
 }
 
 // New returns a task that holds no lease yet.
@@ -68,9 +65,7 @@
 	go func() {
 		defer wg.Done()
 		for ctx.Err() == nil {
-			if _, ok := ta.Held(); ok {
-				ta.cfg.Work(ctx, ta.Held)
-			}
+			ta.work(ctx)
 			select {
 			case <-ta.cfg.Wake:
 			case <-time.After(workPeriod):
@@ -88,12 +83,39 @@
 	wg.Wait()
 }
 
+// work runs the work once if the lease is held.
+func (ta *Task) work(ctx context.Context) {
+	if _, ok := ta.Held(); !ok {
+		return
+	}
+	ta.setWorking(true)
+	defer ta.setWorking(false)
+	ta.cfg.Work(ctx, ta.Held)
+}
+
+func (ta *Task) setWorking(is bool) {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	ta.isWorking = is
+}
+
 // Held returns the fencing number, and whether an outside call may start now.
 func (ta *Task) Held() (uint64, bool) {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 
-	return ta.keeper.Held(ta.cfg.Now())
+	fencing, ok := ta.keeper.Held(ta.cfg.Now())
+
+	return fencing, ok && !ta.isStopped()
+}
+
+func (ta *Task) isStopped() bool {
+	select {
+	case <-ta.cfg.Stopped:
+		return true
+	default:
+		return false
+	}
 }
 
 // nextAction passes the observed lease to the keeper and returns the action that is due.
@@ -101,25 +123,20 @@
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 
-	select {
-	case <-ta.cfg.Stopped:
-		ta.keeper.Stop()
-	default:
+	if ta.isStopped() && !ta.isWorking {
+		ta.keeper.Stop() // while an outside call is under way, a successor must not act yet
 	}
 	now := ta.cfg.Now()
 	ta.keeper.Observe(now, le)
 	fencing, ok := ta.keeper.Held(now)
 	switch {
 	case ok:
-		ta.lastFencing, ta.lastHeldAt = fencing, now
+		ta.lastFencing = fencing
 	case ta.wasHeld:
 		ta.cfg.Log.WithFields(log.Fields{"lease": ta.cfg.Name, "fencing": ta.lastFencing, "seenFencing": le.Fencing, "holder": le.Holder}).
 			Warn("lease lost")
 	}
 	ta.wasHeld = ok
-	if !ok && ta.lastFencing > 0 && le.Fencing > ta.lastFencing && now < ta.lastHeldAt+ta.cfg.ReacquireDelay {
-		return lease.Action{}, false
-	}
 
 	return ta.keeper.Next(now)
 }
--- a/internal/program/node.go
+++ b/internal/program/node.go
@@ -361,6 +361,9 @@
 	nd.controllers.Store(&no.Controllers)
 }
 
+// Name returns the name of the process.
+func (nd *Node) Name() string { return nd.settings.Name }
+
 // IsLeader reports whether the process's replica is the leader of its group.
 func (nd *Node) IsLeader() bool { return nd.isLeader() }
 
