--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -77,8 +77,8 @@
 	EndedMs     int64    `cbor:"3,keyasint"` // Unix milliseconds, 0 while it is open
 	Results     []Result `cbor:"4,keyasint"` // by position, in the order in which they were listed
 	Listed      []bool   `cbor:"5,keyasint"` // by item: whether its result is listed
-	// Partial holds the text generated so far of unlisted items, by item. The next
-	// driver resumes from there.
+	// Partial holds the text generated so far of unlisted items, by item. The next driver
+	// resumes from there, and so does a later job with the same items, once this one has ended.
 	Partial map[int]Partial `cbor:"6,keyasint,omitempty"`
 }
 
@@ -306,7 +306,6 @@
 	}
 	if jo.IsOpen() {
 		jo.EndedMs = max(atMs, 1)
-		jo.Partial = nil
 		le.revision++
 	}
 	le.expire(atMs)
