Place texts by the time at which they must start, and move them only where that gains

Paces depend on the load, so that moves followed each other: a text of 162 events took 5.1 s in one run, 6.3 to 7.1 s in 7 to 9. A step that ends later than 7 to 7.5 s delays all later ones of its trainer, and the last is lost.

Change: internal/stepplan, without clock and network: texts of all jobs go in the order of the latest time at which they must start; short ones leave fast engines to others; the longest wait up to 0.4 s for a fast one; a run moves only if it gains twice what that costs. Groups that come again are placed by the length that they had before; a text of an earlier job is continued where its weight versions fit.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -131,6 +131,7 @@
 	Prefix     string // of its prompt, "" for none
 	Software   string // version of the backend server's software, "" for any
 	Exclude    []string
+	Only       []string // the only backend servers that may be picked, all if it is empty
 	Tokens     int
 	IsSuspect  bool // was in flight at a crash: must be the only suspect of this process on its backend server
 	ExtraSlots int  // requests that a backend server may get beyond its slots, where they queue
@@ -266,7 +267,7 @@
 		if rq.Model != "" {
 			se.cands[i].Sequence = sv.record.Version(rq.Model)
 		}
-		if !sv.runs(rq.Software) || slices.Contains(rq.Exclude, sv.record.ID) || now < sv.pausedUntil || sv.record.IsLoading {
+		if !sv.runs(rq.Software) || !rq.allows(sv.record.ID) || now < sv.pausedUntil || sv.record.IsLoading {
 			sr.Exclude = append(sr.Exclude, i)
 		}
 		if rq.Prefix != "" && sv.lastPrefix == rq.Prefix {
@@ -278,6 +279,11 @@
 	return &sr
 }
 
+// allows reports whether the backend server with an ID may be picked.
+func (rq *Request) allows(id string) bool {
+	return !slices.Contains(rq.Exclude, id) && (len(rq.Only) == 0 || slices.Contains(rq.Only, id))
+}
+
 // runs reports whether the backend server runs a version of its software, "" for any.
 func (sv *server) runs(software string) bool { return software == "" || sv.record.Software == software }
 
--- a/internal/jobdriver/driver.go
+++ b/internal/jobdriver/driver.go
@@ -8,6 +8,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -21,6 +22,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/meter"
 	"github.com/tamarackbay/tamarackbay/internal/routing"
 	"github.com/tamarackbay/tamarackbay/internal/statemachine"
+	"github.com/tamarackbay/tamarackbay/internal/stepplan"
 )
 
 const (
@@ -55,17 +57,17 @@
 	revision uint64 // ledger revision at the last read, 0 to force a read
 	running  map[string]int
 	paces    *paceTracker
-	slow     []string   // backend servers that are much slower than usual now
-	lagging  []string   // healthy backend servers that are slower than the fast quarter
+	classes  paceClasses
 	progress []job.Part // parts queued for the next commit
 	commit   func(ctx context.Context, pr job.Progress) error
 	// isFlushing is set while a commit of progress is in flight. The next commit waits
 	// for it, since the parts of one item must be applied in order.
-	isFlushing bool
-	obtaining  map[string]bool    // services and urgencies for whose items a permit is being asked for
-	demand     map[string]float64 // recently generated events by model, decaying
-	demandAt   time.Time
-	wg         sync.WaitGroup
+	isFlushing     bool
+	tokensPerEvent float64            // mean of recent texts, 0 before the first one
+	obtaining      map[string]bool    // services and urgencies for whose items a permit is being asked for
+	demand         map[string]float64 // recently generated events by model, decaying
+	demandAt       time.Time
+	wg             sync.WaitGroup
 }
 
 // New returns a driver.
@@ -183,12 +185,15 @@
 			js := dr.jobs[id]
 			switch {
 			case !jo.IsOpen() && js != nil:
-				dr.cfg.Log.WithFields(js.timeline.fields()).WithFields(log.Fields{"job": id, "model": js.model, "unlisted": len(js.tasks)}).
+				dr.cfg.Log.WithFields(js.timeline.fields()).WithFields(log.Fields{
+					"job": id, "model": js.model, "unlisted": len(js.tasks), "requiredGroups": js.required,
+					"minVersion": js.minVersion,
+				}).
 					Info("timeline of an ended job")
 				js.cancelAll()
 				delete(dr.jobs, id)
 			case jo.IsOpen() && js == nil:
-				dr.jobs[id] = newJobState(jo)
+				dr.jobs[id] = newJobState(jo, le.Earlier(&jo.Spec))
 			case jo.IsOpen():
 				for _, re := range jo.Results {
 					if t := js.tasks[re.Item]; t != nil {
@@ -207,29 +212,61 @@
 	})
 }
 
-func newJobState(jo *job.Job) *jobState {
+// newJobState returns the state of an open job. earlier holds texts of its items from ended
+// jobs.
+func newJobState(jo *job.Job, earlier map[string]job.EarlierText) *jobState {
 	sp := &jo.Spec
 	at := time.UnixMilli(jo.SubmittedMs)
 	js := &jobState{
 		id: sp.ID, workspace: sp.Workspace, host: sp.Host, model: sp.Model, minVersion: sp.MinVersion, submitted: at,
 		tasks: map[int]*task{}, timeline: timeline{runs: map[string]int{}},
+		due: at.Add(time.Duration(sp.ResultDeadlineMs) * time.Millisecond),
 	}
 	if sp.MaxQueueMs > 0 {
 		js.queueDeadline = at.Add(time.Duration(sp.MaxQueueMs) * time.Millisecond)
 	}
+	required := map[string]bool{}
 	for i := range sp.Items {
-		if !jo.Listed[i] {
-			t := &task{job: js, index: i, item: sp.Items[i], waitingSince: time.Now()}
-			if pa, ok := jo.Partial[i]; ok {
-				t.generated = newGeneratedText(&pa)
-			}
-			js.tasks[i] = t
+		et, isEarlier := earlier[sp.Items[i].ID]
+		if isEarlier {
+			required[sp.Items[i].Group] = true
+		}
+		if jo.Listed[i] {
+			continue
+		}
+		t := &task{job: js, index: i, item: sp.Items[i], waitingSince: time.Now()}
+		js.tasks[i] = t
+		if pa, ok := jo.Partial[i]; ok {
+			t.generated = newGeneratedText(&pa)
+		} else if isEarlier {
+			t.takeOver(&et)
 		}
 	}
+	js.required = len(required)
 
 	return js
 }
 
+// takeOver continues a text of an earlier job, as far as its weight versions allow.
+func (t *task) takeOver(et *job.EarlierText) {
+	te := newGeneratedText(&et.Partial)
+	t.earlierEvents = len(te.events)
+	if et.IsWhole {
+		te = newWholeText(et)
+		t.earlierEvents = strings.Count(et.Text, "\n") + 1
+	} else {
+		te.proposed, te.proposedEvents = 0, 0 // this job's progress holds nothing of it
+	}
+	switch {
+	case te.lastEvent == 0:
+	case !te.meetsVersionRules(t.job.minVersion, false):
+		t.job.timeline.tooOld++
+	default:
+		t.generated, t.isWhole = te, et.IsWhole
+		t.job.timeline.takenOver++
+	}
+}
+
 // progressPeriod is how often the progress of an item is committed. It bounds the
 // work that an item loses with its driver.
 const progressPeriod = 400 * time.Millisecond
@@ -290,48 +327,79 @@
 
 // classifyServers updates which backend servers are slow or lagging.
 func (dr *Driver) classifyServers() {
-	slow, lagging := dr.paces.classify(time.Now())
-	if !slices.Equal(slow, dr.slow) {
-		dr.cfg.Log.WithFields(log.Fields{"slow": slow, "before": dr.slow, "lagging": lagging}).Info("slow backend servers changed")
+	pc := dr.paces.classify(time.Now())
+	if !slices.Equal(pc.slow, dr.classes.slow) {
+		dr.cfg.Log.WithFields(log.Fields{"slow": pc.slow, "before": dr.classes.slow, "lagging": pc.lagging}).Info("slow backend servers changed")
 	}
-	dr.slow, dr.lagging = slow, lagging
+	dr.classes = pc
+}
+
+// defaultTokenSeconds is the time between two tokens of a text that is expected before any was
+// measured.
+const defaultTokenSeconds = 0.001
+
+// tokenPaces returns the expected times between two tokens. The caller holds dr.mu.
+func (dr *Driver) tokenPaces() stepplan.Paces {
+	if dr.tokensPerEvent == 0 || dr.classes.fast == 0 {
+		return stepplan.Paces{Fast: defaultTokenSeconds, Lagging: defaultTokenSeconds}
+	}
+
+	return stepplan.Paces{Fast: dr.classes.fast / dr.tokensPerEvent, Lagging: dr.classes.laggingInterval / dr.tokensPerEvent}
 }
 
 // maxMovesPerPass bounds how many runs are moved in one pass, so that they do not all
 // go to the same backend servers before their new load is known.
 const maxMovesPerPass = 8
 
-// minLongRun is the age from which a run is moved from a lagging backend server to a
-// faster one: few texts take that long, and a trainer waits for them.
+// minLongRun is the age from which a run is moved from a lagging backend server to a faster
+// one. Their paces depend on their load, so that earlier moves would follow each other.
 const minLongRun = 1500 * time.Millisecond
 
-// moveRuns moves runs away from slow backend servers, and long runs away from lagging
-// ones, as far as fast ones have free slots. A moved run resumes after its last event,
-// so little work is lost.
-func (dr *Driver) moveRuns() {
-	if len(dr.slow) == 0 && len(dr.lagging) == 0 {
-		return
+// stuckRun is a run that would be complete sooner at a fast backend server.
+type stuckRun struct {
+	task        *task
+	latestStart time.Time
+}
+
+// stuckRuns returns the runs at slow and lagging backend servers that gain by a move, those
+// that are due first at the front. The caller holds dr.mu.
+func (dr *Driver) stuckRuns() []stuckRun {
+	if dr.tokensPerEvent == 0 || len(dr.classes.slow)+len(dr.classes.lagging) == 0 {
+		return nil
 	}
-	var stuck []*task
+	pa := dr.tokenPaces()
+	var out []stuckRun
 	for _, js := range dr.jobs {
 		for _, t := range js.tasks {
-			if t.phase != running || t.cancelForMove == nil {
+			if t.phase != running || t.cancelForMove == nil || !dr.classes.isBehind(t.server) {
+				continue
+			}
+			if !slices.Contains(dr.classes.slow, t.server) && time.Since(t.startedAt) < minLongRun {
 				continue
 			}
-			isLong := time.Since(t.startedAt) > minLongRun && slices.Contains(dr.lagging, t.server)
-			if isLong || slices.Contains(dr.slow, t.server) {
-				stuck = append(stuck, t)
+			remaining := t.remaining(dr.tokensPerEvent)
+			if stepplan.IsMoveWorthwhile(remaining, dr.classes.interval[t.server]/dr.tokensPerEvent, pa.Fast) {
+				out = append(out, stuckRun{task: t, latestStart: stepplan.LatestStart(js.due, remaining, pa.Fast)})
 			}
 		}
 	}
-	slices.SortFunc(stuck, func(a, b *task) int {
-		return cmp.Or(a.job.submitted.Compare(b.job.submitted), cmp.Compare(b.item.Expected, a.item.Expected), cmp.Compare(a.index, b.index))
+	slices.SortFunc(out, func(a, b stuckRun) int {
+		return cmp.Or(a.latestStart.Compare(b.latestStart), cmp.Compare(a.task.job.id, b.task.job.id), cmp.Compare(a.task.index, b.task.index))
 	})
-	for _, t := range stuck[:min(len(stuck), maxMovesPerPass)] {
+
+	return out
+}
+
+// moveRuns moves runs to fast backend servers, as far as these have free slots. A moved run
+// resumes after its last event.
+func (dr *Driver) moveRuns() {
+	stuck := dr.stuckRuns()
+	for _, sr := range stuck[:min(len(stuck), maxMovesPerPass)] {
+		t := sr.task
 		// Reserve the slot before the run is cancelled: other passes happen before it ends.
 		t.nextGrant = dr.cfg.Balancer.Acquire(&balance.Request{
 			Service: t.service, Model: t.job.model, MinVersion: t.job.minVersion, Prefix: t.job.model + "/" + t.item.Group, Tokens: t.item.Tokens,
-			Software: t.software, Exclude: slices.Concat(t.failedServers, dr.slow, dr.lagging),
+			Software: t.software, Exclude: slices.Concat(t.failedServers, dr.classes.slow, dr.classes.lagging),
 		})
 		if t.nextGrant == nil {
 			continue
@@ -347,6 +415,7 @@
 	if !t.generated.isUsable(t.job.minVersion, ro) || !t.generated.mayContinueAt(&rec) {
 		t.generated = generatedText{}
 	}
+	t.runEvents.Store(0)
 	ctx, cancel := context.WithCancelCause(dr.ctx)
 	t.phase, t.server, t.service, t.software = running, rec.ID, rec.Service, rec.Software
 	t.cancel = func() { cancel(nil) }
--- a/internal/jobdriver/move_test.go
+++ b/internal/jobdriver/move_test.go
@@ -45,13 +45,14 @@
 				return nil, ctx.Err()
 			}},
 		})
-		dr.ctx, dr.term, dr.slow = context.Background(), 1, []string{"slow"}
+		dr.ctx, dr.term, dr.tokensPerEvent = context.Background(), 1, 40
+		dr.classes = paceClasses{slow: []string{"slow"}, interval: map[string]float64{"slow": 0.2, "fast": 0.03}, fast: 0.03, laggingInterval: 0.03}
 		js = &jobState{id: "j", model: "m", tasks: map[int]*task{}, timeline: timeline{runs: map[string]int{}}}
 		dr.jobs["j"] = js
 		ended = 0
 		for i := range 8 {
 			js.tasks[i] = &task{
-				job: js, index: i, item: job.Item{ID: fmt.Sprint(i)}, phase: running, server: "slow", service: "s", startedAt: time.Now(),
+				job: js, index: i, item: job.Item{ID: fmt.Sprint(i), Expected: 4000}, phase: running, server: "slow", service: "s", startedAt: time.Now(),
 				cancelForMove: func() { ended++ },
 			}
 		}
--- a/internal/jobdriver/pace.go
+++ b/internal/jobdriver/pace.go
@@ -74,13 +74,27 @@
 	return pc.interval
 }
 
-// classify returns the slow backend servers, which are much slower than the median,
-// and the lagging ones, which are healthy but slower than the fast quarter.
-func (pa *paceTracker) classify(now time.Time) (slow, lagging []string) {
+// paceClasses tells how fast the backend servers are.
+type paceClasses struct {
+	slow            []string           // IDs of those that are much slower than the median
+	lagging         []string           // IDs of healthy ones that are slower than the fast quarter
+	interval        map[string]float64 // expected seconds between two events, by ID
+	fast            float64            // interval of the fast quarter, 0 if too few are known
+	laggingInterval float64            // longest interval of the lagging ones, that of the fast quarter if there is none
+}
+
+// isBehind reports whether a backend server is slow or lagging.
+func (pc *paceClasses) isBehind(id string) bool {
+	return slices.Contains(pc.slow, id) || slices.Contains(pc.lagging, id)
+}
+
+// classify returns the classes of the backend servers now.
+func (pa *paceTracker) classify(now time.Time) paceClasses {
 	pa.mu.Lock()
 	defer pa.mu.Unlock()
 
-	var known []float64
+	out := paceClasses{interval: make(map[string]float64, len(pa.servers))}
+	known := make([]float64, 0, len(pa.servers))
 	for server, pc := range pa.servers {
 		if now.Sub(pc.sampledAt) > baselineRetention {
 			delete(pa.servers, server)
@@ -88,26 +102,29 @@
 			continue
 		}
 		if pc.samples >= minSamples {
-			known = append(known, pc.expected(now))
+			out.interval[server] = pc.expected(now)
+			known = append(known, out.interval[server])
 		}
 	}
 	if len(known) < minServers {
-		return nil, nil
+		return paceClasses{}
 	}
 	slices.Sort(known)
-	usual, fast := known[(len(known)-1)/2], known[(len(known)-1)/4]
+	usual := known[(len(known)-1)/2]
+	out.fast = known[(len(known)-1)/4]
+	out.laggingInterval = out.fast
 
-	for server, pc := range pa.servers {
+	for server, interval := range out.interval {
 		switch {
-		case pc.samples < minSamples:
-		case pc.expected(now) > slowFactor*usual && now.Sub(pc.sampledAt) <= paceRetention:
-			slow = append(slow, server)
-		case pc.expected(now) > lagFactor*fast:
-			lagging = append(lagging, server)
+		case interval > slowFactor*usual && now.Sub(pa.servers[server].sampledAt) <= paceRetention:
+			out.slow = append(out.slow, server)
+		case interval > lagFactor*out.fast:
+			out.lagging = append(out.lagging, server)
+			out.laggingInterval = max(out.laggingInterval, interval)
 		}
 	}
-	slices.Sort(slow)
-	slices.Sort(lagging)
+	slices.Sort(out.slow)
+	slices.Sort(out.lagging)
 
-	return slow, lagging
+	return out
 }
--- a/internal/jobdriver/pace_test.go
+++ b/internal/jobdriver/pace_test.go
@@ -13,9 +13,7 @@
 func TestSuite(t *testing.T) { suite.Run(t, "jobdriver") }
 
 func slowOf(pa *paceTracker, at time.Time) []string {
-	slow, _ := pa.classify(at)
-
-	return slow
+	return pa.classify(at).slow
 }
 
 var _ = ginkgo.Describe("classification of backend servers by pace", func() {
@@ -59,9 +57,9 @@
 			for server, d := range tc.intervals {
 				feed(pa, server, d, 40)
 			}
-			slow, lagging := pa.classify(at)
-			Expect(slow).To(Equal(tc.want), tc.name)
-			Expect(lagging).To(Equal(tc.lagging), tc.name)
+			pc := pa.classify(at)
+			Expect(pc.slow).To(Equal(tc.want), tc.name)
+			Expect(pc.lagging).To(Equal(tc.lagging), tc.name)
 		}
 	})
 
@@ -88,9 +86,9 @@
 				pa.record(server, 37*time.Millisecond, later)
 			}
 		}
-		slow, lagging := pa.classify(later)
-		Expect(slow).To(BeEmpty())
-		Expect(lagging).To(Equal([]string{"slowerKind"}))
+		pc := pa.classify(later)
+		Expect(pc.slow).To(BeEmpty())
+		Expect(pc.lagging).To(Equal([]string{"slowerKind"}))
 	})
 
 	ginkgo.It("no longer classifies a backend server as slow after paceRetention without runs", func() {
--- a/internal/jobdriver/place.go
+++ b/internal/jobdriver/place.go
@@ -11,26 +11,34 @@
 	"github.com/tamarackbay/tamarackbay/internal/balance"
 	"github.com/tamarackbay/tamarackbay/internal/job"
 	"github.com/tamarackbay/tamarackbay/internal/routing"
+	"github.com/tamarackbay/tamarackbay/internal/stepplan"
 )
 
-// waitingTasks returns the tasks that are due for a backend server, in order of
-// placement: begun texts first, since they may continue at some backend servers only, then
-// the oldest job, and within a job the longest expected text. A trainer waits for nearly all
-// groups, so the longest texts determine the duration.
-func (dr *Driver) waitingTasks(now time.Time) []*task {
-	var out []*task
+// waitingTask is a task that is due for a backend server.
+type waitingTask struct {
+	*task
+	remaining   float64 // tokens that its text is expected to need
+	latestStart time.Time
+}
+
+// waitingTasks returns the tasks that are due for a backend server, in order of placement:
+// begun texts first, since they may continue at some backend servers only, then the one that
+// must start first to be complete when it is due, across all jobs.
+func (dr *Driver) waitingTasks(now time.Time) []waitingTask {
+	pa := dr.tokenPaces()
+	var out []waitingTask
 	for _, js := range dr.jobs {
-		for _, ta := range js.tasks {
-			if ta.phase == waiting && !now.Before(ta.notBefore) {
-				out = append(out, ta)
+		for _, t := range js.tasks {
+			if t.phase == waiting && !now.Before(t.notBefore) {
+				remaining := t.remaining(dr.tokensPerEvent)
+				out = append(out, waitingTask{task: t, remaining: remaining, latestStart: stepplan.LatestStart(js.due, remaining, pa.Fast)})
 			}
 		}
 	}
-	slices.SortFunc(out, func(a, b *task) int {
+	slices.SortFunc(out, func(a, b waitingTask) int {
 		return cmp.Or(
 			cmp.Compare(min(b.generated.lastEvent, 1), min(a.generated.lastEvent, 1)),
-			a.job.submitted.Compare(b.job.submitted), cmp.Compare(a.job.id, b.job.id),
-			cmp.Compare(b.item.Expected, a.item.Expected), cmp.Compare(a.index, b.index),
+			a.latestStart.Compare(b.latestStart), cmp.Compare(a.job.id, b.job.id), cmp.Compare(a.index, b.index),
 		)
 	})
 
@@ -46,7 +54,8 @@
 	now := time.Now()
 	full := map[string]bool{} // service and job pairs without a free slot in this pass
 	waits := dr.waitingTasks(now)
-	for i, t := range waits {
+	for i, wt := range waits {
+		t := wt.task
 		if !t.job.queueDeadline.IsZero() && now.After(t.job.queueDeadline) {
 			dr.finish(t, job.Result{Item: t.index, State: job.Aborted}, "its queue deadline passed")
 
@@ -56,14 +65,27 @@
 		if ro == nil {
 			continue // the route may be configured again before the queue deadline
 		}
+		if t.isWhole {
+			if t.generated.meetsVersionRules(t.job.minVersion, ro.IsSingleVersion) {
+				dr.completeText(t)
+
+				continue
+			}
+			t.generated, t.isWhole = generatedText{}, false
+		}
 		dr.discardUnusable(t, ro, now)
 		service := ro.PickTarget(dr.cfg.Random())
 		if t.generated.lastEvent > 0 {
 			service = t.generated.service
 		}
-		if key := service + "@" + t.job.id + "@" + t.generated.software; full[key] {
+		preferred := dr.preference(&wt, now)
+		key := service + "@" + t.job.id + "@" + t.generated.software
+		if preferred == stepplan.RequireFast {
+			key += "@fast"
+		}
+		if full[key] {
 			continue
-		} else if gr := dr.acquire(service, t); gr == nil {
+		} else if gr := dr.acquire(service, t, preferred); gr == nil {
 			full[key] = true
 			dr.obtainPermits(service, t, ro.Urgency(ta.Workspace(t.job.workspace)), len(waits)-i)
 		} else {
@@ -72,15 +94,42 @@
 	}
 }
 
+// maxFastWait is how long a text waits for a slot at a fast backend server, although others
+// have one. It begins again when the text has to wait again.
+const maxFastWait = 400 * time.Millisecond
+
+// preference returns at which backend servers a task is to be placed. The caller holds dr.mu.
+func (dr *Driver) preference(wt *waitingTask, now time.Time) stepplan.Preference {
+	out := stepplan.Prefer(wt.job.due.Sub(now).Seconds(), wt.remaining, dr.tokenPaces())
+	if out == stepplan.RequireFast && now.Sub(wt.waitingSince) > maxFastWait {
+		return stepplan.PreferFast
+	}
+
+	return out
+}
+
 // acquire reserves a slot at a backend server, in order of preference: a fast one, a
-// lagging one, a slow one, and last one that failed the item before.
-func (dr *Driver) acquire(service string, t *task) *balance.Grant {
+// lagging one, a slow one, and last one that failed the item before. A text that leaves the fast
+// ones to others takes a lagging one first.
+func (dr *Driver) acquire(service string, t *task, preferred stepplan.Preference) *balance.Grant {
 	rq := &balance.Request{
 		Service: service, Model: t.job.model, MinVersion: t.job.minVersion, Prefix: t.job.model + "/" + t.item.Group, Tokens: t.item.Tokens,
 		Software: t.generated.software,
 	}
+	slow, lagging := dr.classes.slow, dr.classes.lagging
+	if preferred == stepplan.PreferLagging && len(lagging) > 0 {
+		rq.Exclude, rq.Only = slices.Concat(t.failedServers, slow), lagging
+		if gr := dr.cfg.Balancer.Acquire(rq); gr != nil {
+			return gr
+		}
+		rq.Only = nil
+	}
+	choices := [][]string{slices.Concat(t.failedServers, slow, lagging), slices.Concat(t.failedServers, slow), t.failedServers, nil}
+	if preferred == stepplan.RequireFast {
+		choices = choices[:1]
+	}
 	last := -1
-	for _, exclude := range [][]string{slices.Concat(t.failedServers, dr.slow, dr.lagging), slices.Concat(t.failedServers, dr.slow), t.failedServers, nil} {
+	for _, exclude := range choices {
 		if len(exclude) == last {
 			continue // same exclusions as in the last attempt
 		}
--- a/internal/jobdriver/run.go
+++ b/internal/jobdriver/run.go
@@ -83,7 +83,7 @@
 		oc, grantOutcome = cancelled, balance.Unused
 	}
 	fl := log.Fields{
-		"job": t.job.id, "item": t.item.ID, "server": rec.ID, "software": rec.Software, "outcome": oc.String(), "fromEvent": from, "lastEvent": te.lastEvent,
+		"job": t.job.id, "item": t.item.ID, "group": t.item.Group, "expectedTokens": t.item.Expected, "server": rec.ID, "software": rec.Software, "outcome": oc.String(), "fromEvent": from, "lastEvent": te.lastEvent,
 		"believedVersion": rec.Version(t.job.model), "versions": te.versions, "ms": time.Since(began).Milliseconds(),
 	}
 	if err != nil {
@@ -169,6 +169,7 @@
 			return brokenOff, result.New(result.NoEligibleVersion, "the weight version changed to %d within the text of a single-version route", version)
 		}
 		te.service, te.software = rec.Service, rec.Software
+		t.runEvents.Add(1)
 		te.add(ev.Number, ev.Data, version)
 		if te.bytes > job.MaxPageBytes {
 			*te = generatedText{}
@@ -216,6 +217,7 @@
 	t.job.timeline.runs[oc.String()]++
 	from := t.generated.lastEvent
 	t.generated = *te
+	t.runEvents.Store(0)
 	avoid := func() {
 		t.failedServers = append(t.failedServers, gr.Record().ID)
 		if len(t.failedServers) > maxFailedServers {
@@ -228,13 +230,8 @@
 	}
 	switch oc {
 	case complete:
-		t.failedServers, t.completedAt = nil, time.Now()
-		if t.item.Reward == nil {
-			dr.finish(t, dr.resultOf(t, ""), "")
-
-			return
-		}
-		dr.startScoring(t)
+		dr.recordLength(t)
+		dr.completeText(t)
 	case impossible:
 		dr.finish(t, job.Result{Item: t.index, State: job.Aborted}, "a backend server answered that the item can't be executed")
 	case serverFailed:
@@ -266,6 +263,34 @@
 	}
 }
 
+// completeText requests the score of a complete text, or commits the result if none is due.
+// The caller holds dr.mu.
+func (dr *Driver) completeText(t *task) {
+	t.failedServers, t.completedAt = nil, time.Now()
+	if t.item.Reward == nil {
+		dr.finish(t, dr.resultOf(t, ""), "")
+
+		return
+	}
+	dr.startScoring(t)
+}
+
+// lengthSmoothing is the weight of a new text in the mean of the tokens of an event.
+const lengthSmoothing = 0.05
+
+// recordLength learns from a complete text how many tokens an event holds, as estimated by the
+// clients. The caller holds dr.mu.
+func (dr *Driver) recordLength(t *task) {
+	if t.item.Expected == 0 || len(t.generated.events) == 0 {
+		return
+	}
+	n := float64(t.item.Expected) / float64(len(t.generated.events))
+	if dr.tokensPerEvent == 0 {
+		dr.tokensPerEvent = n
+	}
+	dr.tokensPerEvent += lengthSmoothing * (n - dr.tokensPerEvent)
+}
+
 func (dr *Driver) resultOf(t *task, score string) job.Result {
 	return job.Result{Item: t.index, State: job.Completed, Text: t.generated.String(), Versions: t.generated.versions, Score: score}
 }
--- a/internal/jobdriver/software_test.go
+++ b/internal/jobdriver/software_test.go
@@ -14,6 +14,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/meter"
 	"github.com/tamarackbay/tamarackbay/internal/registry"
 	"github.com/tamarackbay/tamarackbay/internal/routing"
+	"github.com/tamarackbay/tamarackbay/internal/stepplan"
 )
 
 // Guards against a text that is continued by another software version, and against one that
@@ -65,7 +66,7 @@
 			Expect(t.generated.lastEvent == 1).To(Equal(tc.isKept))
 
 			dr.mu.Lock()
-			gr := dr.acquire("s", t)
+			gr := dr.acquire("s", t, stepplan.PreferFast)
 			Expect(gr).NotTo(BeNil())
 			if tc.isKept {
 				Expect(gr.Record().Software).To(Equal(tc.software))
--- a/internal/jobdriver/task.go
+++ b/internal/jobdriver/task.go
@@ -5,12 +5,14 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/tamarackbay/tamarackbay/internal/balance"
 	"github.com/tamarackbay/tamarackbay/internal/job"
 	"github.com/tamarackbay/tamarackbay/internal/registry"
 	"github.com/tamarackbay/tamarackbay/internal/routing"
+	"github.com/tamarackbay/tamarackbay/internal/stepplan"
 )
 
 // phase is the state of a task.
@@ -31,6 +33,9 @@
 	phase phase
 
 	generated         generatedText
+	isWhole           bool         // the text is that of an earlier job, complete
+	earlierEvents     int          // events that an earlier job had of the text at least
+	runEvents         atomic.Int32 // events of the current run so far
 	notBefore         time.Time
 	waitingSince      time.Time // when its current wait for a backend server began
 	failedServers     []string  // IDs of the backend servers of its last failed runs, at most maxFailedServers
@@ -61,6 +66,19 @@
 	queueDeadline time.Time // items still waiting after it are aborted; zero for no limit
 	tasks         map[int]*task
 	timeline      timeline
+	due           time.Time // when the results are due
+	required      int       // groups that came again from an earlier job
+}
+
+// remaining returns how many tokens the text is expected to need. An event holds
+// tokensPerEvent.
+func (t *task) remaining(tokensPerEvent float64) float64 {
+	if t.isWhole {
+		return 0
+	}
+	generated := float64(len(t.generated.events) + int(t.runEvents.Load()))
+
+	return stepplan.Remaining(max(float64(t.item.Expected), float64(t.earlierEvents)*tokensPerEvent), generated*tokensPerEvent)
 }
 
 // generatedText is the text generated for an item so far.
@@ -91,6 +109,11 @@
 	}
 }
 
+// newWholeText returns the complete text that an earlier job listed.
+func newWholeText(et *job.EarlierText) generatedText {
+	return generatedText{events: []string{et.Text}, bytes: len(et.Text) + 1, lastEvent: 1, versions: slices.Clone(et.Partial.Versions)}
+}
+
 // add appends an event that a weight version wrote.
 func (te *generatedText) add(number uint64, data string, version uint64) {
 	te.events = append(te.events, data)
--- a/internal/jobdriver/timeline.go
+++ b/internal/jobdriver/timeline.go
@@ -11,8 +11,10 @@
 // timeline records when the items of a job progressed while this process executed
 // them. It is logged when the job ends and shows what delayed a late job.
 type timeline struct {
-	items []itemTimeline // listed items, in the order of their results
-	runs  map[string]int
+	items     []itemTimeline // listed items, in the order of their results
+	runs      map[string]int
+	takenOver int // texts of an earlier job that were continued or used as they were
+	tooOld    int // texts of an earlier job whose weight versions are too old
 }
 
 // itemTimeline holds the times of one listed item, since the submission of its job.
@@ -41,7 +43,7 @@
 // fields returns the timeline as log fields: quantiles of the times until items were
 // listed, until their first run and for their score, and the slowest item.
 func (tl *timeline) fields() log.Fields {
-	fl := log.Fields{"listed": len(tl.items), "runs": tl.runs}
+	fl := log.Fields{"listed": len(tl.items), "runs": tl.runs, "takenOver": tl.takenOver, "tooOld": tl.tooOld}
 	if len(tl.items) == 0 {
 		return fl
 	}
