Send no sequence numbers in the feed, and heartbeats between controllers merged

Cause, read from the code and counted in tests: each heartbeat raises a sequence number, which the feed took for a change, so that each controller sent each follower each backend server 0.8 times a second and woke all followers four times a second; each follower had its own diff and encoding; each committed entry compared all backend servers; a follower rebuilt its view at each empty message; each heartbeat went to each other controller in a call of its own.

Change: the feed compares contents, keeps the list of backend servers as long as the registry does not change, and encodes a delta once for all followers that have the same state. registry.Outbox merges notices: a content once, then a digest with the sign of life, at most 5 messages a second and peer but for changes, which go after 5 ms; what a restarted controller lacks it asks for. Of two records of one heartbeat the one with the later weight version counts, which a controller read from the engine itself.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -170,9 +170,11 @@
 	}
 	now := ba.cfg.Now()
 	sr := ba.prepare(se, now, rq)
-	for i, sv := range se.servers {
-		if !ba.cfg.Permits.Allows(sv.record.Incarnation()) {
-			sr.Exclude = append(sr.Exclude, i)
+	if ba.cfg.Permits.HasLimits() {
+		for i, sv := range se.servers {
+			if !ba.cfg.Permits.Allows(sv.record.Incarnation()) {
+				sr.Exclude = append(sr.Exclude, i)
+			}
 		}
 	}
 	i := se.sched.Pick(now, se.cands, sr)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/fxamacker/cbor/v2"
 
 	"github.com/tamarackbay/tamarackbay/internal/backend"
 	"github.com/tamarackbay/tamarackbay/internal/consensus"
@@ -43,7 +42,7 @@
 	// maxMissedHeartbeats is the number of heartbeats that a backend server may miss
 	// before it counts as silent; some heartbeats arrive seconds late.
 	maxMissedHeartbeats = 4
-	// forwardTimeout limits the call that forwards a heartbeat to another controller.
+	// forwardTimeout limits the call that passes notices on to another controller.
 	forwardTimeout = time.Second
 	// formationTimeout is how long the first formation of the store group waits for as
 	// many stores as the group should have voters. After it the known stores form the
@@ -55,8 +54,8 @@
 
 // Methods that other processes of the system call.
 const (
-	methodHeartbeat = "controller.beat"
-	MethodAnnounce  = "controller.announce" // called by stores
+	methodHeartbeats = "controller.beats"
+	MethodAnnounce   = "controller.announce" // called by stores
 	// Called by gateways.
 	MethodUsage        = "controller.usage"
 	MethodCrash        = "controller.crash"
@@ -88,6 +87,8 @@
 
 	mu                 sync.Mutex
 	registry           *registry.Registry
+	statuses           []registry.Status // of the registry at revision statusesAt
+	statusesAt         uint64
 	stores             map[string]*store // by name
 	publishWake        chan struct{}
 	startedAt          time.Duration
@@ -96,6 +97,7 @@
 	swapWake           chan struct{}
 	usage              usageState
 
+	relay    *relay
 	permits  permitBroker
 	origins  *origin.Table
 	software softwareHistory                 // guarded by mu
@@ -118,12 +120,6 @@
 	lastHeard time.Duration
 }
 
-// heartbeatNotice is a heartbeat or a leave notice that one controller forwards to another.
-type heartbeatNotice struct {
-	Record registry.Record `cbor:"1,keyasint"`
-	Leaves bool            `cbor:"2,keyasint"`
-}
-
 // New returns a controller and loads the identity of its replica. Handlers may be
 // served before Run.
 func New(cfg Config) (*Controller, error) {
@@ -132,7 +128,7 @@
 		cfg: cfg, feed: feed.NewServer(), links: peer.NewLinks(context.Background(), cfg.Peer), stopped: make(chan struct{}),
 		registry: registry.New(maxMissedHeartbeats * no.HeartbeatPeriod), stores: map[string]*store{}, publishWake: make(chan struct{}, 1),
 		startedAt: cfg.Now(), swapPlanners: map[string]*weights.JointPlanner{}, swapWake: make(chan struct{}, 1),
-		permits: permitBroker{broker: permit.NewBroker()}, origins: origin.NewTable(origin.MaxOrigins), software: softwareHistory{}, orders: map[registry.Incarnation]uint64{},
+		relay: newRelay(), permits: permitBroker{broker: permit.NewBroker()}, origins: origin.NewTable(origin.MaxOrigins), software: softwareHistory{}, orders: map[registry.Incarnation]uint64{},
 	}
 	var founders []group.Founder
 	for _, a := range no.Controllers {
@@ -189,15 +185,7 @@
 	maps.Copy(mux, co.feed.Handlers())
 	maps.Copy(mux, co.permitHandlers())
 	maps.Copy(mux, co.originHandlers())
-	mux[methodHeartbeat] = func(_ context.Context, st *peer.Stream) error {
-		var no heartbeatNotice
-		if err := st.RequestRecord(&no); err != nil {
-			return err
-		}
-		co.observe(no)
-
-		return st.Reply(&wire.Empty{})
-	}
+	mux[methodHeartbeats] = co.handleHeartbeats
 	mux[MethodAnnounce] = co.handleAnnounce
 	mux[MethodUsage] = handlePropose[usage.AddCounters](co, statemachine.KindAddUsage)
 	mux[MethodCrash] = co.handleCrash
@@ -247,6 +235,7 @@
 	defer wg.Wait()
 	wg.Go(func() { co.publishLoop(ctx) })
 	wg.Go(func() { co.rosterLoop(ctx) })
+	wg.Go(func() { co.relayLoop(ctx) })
 	for _, ta := range co.leasedTasks() {
 		wg.Go(func() { ta.Run(ctx) })
 	}
@@ -346,7 +335,7 @@
 	for _, id := range co.registry.Sweep(now) {
 		co.cfg.Log.WithField("server", id).Warn("backend server silent")
 	}
-	st.Servers = co.registry.All()
+	st.Servers = co.serverStatuses()
 	alive := map[registry.Incarnation]bool{}
 	for i := range st.Servers {
 		alive[st.Servers[i].Record.Incarnation()] = true
@@ -363,58 +352,14 @@
 	co.feed.Publish(st)
 }
 
-// RecordHeartbeat records a heartbeat of a backend server and forwards it to the other controllers.
-func (co *Controller) RecordHeartbeat(re registry.Record) {
-	co.observeAndForward(heartbeatNotice{Record: re})
-}
-
-// RecordLeave records that a backend server leaves and forwards this to the other controllers.
-func (co *Controller) RecordLeave(id string, bornMs int64) {
-	co.observeAndForward(heartbeatNotice{Record: registry.Record{ID: id, BornMs: bornMs}, Leaves: true})
-}
-
-func (co *Controller) observeAndForward(no heartbeatNotice) {
-	co.observe(no)
-	b, err := cbor.Marshal(no)
-	if err != nil {
-		co.cfg.Log.WithError(err).Error("heartbeat or leave notice not forwarded: encoding failed")
-
-		return
-	}
-	for _, a := range co.members() {
-		if a == co.cfg.Settings.PeerAddress {
-			continue
-		}
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), forwardTimeout)
-			defer cancel()
-			// Best effort: a controller that misses this call receives a later heartbeat;
-			// after a missed leave notice the server lapses there.
-			_ = co.links.Call(ctx, a, methodHeartbeat, &wire.Payload{Record: b}, &wire.Empty{})
-		}()
+// serverStatuses returns the backend servers as of the last change of the registry. The list is
+// never changed, only replaced. The caller holds mu.
+func (co *Controller) serverStatuses() []registry.Status {
+	if at := co.registry.Revision(); co.statuses == nil || co.statusesAt != at {
+		co.statuses, co.statusesAt = co.registry.All(), at
 	}
-}
 
-func (co *Controller) observe(no heartbeatNotice) {
-	co.mu.Lock()
-	defer co.mu.Unlock()
-
-	now, changed := co.cfg.Now(), false
-	if no.Leaves {
-		changed = co.registry.Leave(now, no.Record.ID, no.Record.BornMs)
-	} else {
-		changed = co.registry.Observe(now, no.Record)
-		co.software.observe(now, &no.Record)
-	}
-	if !changed {
-		return
-	}
-	co.wakePublish()
-	re := no.Record
-	co.cfg.Log.WithFields(log.Fields{
-		"server": re.ID, "service": re.Service, "address": re.Address, "state": re.State.String(), "leaves": no.Leaves,
-		"born": re.BornMs, "sequence": re.Sequence, "models": re.Models,
-	}).Info("backend server state changed")
+	return co.statuses
 }
 
 // PutRouting commits a validated configuration.
--- /dev/null
+++ b/internal/controller/heartbeats.go
@@ -0,0 +1,197 @@
+package controller
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/tamarackbay/tamarackbay/internal/peer"
+	"github.com/tamarackbay/tamarackbay/internal/registry"
+)
+
+const (
+	// relayPeriod is the time between two messages to another controller that hold only signs
+	// of life, well below a heartbeat period.
+	relayPeriod = 200 * time.Millisecond
+	// relayDelay is how long a change waits for others that go with it.
+	relayDelay = 5 * time.Millisecond
+)
+
+// relayedNotices is the message with the notices that a controller passes on to another.
+type relayedNotices struct {
+	Notices []registry.Notice `cbor:"1,keyasint"`
+}
+
+// relayReply names the backend servers whose content the other controller lacks.
+type relayReply struct {
+	Lacking []string `cbor:"1,keyasint,omitempty"`
+}
+
+// relay passes heartbeats and leave notices on to the other controllers.
+type relay struct {
+	wake chan struct{}
+
+	mu       sync.Mutex
+	outboxes map[string]*relayOutbox // by peer address
+}
+
+type relayOutbox struct {
+	*registry.Outbox
+	isSending bool
+	sentAt    time.Duration
+}
+
+func newRelay() *relay {
+	return &relay{wake: make(chan struct{}, 1), outboxes: map[string]*relayOutbox{}}
+}
+
+// RecordHeartbeat records a heartbeat of a backend server and passes it on to the other
+// controllers.
+func (co *Controller) RecordHeartbeat(re registry.Record) {
+	co.recordNotice(registry.Notice{Record: re})
+}
+
+// RecordLeave records that a backend server leaves and passes this on to the other controllers.
+func (co *Controller) RecordLeave(id string, bornMs int64) {
+	co.recordNotice(registry.Notice{Record: registry.Record{ID: id, BornMs: bornMs}, Leaves: true})
+}
+
+func (co *Controller) recordNotice(no registry.Notice) {
+	co.receive([]registry.Notice{no})
+	others := co.otherControllers()
+	co.relay.mu.Lock()
+	defer co.relay.mu.Unlock()
+	isUrgent := false
+	for _, a := range others {
+		ob := co.relay.outboxes[a]
+		if ob == nil {
+			ob = &relayOutbox{Outbox: registry.NewOutbox()}
+			co.relay.outboxes[a] = ob
+		}
+		ob.Add(no)
+		isUrgent = isUrgent || ob.IsUrgent()
+	}
+	if isUrgent {
+		select {
+		case co.relay.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// otherControllers returns the peer addresses of the group's other members.
+func (co *Controller) otherControllers() []string {
+	var out []string
+	for _, a := range co.members() {
+		if a != co.cfg.Settings.PeerAddress {
+			out = append(out, a)
+		}
+	}
+
+	return out
+}
+
+// relayLoop sends the notices that wait, changes at once and signs of life together.
+func (co *Controller) relayLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-co.relay.wake:
+			select {
+			case <-time.After(relayDelay):
+			case <-ctx.Done():
+			}
+		case <-time.After(relayPeriod):
+		case <-ctx.Done():
+			return
+		}
+		co.relayDue(ctx)
+	}
+}
+
+func (co *Controller) relayDue(ctx context.Context) {
+	others := map[string]bool{}
+	for _, a := range co.otherControllers() {
+		others[a] = true
+	}
+	co.mu.Lock()
+	alive := map[registry.Incarnation]bool{}
+	for _, st := range co.serverStatuses() {
+		alive[st.Record.Incarnation()] = true
+	}
+	co.mu.Unlock()
+
+	now := co.cfg.Now()
+	co.relay.mu.Lock()
+	defer co.relay.mu.Unlock()
+	for a, ob := range co.relay.outboxes {
+		switch {
+		case !others[a]:
+			delete(co.relay.outboxes, a)
+		case ob.isSending || (!ob.IsUrgent() && now < ob.sentAt+relayPeriod):
+		default:
+			ob.Retain(func(in registry.Incarnation) bool { return alive[in] })
+			if notices := ob.Take(); len(notices) > 0 {
+				ob.isSending, ob.sentAt = true, now
+				go co.sendNotices(ctx, a, ob, notices)
+			}
+		}
+	}
+}
+
+// sendNotices sends notices to another controller. One that misses them receives them again with
+// later heartbeats.
+func (co *Controller) sendNotices(ctx context.Context, address string, ob *relayOutbox, notices []registry.Notice) {
+	cctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	var rep relayReply
+	err := co.links.CallRecord(cctx, address, methodHeartbeats, relayedNotices{Notices: notices}, &rep)
+
+	co.relay.mu.Lock()
+	defer co.relay.mu.Unlock()
+	ob.isSending = false
+	if err != nil {
+		ob.Restore(notices) // best effort: an unreachable controller is logged by its session
+
+		return
+	}
+	ob.Confirm(notices, rep.Lacking)
+}
+
+func (co *Controller) handleHeartbeats(_ context.Context, st *peer.Stream) error {
+	var no relayedNotices
+	if err := st.RequestRecord(&no); err != nil {
+		return err
+	}
+
+	return st.ReplyRecord(relayReply{Lacking: co.receive(no.Notices)})
+}
+
+// receive records notices and returns the IDs of the backend servers whose content is lacking.
+func (co *Controller) receive(notices []registry.Notice) []string {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+
+	now := co.cfg.Now()
+	var lacking []string
+	for i := range notices {
+		no := &notices[i]
+		missing, changed := co.registry.Receive(now, notices[i:i+1])
+		lacking = append(lacking, missing...)
+		if re, ok := co.registry.Record(no.Record.ID); ok && !no.Leaves {
+			co.software.observe(now, &re)
+		}
+		if !changed {
+			continue
+		}
+		co.wakePublish()
+		re := no.Record
+		co.cfg.Log.WithFields(log.Fields{
+			"server": re.ID, "service": re.Service, "address": re.Address, "state": re.State.String(), "leaves": no.Leaves,
+			"born": re.BornMs, "sequence": re.Sequence, "models": re.Models,
+		}).Info("backend server state changed")
+	}
+
+	return lacking
+}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -149,23 +149,44 @@
 			de.Limits = append(de.Limits, li)
 		}
 	}
-	before := make(map[string]*registry.Status, len(old.Servers))
-	for i := range old.Servers {
-		before[old.Servers[i].Record.ID] = &old.Servers[i]
+	if !isSameSlice(old.Servers, st.Servers) {
+		de.Changed, de.Removed = diffServers(old.Servers, st.Servers)
 	}
-	for i := range st.Servers {
-		se := &st.Servers[i]
-		if o, ok := before[se.Record.ID]; !ok || !reflect.DeepEqual(*o, *se) {
-			de.Changed = append(de.Changed, *se)
+
+	return de
+}
+
+// isSameSlice reports whether two lists of a State, which are never changed, are one.
+func isSameSlice(a, b []registry.Status) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
+// diffServers returns the backend servers that changed and the IDs of those that are gone. A
+// heartbeat that only raises the sequence number is no change: followers learn from the status
+// whether a backend server is alive. Both lists are in the order of the IDs.
+func diffServers(old, next []registry.Status) (changed []registry.Status, removed []string) {
+	i := 0
+	for k := range next {
+		se := &next[k]
+		for i < len(old) && old[i].Record.ID < se.Record.ID {
+			removed = append(removed, old[i].Record.ID)
+			i++
 		}
-		delete(before, se.Record.ID)
+		if i < len(old) && old[i].Record.ID == se.Record.ID {
+			if old[i].IsLapsed != se.IsLapsed || !old[i].Record.Equal(&se.Record) {
+				changed = append(changed, *se)
+			}
+			i++
+
+			continue
+		}
+		changed = append(changed, *se)
 	}
-	for id := range before {
-		de.Removed = append(de.Removed, id)
+	for ; i < len(old); i++ {
+		removed = append(removed, old[i].Record.ID)
 	}
-	slices.Sort(de.Removed)
 
-	return de
+	return changed, removed
 }
 
 // isEmpty reports whether a delta changes nothing, so that it is only a heartbeat.
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -206,8 +206,10 @@
 	}
 	fo.processes = max(de.Followers, 1)
 	old := fo.View()
-	fo.merged.Update(address, de.Changed, de.Removed, de.IsSettled)
-	servers := fo.merged.Live()
+	servers := old.Servers
+	if fo.merged.Update(address, de.Changed, de.Removed, de.IsSettled) {
+		servers = fo.merged.Live()
+	}
 	if de.isEmpty() && sameServers(old.Servers, servers) {
 		return
 	}
@@ -267,6 +269,10 @@
 }
 
 func sameServers(a, b []registry.Record) bool {
+	if len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0]) {
+		return true
+	}
+
 	return slices.EqualFunc(a, b, func(x, y registry.Record) bool { return x.Equal(&y) })
 }
 
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -17,11 +17,16 @@
 type Server struct {
 	mu      sync.Mutex
 	state   *State
-	changed chan struct{} // closed and replaced with each new state
+	changed chan struct{}     // closed and replaced with each new state
+	encoded map[*State][]byte // deltas that lead from a former state to this one
+	latest  *State            // to which the deltas of encoded lead
 
 	followers atomic.Int64
 }
 
+// noState is what a follower has before the first message.
+var noState = &State{}
+
 // NewServer returns a server with an empty state.
 func NewServer() *Server {
 	return &Server{state: &State{}, changed: make(chan struct{})}
@@ -41,11 +46,27 @@
 	}
 }
 
-func (sv *Server) current() (*State, <-chan struct{}) {
+// next returns the current state, the encoded delta that leads to it from one that was sent,
+// and a channel that is closed with the next change. Followers that have the same state share
+// one encoding, which must not be changed.
+func (sv *Server) next(sent *State) (now *State, b []byte, changed <-chan struct{}, err error) {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
 
-	return sv.state, sv.changed
+	if sv.latest != sv.state {
+		sv.encoded, sv.latest = map[*State][]byte{}, sv.state
+	}
+	b, ok := sv.encoded[sent]
+	if !ok {
+		de := diff(sent, sv.state)
+		de.Followers = sv.Followers()
+		if b, err = cbor.Marshal(de); err != nil {
+			return nil, nil, nil, result.New(result.Internal, "feed: encoding a state delta: %v", err)
+		}
+		sv.encoded[sent] = b
+	}
+
+	return sv.state, b, sv.changed, nil
 }
 
 // Followers returns the number of processes that follow this controller.
@@ -60,14 +81,11 @@
 
 	sv.followers.Add(1)
 	defer sv.followers.Add(-1)
-	sent := &State{}
+	sent := noState
 	for {
-		now, changed := sv.current()
-		de := diff(sent, now)
-		de.Followers = sv.Followers()
-		b, err := cbor.Marshal(de)
+		now, b, changed, err := sv.next(sent)
 		if err != nil {
-			return result.New(result.Internal, "feed: encoding a state delta: %v", err)
+			return err
 		}
 		if err := st.Send(&wire.Payload{Record: b}); err != nil {
 			return err
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -3,6 +3,11 @@
 import (
 	"context"
 	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/tamarackbay/tamarackbay/internal/result"
+	"github.com/tamarackbay/tamarackbay/internal/wire"
 )
 
 // Links holds one link for each address, from its first use until Close.
@@ -57,3 +62,20 @@
 
 	return se.Call(ctx, method, req, rep)
 }
+
+// CallRecord is Call with CBOR records in wire.Payloads.
+func (ls *Links) CallRecord(ctx context.Context, address, method string, req, rep any) error {
+	b, err := cbor.Marshal(req)
+	if err != nil {
+		return result.New(result.Internal, "peer: encoding the record of a request: %v", err)
+	}
+	var pa wire.Payload
+	if err := ls.Call(ctx, address, method, &wire.Payload{Record: b}, &pa); err != nil {
+		return err
+	}
+	if err := cbor.Unmarshal(pa.GetRecord(), rep); err != nil {
+		return result.New(result.Internal, "peer: decoding the record of a reply: %v", err)
+	}
+
+	return nil
+}
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -229,6 +229,16 @@
 	return nil
 }
 
+// ReplyRecord is Reply with a CBOR record in a wire.Payload.
+func (st *Stream) ReplyRecord(v any) error {
+	b, err := cbor.Marshal(v)
+	if err != nil {
+		return result.New(result.Internal, "peer: encoding the record of a reply: %v", err)
+	}
+
+	return st.Reply(&wire.Payload{Record: b})
+}
+
 // Send sends one message of the answer.
 func (st *Stream) Send(m proto.Message) error {
 	b, err := proto.Marshal(m)
--- a/internal/permit/holder.go
+++ b/internal/permit/holder.go
@@ -191,6 +191,15 @@
 	}
 }
 
+// HasLimits reports whether any limit is known. Without one, Allows and Use hold for all backend
+// servers.
+func (ho *Holder) HasLimits() bool {
+	ho.mu.Lock()
+	defer ho.mu.Unlock()
+
+	return len(ho.servers) > 0
+}
+
 // Allows reports whether a request may be sent to a backend server: it limits its rate no
 // longer, or a permit for it is at hand.
 func (ho *Holder) Allows(se registry.Incarnation) bool {
--- a/internal/registry/merged.go
+++ b/internal/registry/merged.go
@@ -31,13 +31,14 @@
 	me.sources[name] = &source{statuses: map[string]Status{}}
 }
 
-// Update applies the changes at one source.
-func (me *MergedView) Update(name string, changed []Status, forgotten []string, isSettled bool) {
+// Update applies the changes at one source, and reports whether Live may differ from before.
+func (me *MergedView) Update(name string, changed []Status, forgotten []string, isSettled bool) bool {
 	so, ok := me.sources[name]
 	if !ok {
 		so = &source{statuses: map[string]Status{}}
 		me.sources[name] = so
 	}
+	isSame := so.isCurrent && so.isSettled == isSettled && len(changed)+len(forgotten) == 0
 	so.isCurrent, so.isSettled = true, isSettled
 	for _, id := range forgotten {
 		delete(so.statuses, id)
@@ -46,6 +47,8 @@
 		so.statuses[st.Record.ID] = st
 		me.mergeRecord(st.Record)
 	}
+
+	return !isSame
 }
 
 // mergeRecord keeps the newer of the known and the given record. A server that has left
@@ -57,7 +60,7 @@
 	case old.BornMs == re.BornMs && old.State == Left:
 		return
 	case old.BornMs == re.BornMs && re.State == Left:
-	case !re.isNewer(&old):
+	case !re.isNewer(&old) && !re.hasLaterModels(&old):
 		return
 	}
 	me.known[re.ID] = re
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -71,6 +71,21 @@
 	return re.Sequence > other.Sequence
 }
 
+// hasLaterModels reports whether re names a later weight version in the same heartbeat: a source
+// also learns versions from the backend server itself.
+func (re *Record) hasLaterModels(other *Record) bool {
+	if re.BornMs != other.BornMs || re.Sequence != other.Sequence {
+		return false
+	}
+	for _, mo := range re.Models {
+		if mo.Version > other.Version(mo.Name) {
+			return true
+		}
+	}
+
+	return false
+}
+
 // hasSameContent reports whether two records are equal apart from the ID and the sequence
 // number.
 func (re *Record) hasSameContent(other *Record) bool {
@@ -144,6 +159,16 @@
 	return false
 }
 
+// Record returns the last known record of a backend server, and false if there is none.
+func (rg *Registry) Record(id string) (Record, bool) {
+	en, ok := rg.entries[id]
+	if !ok {
+		return Record{}, false
+	}
+
+	return en.record, true
+}
+
 // Leave records that a backend server leaves and reports whether anything changed.
 // bornMs is 0 if the incarnation is unknown.
 func (rg *Registry) Leave(now time.Duration, id string, bornMs int64) bool {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -141,4 +141,22 @@
 		me.Update("b", status(false), nil, true)
 		Expect(me.Live()[0].IsLoading).To(BeFalse())
 	})
+
+	ginkgo.It("takes a weight version that a controller read from the engine itself before its next heartbeat", func() {
+		at := func(sequence, version uint64) []registry.Status {
+			st := status(false)
+			st[0].Record.Sequence, st[0].Record.Models = sequence, []registry.Model{{Name: "m", Version: version}}
+
+			return st
+		}
+		me := registry.NewMergedView()
+		version := func() uint64 { re := me.Live()[0]; return re.Version("m") }
+		me.Update("a", at(5, 2), nil, true)
+		me.Update("a", at(5, 3), nil, true)
+		Expect(version()).To(BeEquivalentTo(3))
+		me.Update("b", at(5, 2), nil, true)
+		Expect(version()).To(BeEquivalentTo(3), "the same heartbeat at another controller")
+		me.Update("b", at(6, 2), nil, true)
+		Expect(version()).To(BeEquivalentTo(2), "a later heartbeat")
+	})
 })
