Let processes that a busy peer drops return later and spread out

Cause: a link dialled again after a fixed pause of 125 ms, so that a controller which is too slow to keep its sessions was met by all processes at once, eight times a second each (12,056 connections, 707 new a second at 300 machines of kmpc before these changes).

Change: after a session of less than 2 s, or one that failed with its hello, the pause doubles up to 2 s; every pause is spread by half in both directions. A peer that can't be reached is tried as before, so that a restart is not noticed later.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -41,14 +42,29 @@
 	Log         log.Interface // logs opened and lost sessions; may be nil
 }
 
+const (
+	// shortSession is the duration below which a session that ended counts as a sign that its
+	// peer is too busy to serve it.
+	shortSession = 2 * time.Second
+	// maxRedialPause bounds the pause after short sessions, before jitter.
+	maxRedialPause = 2 * time.Second
+)
+
 // redialPause returns the pause before a session is opened again: at most a quarter of
-// DialTimeout where that is set.
-func (c *Config) redialPause() time.Duration {
+// DialTimeout where that is set, doubled with each short session in a row, and spread by half in
+// both directions, so that the processes which a busy peer has lost don't all return at once. A
+// peer that can't be reached is tried at the same pace, since that costs it nothing. random is
+// from [0, 1).
+func (c *Config) redialPause(shortSessions int, random float64) time.Duration {
+	pause := redialPeriod
 	if c.DialTimeout > 0 {
-		return min(redialPeriod, c.DialTimeout/4)
+		pause = min(redialPeriod, c.DialTimeout/4)
+	}
+	for range shortSessions {
+		pause = min(2*pause, max(pause, maxRedialPause))
 	}
 
-	return redialPeriod
+	return time.Duration((0.5 + random) * float64(pause))
 }
 
 // Listener accepts sessions.
@@ -201,6 +217,13 @@
 
 // Dial opens a session to address and exchanges hellos.
 func Dial(ctx context.Context, address string, cfg Config) (*Session, error) {
+	se, _, err := open(ctx, address, cfg)
+
+	return se, err
+}
+
+// open is Dial, and reports whether a connection was made, also if the session failed.
+func open(ctx context.Context, address string, cfg Config) (se *Session, isConnected bool, err error) {
 	limit := cfg.DialTimeout
 	if limit == 0 {
 		limit = dialTimeout
@@ -211,34 +234,34 @@
 	nd := dialer.New(dialer.Config{Bind: cfg.Bind, Timeout: limit, AckTimeout: cfg.AckTimeout})
 	conn, err := nd.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, result.New(result.BackendUnreachable, "peer: dial %s: %v", address, err)
+		return nil, false, result.New(result.BackendUnreachable, "peer: dial %s: %v", address, err)
 	}
 	if cfg.ClientTLS != nil {
 		tc := tls.Client(conn, cfg.ClientTLS)
 		if err := tc.HandshakeContext(ctx); err != nil {
 			_ = conn.Close()
 
-			return nil, result.New(result.BackendUnreachable, "peer: TLS with %s: %v", address, err)
+			return nil, true, result.New(result.BackendUnreachable, "peer: TLS with %s: %v", address, err)
 		}
 		conn = tc
 	}
 
-	se, err := newSession(conn, true, cfg.Mux)
+	se, err = newSession(conn, true, cfg.Mux)
 	if err != nil {
 		_ = conn.Close()
 
-		return nil, err
+		return nil, true, err
 	}
 	var he wire.Hello
 	if err := se.Call(ctx, methodHello, cfg.Hello, &he); err != nil {
 		se.Close()
 
-		return nil, err
+		return nil, true, err
 	}
 	se.remote = &he
 	go se.serve()
 
-	return se, nil
+	return se, true, nil
 }
 
 // Link keeps one session to an address open and dials again when it ends.
@@ -261,8 +284,10 @@
 func (li *Link) Run(ctx context.Context) {
 	defer li.setSession(nil)
 
+	short := 0 // short sessions in a row
 	for ctx.Err() == nil {
-		se, err := Dial(ctx, li.address, li.cfg)
+		se, isConnected, err := open(ctx, li.address, li.cfg)
+		began := time.Now()
 		if err == nil {
 			li.logState("peer session opened")
 			li.setSession(se)
@@ -280,9 +305,16 @@
 			}
 		}
 
+		switch {
+		case !isConnected:
+		case time.Since(began) < shortSession:
+			short++
+		default:
+			short = 0
+		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(li.cfg.redialPause()):
+		case <-time.After(li.cfg.redialPause(short, rand.Float64())):
 		}
 	}
 }
