Wait longer with each move of a text before it is moved again

Change: the age from which a run leaves a lagging engine doubles with each move of its text, from 1.5 s. Runs at slow engines are moved as before.

--- a/internal/jobdriver/driver.go
+++ b/internal/jobdriver/driver.go
@@ -351,9 +351,13 @@
 // go to the same backend servers before their new load is known.
 const maxMovesPerPass = 8
 
-// minLongRun is the age from which a run is moved from a lagging backend server to a faster
-// one. Their paces depend on their load, so that earlier moves would follow each other.
-const minLongRun = 1500 * time.Millisecond
+const (
+	// minLongRun is the age from which a run is moved from a lagging backend server to a faster
+	// one. It doubles with each move of the text, at most maxMoveDoublings times: paces depend on
+	// the load, so that moves would follow each other.
+	minLongRun       = 1500 * time.Millisecond
+	maxMoveDoublings = 4
+)
 
 // stuckRun is a run that would be complete sooner at a fast backend server.
 type stuckRun struct {
@@ -374,7 +378,7 @@
 			if t.phase != running || t.cancelForMove == nil || !dr.classes.isBehind(t.server) {
 				continue
 			}
-			if !slices.Contains(dr.classes.slow, t.server) && time.Since(t.startedAt) < minLongRun {
+			if !slices.Contains(dr.classes.slow, t.server) && time.Since(t.startedAt) < minLongRun<<min(t.moves, maxMoveDoublings) {
 				continue
 			}
 			remaining := t.remaining(dr.tokensPerEvent)
--- a/internal/jobdriver/run.go
+++ b/internal/jobdriver/run.go
@@ -243,6 +243,7 @@
 		avoid()
 		again(minRetryPause)
 	case moved:
+		t.moves++
 		if next == nil {
 			again(minRetryPause)
 
--- a/internal/jobdriver/task.go
+++ b/internal/jobdriver/task.go
@@ -44,6 +44,7 @@
 	scoreFailures     int
 	isProgressStopped bool // a part of its progress may be lost, so no further part is committed
 	runs              int
+	moves             int                // to a faster backend server
 	firstStartedAt    time.Time          // start of its first run by this driver
 	completedAt       time.Time          // when its text became complete
 	server            string             // ID of the backend server of its current run
