Leave runs at slow engines for 0.3 s, longer with each move

Change: a run leaves a slow engine only after 0.3 s, doubled with each move of its text, as runs at lagging engines do after 1.5 s.

--- a/internal/jobdriver/driver.go
+++ b/internal/jobdriver/driver.go
@@ -357,8 +357,21 @@
 	// the load, so that moves would follow each other.
 	minLongRun       = 1500 * time.Millisecond
 	maxMoveDoublings = 4
+	// minSlowRun is the same for slow backend servers: while a new step's prompts are read, all of
+	// them are slow in turn.
+	minSlowRun = 300 * time.Millisecond
 )
 
+// minAge returns the age from which the run of a task may be moved. The caller holds dr.mu.
+func (dr *Driver) minAge(t *task) time.Duration {
+	age := minLongRun
+	if slices.Contains(dr.classes.slow, t.server) {
+		age = minSlowRun
+	}
+
+	return age << min(t.moves, maxMoveDoublings)
+}
+
 // stuckRun is a run that would be complete sooner at a fast backend server.
 type stuckRun struct {
 	task        *task
@@ -378,7 +391,7 @@
 			if t.phase != running || t.cancelForMove == nil || !dr.classes.isBehind(t.server) {
 				continue
 			}
-			if !slices.Contains(dr.classes.slow, t.server) && time.Since(t.startedAt) < minLongRun<<min(t.moves, maxMoveDoublings) {
+			if time.Since(t.startedAt) < dr.minAge(t) {
 				continue
 			}
 			remaining := t.remaining(dr.tokensPerEvent)
