--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -156,6 +156,13 @@
 	return de
 }
 
+// isOlder reports whether next has changes that must not wait: a configuration with its keys,
+// versions, limits, the quarantine, or VMs.
+func (st *State) isOlder(next *State) bool {
+	return (next.Config != nil && (st.Config == nil || next.Config.Version > st.Config.Version)) || !maps.Equal(st.Versions, next.Versions) ||
+		st.Quarantine.Revision != next.Quarantine.Revision || !slices.Equal(st.Limits, next.Limits) || !reflect.DeepEqual(st.roster(), next.roster())
+}
+
 // isSameSlice reports whether two lists of a State, which are never changed, are one.
 func isSameSlice(a, b []registry.Status) bool {
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -1,8 +1,10 @@
 package feed
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -98,6 +100,54 @@
 		Expect(de.Changed).To(HaveLen(2), "a follower that missed a change")
 	})
 
+	ginkgo.It("hold several changes of backend servers at a hundred a second, but never keep a configuration back", func() {
+		sv := NewServer()
+		sv.Publish(&State{Servers: calm(1, 1)})
+		stop, publish := make(chan struct{}), sync.Mutex{}
+		current := &State{}
+		change := func(f func(st *State)) {
+			publish.Lock()
+			defer publish.Unlock()
+			next := *current
+			f(&next)
+			current = &next
+			sv.Publish(current)
+		}
+		var wg sync.WaitGroup
+		wg.Go(func() {
+			for n := 1; ; n++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(10 * time.Millisecond):
+					change(func(st *State) { st.Servers = calm(1+n%50, 1) })
+				}
+			}
+		})
+		defer wg.Wait()
+		defer close(stop)
+		messages := 0
+		for began := time.Now(); time.Since(began) < 500*time.Millisecond; messages++ {
+			sent, _, _, err := sv.next(noState)
+			Expect(err).NotTo(HaveOccurred())
+			sv.await(context.Background(), sent, sv.nextChange(), nil)
+		}
+		Expect(messages).To(BeNumerically("<=", 500/50+1))
+
+		sv.serversGap = time.Minute
+		sent, _, _, err := sv.next(noState)
+		Expect(err).NotTo(HaveOccurred())
+		done := make(chan time.Time, 1)
+		go func() {
+			sv.await(context.Background(), sent, sv.nextChange(), nil)
+			done <- time.Now()
+		}()
+		time.Sleep(50 * time.Millisecond) // a change of backend servers waits already
+		at := time.Now()
+		change(func(st *State) { st.Config = &routing.Config{Version: 9} })
+		Expect((<-done).Sub(at)).To(BeNumerically("<", 5*time.Second))
+	})
+
 	ginkgo.It("lead to the state of the controller, in whatever steps it is sent", func() {
 		for seed := range uint64(40) {
 			rnd := rand.New(rand.NewPCG(seed, 5))
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -21,15 +21,21 @@
 	encoded map[*State][]byte // deltas that lead from a former state to this one
 	latest  *State            // to which the deltas of encoded lead
 
-	followers atomic.Int64
+	serversGap time.Duration // minServersGap
+	followers  atomic.Int64
 }
 
+// minServersGap is the shortest time between two messages to a follower where the second has
+// nothing but changes of backend servers: engines that load weights change several times a
+// second each, and a follower looks at them once for each message.
+const minServersGap = 50 * time.Millisecond
+
 // noState is what a follower has before the first message.
 var noState = &State{}
 
 // NewServer returns a server with an empty state.
 func NewServer() *Server {
-	return &Server{state: &State{}, changed: make(chan struct{})}
+	return &Server{state: &State{}, changed: make(chan struct{}), serversGap: minServersGap}
 }
 
 // Publish replaces the state and notifies followers if it has changed.
@@ -91,12 +97,51 @@
 			return err
 		}
 		sent = now
+		if !sv.await(ctx, sent, changed, ticker.C) {
+			return nil
+		}
+	}
+}
 
+// await returns when the next message is due to a follower that has just been sent a state: at
+// once after a change that must not wait, after minServersGap if only backend servers changed,
+// and with each tick. It returns false once ctx ends.
+func (sv *Server) await(ctx context.Context, sent *State, changed <-chan struct{}, tick <-chan time.Time) bool {
+	gap := time.After(sv.serversGap)
+	isChanged, isGapOver := false, false
+	for {
 		select {
 		case <-changed:
-		case <-ticker.C:
+			changed = sv.nextChange()
+			isChanged = true
+			if sv.isUrgent(sent) {
+				return true
+			}
+		case <-gap:
+			isGapOver = true
+		case <-tick:
+			return true
 		case <-ctx.Done():
-			return nil
+			return false
+		}
+		if isChanged && isGapOver {
+			return true
 		}
 	}
 }
+
+// nextChange returns a channel that is closed with the next change.
+func (sv *Server) nextChange() <-chan struct{} {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+
+	return sv.changed
+}
+
+// isUrgent reports whether more than backend servers has changed since a state was sent.
+func (sv *Server) isUrgent(sent *State) bool {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+
+	return sent.isOlder(sv.state)
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -259,33 +259,39 @@
 // Equal reports whether two records are equal apart from the sequence number.
 func (re *Record) Equal(other *Record) bool { return re.ID == other.ID && re.hasSameContent(other) }
 
-// LogChanges logs the differences between two lists of records.
+// LogChanges logs the differences between two lists of records in the order of their IDs.
 func LogChanges(lo log.Interface, old, next []Record) {
-	before := make(map[string]*Record, len(old))
-	for i := range old {
-		before[old[i].ID] = &old[i]
-	}
-	for i := range next {
-		re := &next[i]
-		o, ok := before[re.ID]
-		delete(before, re.ID)
-		if ok && o.hasSameContent(re) {
-			continue
+	i := 0
+	for k := range next {
+		re := &next[k]
+		for ; i < len(old) && old[i].ID < re.ID; i++ {
+			logRemoved(lo, &old[i])
+		}
+		isKnown := i < len(old) && old[i].ID == re.ID
+		if isKnown {
+			i++
+			if old[i-1].hasSameContent(re) {
+				continue
+			}
 		}
 		fl := log.Fields{
 			"server": re.ID, "service": re.Service, "address": re.Address, "state": re.State.String(),
 			"born": re.BornMs, "sequence": re.Sequence, "models": re.Models, "software": re.Software,
 		}
-		if ok {
+		if isKnown {
 			lo.WithFields(fl).Info("backend server changed")
 		} else {
 			lo.WithFields(fl).Info("backend server added")
 		}
 	}
-	for id, re := range before {
-		lo.WithFields(log.Fields{"server": id, "service": re.Service, "address": re.Address}).Info("backend server removed")
+	for ; i < len(old); i++ {
+		logRemoved(lo, &old[i])
 	}
 }
 
+func logRemoved(lo log.Interface, re *Record) {
+	lo.WithFields(log.Fields{"server": re.ID, "service": re.Service, "address": re.Address}).Info("backend server removed")
+}
+
 // String returns the state's name.
 func (st State) String() string { return [...]string{"", "ready", "draining", "left"}[min(st, Left)] }
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -1,6 +1,8 @@
 package registry_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -159,4 +161,53 @@
 		me.Update("b", at(6, 2), nil, true)
 		Expect(version()).To(BeEquivalentTo(2), "a later heartbeat")
 	})
+
+	ginkgo.It("is the same whether only what changed is looked at, or everything", func() {
+		for seed := range uint64(200) {
+			rnd := rand.New(rand.NewPCG(seed, 11))
+			views := []*registry.MergedView{registry.NewMergedView(), registry.NewMergedView()}
+			for step := range 150 {
+				source := fmt.Sprint("c", rnd.IntN(3))
+				kind, settled := rnd.IntN(12), rnd.IntN(8) > 0
+				var changed []registry.Status
+				var forgotten []string
+				for range rnd.IntN(3) {
+					st := registry.Status{
+						Record:   record(fmt.Sprint("i", rnd.IntN(6)), fmt.Sprint("x", rnd.IntN(4)), int64(1+rnd.IntN(3)), uint64(rnd.IntN(20)), registry.State(1+rnd.IntN(3))),
+						IsLapsed: rnd.IntN(4) == 0,
+					}
+					st.Record.IsLoading, st.Record.Models = rnd.IntN(5) == 0, []registry.Model{{Name: "m", Version: uint64(rnd.IntN(3))}}
+					changed = append(changed, st)
+				}
+				if rnd.IntN(4) == 0 {
+					forgotten = []string{fmt.Sprint("i", rnd.IntN(6))}
+				}
+				for _, me := range views {
+					switch kind {
+					case 0:
+						me.MarkUnreachable(source)
+					case 1:
+						me.Reset(source)
+					default:
+						me.Update(source, changed, forgotten, settled)
+					}
+				}
+				views[1].Rebuild()
+				got, want := views[0].Live(), views[1].Live()
+				Expect(len(got)).To(Equal(len(want)), "seed %d step %d", seed, step)
+				for i := range want {
+					Expect(got[i].Equal(&want[i])).To(BeTrue(), "seed %d step %d", seed, step)
+				}
+			}
+		}
+	})
+
+	ginkgo.It("is the same list after a change that another controller has reported before", func() {
+		me := registry.NewMergedView()
+		me.Update("a", status(false), nil, true)
+		first := me.Live()
+		Expect(me.Update("b", status(false), nil, true)).To(BeTrue())
+		Expect(&me.Live()[0]).To(BeIdenticalTo(&first[0]))
+		Expect(me.Update("b", nil, nil, true)).To(BeFalse(), "a message without changes")
+	})
 })
