--- a/internal/group/disk_test.go
+++ b/internal/group/disk_test.go
@@ -255,7 +255,7 @@
 		rf.refuses.Store(true)
 		cfg := Config{Name: "a", Address: "x", DataFolder: filepath.Join(ginkgo.GinkgoT().TempDir(), "data"), Files: rf.files(), Log: logging.Discard()}
 		cfg.Peer.Hello, cfg.Peer.Log = &wire.Hello{}, logging.Discard()
-		cfg.Founders = []Founder{{Name: "a", Address: "x"}}
+		cfg.Founders, cfg.WallMs = []Founder{{Name: "a", Address: "x"}}, func() int64 { return 1 }
 		gr, err := New(cfg)
 		Expect(err).NotTo(HaveOccurred())
 		ctx, cancel := context.WithCancel(context.Background())
