--- a/internal/group/disk.go
+++ b/internal/group/disk.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -153,3 +154,19 @@
 		ev.call(n.now(), n.replica)
 	}
 }
+
+// untilAccepted repeats a write until the disk accepts it. It returns the first error that
+// doesn't pass by itself, and nil once ctx ends.
+func (gr *Group) untilAccepted(ctx context.Context, write func() error) error {
+	for {
+		err := write()
+		if err == nil || !storage.IsTransient(err) {
+			return err
+		}
+		select {
+		case <-time.After(gr.disk.recordRefusal(time.Now(), err)):
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -259,22 +259,6 @@
 	return err
 }
 
-// untilAccepted repeats a write until the disk accepts it. It returns the first error that
-// doesn't pass by itself, and nil once ctx ends.
-func (gr *Group) untilAccepted(ctx context.Context, write func() error) error {
-	for {
-		err := write()
-		if err == nil || !storage.IsTransient(err) {
-			return err
-		}
-		select {
-		case <-time.After(gr.disk.recordRefusal(time.Now(), err)):
-		case <-ctx.Done():
-			return nil
-		}
-	}
-}
-
 func (gr *Group) openNode() (*node, error) {
 	gr.cfg.Log.WithFields(log.Fields{"replica": gr.identity.Replica, "cluster": gr.identity.Cluster}).Info("replica starts")
 
--- /dev/null
+++ b/internal/group/snapshot.go
@@ -0,0 +1,81 @@
+package group
+
+import (
+	"github.com/tamarackbay/tamarackbay/internal/consensus"
+	"github.com/tamarackbay/tamarackbay/internal/storage"
+)
+
+// snapshotResult is the outcome of writing a snapshot; the data of the snapshot is left out.
+type snapshotResult struct {
+	snapshot consensus.Snapshot
+	err      error
+}
+
+// snapshot starts to store the state after index. Entries are applied meanwhile: encoding
+// a large state can take longer than the followers' election timeout.
+func (n *node) snapshot(index uint64) error {
+	encode, err := n.machine.Freeze()
+	if err != nil {
+		return err
+	}
+
+	term, _ := n.replica.TermAt(index)
+	sn := consensus.Snapshot{Index: index, Term: term, Membership: n.replica.MembershipAt(index)}
+	n.isSnapshotting, n.bytesSinceSnapshot = true, 0
+	n.background.Go(func() {
+		data, err := encode()
+		if err == nil {
+			complete := sn
+			complete.Data = data
+			err = n.store.WriteSnapshot(complete)
+		}
+		n.snapshotResults <- snapshotResult{snapshot: sn, err: err}
+	})
+
+	return nil
+}
+
+// finishSnapshot adopts a written snapshot. One that the disk refused is due again after a pause;
+// until then the log is retained.
+func (n *node) finishSnapshot(sv snapshotResult) error {
+	n.isSnapshotting = false
+	switch {
+	case sv.err == nil && n.unstored != nil:
+		n.unstored.snapshot = &sv
+
+		return nil
+	case sv.err == nil:
+		return n.adoptSnapshot(sv)
+	case !storage.IsTransient(sv.err):
+		return sv.err
+	}
+	n.isSnapshotDue, n.snapshotRetryAt = true, n.now()+snapshotRetryPause
+	n.disk.log.WithError(sv.err).WithField("index", sv.snapshot.Index).Warn("the disk refuses a snapshot, it will be retried")
+
+	return nil
+}
+
+// adoptSnapshot makes a written snapshot the current one and drops the log that it
+// covers, except for the entries that are retained for slow followers.
+func (n *node) adoptSnapshot(sv snapshotResult) error {
+	sn := sv.snapshot
+	if sn.Index <= n.lastSnapshotIndex {
+		// The leader has sent a newer one meanwhile.
+		if err := n.store.DropSnapshot(sn.Index); err != nil {
+			return n.suspend(err, unstored{snapshot: &sv})
+		}
+
+		return nil
+	}
+	if err := n.store.AdoptSnapshot(sn, false); err != nil {
+		return n.suspend(err, unstored{snapshot: &sv})
+	}
+	n.lastSnapshotIndex, n.isSnapshotDue = sn.Index, false
+	dropTo := max(n.replica.TailFrom(retainedBytes), 1) - 1
+	if sn.Index > retainedEntries {
+		dropTo = max(dropTo, sn.Index-retainedEntries)
+	}
+	n.replica.Compact(min(dropTo, sn.Index))
+
+	return nil
+}
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -1,13 +1,11 @@
 package storage
 
 import (
-	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
 	"io/fs"
 	"path/filepath"
-	"slices"
 	"strings"
 
 	"github.com/fxamacker/cbor/v2"
@@ -117,78 +115,6 @@
 	return result.New(result.DataFolderDamaged, "storage: %s: offset %d: %s", path, offset, what)
 }
 
-func (st *Store) readSnapshots(names []string, re *Recovered) error {
-	for _, name := range names {
-		if !strings.HasPrefix(name, "snapshot-") || strings.HasSuffix(name, ".tmp") {
-			continue
-		}
-
-		path := filepath.Join(st.dir, name)
-		b, err := st.files.Read(path)
-		if err != nil {
-			return fileError(path, err)
-		}
-		sn, err := decodeSnapshot(path, b)
-		if err != nil {
-			return err
-		}
-		if sn.Index >= re.Snapshot.Index {
-			re.Snapshot = sn
-		}
-	}
-
-	return nil
-}
-
-func decodeSnapshot(path string, b []byte) (consensus.Snapshot, error) {
-	var sn consensus.Snapshot
-	kind, body, size, ok := readRecord(b)
-	if !ok || kind != recordHeader {
-		return sn, damagedError(path, 0, "the snapshot has no valid header")
-	}
-	if err := checkHeader(path, body); err != nil {
-		return sn, err
-	}
-
-	kind, body, n, ok := readRecord(b[size:])
-	if !ok || kind != recordEntry {
-		return sn, damagedError(path, size, "the snapshot is incomplete or damaged")
-	}
-	if err := cbor.Unmarshal(body, &sn); err != nil {
-		return sn, damagedError(path, size, err.Error())
-	}
-	if sn.Data == nil {
-		return sn, readSnapshotData(path, b, size+n, &sn)
-	}
-
-	return sn, nil
-}
-
-// readSnapshotData reads the records of a snapshot's data, from an offset to the end.
-func readSnapshotData(path string, b []byte, offset int, sn *consensus.Snapshot) error {
-	var parts [][]byte
-	total := 0
-	for {
-		kind, body, n, ok := readRecord(b[offset:])
-		switch {
-		case ok && kind == recordSnapshotData:
-			parts = append(parts, body)
-			total += len(body)
-			offset += n
-		case ok && kind == recordSnapshotEnd && len(body) == 8 && binary.LittleEndian.Uint64(body) == uint64(total):
-			if len(parts) == 1 {
-				sn.Data = parts[0]
-			} else {
-				sn.Data = slices.Concat(parts...)
-			}
-
-			return nil
-		default:
-			return damagedError(path, offset, "the snapshot is incomplete or damaged")
-		}
-	}
-}
-
 func checkHeader(path string, body []byte) error {
 	var h fileHeader
 	if err := cbor.Unmarshal(body, &h); err != nil {
@@ -478,94 +404,6 @@
 	return nil
 }
 
-// SaveSnapshot stores sn. A snapshot received from the leader replaces the entire log.
-func (st *Store) SaveSnapshot(sn consensus.Snapshot, received bool) error {
-	if st.failure != nil {
-		return st.failure
-	}
-	if err := st.WriteSnapshot(sn); err != nil {
-		st.failure = err
-
-		return err
-	}
-
-	return st.AdoptSnapshot(sn, received)
-}
-
-// WriteSnapshot writes sn next to the stored snapshot. It may run concurrently with all other
-// calls. The caller must then call AdoptSnapshot or DropSnapshot.
-func (st *Store) WriteSnapshot(sn consensus.Snapshot) error {
-	h, err := cbor.Marshal(fileHeader{Format: FormatVersion, Group: st.group})
-	if err != nil {
-		return fileError(st.dir, err)
-	}
-	b, err := appendCBOR(appendRecord(nil, recordHeader, h), recordEntry, withoutData(sn))
-	if err != nil {
-		return fileError(st.dir, err)
-	}
-	parts := [][]byte{b}
-	for part := range slices.Chunk(sn.Data, maxDataRecordBytes) {
-		parts = append(parts, recordPrefix(recordSnapshotData, part), part)
-	}
-	parts = append(parts, appendRecord(nil, recordSnapshotEnd, binary.LittleEndian.AppendUint64(nil, uint64(len(sn.Data)))))
-	if err := st.files.WriteAtomic(st.snapshotPath(sn.Index), parts...); err != nil {
-		return fileError(st.dir, err)
-	}
-
-	return nil
-}
-
-// DropSnapshot removes a written snapshot that is not adopted because a newer one is stored.
-func (st *Store) DropSnapshot(index uint64) error {
-	if st.failure != nil || index == st.snapshot.Index {
-		return st.failure
-	}
-	if err := st.remove(st.snapshotPath(index)); err != nil {
-		return st.failWith(err)
-	}
-
-	return st.syncFolder()
-}
-
-// AdoptSnapshot makes a written snapshot the stored one and removes the older snapshot and
-// the log segments that it covers, or all older segments if it was received from the leader.
-func (st *Store) AdoptSnapshot(sn consensus.Snapshot, received bool) error {
-	if st.failure != nil {
-		return st.failure
-	}
-	st.snapshot = withoutData(sn)
-	if received {
-		if err := st.startSegment(); err != nil {
-			return err
-		}
-	}
-	if err := st.removeOldSnapshots(); err != nil {
-		return st.failWith(err)
-	}
-
-	return st.removeCoveredSegments(received)
-}
-
-// removeOldSnapshots removes all snapshots before the stored one, also those that a failed
-// write left behind.
-func (st *Store) removeOldSnapshots() error {
-	names, err := st.files.List(st.dir)
-	if err != nil {
-		return err
-	}
-	for _, name := range names {
-		var index uint64
-		if _, err := fmt.Sscanf(name, "snapshot-%d", &index); err != nil || index >= st.snapshot.Index {
-			continue
-		}
-		if err := st.remove(filepath.Join(st.dir, name)); err != nil {
-			return err
-		}
-	}
-
-	return nil
-}
-
 // remove removes a file, which a removal that failed before may have done already.
 func (st *Store) remove(path string) error {
 	if err := st.files.Remove(path); err != nil && !errors.Is(err, fs.ErrNotExist) {
@@ -575,19 +413,6 @@
 	return nil
 }
 
-// removeCoveredSegments removes the segments that the snapshot covers, oldest first. If
-// all is set, it removes all segments but the current one.
-func (st *Store) removeCoveredSegments(all bool) error {
-	for len(st.segments) > 1 && (all || st.segments[0].lastIndex <= st.snapshot.Index) {
-		if err := st.remove(filepath.Join(st.dir, st.segments[0].name)); err != nil {
-			return st.failWith(err)
-		}
-		st.segments = st.segments[1:]
-	}
-
-	return st.syncFolder()
-}
-
 func (st *Store) syncFolder() error {
 	if err := st.files.SyncDir(st.dir); err != nil {
 		return st.failWith(err)
@@ -596,41 +421,6 @@
 	return nil
 }
 
-// LatestSnapshot reads the stored snapshot, and returns false if there is none. If the
-// snapshot cannot be read, all further writes fail.
-func (st *Store) LatestSnapshot() (consensus.Snapshot, bool) {
-	if st.snapshot.Index == 0 || st.failure != nil {
-		return consensus.Snapshot{}, false
-	}
-	path := st.snapshotPath(st.snapshot.Index)
-	b, err := st.files.Read(path)
-	if err != nil {
-		_ = st.failWith(err) // the next write returns the error
-
-		return consensus.Snapshot{}, false
-	}
-	sn, err := decodeSnapshot(path, b)
-	if err != nil {
-		st.failure = err
-
-		return consensus.Snapshot{}, false
-	}
-
-	return sn, true
-}
-
-func (st *Store) snapshotPath(index uint64) string {
-	return filepath.Join(st.dir, fmt.Sprintf("snapshot-%016d", index))
-}
-
-// withoutData returns the metadata of a snapshot, which stays in memory. The data is read
-// from the disk when a replica needs the snapshot.
-func withoutData(sn consensus.Snapshot) consensus.Snapshot {
-	sn.Data = nil
-
-	return sn
-}
-
 // Close closes the current segment.
 func (st *Store) Close() error {
 	if st.currentFile.Close == nil {
