--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -32,6 +32,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Pace is how long work takes at this moment, relative to the usual time: 1 is usual, 2
+	// twice as long, 0 not reported. It may change within 100 ms.
+	Pace float64
 }
 
 // RateLimitKind says what an answer tells of a rate limit.
@@ -60,7 +63,9 @@
 	Stamp    string // signature of the backend server, "" if missing
 	Version  uint64 // weight version at the start, 0 if missing
 	Load     *Load  // nil if not reported
-	Limit    RateLimit
+	// IsLoadUnreadable says that a load was reported, but not, or not entirely, as numbers.
+	IsLoadUnreadable bool
+	Limit            RateLimit
 }
 
 // Event is one event of a stream.
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -10,8 +10,11 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/tamarackbay/tamarackbay/internal/backend"
 	"github.com/tamarackbay/tamarackbay/internal/logging"
+	"github.com/tamarackbay/tamarackbay/internal/meter"
 	"github.com/tamarackbay/tamarackbay/internal/permit"
 	"github.com/tamarackbay/tamarackbay/internal/registry"
 	"github.com/tamarackbay/tamarackbay/internal/scheduler"
@@ -29,14 +32,19 @@
 	// Permits keeps the requests within the limits of the backend servers; a holder of its
 	// own if it is nil.
 	Permits *permit.Holder
+	// Meter counts the reported loads that can't be read, and Log gets some of them; both may be
+	// nil.
+	Meter *meter.Meter
+	Log   log.Interface
 }
 
 // Balancer holds the backend servers by service. It is safe for concurrent use.
 type Balancer struct {
 	cfg Config
 
-	mu       sync.Mutex
-	services map[string]*serverSet
+	mu               sync.Mutex
+	services         map[string]*serverSet
+	unreadableLogged time.Duration // when an unreadable load was last logged, 0 before
 }
 
 // serverSet holds the backend servers of one service; cands has the same order as
@@ -68,8 +76,14 @@
 
 // New returns a balancer without backend servers.
 func New(cfg Config) *Balancer {
+	if cfg.Meter == nil {
+		cfg.Meter = meter.New()
+	}
+	if cfg.Log == nil {
+		cfg.Log = logging.Discard()
+	}
 	if cfg.Permits == nil {
-		cfg.Permits = permit.NewHolder(permit.Config{Log: logging.Discard()})
+		cfg.Permits = permit.NewHolder(permit.Config{Log: cfg.Log})
 	}
 
 	return &Balancer{cfg: cfg, services: map[string]*serverSet{}}
@@ -153,6 +167,27 @@
 func (gr *Grant) RecordAnswer(an *backend.Answer) {
 	ba := gr.balancer
 	ba.cfg.Permits.Observe(gr.record.Incarnation(), gr.grantedAt, an.Limit)
+	if an.IsLoadUnreadable {
+		ba.reportUnreadable(&gr.record)
+	}
+}
+
+// unreadablePeriod is the shortest time between two log lines about unreadable loads.
+const unreadablePeriod = 10 * time.Second
+
+// reportUnreadable counts a load that can't be read and logs it if none was logged lately.
+func (ba *Balancer) reportUnreadable(re *registry.Record) {
+	ba.cfg.Meter.Count("balance.loadUnreadable")
+	ba.mu.Lock()
+	now := ba.cfg.Now()
+	isDue := ba.unreadableLogged == 0 || now-ba.unreadableLogged >= unreadablePeriod
+	if isDue {
+		ba.unreadableLogged = now
+	}
+	ba.mu.Unlock()
+	if isDue {
+		ba.cfg.Log.WithFields(log.Fields{"server": re.ID, "service": re.Service}).Warn("load that a backend server reports can't be read")
+	}
 }
 
 // Record returns the record of the backend server at the time it was picked.
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -5,11 +5,14 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/tamarackbay/tamarackbay/internal/backend"
 	"github.com/tamarackbay/tamarackbay/internal/balance"
+	"github.com/tamarackbay/tamarackbay/internal/meter"
 	"github.com/tamarackbay/tamarackbay/internal/registry"
 	"github.com/tamarackbay/tamarackbay/internal/suite"
 )
@@ -207,3 +210,23 @@
 		Expect(got).To(HaveKey("s1"))
 	})
 })
+
+// A report of a newer backend server that could not be read was once dropped without a trace.
+var _ = ginkgo.Describe("loads that can't be read", func() {
+	ginkgo.It("are all counted, and logged once in ten seconds", func() {
+		me, lines := meter.New(), memory.New()
+		now := time.Hour
+		ba := balance.New(balance.Config{
+			Now: func() time.Duration { return now }, Random: func(int) int { return 0 }, Meter: me, Log: &log.Logger{Handler: lines, Level: log.InfoLevel},
+		})
+		ba.Sync([]registry.Record{{ID: "x", BornMs: 1, Address: "a", Service: "s", Slots: 8, State: registry.Ready}})
+		for range 5 {
+			now += 3 * time.Second
+			gr := ba.Acquire(&balance.Request{Service: "s"})
+			gr.RecordAnswer(&backend.Answer{IsLoadUnreadable: true})
+			gr.Release(balance.Succeeded, nil)
+		}
+		Expect(me.Value("balance.loadUnreadable")).To(BeEquivalentTo(5))
+		Expect(lines.Entries).To(HaveLen(2))
+	})
+})
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -85,7 +85,7 @@
 	})
 	ed.balancer = balance.New(balance.Config{
 		FailureDomain: cfg.Settings.FailureDomain, Scheduler: scheduler.Config{RandomChoices: schedulerCandidates}, Now: cfg.Now, Random: rand.IntN, IdleTimeout: cfg.Client.IdleTimeout,
-		Permits: ed.permits,
+		Permits: ed.permits, Meter: cfg.Meter, Log: cfg.Log,
 	})
 	ed.guard = crashguard.New(crashguard.Config{
 		Entries: func() map[string]quarantine.Entry { return ed.follower.View().Quarantine.Entries },
--- a/internal/meter/names.go
+++ b/internal/meter/names.go
@@ -27,6 +27,7 @@
 	{"refused.*", KindCounter, "refusals by result code; every code of docs/codes.md has a counter, which starts at 0"},
 	{"request.*", KindCounter, "requests of clients by outcome: served, refused, failed, cut and the like"},
 	{"request", KindHistogram, "time from the receipt of the complete request to the end of its answer"},
+	{"balance.loadUnreadable", KindCounter, "answers of backend servers whose report of their load could not be read"},
 	{"permits.used", KindCounter, "requests sent to backend servers that limit their rate"},
 	{"permits.refused", KindCounter, "requests for which no permit of a limited backend server was to be had"},
 	{"origins.notRecorded", KindCounter, "streams that began while no controller was connected that could record their software version"},
