--- a/internal/consensus/follower.go
+++ b/internal/consensus/follower.go
@@ -84,33 +84,51 @@
 	}
 
 	r.followLeader(now, m)
-	reply := Message{Kind: MessageSnapshotReply, To: m.From, Index: m.Index, Round: m.Round}
+	reply := Message{Kind: MessageSnapshotReply, To: m.From, Index: m.Index, Round: m.Round, SnapshotTransfer: m.SnapshotTransfer}
 	if m.Index <= r.log.commit {
 		reply.SnapshotDone = true
-		r.partialSnapshot = nil
+		r.incoming = nil
 		r.send(reply)
 
 		return
 	}
-
-	in := r.partialSnapshot
-	if in == nil || in.Index != m.Index || in.Term != m.LogTerm {
-		in = &Snapshot{Index: m.Index, Term: m.LogTerm, Membership: m.Membership}
-		r.partialSnapshot = in
+	if r.incoming != nil && r.incoming.follows(m) {
+		return
+	}
+	if r.incoming == nil || !r.incoming.holds(m) {
+		r.incoming = newIncomingSnapshot(m)
 	}
-	if m.SnapshotOffset == uint64(len(in.Data)) {
-		in.Data = append(in.Data, m.Chunk...)
+
+	sn := &r.incoming.snapshot
+	if m.SnapshotOffset == uint64(len(sn.Data)) {
+		sn.Data = append(sn.Data, m.Chunk...)
 		if m.SnapshotDone {
-			r.installSnapshot(*in)
-			reply.SnapshotDone = true
+			reply.SnapshotDone = r.completeSnapshot()
+			reply.Reject = !reply.SnapshotDone
 		}
 	}
-	reply.SnapshotOffset = uint64(len(in.Data))
+	if !reply.Reject {
+		reply.SnapshotOffset = uint64(len(sn.Data))
+	}
 	r.send(reply)
 }
 
+// completeSnapshot installs the snapshot whose last chunk has arrived, or drops it if it is not
+// the one that was sent. It reports whether the snapshot is installed.
+func (r *Replica) completeSnapshot() bool {
+	in := r.incoming
+	r.incoming = nil
+	if dropped := in.verify(); dropped != nil {
+		r.droppedTransfers = append(r.droppedTransfers, *dropped)
+
+		return false
+	}
+	r.installSnapshot(in.snapshot)
+
+	return true
+}
+
 func (r *Replica) installSnapshot(sn Snapshot) {
-	r.partialSnapshot = nil
 	r.pendingInstall = &sn
 	r.log.reset(sn)
 }
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -18,10 +18,8 @@
 	// append in flight would be rejected and each rejection would resend entries.
 	probing bool
 
-	sendingSnapshot bool
-	snapshot        Snapshot
-	snapshotOffset  uint64
-	snapshotSent    time.Duration
+	outgoing     *outgoingSnapshot // nil unless the follower is receiving a snapshot
+	snapshotSent time.Duration
 }
 
 func (r *Replica) becomeLeader(now time.Duration) {
@@ -95,7 +93,7 @@
 
 func (r *Replica) sendAppend(now time.Duration, id ReplicaID, heartbeat bool) {
 	pr := r.progress[id]
-	if pr.sendingSnapshot {
+	if pr.outgoing != nil {
 		if heartbeat && now > pr.snapshotSent+r.cfg.ElectionTimeout {
 			r.sendChunk(now, id, pr)
 		}
@@ -151,39 +149,51 @@
 }
 
 func (r *Replica) startSnapshot(now time.Duration, id ReplicaID, pr *progress) {
-	sn, ok := r.snapshotInTransit()
-	if !ok {
-		sn, ok = r.cfg.LatestSnapshot()
-	}
-	if !ok || sn.Index < r.log.snapIndex {
-		return
+	ou := &outgoingSnapshot{}
+	if sent := r.snapshotInTransit(); sent != nil {
+		ou.snapshot, ou.digest = sent.snapshot, sent.digest
+	} else {
+		sn, ok := r.cfg.LatestSnapshot()
+		if !ok || sn.Index < r.log.snapIndex {
+			return
+		}
+		ou.snapshot, ou.digest = sn, snapshotDigest(&sn)
 	}
 
-	pr.sendingSnapshot, pr.snapshotOffset, pr.snapshot = true, 0, sn
+	r.lastTransfer++
+	ou.transfer = r.lastTransfer
+	pr.outgoing = ou
 	r.sendChunk(now, id, pr)
 }
 
-// snapshotInTransit returns the newest snapshot that another follower is receiving, if the
-// log still holds all entries after it. Followers then share one copy of its data.
-func (r *Replica) snapshotInTransit() (Snapshot, bool) {
-	var newest Snapshot
+// snapshotInTransit returns a transfer of the newest snapshot that another follower is
+// receiving, if the log still holds all entries after it. Followers then share one copy of its
+// data.
+func (r *Replica) snapshotInTransit() *outgoingSnapshot {
+	var newest *outgoingSnapshot
 	for _, pr := range r.progress {
-		if pr.sendingSnapshot && pr.snapshot.Index > newest.Index {
-			newest = pr.snapshot
+		if pr.outgoing != nil && (newest == nil || pr.outgoing.snapshot.Index > newest.snapshot.Index) {
+			newest = pr.outgoing
 		}
 	}
+	if newest == nil || newest.snapshot.Index < r.log.snapIndex {
+		return nil
+	}
 
-	return newest, newest.Index > 0 && newest.Index >= r.log.snapIndex
+	return newest
 }
 
 func (r *Replica) sendChunk(now time.Duration, id ReplicaID, pr *progress) {
 	pr.snapshotSent = now
-	from := min(pr.snapshotOffset, uint64(len(pr.snapshot.Data)))
-	end := min(from+uint64(r.cfg.ChunkBytes), uint64(len(pr.snapshot.Data)))
+	ou := pr.outgoing
+	size := uint64(len(ou.snapshot.Data))
+	from := min(ou.offset, size)
+	end := min(from+uint64(r.cfg.ChunkBytes), size)
+	ou.sentTo = max(ou.sentTo, end)
 	r.sendUnsynced(Message{
-		Kind: MessageSnapshot, To: id, Index: pr.snapshot.Index, LogTerm: pr.snapshot.Term,
-		Membership: pr.snapshot.Membership, SnapshotOffset: from, Chunk: pr.snapshot.Data[from:end],
-		SnapshotDone: end == uint64(len(pr.snapshot.Data)), Round: r.round,
+		Kind: MessageSnapshot, To: id, Index: ou.snapshot.Index, LogTerm: ou.snapshot.Term,
+		Membership: ou.snapshot.Membership, SnapshotOffset: from, Chunk: ou.snapshot.Data[from:end],
+		SnapshotDone: end == size, SnapshotTransfer: ou.transfer, SnapshotDigest: ou.digest, Round: r.round,
 	})
 }
 
@@ -194,19 +204,21 @@
 	}
 
 	pr.lastContact = now
-	if !pr.sendingSnapshot || m.Index != pr.snapshot.Index {
+	if pr.outgoing == nil || !pr.outgoing.accepts(m) {
 		return
 	}
-	if m.SnapshotDone {
-		pr.sendingSnapshot, pr.snapshot = false, Snapshot{}
+	switch {
+	case m.Reject:
+		pr.outgoing = nil // the next heartbeat starts a new transfer
+	case m.SnapshotDone:
+		pr.outgoing = nil
 		pr.match = max(pr.match, m.Index)
 		pr.next = pr.match + 1
 		r.sendAppend(now, m.From, true)
-
-		return
+	default:
+		pr.outgoing.offset = m.SnapshotOffset
+		r.sendChunk(now, m.From, pr)
 	}
-	pr.snapshotOffset = m.SnapshotOffset
-	r.sendChunk(now, m.From, pr)
 }
 
 func (r *Replica) onAppendReply(now time.Duration, m Message) {
@@ -218,7 +230,7 @@
 	pr.lastContact = now
 	pr.ackedRound = max(pr.ackedRound, m.Round)
 	r.confirmReads()
-	if pr.sendingSnapshot {
+	if pr.outgoing != nil {
 		return
 	}
 	if m.Reject {
@@ -284,7 +296,7 @@
 		return
 	}
 	for _, id := range r.peers() {
-		if pr := r.progress[id]; !pr.sendingSnapshot && pr.match == r.log.lastIndex() && pr.commitSent < index {
+		if pr := r.progress[id]; pr.outgoing == nil && pr.match == r.log.lastIndex() && pr.commitSent < index {
 			r.sendAppend(now, id, true)
 		}
 	}
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -43,8 +43,10 @@
 	transferTarget ReplicaID
 	transferStart  time.Duration
 
-	partialSnapshot *Snapshot // being received in chunks
-	pendingInstall  *Snapshot // received completely; the next Ready returns it
+	incoming         *incomingSnapshot // being received in chunks
+	pendingInstall   *Snapshot         // received completely; the next Ready returns it
+	droppedTransfers []DroppedTransfer // for Ready.DroppedTransfers
+	lastTransfer     uint64            // number of the latest transfer of a snapshot as leader
 
 	unsyncedMessages []Message // for Ready.Unsynced
 	messages         []Message // for Ready.Messages
@@ -196,8 +198,11 @@
 
 // Ready returns the pending work. The driver calls Advance once it is stored.
 func (r *Replica) Ready() Ready {
-	rd := Ready{Unsynced: r.unsyncedMessages, Messages: r.messages, Reads: r.readStates, Snapshot: r.pendingInstall}
-	r.unsyncedMessages, r.messages, r.readStates, r.pendingInstall = nil, nil, nil, nil
+	rd := Ready{
+		Unsynced: r.unsyncedMessages, Messages: r.messages, Reads: r.readStates, Snapshot: r.pendingInstall,
+		DroppedTransfers: r.droppedTransfers,
+	}
+	r.unsyncedMessages, r.messages, r.readStates, r.pendingInstall, r.droppedTransfers = nil, nil, nil, nil, nil
 
 	if r.hardState != r.emittedHardState {
 		hs := r.hardState
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -135,10 +135,12 @@
 	Hint    uint64 // highest index at which a rejecting follower's log may match
 	Entries []Entry
 
-	SnapshotOffset uint64
-	SnapshotDone   bool
-	Membership     Membership
-	Chunk          []byte
+	SnapshotOffset   uint64
+	SnapshotDone     bool
+	SnapshotTransfer uint64 // number of the transfer among those of the term's leader; 0 if its version has no such numbers
+	SnapshotDigest   uint64 // digest of the whole snapshot; only valid if SnapshotTransfer is set
+	Membership       Membership
+	Chunk            []byte
 }
 
 // Role is the role of a replica in its current term.
@@ -174,12 +176,14 @@
 	Messages  []Message // sent only once everything above is stored
 	Committed []Entry
 	Reads     []ReadState
+
+	DroppedTransfers []DroppedTransfer // only reported; nothing has to be stored or sent for them
 }
 
 // Empty reports whether there is no pending work.
 func (rd *Ready) Empty() bool {
 	return len(rd.Unsynced) == 0 && rd.HardState == nil && rd.Snapshot == nil && len(rd.Entries) == 0 &&
-		len(rd.Messages) == 0 && len(rd.Committed) == 0 && len(rd.Reads) == 0
+		len(rd.Messages) == 0 && len(rd.Committed) == 0 && len(rd.Reads) == 0 && len(rd.DroppedTransfers) == 0
 }
 
 // MustSync reports whether something must be stored before Messages are sent.
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -16,7 +16,6 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/tamarackbay/tamarackbay/internal/consensus"
-	"github.com/tamarackbay/tamarackbay/internal/meter"
 	"github.com/tamarackbay/tamarackbay/internal/peer"
 	"github.com/tamarackbay/tamarackbay/internal/result"
 	"github.com/tamarackbay/tamarackbay/internal/statemachine"
@@ -80,6 +79,7 @@
 	view              atomic.Pointer[View]
 	elections         atomic.Int64 // observed changes of the leader
 	membershipChanges atomic.Int64 // observed changes of the membership
+	droppedTransfers  atomic.Int64 // received snapshots that were not those that the leader sent
 	freshAt           atomic.Int64 // latest confirmation, a time.Duration since start; 0 before the first one
 
 	mu            sync.Mutex
@@ -268,7 +268,7 @@
 		files:     gr.cfg.Files, dir: filepath.Join(gr.cfg.DataFolder, "group-1"),
 		election: gr.cfg.Election, heartbeat: gr.cfg.Heartbeat, wallMs: gr.cfg.WallMs,
 		send:    func(m consensus.Message) { gr.transport.send(gr.addressOf(m.To), m) },
-		onApply: gr.onApply, onStatus: gr.onStatus, disk: gr.disk,
+		onApply: gr.onApply, onStatus: gr.onStatus, disk: gr.disk, onDroppedTransfer: gr.onDroppedTransfer,
 	})
 }
 
@@ -361,52 +361,6 @@
 	gr.mu.Unlock()
 }
 
-// onStatus logs and reports changes of the leader, the term and the membership.
-func (gr *Group) onStatus(old, st Status) {
-	fl := log.Fields{"role": st.Role, "leader": st.Leader, "term": st.Term, "commit": st.Commit, "voters": st.Membership.Voters}
-	switch {
-	case old.Role != st.Role || old.Leader != st.Leader:
-		if st.Leader != "" {
-			gr.elections.Add(1)
-		}
-		fl["oldRole"], fl["oldLeader"] = old.Role, old.Leader
-		gr.cfg.Log.WithFields(fl).Info("leadership changed")
-	case old.Term != st.Term:
-		gr.cfg.Log.WithFields(fl).Info("term changed")
-	case !old.Membership.Equal(st.Membership):
-		gr.membershipChanges.Add(1)
-		fl["learners"] = st.Membership.Learners
-		gr.cfg.Log.WithFields(fl).Info("membership changed")
-	default:
-		return
-	}
-	gr.cfg.OnStatus(st)
-}
-
-// Measure sets the gauges of the replica.
-func (gr *Group) Measure(me *meter.Meter) {
-	st := gr.Status()
-	ageMs, leads := int64(-1), int64(0)
-	if age, ok := gr.Age(); ok {
-		ageMs = age.Milliseconds()
-	}
-	if st.Role == consensus.RoleLeader.String() {
-		leads = 1
-	}
-	diskRefuses := int64(0)
-	if gr.disk.isRefusing() {
-		diskRefuses = 1
-	}
-	me.Gauge("group.diskRefuses", diskRefuses)
-	me.Gauge("group.ageMs", ageMs)
-	me.Gauge("group.term", int64(st.Term))
-	me.Gauge("group.applied", int64(st.Applied))
-	me.Gauge("group.leads", leads)
-	me.Gauge("group.voters", int64(len(st.Membership.Voters)))
-	me.Gauge("group.elections", gr.elections.Load())
-	me.Gauge("group.moves", gr.membershipChanges.Load())
-}
-
 // IsLeader reports whether this replica is the leader by its last known status.
 func (gr *Group) IsLeader() bool { return gr.Status().Role == consensus.RoleLeader.String() }
 
--- a/internal/group/node.go
+++ b/internal/group/node.go
@@ -74,7 +74,9 @@
 	send    func(m consensus.Message)
 	onApply func()
 	// onStatus is called with the previous and the current status.
-	onStatus           func(old, st Status)
+	onStatus func(old, st Status)
+	// onDroppedTransfer is called with each received snapshot that was dropped; nil ignores them.
+	onDroppedTransfer  func(dropped consensus.DroppedTransfer)
 	bytesSinceSnapshot int // bytes of commands applied since the last snapshot was begun
 
 	// A snapshot is encoded and written in the background, at most one at a time.
@@ -100,20 +102,6 @@
 	lastSnapshotIndex uint64
 }
 
-// Status describes a replica for operators.
-type Status struct {
-	Replica    consensus.ReplicaID  `json:"replica"`
-	Role       string               `json:"role"`
-	Leader     consensus.ReplicaID  `json:"leader"`
-	Term       uint64               `json:"term"`
-	Commit     uint64               `json:"commit"`
-	Applied    uint64               `json:"applied"`
-	Membership consensus.Membership `json:"membership"`
-	// IsSettled reports whether this replica leads and has applied everything that
-	// earlier leaders committed.
-	IsSettled bool `json:"isSettled"`
-}
-
 type nodeConfig struct {
 	id        consensus.ReplicaID
 	group     consensus.GroupID
@@ -127,6 +115,8 @@
 	onApply   func()
 	onStatus  func(old, st Status)
 	disk      *disk
+
+	onDroppedTransfer func(dropped consensus.DroppedTransfer)
 }
 
 func openNode(cfg nodeConfig) (*node, error) {
@@ -147,7 +137,7 @@
 		store: st, start: time.Now(), wallMs: cfg.wallMs, send: cfg.send, onApply: cfg.onApply, onStatus: cfg.onStatus,
 		inbox: make(chan event, inboxSize), pendingProposals: map[uint64]pendingProposal{}, pendingReads: map[uint64]*readRequest{},
 		machine: ma, applied: make(chan struct{}), lastSnapshotIndex: re.Snapshot.Index, snapshotResults: make(chan snapshotResult, 1),
-		disk: cfg.disk,
+		disk: cfg.disk, onDroppedTransfer: cfg.onDroppedTransfer,
 	}
 	n.replica = consensus.New(consensus.Config{
 		ID: cfg.id, Group: cfg.group, ElectionTimeout: cfg.election, HeartbeatPeriod: cfg.heartbeat,
@@ -292,6 +282,11 @@
 		for _, m := range rd.Unsynced {
 			n.send(m)
 		}
+		for _, dropped := range rd.DroppedTransfers {
+			if n.onDroppedTransfer != nil {
+				n.onDroppedTransfer(dropped)
+			}
+		}
 		if rd.MustSync() {
 			if err := n.store.Save(&rd); err != nil {
 				return n.suspend(err, unstored{ready: &rd})
@@ -399,34 +394,6 @@
 	w.proposal.answer <- proposalAnswer{reply: rep}
 }
 
-// updateStatus publishes the state of the replica. Once it is not the leader any more, all
-// pending proposals fail, because their outcome is unknown here.
-func (n *node) updateStatus() {
-	re := n.replica
-	st := Status{
-		Replica: re.ID(), Role: re.Role().String(), Leader: re.Leader(), Term: re.Term(),
-		Commit: re.Commit(), Membership: re.Membership(),
-	}
-	n.mu.Lock()
-	st.Applied = n.machine.Applied()
-	if t, ok := re.TermAt(st.Applied); ok && re.Role() == consensus.RoleLeader {
-		st.IsSettled = t == re.Term()
-	}
-	if n.unstored != nil {
-		st.Leader = n.heardLeader
-	}
-	old := n.status
-	n.status = st
-	n.mu.Unlock()
-	if n.onStatus != nil {
-		n.onStatus(old, st)
-	}
-
-	if re.Role() != consensus.RoleLeader && len(n.pendingProposals) > 0 {
-		n.failPending(result.New(result.NotLeader, "group: this replica lost leadership while the request was pending").WithExecution(result.ExecutionUnknown))
-	}
-}
-
 // failPending answers all pending proposals and reads with err.
 func (n *node) failPending(err error) {
 	for i, w := range n.pendingProposals {
@@ -510,10 +477,3 @@
 		}
 	}
 }
-
-func (n *node) getStatus() Status {
-	n.mu.RLock()
-	defer n.mu.RUnlock()
-
-	return n.status
-}
--- a/internal/group/transport.go
+++ b/internal/group/transport.go
@@ -136,6 +136,7 @@
 		Kind: uint32(m.Kind), Group: uint32(m.Group), From: string(m.From), To: string(m.To), Term: m.Term,
 		Index: m.Index, LogTerm: m.LogTerm, Commit: m.Commit, Round: m.Round, Reject: m.Reject, Force: m.Force,
 		Hint: m.Hint, SnapshotOffset: m.SnapshotOffset, SnapshotDone: m.SnapshotDone, Chunk: m.Chunk,
+		SnapshotTransfer: m.SnapshotTransfer, SnapshotDigest: m.SnapshotDigest,
 		Voters: toStrings(m.Membership.Voters), Learners: toStrings(m.Membership.Learners),
 	}
 	for i := range m.Entries {
@@ -152,7 +153,7 @@
 		From: consensus.ReplicaID(w.GetFrom()), To: consensus.ReplicaID(w.GetTo()), Term: w.GetTerm(),
 		Index: w.GetIndex(), LogTerm: w.GetLogTerm(), Commit: w.GetCommit(), Round: w.GetRound(),
 		Reject: w.GetReject(), Force: w.GetForce(), Hint: w.GetHint(), SnapshotOffset: w.GetSnapshotOffset(),
-		SnapshotDone: w.GetSnapshotDone(), Chunk: w.GetChunk(),
+		SnapshotDone: w.GetSnapshotDone(), Chunk: w.GetChunk(), SnapshotTransfer: w.GetSnapshotTransfer(), SnapshotDigest: w.GetSnapshotDigest(),
 		Membership: consensus.Membership{Voters: toReplicas(w.GetVoters()), Learners: toReplicas(w.GetLearners())},
 	}
 	for _, en := range w.GetEntries() {
