Replicate the evacuated failure domains in the controllers' log

Cause: operators must be able to keep everything new away from the backend servers of a failure domain, and the request must outlive every process. Change: internal/evacuation holds the failure domains, and the command KindChangeEvacuation changes them. Each command carries the position that its controller had applied when it received the call; one that is committed after a later call for the same failure domain has no effect, so that a delayed or resent call cannot undo one that was answered after it.

--- a/internal/statemachine/command.go
+++ b/internal/statemachine/command.go
@@ -46,6 +46,7 @@
 	KindListResults
 	KindEndJob
 	KindRecordProgress
+	KindChangeEvacuation
 )
 
 // commandHeaderBytes is the size of a command's kind (1 byte) and time (8 bytes).
--- a/internal/statemachine/statemachine.go
+++ b/internal/statemachine/statemachine.go
@@ -11,6 +11,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/codec"
 	"github.com/tamarackbay/tamarackbay/internal/consensus"
 	"github.com/tamarackbay/tamarackbay/internal/declaration"
+	"github.com/tamarackbay/tamarackbay/internal/evacuation"
 	"github.com/tamarackbay/tamarackbay/internal/idempotency"
 	"github.com/tamarackbay/tamarackbay/internal/intent"
 	"github.com/tamarackbay/tamarackbay/internal/job"
@@ -61,6 +62,7 @@
 	versions      *weights.VersionTable
 	roster        *roster.Roster
 	jobs          *job.Ledger
+	evacuations   *evacuation.State
 
 	deltas      []Delta
 	deltasAfter uint64 // position after which deltas holds every change
@@ -94,6 +96,7 @@
 	Versions      map[string]uint64                    `cbor:"13,keyasint"`
 	Roster        roster.Snapshot                      `cbor:"14,keyasint"`
 	Jobs          map[string]*job.Job                  `cbor:"15,keyasint"`
+	Evacuations   evacuation.Snapshot                  `cbor:"16,keyasint"`
 }
 
 // Snapshot returns the encoded state.
@@ -118,7 +121,7 @@
 		Applied: ma.applied, AtMs: ma.atMs, Configuration: cs, Leases: ma.leases.Leases(), Intents: ma.intents.Snapshot(),
 		Steps: ma.steps.Steps(), Calls: ma.calls.Snapshot(), Usage: ma.usage.Snapshot(),
 		Quarantine: ma.quarantine.Entries(), Replicas: ma.replicas, Revision: ma.revision,
-		Routing: ma.routing.Snapshot(), Versions: ma.versions.All(), Roster: ma.roster.Snapshot(),
+		Routing: ma.routing.Snapshot(), Versions: ma.versions.All(), Roster: ma.roster.Snapshot(), Evacuations: ma.evacuations.Snapshot(),
 	})
 	if err != nil {
 		return nil, err
@@ -166,7 +169,7 @@
 		usage: usage.NewLedger(sn.Usage), quarantine: quarantine.NewState(sn.Quarantine), replicas: sn.Replicas,
 		deltasAfter: sn.Applied, revision: sn.Revision,
 		routing: routing.NewState(sn.Routing), versions: weights.NewVersionTable(sn.Versions),
-		roster: roster.NewRoster(sn.Roster), jobs: job.NewLedger(sn.Jobs),
+		roster: roster.NewRoster(sn.Roster), jobs: job.NewLedger(sn.Jobs), evacuations: evacuation.NewState(sn.Evacuations),
 	}, nil
 }
 
@@ -212,6 +215,9 @@
 // Jobs returns the ledger of batch jobs.
 func (ma *Machine) Jobs() *job.Ledger { return ma.jobs }
 
+// Evacuations returns the evacuated failure domains.
+func (ma *Machine) Evacuations() *evacuation.State { return ma.evacuations }
+
 // Skip records an entry without a command as applied.
 func (ma *Machine) Skip(index uint64) { ma.applied = index }
 
@@ -330,6 +336,9 @@
 		return nil, nil
 	}),
 	KindEndJob: handle(func(ma *Machine, c job.End) (any, error) { return nil, ma.jobs.End(c, ma.atMs) }),
+	KindChangeEvacuation: handle(func(ma *Machine, c evacuation.Change) (any, error) {
+		return ma.evacuations.Apply(c, ma.applied, ma.atMs)
+	}),
 }
 
 func (ma *Machine) patch(pa declaration.Patch) (any, error) {
--- a/internal/statemachine/statemachine_test.go
+++ b/internal/statemachine/statemachine_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/tamarackbay/tamarackbay/internal/consensus"
+	"github.com/tamarackbay/tamarackbay/internal/evacuation"
 	"github.com/tamarackbay/tamarackbay/internal/job"
 	"github.com/tamarackbay/tamarackbay/internal/roster"
 	"github.com/tamarackbay/tamarackbay/internal/routing"
@@ -36,6 +37,9 @@
 		{statemachine.KindSubmitJob, job.Submit{Spec: job.Spec{ID: "j", Workspace: "w", Items: []job.Item{{ID: "i", Body: []byte("B")}, {ID: "k"}}}}},
 		{statemachine.KindRecordProgress, job.Progress{Parts: []job.Part{{Job: "j", Item: 0, IsFirst: true, Text: job.Partial{Events: []string{"e"}, LastEvent: 1, Term: 2}}}}},
 		{statemachine.KindListResults, job.ListResults{Job: "j", Results: []job.Result{{Item: 1, State: job.Completed, Text: "t", Versions: []uint64{3}}}}},
+		{statemachine.KindChangeEvacuation, evacuation.Change{FailureDomain: "b"}},
+		{statemachine.KindChangeEvacuation, evacuation.Change{FailureDomain: "c"}},
+		{statemachine.KindChangeEvacuation, evacuation.Change{FailureDomain: "c", IsWithdrawn: true, Base: 9}},
 	}
 
 	ginkgo.It("is equal after a snapshot and applies further commands alike", func() {
@@ -53,6 +57,8 @@
 		Expect(re.Versions().All()).To(Equal(map[string]uint64{"m": 3}))
 		Expect(re.Roster().Snapshot()).To(Equal(ma.Roster().Snapshot()))
 		Expect(re.Jobs().Jobs()).To(Equal(ma.Jobs().Jobs()))
+		Expect(re.Evacuations().Snapshot()).To(Equal(ma.Evacuations().Snapshot()))
+		Expect(re.Evacuations().Evacuated()).To(Equal([]string{"b"}))
 
 		for _, m := range []*statemachine.Machine{ma, re} {
 			Expect(apply(m, 20, statemachine.KindListResults, job.ListResults{Job: "j", Results: []job.Result{
