Send the evacuated failure domains in the feed

Cause: every gateway and store must learn of an evacuation within milliseconds, and none may go back to an older state. Change: State and View have Evacuated, the position of the last change in the log, and the withdrawals with their age. A change is sent at once, and a follower applies it only if its position is later than the one that it has.

--- /dev/null
+++ b/internal/feed/evacuation_test.go
@@ -0,0 +1,62 @@
+package feed
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarackbay/tamarackbay/internal/logging"
+)
+
+// Guards against backend servers of an evacuated failure domain that get requests again, because
+// a controller that lags or has just started sent an older state.
+var _ = ginkgo.Describe("the evacuations of a follower", func() {
+	states := []*State{
+		{Evacuated: []string{"a"}, EvacuatedAt: 4},
+		{Evacuated: []string{"a", "b"}, EvacuatedAt: 7},
+		{Evacuated: []string{"b"}, Withdrawn: []Withdrawal{{FailureDomain: "a", Age: time.Second}}, EvacuatedAt: 9},
+	}
+	send := func(fo *Follower, controller string, from, to *State, at time.Time) {
+		b, err := cbor.Marshal(diff(from, to))
+		Expect(err).NotTo(HaveOccurred())
+		var de stateDelta
+		Expect(cbor.Unmarshal(b, &de)).To(Succeed())
+		fo.applyDelta(controller, &de, at)
+	}
+
+	ginkgo.It("are those of the latest position in the log, whichever controller lags or restarts", func() {
+		fo := NewFollower(Config{Log: logging.Discard()})
+		now := time.Now()
+		for _, tc := range []struct {
+			controller string
+			from, to   *State
+			evacuated  []string
+			isStopped  bool // the controller is lost before
+		}{
+			{"x", noState, states[1], []string{"a", "b"}, false},
+			{"y", noState, states[0], []string{"a", "b"}, false},
+			{"y", states[0], states[2], []string{"b"}, false},
+			{"y", noState, noState, []string{"b"}, true},
+			{"y", noState, states[0], []string{"b"}, false},
+			{"x", states[1], states[1], []string{"b"}, false},
+		} {
+			if tc.isStopped {
+				fo.dropController(tc.controller)
+			}
+			send(fo, tc.controller, tc.from, tc.to, now)
+			Expect(fo.View().Evacuated).To(Equal(tc.evacuated))
+		}
+		Expect(fo.View().IsEvacuated("a")).To(BeFalse())
+		Expect(fo.View().IsEvacuated("b")).To(BeTrue())
+		Expect(fo.View().Withdrawn).To(Equal([]Withdrawn{{FailureDomain: "a", At: now.Add(-time.Second)}}))
+	})
+
+	ginkgo.It("are sent without waiting for changes of backend servers", func() {
+		Expect(states[0].isOlder(states[1])).To(BeTrue())
+		Expect(states[1].isOlder(states[1])).To(BeFalse())
+		Expect(diff(states[1], states[1]).isEmpty()).To(BeTrue())
+		Expect(diff(states[0], states[1]).isEmpty()).To(BeFalse())
+	})
+})
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -1,7 +1,7 @@
 // Package feed sends the state of the controllers to every other process: the
-// configuration, the newest weight versions, the VMs that store batch jobs, the quarantine
-// and the backend servers. A follower follows every controller at once, so that it lacks nothing
-// when one of them fails.
+// configuration, the newest weight versions, the VMs that store batch jobs, the quarantine, the
+// evacuated failure domains and the backend servers. A follower follows every controller at
+// once, so that it lacks nothing when one of them fails.
 package feed
 
 import (
@@ -49,10 +49,28 @@
 	Formation   []string // replicas that formed the store group
 	Quarantine  Quarantine
 	// Limits holds the rate limits of backend servers; only the broker publishes them.
-	Limits    []permit.Limit
-	Servers   []registry.Status
-	IsSettled bool          // every backend server that is alive has reported to this controller
-	Age       time.Duration // since the replicated part was last confirmed
+	Limits []permit.Limit
+	// Evacuated lists the evacuated failure domains, ascending, and Withdrawn those whose
+	// evacuation was withdrawn. EvacuatedAt is the position of their last change in the log.
+	Evacuated   []string
+	Withdrawn   []Withdrawal
+	EvacuatedAt uint64
+	Servers     []registry.Status
+	IsSettled   bool          // every backend server that is alive has reported to this controller
+	Age         time.Duration // since the replicated part was last confirmed
+}
+
+// Withdrawal is the end of an evacuation of a failure domain.
+type Withdrawal struct {
+	FailureDomain string        `cbor:"1,keyasint"`
+	Age           time.Duration `cbor:"2,keyasint"` // of the withdrawal, when the state was published
+}
+
+// evacuations is the part of a State that changes with the evacuated failure domains.
+type evacuations struct {
+	Position  uint64       `cbor:"1,keyasint"`
+	Domains   []string     `cbor:"2,keyasint"`
+	Withdrawn []Withdrawal `cbor:"3,keyasint"`
 }
 
 // Quarantine holds the suspect and refused fingerprints at a position in the controllers'
@@ -129,6 +147,8 @@
 	Limits []permit.Limit `cbor:"9,keyasint,omitempty"`
 	// Followers is the number of processes that follow this controller.
 	Followers int `cbor:"10,keyasint"`
+	// Evacuations is nil if they did not change.
+	Evacuations *evacuations `cbor:"11,keyasint,omitempty"`
 }
 
 // diff returns the delta that leads from old to st.
@@ -143,6 +163,9 @@
 	if ro := st.roster(); !reflect.DeepEqual(old.roster(), ro) {
 		de.Roster = &ro
 	}
+	if st.EvacuatedAt != old.EvacuatedAt {
+		de.Evacuations = &evacuations{Position: st.EvacuatedAt, Domains: st.Evacuated, Withdrawn: st.Withdrawn}
+	}
 
 	for _, li := range st.Limits {
 		if !slices.Contains(old.Limits, li) {
@@ -157,10 +180,10 @@
 }
 
 // isOlder reports whether next has changes that must not wait: a configuration with its keys,
-// versions, limits, the quarantine, or VMs.
+// versions, limits, the quarantine, evacuated failure domains, or VMs.
 func (st *State) isOlder(next *State) bool {
 	return (next.Config != nil && (st.Config == nil || next.Config.Version > st.Config.Version)) || !maps.Equal(st.Versions, next.Versions) ||
-		st.Quarantine.Revision != next.Quarantine.Revision || !slices.Equal(st.Limits, next.Limits) || !reflect.DeepEqual(st.roster(), next.roster())
+		st.Quarantine.Revision != next.Quarantine.Revision || st.EvacuatedAt != next.EvacuatedAt || !slices.Equal(st.Limits, next.Limits) || !reflect.DeepEqual(st.roster(), next.roster())
 }
 
 // isSameSlice reports whether two lists of a State, which are never changed, are one.
@@ -198,7 +221,7 @@
 
 // isEmpty reports whether a delta changes nothing, so that it is only a heartbeat.
 func (de *stateDelta) isEmpty() bool {
-	return de.Config == nil && de.Versions == nil && de.Roster == nil && de.Quarantine == nil && len(de.Limits) == 0 && len(de.Changed) == 0 && len(de.Removed) == 0
+	return de.Config == nil && de.Versions == nil && de.Roster == nil && de.Quarantine == nil && de.Evacuations == nil && len(de.Limits) == 0 && len(de.Changed) == 0 && len(de.Removed) == 0
 }
 
 // View is the merged state of all controllers that a follower follows. It is never
@@ -211,9 +234,23 @@
 	Formation   []string
 	Quarantine  Quarantine        // of the controller that applied most of the log
 	Limits      []permit.Limit    // rate limits that a broker published, the newest of each server
+	Evacuated   []string          // evacuated failure domains, ascending
+	EvacuatedAt uint64            // position of their last change in the log
+	Withdrawn   []Withdrawn       // failure domains whose evacuation was withdrawn
 	Servers     []registry.Record // alive, in the order of their IDs
 }
 
+// Withdrawn is a failure domain whose evacuation was withdrawn.
+type Withdrawn struct {
+	FailureDomain string
+	At            time.Time // of the withdrawal
+}
+
+// IsEvacuated reports whether the backend servers of a failure domain must get nothing new.
+func (vi *View) IsEvacuated(failureDomain string) bool {
+	return slices.Contains(vi.Evacuated, failureDomain)
+}
+
 // Leader returns the store that leads with the highest known term, and false if none is
 // known to lead.
 func (vi *View) Leader() (Store, bool) {
@@ -227,8 +264,8 @@
 	return best, best.Name != ""
 }
 
-// merge applies a delta to the view. Versions and terms never decrease, so a controller
-// that lags behind cannot undo what another one reported.
+// merge applies a delta to the view, except for the evacuations. Versions and terms never
+// decrease, so a controller that lags behind cannot undo what another one reported.
 func (vi *View) merge(de *stateDelta) {
 	if de.Config != nil && (vi.Table == nil || de.Config.Version > vi.Table.Version()) {
 		vi.Table = routing.NewTable(de.Config)
@@ -255,6 +292,18 @@
 	}
 }
 
+// mergeEvacuations applies the evacuations of a delta that was received at a time, unless the
+// view has those of a later position in the log.
+func (vi *View) mergeEvacuations(ev *evacuations, at time.Time) {
+	if ev == nil || ev.Position <= vi.EvacuatedAt {
+		return
+	}
+	vi.Evacuated, vi.EvacuatedAt, vi.Withdrawn = ev.Domains, ev.Position, nil
+	for _, wi := range ev.Withdrawn {
+		vi.Withdrawn = append(vi.Withdrawn, Withdrawn{FailureDomain: wi.FailureDomain, At: at.Add(-wi.Age)})
+	}
+}
+
 // mergeLimits adds changed limits to the known ones and keeps the newest of each server that is
 // alive.
 func mergeLimits(old, changed []permit.Limit, alive []registry.Record) []permit.Limit {
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -217,6 +217,7 @@
 	next := *old
 	next.Servers = servers
 	next.merge(de)
+	next.mergeEvacuations(de.Evacuations, at)
 	if de.Quarantine != nil {
 		fo.sources[address] = fo.sources[address].apply(de.Quarantine)
 		if fo.sources[address].Revision > old.Quarantine.Revision {
@@ -245,6 +246,11 @@
 			fo.cfg.Log.WithFields(log.Fields{"model": mo, "version": v, "source": source}).Info("weight version changed")
 		}
 	}
+	if next.EvacuatedAt != old.EvacuatedAt {
+		fo.cfg.Log.WithFields(log.Fields{
+			"evacuated": next.Evacuated, "position": next.EvacuatedAt, "source": source,
+		}).Info("evacuated failure domains changed")
+	}
 	a, _ := old.Leader()
 	if b, ok := next.Leader(); ok && a.Name != b.Name {
 		fo.cfg.Log.WithFields(log.Fields{"store": b.Name, "term": b.Term, "source": source}).Info("store leader changed")
@@ -283,6 +289,7 @@
 	if vi.Table != nil {
 		me.Gauge("configuration.version", int64(vi.Table.Version()))
 	}
+	me.Gauge("failureDomains.evacuated", int64(len(vi.Evacuated)))
 	ageMs := int64(-1)
 	if age, ok := fo.Age(); ok {
 		ageMs = age.Milliseconds()
