Send nothing new to evacuated failure domains

Cause: an operator must be able to take a failure domain out of service without cutting the work that runs there. Change: POST and DELETE /evacuate/{zone} at the operator API commit the command, again if the replica had not applied an earlier call. Gateways and stores count the backend servers of evacuated failure domains as not ready; weight orders and polls of engines leave them out. Grants that were given before stay valid, so running work ends there.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -35,8 +35,9 @@
 type Balancer struct {
 	cfg Config
 
-	mu       sync.Mutex
-	services map[string]*serverSet
+	mu        sync.Mutex
+	services  map[string]*serverSet
+	evacuated []string // failure domains whose backend servers get nothing new
 }
 
 // serverSet holds the backend servers of one service; cands has the same order as
@@ -103,7 +104,7 @@
 				continue
 			}
 			se.servers[i].record = re
-			se.cands[i].IsReady = re.State == registry.Ready
+			se.cands[i].IsReady = ba.isReady(&re)
 			se.cands[i].Slots = re.Slots
 			delete(alive[name], old.ID)
 		}
@@ -117,12 +118,34 @@
 		for _, re := range res {
 			se.servers = append(se.servers, &server{record: re})
 			se.cands = append(se.cands, scheduler.Candidate{
-				Slots: re.Slots, FailureDomain: re.FailureDomain, IsReady: re.State == registry.Ready, ReadySince: now,
+				Slots: re.Slots, FailureDomain: re.FailureDomain, IsReady: ba.isReady(&re), ReadySince: now,
 			})
 		}
 	}
 }
 
+// SetEvacuated replaces the evacuated failure domains. Their backend servers are not picked, and
+// do not count as ready, from now on; grants that were given before stay valid.
+func (ba *Balancer) SetEvacuated(failureDomains []string) {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+
+	if slices.Equal(ba.evacuated, failureDomains) {
+		return
+	}
+	ba.evacuated = slices.Clone(failureDomains)
+	for _, se := range ba.services {
+		for i, sv := range se.servers {
+			se.cands[i].IsReady = ba.isReady(&sv.record)
+		}
+	}
+}
+
+// isReady reports whether a backend server may get new requests. The caller holds mu.
+func (ba *Balancer) isReady(re *registry.Record) bool {
+	return re.State == registry.Ready && !slices.Contains(ba.evacuated, re.FailureDomain)
+}
+
 // Request describes the request to place.
 type Request struct {
 	Service    string
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -317,6 +317,7 @@
 		}
 		st.Versions = maps.Clone(ma.Versions().All())
 		st.Quarantine = feed.Quarantine{Revision: ma.Revision(), Entries: ma.Quarantine().Entries()}
+		co.readEvacuations(ma, st)
 		members = ma.Roster().Members()
 		for _, id := range ma.Roster().Formation() {
 			st.Formation = append(st.Formation, string(id))
--- /dev/null
+++ b/internal/controller/evacuation.go
@@ -0,0 +1,70 @@
+package controller
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/tamarackbay/tamarackbay/internal/evacuation"
+	"github.com/tamarackbay/tamarackbay/internal/feed"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+	"github.com/tamarackbay/tamarackbay/internal/statemachine"
+)
+
+// Evacuate commits the request that the backend servers of a failure domain get nothing new.
+func (co *Controller) Evacuate(ctx context.Context, failureDomain string) error {
+	return co.changeEvacuation(ctx, evacuation.Change{FailureDomain: failureDomain})
+}
+
+// WithdrawEvacuation commits the withdrawal of such a request.
+func (co *Controller) WithdrawEvacuation(ctx context.Context, failureDomain string) error {
+	return co.changeEvacuation(ctx, evacuation.Change{FailureDomain: failureDomain, IsWithdrawn: true})
+}
+
+// changeEvacuation commits a change. If it was committed without effect because this replica
+// had not applied an earlier call, it is committed again.
+func (co *Controller) changeEvacuation(ctx context.Context, ch evacuation.Change) error {
+	fl := log.Fields{"failureDomain": ch.FailureDomain, "isWithdrawn": ch.IsWithdrawn}
+	var err error
+	for err == nil {
+		co.group.Read(func(ma *statemachine.Machine) { ch.Base = ma.Applied() })
+		var rep evacuation.Reply
+		if err = co.group.Propose(ctx, statemachine.KindChangeEvacuation, ch, &rep); err == nil && !rep.IsStale {
+			co.cfg.Log.WithFields(fl).Info("evacuation of a failure domain recorded")
+
+			return nil
+		}
+		if err == nil {
+			err = co.group.Barrier(ctx)
+		}
+		if err == nil && ctx.Err() != nil { // its caller repeats it elsewhere
+			err = result.New(result.GroupTimeout, "controller: the evacuation was not recorded in time: %v", ctx.Err())
+		}
+	}
+	co.cfg.Log.WithFields(fl).WithError(err).Warn("evacuation of a failure domain not recorded")
+
+	return err
+}
+
+// readEvacuations adds the evacuations of the replicated state to a state of the feed.
+func (co *Controller) readEvacuations(ma *statemachine.Machine, st *feed.State) {
+	ev := ma.Evacuations()
+	st.Evacuated, st.EvacuatedAt = ev.Evacuated(), ev.Revision()
+	nowMs := co.cfg.WallMs()
+	for name, do := range ev.Domains() {
+		if do.WithdrawnAtMs > 0 && !do.IsEvacuated {
+			age := time.Duration(max(nowMs-do.WithdrawnAtMs, 0)) * time.Millisecond
+			st.Withdrawn = append(st.Withdrawn, feed.Withdrawal{FailureDomain: name, Age: age})
+		}
+	}
+}
+
+// isEvacuated reports whether the backend servers of a failure domain get nothing new.
+func (co *Controller) isEvacuated(failureDomain string) bool {
+	var evacuated []string
+	co.group.Read(func(ma *statemachine.Machine) { evacuated = ma.Evacuations().Evacuated() })
+
+	return slices.Contains(evacuated, failureDomain)
+}
--- a/internal/controller/permits.go
+++ b/internal/controller/permits.go
@@ -199,10 +199,14 @@
 }
 
 // awaitPermit waits until a report or an order may be sent to an engine, or returns errNoPermit
-// if that takes long. It reports whether the engine limits its rate.
-func (co *Controller) awaitPermit(ctx context.Context, in registry.Incarnation) (isLimited bool, err error) {
-	rq := permit.Request{Holder: co.cfg.Settings.Name, Urgency: orderUrgency, Count: 1, Limits: []permit.Limit{{Server: in}}}
+// if that takes long, or errEvacuated if nothing may be sent to its failure domain. It reports
+// whether the engine limits its rate.
+func (co *Controller) awaitPermit(ctx context.Context, re registry.Record) (isLimited bool, err error) {
+	rq := permit.Request{Holder: co.cfg.Settings.Name, Urgency: orderUrgency, Count: 1, Limits: []permit.Limit{{Server: re.Incarnation()}}}
 	for {
+		if co.isEvacuated(re.FailureDomain) {
+			return false, errEvacuated
+		}
 		rep, err := co.takePermits(ctx, &rq)
 		if result.Is(err, result.NotLeader) {
 			err = co.callBroker(ctx, methodPermitsLeader, rq, &rep)
--- a/internal/controller/weights.go
+++ b/internal/controller/weights.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -35,7 +36,9 @@
 func (co *Controller) rollOut(ctx context.Context, held leasedtask.Held) {
 	named := map[string]uint64{}
 	single := map[string]bool{} // services with routes that allow one version per text
+	var evacuated []string
 	co.group.Read(func(ma *statemachine.Machine) {
+		evacuated = ma.Evacuations().Evacuated()
 		for mo, v := range ma.Versions().All() {
 			named[mo] = v
 		}
@@ -52,7 +55,7 @@
 
 	co.mu.Lock()
 	defer co.mu.Unlock()
-	hosts, records := co.readyEngines()
+	hosts, records := co.readyEngines(evacuated)
 	for service, hs := range hosts {
 		jo := co.swapPlanners[service]
 		if jo == nil {
@@ -73,13 +76,13 @@
 	}
 }
 
-// readyEngines returns the ready engines by service, and their records by ID. The
-// caller holds mu.
-func (co *Controller) readyEngines() (map[string][]weights.Host, map[string]registry.Record) {
+// readyEngines returns the ready engines by service, and their records by ID, except for those
+// in evacuated failure domains. The caller holds mu.
+func (co *Controller) readyEngines(evacuated []string) (map[string][]weights.Host, map[string]registry.Record) {
 	hosts, records := map[string][]weights.Host{}, map[string]registry.Record{}
 	for _, st := range co.registry.All() {
 		re := st.Record
-		if len(re.Models) == 0 || st.IsLapsed || re.State != registry.Ready {
+		if len(re.Models) == 0 || st.IsLapsed || re.State != registry.Ready || slices.Contains(evacuated, re.FailureDomain) {
 			continue
 		}
 		records[re.ID] = re
@@ -160,7 +163,7 @@
 }
 
 func (co *Controller) performSwap(ctx context.Context, held leasedtask.Held, re registry.Record, we *backend.WeightsOrder) error {
-	isLimited, err := co.awaitPermit(ctx, re.Incarnation())
+	isLimited, err := co.awaitPermit(ctx, re)
 	if err != nil {
 		return err
 	}
@@ -177,7 +180,7 @@
 		case <-ctx.Done():
 			return errLoadTimeout
 		}
-		if _, err := co.awaitPermit(ctx, re.Incarnation()); err != nil {
+		if _, err := co.awaitPermit(ctx, re); err != nil {
 			return err
 		}
 	}
@@ -189,7 +192,7 @@
 	}
 	we.Sequence = before.Sequence
 	co.rememberOrders(re.Incarnation(), before.Sequence, true) // the order may have to wait for the next attempt
-	if isLimited, err = co.awaitPermit(ctx, re.Incarnation()); err != nil {
+	if isLimited, err = co.awaitPermit(ctx, re); err != nil {
 		return err
 	}
 
@@ -279,7 +282,7 @@
 			continue
 		}
 		var err error
-		isLimited, err = co.awaitPermit(ctx, re.Incarnation())
+		isLimited, err = co.awaitPermit(ctx, re)
 		if result.Is(err, result.ServersLimited) {
 			continue
 		}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -164,6 +164,7 @@
 	wg.Go(func() {
 		ed.follower.EachView(ctx, func(vi *feed.View) {
 			ed.guard.ObserveServers(vi.Servers)
+			ed.balancer.SetEvacuated(vi.Evacuated)
 			ed.balancer.Sync(vi.Servers)
 			ed.permits.Apply(vi.Limits)
 			ed.origins.SetControllers(ed.follower.Controllers())
--- a/internal/program/node.go
+++ b/internal/program/node.go
@@ -282,7 +282,7 @@
 	}
 	ctl := &platform.ControlPlane{
 		RecordHeartbeat: co.RecordHeartbeat, RecordLeave: co.RecordLeave, PutRouting: co.PutRouting, RoutingDocument: co.Routing, NameVersion: co.NameVersion,
-		Retire: co.Retire, Retirement: co.Retirement,
+		Evacuate: co.Evacuate, WithdrawEvacuation: co.WithdrawEvacuation, Retire: co.Retire, Retirement: co.Retirement,
 	}
 	if err := nd.serve("control", nd.settings.ControlAddress, withControlTimeout(ctl.Handler())); err != nil {
 		return err
