--- a/internal/meter/names.go
+++ b/internal/meter/names.go
@@ -71,6 +71,7 @@
 	{"feed.full", KindCounter, "complete configurations received instead of single changes"},
 	{"configuration.version", KindGauge, "version of the configuration in force in this process"},
 	{"configuration.ageMs", KindGauge, "milliseconds since the configuration was last known to be current; -1 before the first one"},
+	{"failureDomains.evacuated", KindGauge, "failure domains whose backend servers get nothing new, as known to this process"},
 	{"group.ageMs", KindGauge, "milliseconds since the replicated state was last known to be current; -1 before that"},
 	{"group.term", KindGauge, "current term of the replica group"},
 	{"group.applied", KindGauge, "index of the last log entry applied"},
