Record in the registry which backend servers are cold

Cause: a backend server that has just started or lost its caches takes few requests, and all of a failure domain may be cold when its evacuation is withdrawn, while heartbeats that were sent before still call them warm. Change: records have IsCold, as heartbeats report it, and WarmAfter, the last withdrawal after which a heartbeat said that the backend server is warm. The second heartbeat after the withdrawal counts, later ones after a silence: the first may have been on its way. In the merged view one source is enough. Result: the tests of internal/registry and internal/evacuation pass under the race detector.

--- a/internal/evacuation/evacuation.go
+++ b/internal/evacuation/evacuation.go
@@ -35,6 +35,7 @@
 	IsEvacuated   bool   `cbor:"1,keyasint"`
 	Position      uint64 `cbor:"2,keyasint"` // of the last Change that had an effect
 	WithdrawnAtMs int64  `cbor:"3,keyasint"` // when its last evacuation was withdrawn, Unix milliseconds; 0 for never
+	Withdrawn     uint64 `cbor:"4,keyasint"` // position of that withdrawal
 }
 
 // State holds the replicated evacuations.
@@ -97,7 +98,7 @@
 	if do.IsEvacuated == ch.IsWithdrawn {
 		sn.Revision = position
 		if do.IsEvacuated = !ch.IsWithdrawn; ch.IsWithdrawn {
-			do.WithdrawnAtMs = atMs
+			do.WithdrawnAtMs, do.Withdrawn = atMs, position
 		}
 	}
 	do.Position = position
--- a/internal/evacuation/evacuation_test.go
+++ b/internal/evacuation/evacuation_test.go
@@ -55,7 +55,7 @@
 			_, err := st.Apply(ch, uint64(i+1), int64(i+1)*1000)
 			Expect(err).NotTo(HaveOccurred())
 		}
-		Expect(st.Domains()["a"]).To(Equal(evacuation.Domain{Position: 3, WithdrawnAtMs: 2000}))
+		Expect(st.Domains()["a"]).To(Equal(evacuation.Domain{Position: 3, WithdrawnAtMs: 2000, Withdrawn: 2}))
 	})
 
 	ginkgo.It("are bounded, and none that was dropped is evacuated again by a delayed call", func() {
--- a/internal/registry/merged.go
+++ b/internal/registry/merged.go
@@ -58,7 +58,8 @@
 	for _, st := range changed {
 		old, ok := so.statuses[st.Record.ID]
 		so.statuses[st.Record.ID] = st
-		if !ok || old.IsLapsed != st.IsLapsed || old.Record.IsLoading != st.Record.IsLoading || old.Record.BornMs != st.Record.BornMs {
+		if !ok || old.IsLapsed != st.IsLapsed || old.Record.IsLoading != st.Record.IsLoading ||
+			old.Record.WarmAfter != st.Record.WarmAfter || old.Record.BornMs != st.Record.BornMs {
 			me.markStale(st.Record.ID)
 		}
 		me.mergeRecord(st.Record)
@@ -176,7 +177,7 @@
 			return Record{}, false
 		}
 	}
-	re.IsLoading = me.isLoading(&re)
+	re.IsLoading, re.WarmAfter = me.isLoading(&re), me.warmAfter(&re)
 
 	return re, true
 }
@@ -213,6 +214,18 @@
 	return false
 }
 
+// warmAfter returns the latest withdrawal after which any source found this incarnation warm.
+func (me *MergedView) warmAfter(re *Record) uint64 {
+	latest := re.WarmAfter
+	for _, so := range me.sources {
+		if st, ok := so.statuses[re.ID]; ok && st.Record.BornMs == re.BornMs {
+			latest = max(latest, st.Record.WarmAfter)
+		}
+	}
+
+	return latest
+}
+
 // isUnknownToAll reports whether all sources are current and settled, and none knows
 // the ID.
 func (me *MergedView) isUnknownToAll(id string) bool {
--- a/internal/registry/outbox.go
+++ b/internal/registry/outbox.go
@@ -16,8 +16,8 @@
 	Digest uint64 `cbor:"3,keyasint,omitempty"`
 }
 
-// digest returns a hash of what hasSameContent compares, apart from IsLoading, which heartbeats
-// do not report. It is never 0.
+// digest returns a hash of what hasSameContent compares, apart from IsLoading and WarmAfter, which
+// heartbeats do not report. It is never 0.
 func (re *Record) digest() uint64 {
 	var di xxhash.Digest
 	text := func(s string) {
@@ -37,6 +37,10 @@
 		number(mo.Version)
 	}
 
+	if re.IsCold {
+		text("cold") // nothing otherwise: the digest of a warm one is that of earlier versions
+	}
+
 	return max(di.Sum64(), 1)
 }
 
@@ -175,6 +179,7 @@
 	}
 	changed = en.isLapsed
 	en.record.Sequence, en.lastHeard, en.isLapsed = no.Record.Sequence, now, false
+	changed = en.confirmWarm() || changed
 	if changed {
 		rg.revision++
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -38,8 +38,12 @@
 	Slots         int     `cbor:"7,keyasint"` // requests that it runs at once
 	State         State   `cbor:"8,keyasint"`
 	Models        []Model `cbor:"9,keyasint"`
-	IsLoading     bool    `cbor:"11,keyasint"` // it loads weights and refuses requests that it hasn't started
-	Software      string  `cbor:"12,keyasint"` // version of its software
+	IsLoading     bool    `cbor:"11,keyasint"`           // it loads weights and refuses requests that it hasn't started
+	Software      string  `cbor:"12,keyasint"`           // version of its software
+	IsCold        bool    `cbor:"13,keyasint,omitempty"` // it has just started, or lost its caches, and takes few requests
+	// WarmAfter is the position in the controllers' log of the last withdrawal of an evacuation
+	// after which a heartbeat said that the backend server is warm.
+	WarmAfter uint64 `cbor:"14,keyasint,omitempty"`
 }
 
 // Incarnation identifies one start of a backend server.
@@ -91,7 +95,7 @@
 func (re *Record) hasSameContent(other *Record) bool {
 	return re.BornMs == other.BornMs && re.Service == other.Service && re.Address == other.Address &&
 		re.FailureDomain == other.FailureDomain && re.Slots == other.Slots && re.State == other.State && re.IsLoading == other.IsLoading &&
-		re.Software == other.Software &&
+		re.Software == other.Software && re.IsCold == other.IsCold && re.WarmAfter == other.WarmAfter &&
 		slices.Equal(re.Models, other.Models)
 }
 
@@ -99,6 +103,9 @@
 	record    Record
 	lastHeard time.Duration // time of the last heartbeat or leave notice
 	isLapsed  bool          // silent for longer than lapseAfter
+	// withdrawn is the position of the last withdrawal of an evacuation of its failure domain, and
+	// warmFrom the sequence number of the first heartbeat that was sent after it.
+	withdrawn, warmFrom uint64
 }
 
 // retentionPeriod is how long a backend server is retained after its last heartbeat or
@@ -112,11 +119,12 @@
 	entries    map[string]*entry
 	revision   uint64
 	lapseAfter time.Duration
+	withdrawn  map[string]uint64 // position of the last withdrawal of an evacuation, by failure domain
 }
 
 // New returns a registry in which a backend server lapses after a silence of lapse.
 func New(lapse time.Duration) *Registry {
-	return &Registry{entries: map[string]*entry{}, lapseAfter: lapse}
+	return &Registry{entries: map[string]*entry{}, lapseAfter: lapse, withdrawn: map[string]uint64{}}
 }
 
 // Revision returns a number that rises with each change of anything but sequence numbers.
@@ -136,11 +144,17 @@
 		return false
 	}
 
+	next := &entry{lastHeard: now, withdrawn: rg.withdrawn[re.FailureDomain], warmFrom: re.Sequence + unseenHeartbeats}
 	if ok && old.record.BornMs == re.BornMs {
-		re.IsLoading = old.record.IsLoading // set by the process that gives the order, not by heartbeats
+		re.IsLoading, re.WarmAfter = old.record.IsLoading, old.record.WarmAfter // set by this process, not by heartbeats
+		if old.withdrawn == next.withdrawn {
+			next.warmFrom = old.warmFrom
+		}
 	}
-	changed := !ok || old.isLapsed || !re.hasSameContent(&old.record)
-	rg.entries[re.ID] = &entry{record: re, lastHeard: now}
+	next.record = re
+	next.confirmWarm()
+	changed := !ok || old.isLapsed || !next.record.hasSameContent(&old.record)
+	rg.entries[re.ID] = next
 	if changed {
 		rg.revision++
 	}
@@ -148,6 +162,39 @@
 	return changed
 }
 
+// unseenHeartbeats is the distance from the last heartbeat that arrived before a moment to the
+// first one that was certainly sent after it: the one in between may be on its way.
+const unseenHeartbeats = 2
+
+// Withdraw records that the evacuation of a failure domain was withdrawn at a position of the
+// log. A heartbeat confirms that a backend server is warm only if it was sent afterwards.
+func (rg *Registry) Withdraw(now time.Duration, failureDomain string, position uint64, heartbeatPeriod time.Duration) {
+	if rg.withdrawn[failureDomain] >= position {
+		return
+	}
+	rg.withdrawn[failureDomain] = position
+	for _, en := range rg.entries {
+		if en.record.FailureDomain != failureDomain {
+			continue
+		}
+		en.withdrawn, en.warmFrom = position, en.record.Sequence+unseenHeartbeats
+		if heartbeatPeriod > 0 {
+			en.warmFrom += uint64((now - en.lastHeard) / heartbeatPeriod)
+		}
+	}
+}
+
+// confirmWarm records that the backend server is warm if its last heartbeat, sent after the last
+// withdrawal, says so. It reports whether that changed anything.
+func (en *entry) confirmWarm() bool {
+	if en.record.IsCold || en.record.Sequence < en.warmFrom || en.record.WarmAfter >= en.withdrawn {
+		return false
+	}
+	en.record.WarmAfter = en.withdrawn
+
+	return true
+}
+
 // isSuperseded reports whether a later incarnation has taken the address.
 func (rg *Registry) isSuperseded(re *Record) bool {
 	for id, en := range rg.entries {
