Limit the rate of cold backend servers with permits

Cause: a cold backend server crashes if all processes together send more than it takes, in any sliding second; the permits of declared rate limits are sized for windows of seconds. Change: Holder and Broker have SetCold, a limit beside the one that a backend server names; the lower one is in force. For a cold one the broker grants 0.85 of the rate with a burst of 2, a permit lasts 150 ms, and a process without a broker uses 0.6 of its equal share. An answer that names no limit does not end it, and a new broker keeps it.

--- a/internal/permit/broker.go
+++ b/internal/permit/broker.go
@@ -31,11 +31,15 @@
 	revision uint32 // of the last change in this term
 	share    float64
 	servers  map[registry.Incarnation]*limited
+	cold     map[registry.Incarnation]Cold
+	// isColdPending is set from the beginning of a term until cold is applied to servers.
+	isColdPending bool
 }
 
 // limited is a backend server whose limit is known, or was until a short time ago.
 type limited struct {
-	limit    Limit
+	limit    Limit   // that it names in its answers
+	cold     float64 // its rate while it is cold, 0 if it is warm
 	overAt   time.Duration
 	askedAt  time.Duration // of the last request or report
 	bucket   *rate.Limiter
@@ -52,11 +56,12 @@
 // NewBroker returns a broker that knows no limit.
 func NewBroker() *Broker { return &Broker{share: 1, servers: map[registry.Incarnation]*limited{}} }
 
-// Lead makes the broker the one of a term. In a new term it knows no limits, as others may
-// have changed them, and grants nothing before new tokens have come.
+// Lead makes the broker the one of a term. In a new term it knows no limits but those of cold
+// backend servers, as others may have changed them, and grants nothing before new tokens have
+// come.
 func (br *Broker) Lead(term uint64) {
 	if br.term != term {
-		*br = Broker{term: term, share: br.share, servers: map[registry.Incarnation]*limited{}}
+		*br = Broker{term: term, share: br.share, servers: map[registry.Incarnation]*limited{}, cold: br.cold, isColdPending: true}
 	}
 }
 
@@ -75,7 +80,12 @@
 }
 
 func (br *Broker) rateOf(li *limited) float64 {
-	return max(li.limit.PerSecond, minPerSecond) * br.share
+	perSecond := max(li.perSecond(), minPerSecond) * br.share
+	if li.cold > 0 {
+		perSecond *= coldUse
+	}
+
+	return perSecond
 }
 
 // Report records what a process learned from an answer of a backend server. It reports whether
@@ -92,17 +102,10 @@
 	}
 	br.revision++
 	re.Revision = br.term<<32 | uint64(br.revision)
-	wasLimited := li.bucket != nil
-	li.limit = re
-	switch {
-	case re.IsOver:
-		li.bucket, li.reserved, li.overAt = nil, nil, now
-	case wasLimited:
-		li.bucket.SetLimitAt(instant(now), rate.Limit(br.rateOf(li)))
-		li.bucket.SetBurstAt(instant(now), burstOf(re.PerSecond))
-	default:
-		li.bucket = newBucket(br.rateOf(li), now)
+	if li.limit = re; re.IsOver {
+		li.overAt = now
 	}
+	br.adjust(now, li)
 
 	return true
 }
@@ -111,8 +114,10 @@
 func (br *Broker) Limits(now time.Duration) []Limit {
 	var out []Limit
 	for se, li := range br.servers {
-		if li.limit.IsOver && now-li.overAt > overRetention {
-			delete(br.servers, se)
+		if li.limit.IsOver && (li.limit.Revision == 0 || now-li.overAt > overRetention) {
+			if li.cold == 0 {
+				delete(br.servers, se)
+			}
 
 			continue
 		}
@@ -136,10 +141,17 @@
 // Take grants permits. A token that is reserved for a more urgent request is not given to a
 // less urgent one. changed reports whether the broker learned a limit from the request.
 func (br *Broker) Take(now time.Duration, rq *Request) (rep Reply, changed bool) {
+	if br.isColdPending {
+		br.SetCold(now, br.cold)
+	}
 	var candidates []*limited
 	for _, known := range rq.Limits {
 		li := br.servers[known.Server]
-		if li == nil && known.PerSecond > 0 {
+		switch {
+		case known.IsCold && (li == nil || li.cold == 0): // known there first
+			br.setCold(now, known.Server, known.PerSecond)
+			li = br.servers[known.Server]
+		case li == nil && known.PerSecond > 0:
 			changed = br.Report(now, Limit{Server: known.Server, PerSecond: known.PerSecond}) || changed
 			li = br.servers[known.Server]
 		}
@@ -149,7 +161,7 @@
 		switch {
 		case li == nil:
 			rep.Unlimited = append(rep.Unlimited, Limit{Server: known.Server, IsOver: true})
-		case li.limit.IsOver:
+		case li.isOver():
 			rep.Unlimited = append(rep.Unlimited, li.limit)
 		default:
 			candidates = append(candidates, li)
--- a/internal/permit/holder.go
+++ b/internal/permit/holder.go
@@ -81,7 +81,8 @@
 
 // heldLimit is the limit of a backend server, or its end.
 type heldLimit struct {
-	limit     Limit
+	limit     Limit // that the backend server names
+	cold      Cold
 	learnedAt time.Duration   // when it last changed from or to a limit in force
 	permits   []time.Duration // end of each unused permit, ascending
 	denials   []denial
@@ -167,7 +168,7 @@
 		fl["oldPerSecond"], fl["sent"] = he.limit.PerSecond, he.sent
 	}
 	if he.limit.IsOver != li.IsOver {
-		*he = heldLimit{learnedAt: ho.cfg.Now()}
+		*he = heldLimit{learnedAt: ho.cfg.Now(), cold: he.cold}
 	}
 	if he.limit = li; li.IsOver {
 		ho.cfg.Log.WithFields(fl).Info("rate limit of a backend server ended")
@@ -206,9 +207,9 @@
 	ho.mu.Lock()
 	defer ho.mu.Unlock()
 
-	he := ho.servers[se]
+	he, now := ho.servers[se], ho.cfg.Now()
 
-	return he == nil || he.limit.IsOver || len(he.validPermits(ho.cfg.Now())) > 0
+	return he == nil || he.inForce(now).IsOver || len(he.validPermits(now)) > 0
 }
 
 // Use takes the permit for a request that is sent now. It reports false if there is none.
@@ -216,11 +217,11 @@
 	ho.mu.Lock()
 	defer ho.mu.Unlock()
 
-	he := ho.servers[se]
-	if he == nil || he.limit.IsOver {
+	he, now := ho.servers[se], ho.cfg.Now()
+	if he == nil || he.inForce(now).IsOver {
 		return true
 	}
-	permits := he.validPermits(ho.cfg.Now())
+	permits := he.validPermits(now)
 	if len(permits) == 0 {
 		return false
 	}
@@ -271,7 +272,7 @@
 	}
 	for _, se := range rep.Granted {
 		if he := ho.servers[se]; he != nil {
-			he.permits = append(he.permits, now+permitLifetime)
+			he.permits = append(he.permits, now+he.lifetime(now))
 		}
 	}
 	if len(rep.Granted) > 0 || len(rep.Unlimited) > 0 {
@@ -296,10 +297,14 @@
 	isDenied := true
 	for _, se := range servers {
 		he := ho.servers[se]
-		if he == nil || he.limit.IsOver {
+		if he == nil {
+			return nil, nil
+		}
+		li := he.inForce(now)
+		if li.IsOver {
 			return nil, nil
 		}
-		rq.Limits = append(rq.Limits, he.limit)
+		rq.Limits = append(rq.Limits, li)
 		isDenied = isDenied && he.denial(urgency, now) != nil
 	}
 	switch {
@@ -358,22 +363,25 @@
 func (ho *Holder) takeShare(rq *Request, now time.Duration) error {
 	for _, li := range rq.Limits {
 		he := ho.servers[li.Server]
-		if he == nil || he.limit.IsOver {
+		if he == nil || he.inForce(now).IsOver {
 			return nil
 		}
 		if he.share == nil || he.sharedAt < ho.answeredAt {
 			he.startShare(now, ho.cfg.Random())
 		}
-		he.share.SetLimitAt(instant(now), rate.Limit(max(li.PerSecond, minPerSecond)/float64(max(ho.cfg.Processes(), 1))))
+		he.share.SetLimitAt(instant(now), rate.Limit(li.sharePerSecond(ho.cfg.Processes())))
 		he.sharedAt = now
 		if he.share.AllowN(instant(now), 1) {
-			he.permits = append(he.permits, now+permitLifetime)
+			he.permits = append(he.permits, now+he.lifetime(now))
 
 			return nil
 		}
 	}
 	for _, li := range rq.Limits {
 		he := ho.servers[li.Server]
+		if he == nil || he.share == nil {
+			continue // its limit changed in the meantime
+		}
 		he.deny(rq.Urgency, now+waitFor(1-he.share.TokensAt(instant(now)), float64(he.share.Limit())))
 	}
 
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -1,5 +1,5 @@
 // Package permit keeps the requests to backend servers within the rate limits that they name
-// in their answers. A limit holds for all processes together. The broker, one controller at a
+// in their answers, and those of cold ones. A limit holds for all processes together. The broker, one controller at a
 // time, divides it: a process asks for a permit for each request to a limited backend server.
 // While no broker answers, each process uses an equal share. Nothing here does input or output.
 package permit
@@ -19,6 +19,8 @@
 	IsOver    bool                 `cbor:"3,keyasint"` // it limits its rate no longer
 	// Revision orders what the brokers published of one server. It is 0 before that.
 	Revision uint64 `cbor:"4,keyasint"`
+	// IsCold is set in a Request where the process knows the backend server as cold.
+	IsCold bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Request asks for permits for any of some backend servers.
