Bound the replicas that follow the store group without a vote

Cause: every store became a learner, so that the leader sent its log, with each event of each text, to 14 replicas of which 5 vote. A surplus learner is removed. Lost voters open vacancies. census (internal/group/repair.go) decides from counted members and runs in tests without a network. Ruled out: fewer voters, which the tolerated losses forbid.

--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -48,6 +48,9 @@
 	FreshnessBound time.Duration
 	ReplaceAfter   time.Duration // how long a voter may be silent before a caught-up learner replaces it
 	TargetVoters   int           // target number; 0 means as many as formed the group
+	// MaxSpares bounds the replicas that follow the group without a vote, ready to replace a lost
+	// voter; 0 for no limit. Further processes wait outside, as each follower receives the log.
+	MaxSpares int
 	// CandidateAddresses returns where other replicas may be found; the founders' addresses where nil.
 	CandidateAddresses func() []string
 	// Formation returns the replicas that form the group, none where that is not
@@ -87,6 +90,7 @@
 	addresses     map[consensus.ReplicaID]string
 	storedPeers   map[consensus.ReplicaID]string // as stored in the data folder
 	upstreamIndex int
+	completeAt    string        // address of the process that refused this replica last, as the group is complete; used by one goroutine
 	feedSlots     chan struct{} // holds one element for each subscriber that waits
 
 	deltas      []statemachine.Delta // the latest changes; used only without a replica
--- a/internal/group/membership.go
+++ b/internal/group/membership.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -55,6 +54,7 @@
 		case <-time.After(formPeriod):
 		case <-ctx.Done():
 		}
+		gr.awaitVacancy(ctx)
 	}
 
 	return nil
@@ -189,6 +189,9 @@
 	if !slices.Contains(bootstrap, gr.identity.Replica) {
 		if err := gr.requestJoin(ctx, address); err != nil {
 			gr.cfg.Log.WithError(err).WithField("peer", address).Info("joining the group failed, will be retried")
+			if result.Is(err, result.GroupComplete) {
+				gr.completeAt = address
+			}
 
 			return false, nil // retried after formPeriod
 		}
@@ -227,7 +230,15 @@
 			continue
 		}
 		for _, an := range gr.discoverPeers(ctx) {
-			if an.reply.GetFormed() && gr.requestJoin(ctx, an.address) == nil {
+			if !an.reply.GetFormed() {
+				continue
+			}
+			err := gr.requestJoin(ctx, an.address)
+			if result.Is(err, result.GroupComplete) {
+				gr.completeAt = an.address
+				gr.awaitVacancy(ctx)
+			}
+			if err == nil || result.Is(err, result.GroupComplete) {
 				leaderlessSince = gr.now()
 
 				break
@@ -268,6 +279,9 @@
 		if m.IsVoter(id) || m.IsLearner(id) {
 			return nil
 		}
+		if ce := gr.census(now, re, gr.replicaNames()); ce.vacancies() <= 0 {
+			return result.New(result.GroupComplete, "group: %d of %d voters and %d spare replicas are alive, replica %s is not needed", ce.voters, ce.targetVoters, len(ce.spares), id)
+		}
 		if _, err := re.ProposeMembership(now, m.WithLearner(id)); err != nil {
 			return result.New(result.MembershipRefused, "group: adding replica %s as a learner: %v", id, err)
 		}
@@ -339,14 +353,10 @@
 			continue
 		}
 
-		names := map[consensus.ReplicaID]string{}
-		gr.Read(func(ma *statemachine.Machine) {
-			for id, re := range ma.Replicas() {
-				names[id] = re.Name
-			}
-		})
+		names := gr.replicaNames()
 		_ = n.runOnLoop(ctx, func(now time.Duration, re *consensus.Replica) error {
-			next, why := nextMembership(now, re, names, gr.cfg.ReplaceAfter, gr.targetVoters(), gr.cfg.IsRetiring)
+			ce := gr.census(now, re, names)
+			next, why := ce.next()
 			if why == "" {
 				return nil
 			}
@@ -360,98 +370,6 @@
 	}
 }
 
-// targetVoters returns how many voters the group should have.
-func (gr *Group) targetVoters() int {
-	if gr.cfg.TargetVoters > 0 {
-		return gr.cfg.TargetVoters
-	}
-
-	return len(gr.identity.Bootstrap)
-}
-
-// nextMembership returns the next membership on the way to target living voters and the
-// reason for the change, or "" if none is needed. A caught-up learner is promoted before
-// the dead voter is removed. A replica of a retiring VM counts as dead.
-func nextMembership(
-	now time.Duration, re *consensus.Replica, names map[consensus.ReplicaID]string, after time.Duration, target int,
-	isRetiring func(name string) bool,
-) (consensus.Membership, string) {
-	m := re.Membership()
-	isDead := func(id consensus.ReplicaID) bool {
-		if isRetiring(nameOf(id, names)) {
-			return true
-		}
-		heard, ok := re.LastContact(id)
-
-		return id != re.ID() && ok && (now > heard+after || isSuperseded(now, id, re, names))
-	}
-
-	living := 0
-	var dead, spare consensus.ReplicaID
-	for _, id := range m.Voters {
-		if isDead(id) {
-			dead = id
-		} else {
-			living++
-		}
-	}
-	for _, id := range m.Learners {
-		if isDead(id) {
-			continue
-		}
-		if re.CaughtUp(id) {
-			spare = id
-
-			break
-		}
-	}
-
-	switch {
-	case living < target && spare != "":
-		return m.WithVoter(spare), "promote " + string(spare)
-	case dead != "" && living >= target:
-		return m.Without(dead), "remove " + string(dead)
-	}
-	for _, id := range m.Learners {
-		if isDead(id) {
-			return m.Without(id), "remove " + string(id)
-		}
-	}
-
-	return m, ""
-}
-
-// isSuperseded reports whether id is silent while another replica of the same name was
-// heard from later, which happens when a data folder was emptied.
-func isSuperseded(now time.Duration, id consensus.ReplicaID, re *consensus.Replica, names map[consensus.ReplicaID]string) bool {
-	heard, ok := re.LastContact(id)
-	if !ok || now < heard+supersededAfter {
-		return false
-	}
-
-	name := nameOf(id, names)
-	for _, other := range re.Membership().All() {
-		at, ok := re.LastContact(other)
-		if other != id && nameOf(other, names) == name && (other == re.ID() || (ok && at > heard)) {
-			return true
-		}
-	}
-
-	return false
-}
-
-func nameOf(id consensus.ReplicaID, names map[consensus.ReplicaID]string) string {
-	if n, ok := names[id]; ok {
-		return n
-	}
-	s := string(id)
-	if i := strings.LastIndexByte(s, '-'); i > 0 {
-		return s[:i]
-	}
-
-	return s
-}
-
 // Actions of ChangeMember.
 const (
 	MemberPromote = "promote"
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -76,7 +76,7 @@
 	st.group, err = group.New(group.Config{
 		Name: no.Name, Address: no.PeerAddress, FailureDomain: no.FailureDomain, DataFolder: no.DataFolder, Peer: cfg.Peer,
 		Files: cfg.Files, Election: settings.NodeElection, Heartbeat: settings.NodeHeartbeat, FreshnessBound: time.Hour,
-		ReplaceAfter: settings.NodeReplaceAfter, TargetVoters: no.Voters(), CandidateAddresses: st.candidateAddresses, Formation: st.formation, AddressOf: st.addressOf,
+		ReplaceAfter: settings.NodeReplaceAfter, TargetVoters: no.Voters(), MaxSpares: max(no.ToleratedFailures, 1), CandidateAddresses: st.candidateAddresses, Formation: st.formation, AddressOf: st.addressOf,
 		IsRetiring: st.isRetiring, WallMs: cfg.WallMs, Log: cfg.Log, OnStatus: st.onStatus,
 	})
 	if err != nil {
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -86,6 +86,7 @@
 	MembershipRefused Code = 5005
 	LeaseLost         Code = 5006
 	LeaseTaken        Code = 5007
+	GroupComplete     Code = 5008
 
 	PatchVersionOld    Code = 6001
 	InvalidDeclaration Code = 6002
@@ -167,6 +168,7 @@
 	{MembershipRefused, "membershipRefused", http.StatusConflict, "the membership change is not possible now"},
 	{LeaseLost, "leaseLost", http.StatusConflict, "the process does not hold the lease any more"},
 	{LeaseTaken, "leaseTaken", http.StatusConflict, "the lease is held by another process"},
+	{GroupComplete, "groupComplete", http.StatusConflict, "the group has all voters and spare replicas that it needs"},
 	{PatchVersionOld, "patchVersionOld", http.StatusConflict, "the patch names a configuration version that is not the current one"},
 	{InvalidDeclaration, "invalidDeclaration", http.StatusUnprocessableEntity, "the declaration is not valid"},
 	{UnknownObject, "unknownObject", http.StatusNotFound, "no object of the configuration has this name"},
