--- a/internal/consensus/simulation_test.go
+++ b/internal/consensus/simulation_test.go
@@ -29,6 +29,9 @@
 	commitAtRead   map[uint64]uint64 // highestCommit when the read started, by read context
 	events         map[string]int    // counts of events, to check that the run covered them
 	faultsDisabled bool              // no further random faults
+
+	states  map[uint64]string    // state after each index
+	damaged map[transferKey]bool // transfers of which a chunk was damaged
 }
 
 type delayedMessage struct {
@@ -56,6 +59,7 @@
 	s := &simulation{
 		rnd: rand.New(rand.NewPCG(seed, 7)), blockedLinks: map[[2]consensus.ReplicaID]bool{}, leaderByTerm: map[uint64]consensus.ReplicaID{},
 		committed: map[uint64]string{}, commitAtRead: map[uint64]uint64{}, events: map[string]int{},
+		states: map[uint64]string{}, damaged: map[transferKey]bool{},
 	}
 	var m consensus.Membership
 	for i := range founders {
@@ -83,10 +87,13 @@
 
 func (s *simulation) boot(n *simNode) {
 	n.down = false
-	n.applied, n.state = n.snapshot.Index, string(n.snapshot.Data)
+	n.applied, n.state = n.snapshot.Index, decodeState(n.snapshot.Data)
+	if n.snapshot.Index == 0 {
+		n.state = ""
+	}
 	n.replica = consensus.New(consensus.Config{
 		ID: n.id, Group: 1, ElectionTimeout: 300 * time.Millisecond, HeartbeatPeriod: 60 * time.Millisecond,
-		MaxAppendBytes: 400, MaxInFlight: 40, ChunkBytes: 24, Random: s.rnd.Int64N,
+		MaxAppendBytes: 400, MaxInFlight: 40, ChunkBytes: 8, Random: s.rnd.Int64N,
 		LatestSnapshot: func() (consensus.Snapshot, bool) { return n.snapshot, n.snapshot.Index > 0 },
 		HardState:      n.hs, Snapshot: n.snapshot, Entries: slices.Clone(n.entries),
 	}, n.clock(s.now))
@@ -100,6 +107,7 @@
 			return
 		}
 		s.sendAll(rd.Unsynced)
+		s.checkDropped(&rd)
 		if rd.MustSync() && !s.faultsDisabled && s.rnd.IntN(400) == 0 {
 			s.crash(n) // loses the unsynced tail
 			s.events["lostTail"]++
@@ -140,8 +148,7 @@
 
 func (s *simulation) apply(n *simNode, rd *consensus.Ready) {
 	if rd.Snapshot != nil {
-		Expect(rd.Snapshot.Index).To(BeNumerically(">=", n.applied), "the snapshot is older than the applied state")
-		n.applied, n.state = rd.Snapshot.Index, string(rd.Snapshot.Data)
+		s.install(n, rd.Snapshot)
 	}
 	for _, en := range rd.Committed {
 		Expect(en.Index).To(Equal(n.applied+1), "%s applies entries out of order", n.id)
@@ -154,11 +161,12 @@
 		if en.Kind == consensus.EntryCommand {
 			n.state = fmt.Sprintf("%x", hashChain(n.state, en.Data))
 		}
+		s.recordState(en.Index, n.state)
 		s.highestCommit = max(s.highestCommit, en.Index)
 		s.events["applied"]++
-	}
-	if n.applied >= n.snapshot.Index+30 && s.rnd.IntN(3) == 0 {
-		s.compact(n)
+		if en.Index%snapshotPeriod == 0 && s.rnd.IntN(3) > 0 {
+			s.compact(n)
+		}
 	}
 }
 
@@ -174,7 +182,7 @@
 func (s *simulation) compact(n *simNode) {
 	term, ok := n.replica.TermAt(n.applied)
 	Expect(ok).To(BeTrue())
-	n.snapshot = consensus.Snapshot{Index: n.applied, Term: term, Membership: n.replica.MembershipAt(n.applied), Data: []byte(n.state)}
+	n.snapshot = consensus.Snapshot{Index: n.applied, Term: term, Membership: n.replica.MembershipAt(n.applied), Data: s.encodeState(n.state)}
 	n.replica.Compact(n.applied - 5)
 	kept := n.entries[:0:0]
 	for _, en := range n.entries {
@@ -191,6 +199,11 @@
 		if s.blockedLinks[[2]consensus.ReplicaID{m.From, m.To}] || (!s.faultsDisabled && s.rnd.IntN(50) == 0) {
 			continue
 		}
+		if m.Kind == consensus.MessageSnapshot {
+			s.sendChunk(m)
+
+			continue
+		}
 		d := time.Duration(s.rnd.Int64N(int64(10 * time.Millisecond)))
 		if s.rnd.IntN(30) == 0 {
 			d *= 40 // reordered behind later messages
@@ -271,6 +284,8 @@
 			n.replica.TransferLeadership(n.clock(s.now))
 			s.flush(n)
 		}
+	case r < 300:
+		s.disturbTransfer()
 	}
 	s.checkLeaders()
 }
@@ -330,131 +345,6 @@
 	return nil
 }
 
-func (s *simulation) crashOne() {
-	if a := s.alive(); len(a) > 0 {
-		s.crash(a[s.rnd.IntN(len(a))])
-	}
-}
-
-func (s *simulation) restartOne() {
-	for _, i := range s.rnd.Perm(len(s.nodes)) {
-		if n := s.nodes[i]; n.down && !n.diskLost {
-			s.boot(n)
-			s.events["restart"]++
-
-			return
-		}
-	}
-}
-
-// loseOneDisk permanently removes a replica with its disk, as long as a quorum of voters
-// keeps theirs: no replication protocol survives the loss of a quorum.
-func (s *simulation) loseOneDisk() {
-	gone := 0
-	vs := s.voters()
-	for _, id := range vs {
-		if o := s.node(id); o == nil || o.diskLost {
-			gone++
-		}
-	}
-	a := s.alive()
-	if len(vs) == 0 || gone+1 > (len(vs)-1)/2 || len(a) == 0 || !s.membershipsAgree() {
-		return
-	}
-	a[s.rnd.IntN(len(a))].diskLost = true
-	s.events["emptied"]++
-}
-
-// membershipsAgree reports whether all voters that kept their disk are running and have the
-// leader's list of voters. Otherwise loseOneDisk would count lost disks against a membership
-// that is being replaced.
-func (s *simulation) membershipsAgree() bool {
-	ld := s.leader()
-	for _, n := range s.nodes {
-		if !ld.replica.Membership().IsVoter(n.id) || n.diskLost {
-			continue
-		}
-		if n.down {
-			return false
-		}
-		if !slices.Equal(n.replica.Membership().Voters, ld.replica.Membership().Voters) {
-			return false
-		}
-	}
-
-	return true
-}
-
-// changeMembership proposes one change: a new learner, a promotion or a removal.
-func (s *simulation) changeMembership() {
-	ld := s.leader()
-	if ld == nil {
-		return
-	}
-	m := ld.replica.Membership()
-	next := m
-	switch {
-	case len(m.Learners) == 0 && len(s.nodes) < 200:
-		id := consensus.ReplicaID(fmt.Sprintf("r%d", len(s.nodes)))
-		if _, err := ld.replica.ProposeMembership(ld.clock(s.now), m.WithLearner(id)); err == nil {
-			s.addNode(id, s.nodes[0].bootstrap)
-			s.events["join"]++
-		}
-		s.flush(ld)
-
-		return
-	case len(m.Learners) > 0 && s.node(m.Learners[0]).diskLost:
-		next = m.Without(m.Learners[0])
-	case len(m.Voters) < 5 && len(m.Learners) > 0:
-		next = m.WithVoter(m.Learners[0])
-	case len(m.Voters) > 3:
-		next = m.Without(s.voterToRemove(m.Voters))
-	}
-	if _, err := ld.replica.ProposeMembership(ld.clock(s.now), next); err == nil {
-		s.events["member"]++
-	}
-	s.flush(ld)
-}
-
-// voterToRemove returns a voter whose disk was lost, or else a random one.
-func (s *simulation) voterToRemove(voters []consensus.ReplicaID) consensus.ReplicaID {
-	for _, id := range voters {
-		if s.node(id).diskLost {
-			return id
-		}
-	}
-
-	return voters[s.rnd.IntN(len(voters))]
-}
-
-// partition isolates one replica from all others, in one direction or both.
-func (s *simulation) partition() {
-	s.blockedLinks = map[[2]consensus.ReplicaID]bool{}
-	a := s.alive()
-	if len(a) == 0 {
-		return
-	}
-	lone := a[s.rnd.IntN(len(a))]
-	if ld := s.leader(); ld != nil && s.rnd.IntN(2) == 0 {
-		lone = ld // an isolated leader is the last to notice that it lost its role
-	}
-	oneWay := s.rnd.IntN(2) == 0
-	for _, n := range s.nodes {
-		s.blockedLinks[[2]consensus.ReplicaID{lone.id, n.id}] = true
-		if !oneWay {
-			s.blockedLinks[[2]consensus.ReplicaID{n.id, lone.id}] = true
-		}
-	}
-	s.events["partition"]++
-}
-
-func (s *simulation) pauseOne() {
-	if a := s.alive(); len(a) > 0 {
-		a[s.rnd.IntN(len(a))].pausedUntil = s.now + time.Duration(s.rnd.Int64N(int64(2*time.Second)))
-		s.events["pause"]++
-	}
-}
-
 // checkLeaders checks that each term has at most one leader.
 func (s *simulation) checkLeaders() {
 	for _, n := range s.nodes {
@@ -541,7 +431,7 @@
 			}
 			s.healAndVerify()
 			GinkgoWriter.Println("seed", seed, s.events, "leaders", len(s.leaderByTerm))
-			for _, what := range []string{"propose", "applied", "crash", "restart", "snapshot", "compact", "emptied", "member", "partition", "read", "lostTail"} {
+			for _, what := range []string{"propose", "applied", "crash", "restart", "snapshot", "compact", "emptied", "member", "partition", "read", "lostTail", "brokenTransfer", "damagedChunk"} {
 				Expect(s.events[what]).To(BeNumerically(">", 0), "the run had no %s event", what)
 			}
 		})
