Detect damage in large log records and lost ends of log segments

Cause: a record that fails its checksum counts as a torn write if no record follows within 1 MiB, so that a flipped bit in an entry of 3 MiB in the middle of the log was cut off with all entries after it, which the replica had acknowledged. The end of an older segment could be lost unnoticed if no later segment held entries.

Change: the next record is also looked for where the damaged one's length says. The header of a segment holds the index of the log's last entry when the segment was started; a folder that recovers less is damaged.

Not detected, as before: damage in the last write of the newest segment, and a truncation of that segment, which look like a write that the loss of power cut off.

--- a/internal/storage/record.go
+++ b/internal/storage/record.go
@@ -79,8 +79,17 @@
 }
 
 // hasRecordAfter reports whether a valid record starts after the first byte of b. This tells
-// damage in the middle of a file from a torn write at its end, which no record follows.
+// damage in the middle of a file from a torn write at its end, which no record follows. The next
+// record is looked for where the length of the first says, which may be beyond maxTailScanBytes,
+// and then at each byte.
 func hasRecordAfter(b []byte) bool {
+	if len(b) >= recordHeaderBytes {
+		if n := int(binary.LittleEndian.Uint32(b)); n <= maxRecordBytes && recordHeaderBytes+n < len(b) {
+			if _, _, _, ok := readRecord(b[recordHeaderBytes+n:]); ok {
+				return true
+			}
+		}
+	}
 	for i := 1; i < len(b) && i < maxTailScanBytes; i++ {
 		if _, _, _, ok := readRecord(b[i:]); ok {
 			return true
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -41,7 +41,7 @@
 	if !ok || kind != recordHeader {
 		return sn, damagedError(path, 0, "the snapshot has no valid header")
 	}
-	if err := checkHeader(path, body); err != nil {
+	if _, err := checkHeader(path, body); err != nil {
 		return sn, err
 	}
 
@@ -141,6 +141,7 @@
 	}
 	st.snapshot = withoutData(sn)
 	if received {
+		st.lastIndex = sn.Index
 		if err := st.startSegment(); err != nil {
 			return err
 		}
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -27,6 +27,7 @@
 	Format int               `cbor:"1,keyasint"`
 	Group  consensus.GroupID `cbor:"2,keyasint"`
 	First  uint64            `cbor:"3,keyasint"` // index of the snapshot when the segment started; it covers all entries up to here
+	Last   uint64            `cbor:"4,keyasint"` // index of the last entry of the log when the segment started; 0 if that was not recorded
 }
 
 type segment struct {
@@ -49,6 +50,7 @@
 	sequence     int
 	segments     []segment
 	hardState    consensus.HardState
+	lastIndex    uint64 // of the log
 	snapshot     consensus.Snapshot
 	encodeBuffer []byte
 	failure      error
@@ -89,7 +91,7 @@
 	if err := st.readSegments(names, re); err != nil {
 		return nil, nil, err
 	}
-	st.hardState, st.snapshot = re.HardState, withoutData(re.Snapshot)
+	st.hardState, st.snapshot, st.lastIndex = re.HardState, withoutData(re.Snapshot), re.Snapshot.Index+uint64(len(re.Entries))
 	st.addSegment()
 	if err := st.openSegment(); err != nil {
 		if !IsTransient(err) {
@@ -115,16 +117,16 @@
 	return result.New(result.DataFolderDamaged, "storage: %s: offset %d: %s", path, offset, what)
 }
 
-func checkHeader(path string, body []byte) error {
+func checkHeader(path string, body []byte) (fileHeader, error) {
 	var h fileHeader
 	if err := cbor.Unmarshal(body, &h); err != nil {
-		return damagedError(path, 0, err.Error())
+		return h, damagedError(path, 0, err.Error())
 	}
 	if h.Format > FormatVersion {
-		return result.New(result.DataFolderNewer, "storage: %s: file format %d is newer than the supported format %d", path, h.Format, FormatVersion)
+		return h, result.New(result.DataFolderNewer, "storage: %s: file format %d is newer than the supported format %d", path, h.Format, FormatVersion)
 	}
 
-	return nil
+	return h, nil
 }
 
 func (st *Store) readSegments(names []string, re *Recovered) error {
@@ -206,7 +208,12 @@
 func (st *Store) recoverRecord(path string, off int, kind byte, body []byte, sg *segment, re *Recovered) error {
 	switch kind {
 	case recordHeader:
-		return checkHeader(path, body)
+		h, err := checkHeader(path, body)
+		if end := re.Snapshot.Index + uint64(len(re.Entries)); err == nil && h.Last > end {
+			return damagedError(path, off, fmt.Sprintf("the log held entries up to %d when this segment was started, but only those up to %d are left", h.Last, end))
+		}
+
+		return err
 	case recordHardState:
 		if err := cbor.Unmarshal(body, &re.HardState); err != nil {
 			return damagedError(path, off, err.Error())
@@ -267,7 +274,7 @@
 	if st.hasHeader {
 		return nil
 	}
-	h, err := cbor.Marshal(fileHeader{Format: FormatVersion, Group: st.group, First: st.snapshot.Index})
+	h, err := cbor.Marshal(fileHeader{Format: FormatVersion, Group: st.group, First: st.snapshot.Index, Last: st.lastIndex})
 	if err != nil {
 		return fileError(path, err)
 	}
@@ -397,6 +404,9 @@
 	if err := st.writeSynced(b); err != nil {
 		return err
 	}
+	if n := len(rd.Entries); n > 0 {
+		st.lastIndex = rd.Entries[n-1].Index
+	}
 	if st.currentBytes > maxSegmentBytes {
 		return st.startSegment()
 	}
--- a/internal/storage/store_test.go
+++ b/internal/storage/store_test.go
@@ -267,6 +267,35 @@
 		})
 	}
 
+	It("fails to open a folder that lost the end of an older segment, even if no entry follows the gap", func() {
+		d := newDisk()
+		st, _, err := storage.Open(d.operations(), dir, 1)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(save(st, entries(1, 20, 1), nil)).To(Succeed())
+		before := len(d.files[segmentPaths(d)[0]].data)
+		Expect(save(st, entries(21, 1, 1), nil)).To(Succeed())
+		_, _, err = storage.Open(d.operations(), dir, 1)
+		Expect(err).NotTo(HaveOccurred())
+		f := d.files[segmentPaths(d)[0]]
+		f.data = f.data[:before]
+		_, _, err = storage.Open(d.operations(), dir, 1)
+		Expect(result.Is(err, result.DataFolderDamaged)).To(BeTrue(), "%v", err)
+		Expect(err.Error()).To(ContainSubstring("entries up to 21"))
+	})
+
+	It("fails to open a folder with a flipped bit in an entry that is larger than the part that is searched for records", func() {
+		d := newDisk()
+		st, _, err := storage.Open(d.operations(), dir, 1)
+		Expect(err).NotTo(HaveOccurred())
+		large := entries(1, 1, 1)
+		large[0].Data = make([]byte, 3<<20)
+		Expect(save(st, large, nil)).To(Succeed())
+		Expect(save(st, entries(2, 1, 1), nil)).To(Succeed())
+		flipBit(d, "log-", 0.5)
+		_, _, err = storage.Open(d.operations(), dir, 1)
+		Expect(result.Is(err, result.DataFolderDamaged)).To(BeTrue(), "%v", err)
+	})
+
 	faults := []struct {
 		name string
 		op   string
@@ -450,3 +479,16 @@
 	}
 	Fail("no file is large enough to flip a bit")
 }
+
+// segmentPaths returns the paths of the log segments, oldest first.
+func segmentPaths(d *memoryDisk) []string {
+	var out []string
+	for p := range d.files {
+		if strings.Contains(p, "log-") {
+			out = append(out, p)
+		}
+	}
+	slices.Sort(out)
+
+	return out
+}
