Keep to the rate of cold backend servers

Cause: a backend server that is cold takes a few requests a second from all processes together and crashes at rates well above that. All of a failure domain may be cold when its evacuation is withdrawn. Change: heartbeats report cold_remaining_ms, and a service declares cold_start_s and cold_per_s. internal/coldstart decides in every process from the same state which backend servers are cold; gateways, stores and the broker pass them to internal/permit. After a withdrawal those of the failure domain count as cold until a heartbeat that was sent afterwards says otherwise, for cold_start_s at most. The limit is in force before such a backend server can be picked.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -336,12 +336,15 @@
 	for _, id := range co.registry.Sweep(now) {
 		co.cfg.Log.WithField("server", id).Warn("backend server silent")
 	}
+	for _, wi := range st.Withdrawn {
+		co.registry.Withdraw(now, wi.FailureDomain, wi.Position, co.cfg.Settings.HeartbeatPeriod)
+	}
 	st.Servers = co.serverStatuses()
 	alive := map[registry.Incarnation]bool{}
 	for i := range st.Servers {
 		alive[st.Servers[i].Record.Incarnation()] = true
 	}
-	st.Limits = co.publishedLimits(alive)
+	st.Limits = co.publishedLimits(alive, coldServers(now, st))
 	st.IsSettled = now-co.startedAt > (maxMissedHeartbeats+1)*co.cfg.Settings.HeartbeatPeriod
 	for _, me := range members {
 		out := feed.Store{Name: me.Name, Replica: string(me.Replica), Address: me.Address, Retiring: retirement[me.Name] != 0}
--- a/internal/controller/evacuation.go
+++ b/internal/controller/evacuation.go
@@ -7,8 +7,11 @@
 
 	"github.com/apex/log"
 
+	"github.com/tamarackbay/tamarackbay/internal/coldstart"
 	"github.com/tamarackbay/tamarackbay/internal/evacuation"
 	"github.com/tamarackbay/tamarackbay/internal/feed"
+	"github.com/tamarackbay/tamarackbay/internal/permit"
+	"github.com/tamarackbay/tamarackbay/internal/registry"
 	"github.com/tamarackbay/tamarackbay/internal/result"
 	"github.com/tamarackbay/tamarackbay/internal/statemachine"
 )
@@ -56,11 +59,31 @@
 	for name, do := range ev.Domains() {
 		if do.WithdrawnAtMs > 0 && !do.IsEvacuated {
 			age := time.Duration(max(nowMs-do.WithdrawnAtMs, 0)) * time.Millisecond
-			st.Withdrawn = append(st.Withdrawn, feed.Withdrawal{FailureDomain: name, Age: age})
+			st.Withdrawn = append(st.Withdrawn, feed.Withdrawal{FailureDomain: name, Age: age, Position: do.Withdrawn})
 		}
 	}
 }
 
+// coldServers returns the limits of the backend servers that are cold according to a state of
+// the feed.
+func coldServers(now time.Duration, st *feed.State) map[registry.Incarnation]permit.Cold {
+	if st.Config == nil {
+		return nil
+	}
+	withdrawals := map[string]coldstart.Withdrawal{}
+	for _, wi := range st.Withdrawn {
+		withdrawals[wi.FailureDomain] = coldstart.Withdrawal{Position: wi.Position, Age: wi.Age}
+	}
+
+	return coldstart.Servers(now, st.Config, withdrawals, func(yield func(re *registry.Record) bool) {
+		for i := range st.Servers {
+			if !yield(&st.Servers[i].Record) {
+				return
+			}
+		}
+	})
+}
+
 // isEvacuated reports whether the backend servers of a failure domain get nothing new.
 func (co *Controller) isEvacuated(failureDomain string) bool {
 	var evacuated []string
--- a/internal/controller/permits.go
+++ b/internal/controller/permits.go
@@ -133,11 +133,13 @@
 	return struct{}{}, nil
 }
 
-// publishedLimits returns the limits that this replica knows as the broker, nil if it is not.
-func (co *Controller) publishedLimits(alive map[registry.Incarnation]bool) []permit.Limit {
+// publishedLimits returns the limits that this replica knows as the broker, nil if it is not. The
+// broker also learns which backend servers are cold, so that a new one knows them at once.
+func (co *Controller) publishedLimits(alive map[registry.Incarnation]bool, cold map[registry.Incarnation]permit.Cold) []permit.Limit {
 	pb := &co.permits
 	pb.mu.Lock()
 	defer pb.mu.Unlock()
+	pb.broker.SetCold(co.cfg.Now(), cold)
 
 	if co.lead(pb) != nil {
 		return nil
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -164,6 +164,7 @@
 	wg.Go(func() {
 		ed.follower.EachView(ctx, func(vi *feed.View) {
 			ed.guard.ObserveServers(vi.Servers)
+			ed.permits.SetCold(vi.Cold(ed.cfg.Now())) // before a cold backend server can be picked
 			ed.balancer.SetEvacuated(vi.Evacuated)
 			ed.balancer.Sync(vi.Servers)
 			ed.permits.Apply(vi.Limits)
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/tamarackbay/tamarackbay/internal/coldstart"
 	"github.com/tamarackbay/tamarackbay/internal/permit"
 	"github.com/tamarackbay/tamarackbay/internal/quarantine"
 	"github.com/tamarackbay/tamarackbay/internal/registry"
@@ -64,6 +65,7 @@
 type Withdrawal struct {
 	FailureDomain string        `cbor:"1,keyasint"`
 	Age           time.Duration `cbor:"2,keyasint"` // of the withdrawal, when the state was published
+	Position      uint64        `cbor:"3,keyasint"` // of the withdrawal in the log
 }
 
 // evacuations is the part of a State that changes with the evacuated failure domains.
@@ -244,6 +246,7 @@
 type Withdrawn struct {
 	FailureDomain string
 	At            time.Time // of the withdrawal
+	Position      uint64    // of the withdrawal in the log
 }
 
 // IsEvacuated reports whether the backend servers of a failure domain must get nothing new.
@@ -251,6 +254,25 @@
 	return slices.Contains(vi.Evacuated, failureDomain)
 }
 
+// Cold returns the limits of the backend servers that are cold at a time of the monotonic clock.
+func (vi *View) Cold(now time.Duration) map[registry.Incarnation]permit.Cold {
+	if vi.Table == nil {
+		return nil
+	}
+	withdrawals := map[string]coldstart.Withdrawal{}
+	for _, wi := range vi.Withdrawn {
+		withdrawals[wi.FailureDomain] = coldstart.Withdrawal{Position: wi.Position, Age: time.Since(wi.At)}
+	}
+
+	return coldstart.Servers(now, vi.Table.Config(), withdrawals, func(yield func(re *registry.Record) bool) {
+		for i := range vi.Servers {
+			if !yield(&vi.Servers[i]) {
+				return
+			}
+		}
+	})
+}
+
 // Leader returns the store that leads with the highest known term, and false if none is
 // known to lead.
 func (vi *View) Leader() (Store, bool) {
@@ -300,7 +322,7 @@
 	}
 	vi.Evacuated, vi.EvacuatedAt, vi.Withdrawn = ev.Domains, ev.Position, nil
 	for _, wi := range ev.Withdrawn {
-		vi.Withdrawn = append(vi.Withdrawn, Withdrawn{FailureDomain: wi.FailureDomain, At: at.Add(-wi.Age)})
+		vi.Withdrawn = append(vi.Withdrawn, Withdrawn{FailureDomain: wi.FailureDomain, At: at.Add(-wi.Age), Position: wi.Position})
 	}
 }
 
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -156,6 +156,7 @@
 	wg.Go(func() { st.permits.Run(ctx) })
 	wg.Go(func() {
 		st.follower.EachView(ctx, func(vi *feed.View) {
+			st.permits.SetCold(vi.Cold(st.cfg.Now())) // before a cold backend server can be picked
 			st.balancer.SetEvacuated(vi.Evacuated)
 			st.balancer.Sync(vi.Servers)
 			st.permits.Apply(vi.Limits)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -57,8 +57,15 @@
 	HealthPath     string  `cbor:"2,keyasint"`
 	MaxConnections int     `cbor:"3,keyasint"` // accepted by one backend server, from all callers together
 	Engine         *Engine `cbor:"4,keyasint"`
+	// ColdStart is how long a backend server is cold after its start. While it is, it takes
+	// ColdPerSecond requests a second from all processes together.
+	ColdStart     time.Duration `cbor:"5,keyasint,omitempty"`
+	ColdPerSecond float64       `cbor:"6,keyasint,omitempty"`
 }
 
+// HasColdStart reports whether backend servers of the service limit their rate while cold.
+func (se *Service) HasColdStart() bool { return se.ColdStart > 0 && se.ColdPerSecond > 0 }
+
 // Workspace is a caller with its API keys.
 type Workspace struct {
 	Name     string   `cbor:"1,keyasint"`
@@ -95,6 +102,9 @@
 		if se.Name == "" || services[se.Name] {
 			return invalid("service %q has no name or is declared twice", se.Name)
 		}
+		if se.ColdStart < 0 || se.ColdPerSecond < 0 {
+			return invalid("service %q: cold start of %v with %g requests a second, neither may be negative", se.Name, se.ColdStart, se.ColdPerSecond)
+		}
 		services[se.Name] = true
 	}
 
