Pick the backend server where a request is expected to be complete first

Cause: the score counts requests. It takes no account of how long they take, of a backend server of half the speed, nor of one that takes 2.5 times as long for some hundred milliseconds. Change: PolicyCompletion compares the expected time to completion: the wait for a slot, the risk of a wait as reports lag, the request's own work less a prompt that is held, times the lasting slowness and the momentary pace. A new connection and another failure domain cost a share of the request's work, and a random part of up to 5% spreads the picks of many processes.

--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -3,8 +3,9 @@
 // with the prompt's prefix in their cache (a hint from cache events or from earlier
 // requests) and in the failure domain of the process that places the request, a gateway
 // or a job store. As load reports lag, it adds the requests that this process has in
-// flight. New backend servers start slowly and outliers are ejected. The candidates,
-// the time and the random source are arguments.
+// flight. New backend servers start slowly and outliers are ejected. Where backend servers
+// report their pace, it prefers those where the request is expected to be complete first
+// instead. The candidates, the time and the random source are arguments.
 package scheduler
 
 import "time"
@@ -25,6 +26,9 @@
 	Failures         float64 // count of failures, reduced by each success
 	EjectedUntil     time.Duration
 	Latency          float64 // moving average in seconds per token or per request
+	Work             float64 // expected seconds of all requests in flight from this process, at usual speed
+	Slowness         float64 // lasting time per work, relative to the usual one; 0 if unknown
+	Pace             float64 // reported time per work at this moment, relative to the usual one; 0 if unknown
 }
 
 // Request describes the request to place.
@@ -37,11 +41,23 @@
 	IsSuspect     bool   // was in flight at the crash of a backend server
 	Exclude       []int  // indices of candidates
 	Sharers       int    // number of processes that share the backend servers
+	Work          Work
+}
+
+// Work is the expected work of a request and of those that it competes with, in seconds of one
+// slot of a backend server of usual speed.
+type Work struct {
+	IsPaced bool    // backend servers of the service report their pace; otherwise the rest is not used
+	Own     float64 // of the request, 0 if unknown
+	Prompt  float64 // the part of Own that the candidate saves which holds the prefix
+	Usual   float64 // mean of the requests of the service, 0 if unknown
+	Queued  float64 // mean of those that a request waits for at a full backend server, 0 if unknown
 }
 
 // Values of Config.Policy.
 const (
 	PolicyScore         = "score"
+	PolicyCompletion    = "completion" // PolicyScore where backend servers report no pace
 	PolicyRoundRobin    = "roundRobin"
 	PolicyLeastInFlight = "leastInFlight"
 )
@@ -56,6 +72,11 @@
 	SlowStart       time.Duration // time until a new candidate gets its full load
 	EjectFailures   float64       // value of Candidate.Failures that ejects a candidate
 	MaxEjectedShare float64       // largest share of the ready candidates that may be ejected
+
+	// These are used by PolicyCompletion only, as shares of the request's work.
+	ConnectShare float64 // cost of a new connection
+	DomainShare  float64 // cost of another failure domain
+	Jitter       float64 // largest random part of the expected time
 }
 
 // Defaults fills the fields left zero.
@@ -84,6 +105,15 @@
 	if c.MaxEjectedShare == 0 {
 		c.MaxEjectedShare = 0.4
 	}
+	if c.ConnectShare == 0 {
+		c.ConnectShare = 0.15
+	}
+	if c.DomainShare == 0 {
+		c.DomainShare = 0.1
+	}
+	if c.Jitter == 0 {
+		c.Jitter = 0.05
+	}
 }
 
 // Scheduler picks one of several candidates. It is not safe for concurrent use.
@@ -121,12 +151,16 @@
 		return sc.pickLeastInFlight(now, cands, rq)
 	}
 
+	rate := sc.score
+	if sc.cfg.Policy == PolicyCompletion && rq.Work.IsPaced {
+		rate = sc.completion
+	}
 	best, bestScore := NoCandidate, 0.0
 	consider := func(i int) {
 		if !sc.HasRoom(now, &cands[i], i, rq) {
 			return
 		}
-		if s := sc.score(now, &cands[i], i, rq); best == NoCandidate || s < bestScore {
+		if s := rate(&cands[i], i, rq); best == NoCandidate || s < bestScore {
 			best, bestScore = i, s
 		}
 	}
@@ -203,7 +237,7 @@
 // score returns the share of the slots in use after the request, less the bonuses for
 // affinity, failure domain, idle connection and newer weights, plus penalties for
 // tokens in flight and failures. The lowest score is the best.
-func (sc *Scheduler) score(now time.Duration, ca *Candidate, i int, rq *Request) float64 {
+func (sc *Scheduler) score(ca *Candidate, i int, rq *Request) float64 {
 	others := max(0, ca.Running-ca.InFlightReported)
 	s := float64(others+ca.InFlight+1) / float64(max(ca.Slots, 1))
 	s += float64(ca.Tokens) / float64(64*1024)
