Never join a resumed stream from two software versions

A gateway recorded the origin when it sent the request, and trusted its own record alone: a client that left, sent its first attempt again under the same ID at another gateway and resumed at the first one was continued at the version of the first try. Attempts without an ID shared one key, and so did resumes that named none. A version inferred from the controllers' last two minutes did not cover streams begun before that.

Change: the origin is recorded once the first event has arrived, before it is forwarded. Two different origins under one ID make the stream ambiguous, which is refused; a resume asks all controllers, also where the gateway knows the stream. Attempts without an ID are not recorded, and resumes that name none are refused. Nothing is inferred any more: a stream that no process knows is refused at once as not run. A resume is recorded under its own ID too, so that a later one may name it.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -97,11 +97,10 @@
 	swapWake           chan struct{}
 	usage              usageState
 
-	relay    *relay
-	permits  permitBroker
-	origins  *origin.Table
-	software softwareHistory                 // guarded by mu
-	orders   map[registry.Incarnation]uint64 // orders that engines have accepted, by the last of this controller; guarded by mu
+	relay   *relay
+	permits permitBroker
+	origins *origin.Table
+	orders  map[registry.Incarnation]uint64 // orders that engines have accepted, by the last of this controller; guarded by mu
 }
 
 // Announcement is the state that a store sends to every controller periodically.
@@ -128,7 +127,7 @@
 		cfg: cfg, feed: feed.NewServer(), links: peer.NewLinks(context.Background(), cfg.Peer), stopped: make(chan struct{}),
 		registry: registry.New(maxMissedHeartbeats * no.HeartbeatPeriod), stores: map[string]*store{}, publishWake: make(chan struct{}, 1),
 		startedAt: cfg.Now(), swapPlanners: map[string]*weights.JointPlanner{}, swapWake: make(chan struct{}, 1),
-		relay: newRelay(), permits: permitBroker{broker: permit.NewBroker()}, origins: origin.NewTable(origin.MaxOrigins), software: softwareHistory{}, orders: map[registry.Incarnation]uint64{},
+		relay: newRelay(), permits: permitBroker{broker: permit.NewBroker()}, origins: origin.NewTable(origin.MaxOrigins), orders: map[registry.Incarnation]uint64{},
 	}
 	var founders []group.Founder
 	for _, a := range no.Controllers {
--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -179,9 +179,6 @@
 		no := &notices[i]
 		missing, changed := co.registry.Receive(now, notices[i:i+1])
 		lacking = append(lacking, missing...)
-		if re, ok := co.registry.Record(no.Record.ID); ok && !no.Leaves {
-			co.software.observe(now, &re)
-		}
 		if !changed {
 			continue
 		}
--- a/internal/controller/origins.go
+++ b/internal/controller/origins.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/tamarackbay/tamarackbay/internal/origin"
 	"github.com/tamarackbay/tamarackbay/internal/peer"
-	"github.com/tamarackbay/tamarackbay/internal/registry"
 	"github.com/tamarackbay/tamarackbay/internal/result"
 	"github.com/tamarackbay/tamarackbay/internal/wire"
 )
@@ -19,50 +17,6 @@
 	methodFindOrigin    = "controller.findOrigin"
 )
 
-// softwareHistory holds when each software version of each service was last reported.
-type softwareHistory map[string]map[string]time.Duration
-
-func (sh softwareHistory) observe(now time.Duration, re *registry.Record) {
-	if sh[re.Service] == nil {
-		sh[re.Service] = map[string]time.Duration{}
-	}
-	sh[re.Service][re.Software] = now
-}
-
-// sole returns the only version that a service had within origin.Retention, and false if it
-// had none or several.
-func (sh softwareHistory) sole(now time.Duration, service string) (string, bool) {
-	versions := sh[service]
-	sole := ""
-	for version, at := range versions {
-		if now-at > origin.Retention {
-			delete(versions, version)
-
-			continue
-		}
-		sole = version
-	}
-
-	return sole, len(versions) == 1
-}
-
-// findOrigin returns what this controller knows of the beginning of a stream.
-func (co *Controller) findOrigin(qu origin.Query) origin.Finding {
-	if or, ok := co.origins.Find(qu.Key); ok {
-		return origin.Finding{Origin: or, IsFound: true}
-	}
-	co.mu.Lock()
-	defer co.mu.Unlock()
-
-	now := co.cfg.Now()
-	if qu.Service == "" || now-co.startedAt < origin.Retention {
-		return origin.Finding{} // the history is not complete yet
-	}
-	software, ok := co.software.sole(now, qu.Service)
-
-	return origin.Finding{Origin: origin.Origin{Service: qu.Service, Software: software}, IsSole: ok}
-}
-
 func (co *Controller) originHandlers() peer.Mux {
 	return peer.Mux{
 		methodRecordOrigins: func(_ context.Context, st *peer.Stream) error {
@@ -79,7 +33,7 @@
 			if err := st.RequestRecord(&qu); err != nil {
 				return err
 			}
-			b, err := cbor.Marshal(co.findOrigin(qu))
+			b, err := cbor.Marshal(co.origins.Find(qu.Key))
 			if err != nil {
 				return result.New(result.Internal, "controller: encode the origin of a stream: %v", err)
 			}
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -53,25 +53,35 @@
 
 // findOrigin finds out what began the stream that the client takes up.
 func (rs *requestState) findOrigin(ctx context.Context) error {
+	if rs.rq.Resumes == "" {
+		return result.New(result.OriginUnknown, "ingress: the request does not name the attempt that began the stream").
+			WithRetryAfter(sameSoftwareRetryAfter)
+	}
 	key := origin.KeyOf(rs.workspace, rs.rq.Resumes)
-	or, err := rs.in.cfg.Origins.Find(ctx, key, rs.ro.SoleTarget())
+	or, err := rs.in.cfg.Origins.Find(ctx, key)
 	if err != nil {
 		return err
 	}
 	rs.origin = &or
 	rs.in.cfg.Origins.Begin(key, or) // this gateway may be the only one left that knows it
+	if rs.rq.ID != "" && rs.rq.ID != rs.rq.Resumes {
+		// A later resume may name this attempt instead of the first one.
+		rs.in.cfg.Origins.Begin(origin.KeyOf(rs.workspace, rs.rq.ID), or)
+	}
 
 	return nil
 }
 
-// beginOrigin records what begins a stream, before its first event. It returns nil if the
-// stream can't be taken up or has begun already.
-func (rs *requestState) beginOrigin(gr *balance.Grant) *origin.Pending {
+// beginOrigin records what begins a stream, before its first event is forwarded. A stream
+// without an ID is not recorded: others of the workspace would have the same key.
+func (rs *requestState) beginOrigin(ctx context.Context, gr *balance.Grant) {
 	if rs.origin != nil || !rs.ro.IsResumable {
-		return nil
+		return
+	}
+	rs.origin = originOf(gr)
+	if rs.rq.ID != "" {
+		rs.in.cfg.Origins.Begin(origin.KeyOf(rs.workspace, rs.rq.ID), *rs.origin).Wait(ctx)
 	}
-
-	return rs.in.cfg.Origins.Begin(origin.KeyOf(rs.workspace, rs.rq.ID), *originOf(gr))
 }
 
 func originOf(gr *balance.Grant) *origin.Origin {
@@ -86,7 +96,7 @@
 	outcome, load := balance.Failed, (*backend.Load)(nil)
 	defer func() { gr.Release(outcome, load) }()
 
-	ca, pending := rs.newCall(gr), rs.beginOrigin(gr)
+	ca := rs.newCall(gr)
 	ca.ResumeAfter = *last
 	sent := time.Now()
 	an, err := rs.in.cfg.Client.Send(ctx, gr.Record().Address, ca)
@@ -144,10 +154,7 @@
 			return result.New(result.BackendAnswerBroken, "ingress: backend server %s: event %d does not follow event %d directly", gr.Record().ID, ev.Number, *last).WithExecution(result.Ran)
 		}
 		if !*begun {
-			if pending != nil {
-				pending.Wait(ctx)
-				rs.origin = originOf(gr)
-			}
+			rs.beginOrigin(ctx, gr)
 			*begun = true
 			sink.Begin(an)
 		}
--- a/internal/meter/names.go
+++ b/internal/meter/names.go
@@ -30,6 +30,7 @@
 	{"permits.used", KindCounter, "requests sent to backend servers that limit their rate"},
 	{"permits.refused", KindCounter, "requests for which no permit of a limited backend server was to be had"},
 	{"origins.notRecorded", KindCounter, "streams that began while no controller was connected that could record their software version"},
+	{"origins.ambiguous", KindCounter, "streams that clients took up and of which attempts with the same ID began at several software versions"},
 	{"origins.unknown", KindCounter, "streams that clients took up and whose software version was not known"},
 	{"items.restarted", KindCounter, "texts of items that were begun again, since no backend server of their software version was to be had"},
 	{"attempts.brokenOff", KindCounter, "attempts whose connection to the backend server broke"},
--- a/internal/origin/book.go
+++ b/internal/origin/book.go
@@ -14,10 +14,14 @@
 
 const (
 	// recordTimeout bounds how long the first event of a stream waits until a controller has
-	// recorded the stream's origin. It usually has long before.
+	// recorded the stream's origin, which usually takes one round trip.
 	recordTimeout = 100 * time.Millisecond
 	// findTimeout bounds the search for an origin.
 	findTimeout = 200 * time.Millisecond
+	// agreeTimeout bounds how long a search waits for the other controllers once the origin was
+	// found, since one of them may know another origin. A controller that is suspended would
+	// otherwise delay each resume by findTimeout.
+	agreeTimeout = 50 * time.Millisecond
 	// sendTimeout bounds one call that records origins.
 	sendTimeout = time.Second
 	// maxBatch bounds the origins of one such call.
@@ -76,7 +80,9 @@
 	return &Book{cfg: cfg, table: NewTable(maxOwnOrigins), senders: map[string]*sender{}}
 }
 
-// Begin records the origin of a stream here and sends it to all controllers.
+// Begin records the origin of a stream here and sends it to all controllers. It is called once
+// the first event has arrived: an earlier record would name a version of which the client
+// receives nothing if that try fails or the client leaves.
 func (bo *Book) Begin(key Key, or Origin) *Pending {
 	pe := &Pending{record: Record{Key: key, Origin: or}, done: make(chan struct{})}
 	bo.table.Add([]Record{pe.record})
@@ -119,38 +125,45 @@
 	}
 }
 
-// Find returns the origin of a stream. service is the only one that may have begun it, "" if
-// there are several.
-func (bo *Book) Find(ctx context.Context, key Key, service string) (Origin, error) {
-	if or, ok := bo.table.Find(key); ok {
-		return or, nil
-	}
+// Find returns the origin of a stream. It asks all controllers, also if this gateway knows the
+// stream: another gateway may have begun an attempt with the same ID at another version.
+func (bo *Book) Find(ctx context.Context, key Key) (Origin, error) {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
 	addresses := bo.addresses()
 	findings := make(chan Finding, len(addresses))
 	for _, a := range addresses {
 		go func() {
-			fi, err := bo.cfg.Find(ctx, a, Query{Key: key, Service: service})
+			fi, err := bo.cfg.Find(ctx, a, Query{Key: key})
 			if err != nil {
 				fi = Finding{}
 			}
 			findings <- fi
 		}()
 	}
-	sole := make([]Origin, 0, len(addresses))
-	for range addresses {
-		fi := <-findings
-		if fi.IsFound {
-			return fi.Origin, nil
+	known := bo.table.Find(key)
+	var agreed <-chan time.Time
+	for left := len(addresses); left > 0 && !known.IsAmbiguous; left-- {
+		if known.IsFound && agreed == nil {
+			timer := time.NewTimer(agreeTimeout)
+			defer timer.Stop()
+			agreed = timer.C
 		}
-		if fi.IsSole {
-			sole = append(sole, fi.Origin)
+		select {
+		case fi := <-findings:
+			known = known.merge(fi)
+		case <-agreed:
+			left = 0
 		}
 	}
-	// A controller that does not answer may know the stream, or another version.
-	if len(sole) > 0 && len(sole) == len(addresses) && len(slices.Compact(sole)) == 1 {
-		return sole[0], nil
+	switch {
+	case known.IsFound:
+		return known.Origin, nil
+	case known.IsAmbiguous:
+		bo.cfg.Meter.Count("origins.ambiguous")
+
+		return Origin{}, result.New(result.OriginUnknown, "origin: attempts with the same ID began at several software versions").
+			WithRetryAfter(unknownRetryAfter)
 	}
 	bo.cfg.Meter.Count("origins.unknown")
 
@@ -158,6 +171,18 @@
 		WithRetryAfter(unknownRetryAfter)
 }
 
+// merge returns what two findings of the same stream say together.
+func (fi Finding) merge(other Finding) Finding {
+	switch {
+	case fi.IsAmbiguous || other.IsAmbiguous || (fi.IsFound && other.IsFound && fi.Origin != other.Origin):
+		return Finding{IsAmbiguous: true}
+	case fi.IsFound:
+		return fi
+	}
+
+	return other
+}
+
 func (bo *Book) addresses() []string {
 	bo.mu.Lock()
 	defer bo.mu.Unlock()
@@ -279,16 +304,3 @@
 
 	return ses.Record(ctx, records)
 }
-
-// records returns all records, the oldest first.
-func (ta *Table) records() []Record {
-	keys := ta.lru.Keys()
-	out := make([]Record, 0, len(keys))
-	for _, key := range keys {
-		if or, ok := ta.lru.Peek(key); ok {
-			out = append(out, Record{Key: key, Origin: or})
-		}
-	}
-
-	return out
-}
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -1,12 +1,12 @@
 // Package origin remembers which software version began each stream, since a stream may be
 // continued by backend servers of that version alone. The gateway that begins a stream records
 // it with the controllers before it forwards the first event; a gateway at which a client takes
-// the stream up asks them. Records are kept in memory: gateways send theirs again to a
-// controller that has restarted.
+// the stream up asks them. Gateways send their records again to a controller that has restarted.
 package origin
 
 import (
 	"crypto/sha256"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/expirable"
@@ -33,21 +33,21 @@
 type Record struct {
 	Key    Key    `cbor:"1,keyasint"`
 	Origin Origin `cbor:"2,keyasint"`
+	// IsAmbiguous says that attempts with the same ID began at different versions or services, so
+	// that nobody knows which of them the client has events of. Origin is empty then.
+	IsAmbiguous bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Query asks a controller for the origin of a stream.
 type Query struct {
-	Key     Key    `cbor:"1,keyasint"`
-	Service string `cbor:"2,keyasint"` // the only one that may have begun the stream, "" if there are several
+	Key Key `cbor:"1,keyasint"`
 }
 
-// Finding answers a Query.
+// Finding answers a Query. Key 3 of its encoding was in use and must not be assigned again.
 type Finding struct {
-	Origin  Origin `cbor:"1,keyasint"`
-	IsFound bool   `cbor:"2,keyasint"` // the stream was recorded
-	// IsSole says that the stream was not recorded, but that the service has had backend
-	// servers of a single version for Retention, as far as this controller knows.
-	IsSole bool `cbor:"3,keyasint"`
+	Origin      Origin `cbor:"1,keyasint"`
+	IsFound     bool   `cbor:"2,keyasint"` // the stream was recorded, and only with this origin
+	IsAmbiguous bool   `cbor:"4,keyasint,omitempty"`
 }
 
 const (
@@ -61,19 +61,36 @@
 )
 
 // Table holds the origins that were recorded. It is safe for concurrent use.
-type Table struct{ lru *expirable.LRU[Key, Origin] }
+type Table struct {
+	mu  sync.Mutex // held while a record is merged with the earlier one of its stream
+	lru *expirable.LRU[Key, Record]
+}
 
 // NewTable returns a table of at most size origins.
 func NewTable(size int) *Table {
-	return &Table{expirable.NewLRU[Key, Origin](size, nil, Retention)}
+	return &Table{lru: expirable.NewLRU[Key, Record](size, nil, Retention)}
 }
 
-// Add records origins. A later record of a stream replaces the earlier one.
+// Add records origins. A stream that was recorded with another origin before is ambiguous from
+// then on: records arrive in any order and repeatedly, so the later one is not the right one.
 func (ta *Table) Add(records []Record) {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+
 	for _, re := range records {
-		ta.lru.Add(re.Key, re.Origin)
+		if old, ok := ta.lru.Peek(re.Key); ok && (old.IsAmbiguous || old.Origin != re.Origin) {
+			re.Origin, re.IsAmbiguous = Origin{}, true
+		}
+		ta.lru.Add(re.Key, re)
 	}
 }
 
-// Find returns the origin of a stream.
-func (ta *Table) Find(key Key) (Origin, bool) { return ta.lru.Peek(key) }
+// Find returns what is known of the origin of a stream.
+func (ta *Table) Find(key Key) Finding {
+	re, ok := ta.lru.Peek(key)
+
+	return Finding{Origin: re.Origin, IsFound: ok && !re.IsAmbiguous, IsAmbiguous: re.IsAmbiguous}
+}
+
+// records returns all records, the oldest first.
+func (ta *Table) records() []Record { return ta.lru.Values() }
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -89,15 +89,6 @@
 	return slices.ContainsFunc(ro.Targets, func(ta Target) bool { return ta.Service == service && ta.Weight > 0 })
 }
 
-// SoleTarget returns the only service of the route, "" if there are several.
-func (ro *Route) SoleTarget() string {
-	if len(ro.Targets) != 1 {
-		return ""
-	}
-
-	return ro.Targets[0].Service
-}
-
 // PickTarget returns the service of a target chosen by weight; draw is a random number
 // in [0, 1).
 func (ro *Route) PickTarget(draw float64) string {
