Set damaged data aside and join the group as a new replica

Change: group.New opens the folder. The identity goes first: if the process ends in between, an identity is missing while data of a replica is there, which counts as damage, so that the next start goes on; the old identity never votes again. The new identity is marked (rejoins): such a replica never forms a group, and is not counted by a founder that looks for empty peers. If no leader admits it, it logs that every 5 s; replicas without a leader log it too, with their voters. A folder of a newer format or of another process still ends the process and stays as it is.

A read error of the identity is no damage (dataFolderWrite). A state that can't be decoded counts as damage whatever its code.

The folder is read before the listeners open, instead of after; it is read once, as before. What is found damaged while the process runs ends it once, and is set aside with the next start.

Formation and the opening of nodes have their own files.

--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -71,6 +71,9 @@
 	disk     *disk
 	start    time.Time
 
+	opened       *openedState // read by New, until Run takes it; nil if there is none
+	damagedBytes int64        // size of the damaged files that were set aside
+
 	ctx       context.Context
 	stop      context.CancelFunc
 	transport *transport
@@ -111,7 +114,7 @@
 	gr.view.Store(vi)
 	gr.ctx, gr.stop = context.WithCancel(context.Background())
 	if cfg.DataFolder != "" {
-		if gr.identity, err = loadIdentity(cfg.Files, cfg.DataFolder, cfg.Name); err != nil && !storage.IsTransient(err) {
+		if err := gr.openFolder(); err != nil {
 			return nil, err
 		}
 		gr.cfg.Peer.Hello.Replica = string(gr.identity.Replica)
@@ -210,6 +213,11 @@
 func (gr *Group) Run(ctx context.Context) error {
 	defer gr.transport.wait()
 	defer gr.stop()
+	defer func() {
+		if gr.opened != nil {
+			_ = gr.opened.store.Close() // no node took it
+		}
+	}()
 
 	if !gr.HasDisk() {
 		gr.follow(ctx)
@@ -261,15 +269,24 @@
 
 func (gr *Group) openNode() (*node, error) {
 	gr.cfg.Log.WithFields(log.Fields{"replica": gr.identity.Replica, "cluster": gr.identity.Cluster}).Info("replica starts")
+	if op := gr.opened; op != nil {
+		gr.opened = nil
+
+		return newNode(gr.nodeConfig(), op)
+	}
 
-	return openNode(nodeConfig{
+	return openNode(gr.nodeConfig())
+}
+
+func (gr *Group) nodeConfig() nodeConfig {
+	return nodeConfig{
 		id: gr.identity.Replica, group: MainGroup,
 		bootstrap: consensus.Membership{Voters: gr.identity.Bootstrap},
-		files:     gr.cfg.Files, dir: filepath.Join(gr.cfg.DataFolder, "group-1"),
+		files:     gr.cfg.Files, dir: filepath.Join(gr.cfg.DataFolder, groupFolder),
 		election: gr.cfg.Election, heartbeat: gr.cfg.Heartbeat, wallMs: gr.cfg.WallMs,
 		send:    func(m consensus.Message) { gr.transport.send(gr.addressOf(m.To), m) },
 		onApply: gr.onApply, onStatus: gr.onStatus, disk: gr.disk, onDroppedTransfer: gr.onDroppedTransfer,
-	})
+	}
 }
 
 // publishView sets the group's first view from the restored state machine.
--- a/internal/group/identity.go
+++ b/internal/group/identity.go
@@ -1,15 +1,21 @@
 package group
 
 import (
+	"bytes"
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io/fs"
 	"path/filepath"
+	"regexp"
+	"slices"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/tamarackbay/tamarackbay/internal/consensus"
 	"github.com/tamarackbay/tamarackbay/internal/result"
 	"github.com/tamarackbay/tamarackbay/internal/storage"
@@ -32,38 +38,109 @@
 	// Peers are the last known addresses of the members. A restarted replica needs them
 	// because the replicated addresses are applied only after a leader is elected.
 	Peers map[consensus.ReplicaID]string `json:"peers,omitempty"`
+	// Rejoins is set if the data of an earlier identity was set aside. The replica then never forms
+	// a group, which would lose that data without notice: it waits until its group admits it.
+	Rejoins  bool   `json:"rejoins,omitempty"`
+	Checksum string `json:"checksum,omitempty"` // of the file
+}
+
+func newIdentity(name string) identity {
+	return identity{Format: identityFormat, Name: name, Replica: newReplicaID(name)}
 }
 
-// loadIdentity returns the stored identity, or a new one for an empty data folder. An error
-// that is transient comes with an identity that is not stored yet: it must be saved before use.
+// loadIdentity returns the stored identity, or a new one that is not stored yet if the data folder
+// is empty.
 func loadIdentity(files storage.Files, dir, name string) (identity, error) {
 	path := filepath.Join(dir, identityFile)
 	b, err := files.Read(path)
 	if errors.Is(err, fs.ErrNotExist) {
-		id := identity{Format: identityFormat, Name: name, Replica: newReplicaID(name)}
-
-		return id, id.save(files, dir)
+		hadData, err := hasFormerData(files, dir)
+		switch {
+		case err != nil:
+			return identity{}, err
+		case hadData:
+			return identity{}, result.New(result.DataFolderDamaged, "group: %s is missing, but the folder holds data of a replica", path)
+		}
+
+		return newIdentity(name), nil
 	}
 	if err != nil {
-		return identity{}, result.New(result.DataFolderDamaged, "group: reading %s: %v", path, err)
+		return identity{}, result.New(result.DataFolderWrite, "group: reading %s: %v", path, err).WithCause(err)
 	}
 
+	return decodeIdentity(path, name, b)
+}
+
+func decodeIdentity(path, name string, b []byte) (identity, error) {
+	// Checked first: all formats have the same checksum.
+	if sum, ok := storedChecksum(b); ok && sum != checksumOf(b) {
+		return identity{}, result.New(result.DataFolderDamaged, "group: %s: the checksum is %s instead of %s", path, checksumOf(b), sum)
+	}
+	var header struct {
+		Format int `json:"format"`
+	}
+	if err := json.Unmarshal(b, &header); err != nil {
+		return identity{}, result.New(result.DataFolderDamaged, "group: decoding %s: %v", path, err)
+	}
+	if header.Format > identityFormat {
+		return identity{}, result.New(result.DataFolderNewer, "group: %s: format %d is newer than %d, the newest that this program reads", path, header.Format, identityFormat)
+	}
 	var id identity
 	if err := json.Unmarshal(b, &id); err != nil {
 		return identity{}, result.New(result.DataFolderDamaged, "group: decoding %s: %v", path, err)
 	}
 	switch {
-	case id.Format > identityFormat:
-		return identity{}, result.New(result.DataFolderNewer, "group: %s: format %d is newer than %d, the newest that this program reads", path, id.Format, identityFormat)
+	case id.Replica == "":
+		return identity{}, result.New(result.DataFolderDamaged, "group: %s names no replica", path)
 	case id.Name != name:
 		return identity{}, result.New(result.DataFolderForeign, "group: %s: belongs to the process %q, but the settings name it %q", path, id.Name, name)
 	}
 
-	return id, id.save(files, dir) // fails early if the folder is not writable
+	return id, nil
 }
 
-func (id identity) save(files storage.Files, dir string) error {
+// checksumPattern finds the checksum of an identity.
+var checksumPattern = regexp.MustCompile(`"checksum": "([0-9a-f]{16})"`)
+
+// noChecksum stands for the checksum while it is computed.
+const noChecksum = "0000000000000000"
+
+// storedChecksum returns the checksum in the identity b. Versions that stored none wrote JSON that
+// does not have this key.
+func storedChecksum(b []byte) (string, bool) {
+	at := checksumPattern.FindSubmatchIndex(b)
+	if at == nil {
+		return "", bytes.Contains(b, []byte(`"checksum"`))
+	}
+
+	return string(b[at[2]:at[3]]), true
+}
+
+// checksumOf returns the checksum of the identity b: the xxHash64 of all its bytes, with zeros in
+// place of the checksum.
+func checksumOf(b []byte) string {
+	if at := checksumPattern.FindSubmatchIndex(b); at != nil {
+		b = slices.Clone(b)
+		copy(b[at[2]:at[3]], noChecksum)
+	}
+
+	return fmt.Sprintf("%016x", xxhash.Sum64(b))
+}
+
+func (id identity) encode() ([]byte, error) {
+	id.Checksum = noChecksum
 	b, err := json.MarshalIndent(id, "", "  ")
+	if err != nil {
+		return nil, err
+	}
+	at := checksumPattern.FindSubmatchIndex(b)
+	copy(b[at[2]:at[3]], checksumOf(b))
+
+	return b, nil
+}
+
+func (id identity) save(files storage.Files, dir string) error {
+	b, err := id.encode()
 	if err != nil {
 		return err
 	}
--- a/internal/group/membership.go
+++ b/internal/group/membership.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"maps"
-	"slices"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -18,206 +16,50 @@
 )
 
 const (
-	formPeriod       = 200 * time.Millisecond
-	formCallTimeout  = time.Second
 	membershipPeriod = 250 * time.Millisecond
 	registerPeriod   = time.Second
-	supersededAfter  = time.Second            // silence after which another replica of the same name supersedes a member
-	discoveryTimeout = 400 * time.Millisecond // for the identity requests to all known addresses
+	supersededAfter  = time.Second // silence after which another replica of the same name supersedes a member
 	rejoinPeriod     = 300 * time.Millisecond
 	rejoinAfter      = time.Second // time without a leader after which a replica asks to join again
-)
-
-func (gr *Group) handleIdentity(_ context.Context, st *peer.Stream) error {
-	gr.mu.Lock()
-	id := gr.identity
-	gr.mu.Unlock()
-
-	return st.Reply(&wire.IdentityReply{
-		Name: id.Name, Replica: string(id.Replica), Cluster: id.Cluster, Formed: id.isFormed(),
-		Bootstrap: toStrings(id.Bootstrap), HasDisk: gr.HasDisk(),
-	})
-}
-
-// form joins the existing cluster or forms a new one. Without Config.Formation only the
-// first founder chooses the members, once every founder answers and none belongs to a
-// cluster; the others adopt its choice.
-func (gr *Group) form(ctx context.Context) error {
-	for ctx.Err() == nil {
-		if gr.identity.isFormed() {
-			return gr.checkCluster(ctx)
-		}
-		done, err := gr.formOnce(ctx)
-		if done || err != nil {
-			return err
-		}
-		select {
-		case <-time.After(formPeriod):
-		case <-ctx.Done():
-		}
-	}
-
-	return nil
-}
-
-func (gr *Group) fetchIdentity(ctx context.Context, address string) (*wire.IdentityReply, error) {
-	actx, cancel := context.WithTimeout(ctx, formCallTimeout)
-	defer cancel()
-
-	var rep wire.IdentityReply
-	err := gr.callAddress(actx, address, methodIdentity, &wire.Empty{}, &rep)
-
-	return &rep, err
-}
-
-// discoveredPeer is the identity that the process at an address reported.
-type discoveredPeer struct {
-	address string
-	reply   *wire.IdentityReply
-}
-
-// discoverPeers requests the identity from every known address but its own, all at
-// once, and records the addresses of the replicas that answer.
-func (gr *Group) discoverPeers(ctx context.Context) []discoveredPeer {
-	ctx, cancel := context.WithTimeout(ctx, discoveryTimeout)
-	defer cancel()
-
-	addresses := gr.cfg.CandidateAddresses()
-	gr.mu.Lock()
-	addresses = slices.AppendSeq(slices.Clone(addresses), maps.Values(gr.storedPeers))
-	gr.mu.Unlock()
-	slices.Sort(addresses)
-	addresses = slices.DeleteFunc(slices.Compact(addresses), func(a string) bool { return a == gr.cfg.Address })
-	replies := make([]*wire.IdentityReply, len(addresses))
-	var wg sync.WaitGroup
-	for i, a := range addresses {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			if rep, err := gr.fetchIdentity(ctx, a); err == nil {
-				replies[i] = rep
-			}
-		}()
-	}
-	wg.Wait()
-
-	var out []discoveredPeer
-	gr.mu.Lock()
-	defer gr.mu.Unlock()
-	for i, rep := range replies {
-		if rep == nil {
-			continue
-		}
-		out = append(out, discoveredPeer{addresses[i], rep})
-		if rep.GetReplica() != "" {
-			gr.addresses[consensus.ReplicaID(rep.GetReplica())] = addresses[i]
-		}
-	}
-
-	return out
-}
-
-// checkCluster returns an error if a replica that answers belongs to another cluster.
-func (gr *Group) checkCluster(ctx context.Context) error {
-	for _, an := range gr.discoverPeers(ctx) {
-		if an.reply.GetFormed() && an.reply.GetCluster() != gr.identity.Cluster {
-			return result.New(result.DataFolderForeign, "group: %s: belongs to cluster %s, but the peer %s belongs to cluster %s",
-				gr.cfg.DataFolder, gr.identity.Cluster, an.reply.GetName(), an.reply.GetCluster())
-		}
-	}
-
-	return nil
-}
-
-// formOnce tries to join or form the cluster, and reports whether it has.
-func (gr *Group) formOnce(ctx context.Context) (bool, error) {
-	answers := gr.discoverPeers(ctx)
-	if gr.cfg.Formation != nil {
-		// The formation is decided once, outside this group.
-		if ids := gr.cfg.Formation(); slices.Contains(ids, gr.identity.Replica) {
-			ids = slices.Sorted(slices.Values(ids))
-
-			return true, gr.storeCluster(ctx, clusterID(ids), ids)
-		}
-	}
-
-	empty := []consensus.ReplicaID{gr.identity.Replica}
-	for _, an := range answers {
-		if an.reply.GetFormed() {
-			if done, err := gr.joinCluster(ctx, an.address, an.reply); done || err != nil {
-				return done, err
-			}
-
-			continue
-		}
-		if an.reply.GetHasDisk() {
-			empty = append(empty, consensus.ReplicaID(an.reply.GetReplica()))
-		}
-	}
-
-	isFirst := len(gr.cfg.Founders) > 0 && gr.cfg.Founders[0].Address == gr.cfg.Address
-	if gr.cfg.Formation != nil || !isFirst || len(empty) < len(gr.cfg.Founders) {
-		return false, nil
-	}
-	slices.Sort(empty)
-
-	return true, gr.storeCluster(ctx, clusterID(empty), empty)
-}
-
-// storeCluster saves the ID of the cluster and the replicas that formed it in the identity.
-func (gr *Group) storeCluster(ctx context.Context, cluster string, bootstrap []consensus.ReplicaID) error {
-	id := gr.identity
-	id.Cluster, id.Bootstrap = cluster, bootstrap
-	err := gr.untilAccepted(ctx, func() error { return id.save(gr.cfg.Files, gr.cfg.DataFolder) })
-	if err != nil || ctx.Err() != nil {
-		return err
-	}
-	gr.disk.recordSuccess(time.Now())
-	gr.mu.Lock()
-	defer gr.mu.Unlock()
 
-	gr.identity = id
-	gr.cfg.Log.WithFields(log.Fields{"cluster": cluster, "bootstrap": bootstrap}).Info("cluster identity stored")
-
-	return nil
-}
-
-// joinCluster adopts the cluster of the process at address. A replica that is not among
-// its founding voters asks to join as a learner first.
-func (gr *Group) joinCluster(ctx context.Context, address string, rep *wire.IdentityReply) (bool, error) {
-	bootstrap := toReplicas(rep.GetBootstrap())
-	if !slices.Contains(bootstrap, gr.identity.Replica) {
-		if err := gr.requestJoin(ctx, address); err != nil {
-			gr.cfg.Log.WithError(err).WithField("peer", address).Info("joining the group failed, will be retried")
-
-			return false, nil // retried after formPeriod
-		}
-	}
+	// waitLogPeriod is the pause between two log lines of a replica that waits for a majority of its
+	// group. An election takes well below that.
+	waitLogPeriod = 5 * time.Second
+)
 
-	return true, gr.storeCluster(ctx, rep.GetCluster(), bootstrap)
+// waitLog decides when a replica that waits logs that.
+type waitLog struct {
+	since, last time.Duration
 }
 
-func (gr *Group) requestJoin(ctx context.Context, address string) error {
-	ctx, cancel := context.WithTimeout(ctx, formCallTimeout)
-	defer cancel()
-	req := &wire.JoinRequest{
-		Name: gr.cfg.Name, Replica: string(gr.identity.Replica),
-		Address: gr.cfg.Address, FailureDomain: gr.cfg.FailureDomain,
+// isDue reports whether a line is due at now, and counts it as written.
+func (wl *waitLog) isDue(now time.Duration) bool {
+	if now < max(wl.since, wl.last)+waitLogPeriod {
+		return false
 	}
+	wl.last = now
 
-	return gr.callAddress(ctx, address, methodJoin, req, &wire.Empty{})
+	return true
 }
 
 // rejoinLoop asks to join again after a time without a leader: the group may have
 // replaced this replica while it was unreachable.
 func (gr *Group) rejoinLoop(ctx context.Context) {
 	leaderlessSince := gr.now()
+	wait := waitLog{since: leaderlessSince}
 	for ctx.Err() == nil {
 		select {
 		case <-time.After(rejoinPeriod):
 		case <-ctx.Done():
 			return
 		}
+		switch st := gr.Status(); {
+		case st.Leader != "":
+			wait = waitLog{since: gr.now()}
+		case wait.isDue(gr.now()):
+			gr.cfg.Log.WithFields(log.Fields{"ms": (gr.now() - wait.since).Milliseconds(), "voters": st.Membership.Voters, "commit": st.Commit}).
+				Warn("the group has no leader: it waits for a majority of its voters that hold its data")
+		}
 		if gr.Status().Leader != "" || gr.cfg.IsRetiring(gr.cfg.Name) {
 			leaderlessSince = gr.now()
 
--- a/internal/group/node.go
+++ b/internal/group/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -102,56 +101,6 @@
 	lastSnapshotIndex uint64
 }
 
-type nodeConfig struct {
-	id        consensus.ReplicaID
-	group     consensus.GroupID
-	bootstrap consensus.Membership
-	files     storage.Files
-	dir       string
-	election  time.Duration
-	heartbeat time.Duration
-	wallMs    func() int64
-	send      func(m consensus.Message)
-	onApply   func()
-	onStatus  func(old, st Status)
-	disk      *disk
-
-	onDroppedTransfer func(dropped consensus.DroppedTransfer)
-}
-
-func openNode(cfg nodeConfig) (*node, error) {
-	st, re, err := storage.Open(cfg.files, cfg.dir, cfg.group)
-	if err != nil {
-		return nil, err
-	}
-
-	ma := statemachine.New()
-	if re.Snapshot.Index > 0 {
-		if ma, err = statemachine.Restore(re.Snapshot.Data); err != nil {
-			return nil, err
-		}
-	} else {
-		re.Snapshot.Membership = cfg.bootstrap
-	}
-	n := &node{
-		store: st, start: time.Now(), wallMs: cfg.wallMs, send: cfg.send, onApply: cfg.onApply, onStatus: cfg.onStatus,
-		inbox: make(chan event, inboxSize), pendingProposals: map[uint64]pendingProposal{}, pendingReads: map[uint64]*readRequest{},
-		machine: ma, applied: make(chan struct{}), lastSnapshotIndex: re.Snapshot.Index, snapshotResults: make(chan snapshotResult, 1),
-		disk: cfg.disk, onDroppedTransfer: cfg.onDroppedTransfer,
-	}
-	n.replica = consensus.New(consensus.Config{
-		ID: cfg.id, Group: cfg.group, ElectionTimeout: cfg.election, HeartbeatPeriod: cfg.heartbeat,
-		Random: rand.Int64N, LatestSnapshot: st.LatestSnapshot,
-		HardState: re.HardState, Snapshot: re.Snapshot, Entries: re.Entries,
-	}, n.now())
-	if err := st.Failure(); err != nil {
-		return n, n.suspend(err, unstored{})
-	}
-	n.updateStatus()
-
-	return n, nil
-}
-
 func (n *node) now() time.Duration { return time.Since(n.start) }
 
 // run is the loop of the replica. It returns when ctx ends or the data folder is unusable. While
--- /dev/null
+++ b/internal/group/opennode.go
@@ -0,0 +1,88 @@
+package group
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/tamarackbay/tamarackbay/internal/consensus"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+	"github.com/tamarackbay/tamarackbay/internal/statemachine"
+	"github.com/tamarackbay/tamarackbay/internal/storage"
+)
+
+type nodeConfig struct {
+	id        consensus.ReplicaID
+	group     consensus.GroupID
+	bootstrap consensus.Membership
+	files     storage.Files
+	dir       string
+	election  time.Duration
+	heartbeat time.Duration
+	wallMs    func() int64
+	send      func(m consensus.Message)
+	onApply   func()
+	onStatus  func(old, st Status)
+	disk      *disk
+
+	onDroppedTransfer func(dropped consensus.DroppedTransfer)
+}
+
+// openedState is what a replica recovers from its folder.
+type openedState struct {
+	store     *storage.Store
+	recovered *storage.Recovered
+	machine   *statemachine.Machine
+}
+
+// openState reads the folder of a replica.
+func openState(cfg nodeConfig) (*openedState, error) {
+	st, re, err := storage.Open(cfg.files, cfg.dir, cfg.group)
+	if err != nil {
+		return nil, err
+	}
+
+	ma := statemachine.New()
+	if re.Snapshot.Index > 0 {
+		if ma, err = statemachine.Restore(re.Snapshot.Data); err != nil {
+			_ = st.Close() // the state can't be used
+
+			return nil, result.New(result.DataFolderDamaged, "group: %s: the snapshot at index %d holds no valid state: %v", cfg.dir, re.Snapshot.Index, err).WithCause(err)
+		}
+		re.Snapshot.Data = nil
+	} else {
+		re.Snapshot.Membership = cfg.bootstrap
+	}
+
+	return &openedState{store: st, recovered: re, machine: ma}, nil
+}
+
+func openNode(cfg nodeConfig) (*node, error) {
+	op, err := openState(cfg)
+	if err != nil {
+		return nil, err
+	}
+
+	return newNode(cfg, op)
+}
+
+// newNode returns the node of a replica whose state was read.
+func newNode(cfg nodeConfig, op *openedState) (*node, error) {
+	st, re, ma := op.store, op.recovered, op.machine
+	n := &node{
+		store: st, start: time.Now(), wallMs: cfg.wallMs, send: cfg.send, onApply: cfg.onApply, onStatus: cfg.onStatus,
+		inbox: make(chan event, inboxSize), pendingProposals: map[uint64]pendingProposal{}, pendingReads: map[uint64]*readRequest{},
+		machine: ma, applied: make(chan struct{}), lastSnapshotIndex: re.Snapshot.Index, snapshotResults: make(chan snapshotResult, 1),
+		disk: cfg.disk, onDroppedTransfer: cfg.onDroppedTransfer,
+	}
+	n.replica = consensus.New(consensus.Config{
+		ID: cfg.id, Group: cfg.group, ElectionTimeout: cfg.election, HeartbeatPeriod: cfg.heartbeat,
+		Random: rand.Int64N, LatestSnapshot: st.LatestSnapshot,
+		HardState: re.HardState, Snapshot: re.Snapshot, Entries: re.Entries,
+	}, n.now())
+	if err := st.Failure(); err != nil {
+		return n, n.suspend(err, unstored{})
+	}
+	n.updateStatus()
+
+	return n, nil
+}
--- a/internal/group/report.go
+++ b/internal/group/report.go
@@ -62,5 +62,6 @@
 	me.Gauge("group.voters", int64(len(st.Membership.Voters)))
 	me.Gauge("group.elections", gr.elections.Load())
 	me.Gauge("group.moves", gr.membershipChanges.Load())
+	me.Gauge("group.damagedBytes", gr.damagedBytes)
 	me.Gauge("group.droppedSnapshots", gr.droppedTransfers.Load())
 }
--- a/internal/meter/names.go
+++ b/internal/meter/names.go
@@ -78,6 +78,7 @@
 	{"group.voters", KindGauge, "voters of the replica group"},
 	{"group.elections", KindGauge, "changes of the leader that this replica observed"},
 	{"group.moves", KindGauge, "changes of the membership that this replica observed"},
+	{"group.damagedBytes", KindGauge, "size of the damaged files that the data folder keeps for the operator, 0 if there are none"},
 	{"group.droppedSnapshots", KindGauge, "received snapshots that were dropped because they were not those that the leader sent"},
 	{"group.diskRefuses", KindGauge, "1 while the disk refuses the replica's writes, otherwise 0"},
 	{"disk.syncs", KindCounter, "file syncs"},
--- a/internal/storage/files.go
+++ b/internal/storage/files.go
@@ -22,6 +22,7 @@
 	Append   func(path string) (File, error)
 	Create   func(path string) (File, error)
 	Read     func(path string) ([]byte, error)
+	Size     func(path string) (int64, error) // in bytes
 	Rename   func(from, to string) error
 	Remove   func(path string) error
 	Truncate func(path string, size int64) error
@@ -40,6 +41,7 @@
 			return openFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC)
 		},
 		Read:     os.ReadFile,
+		Size:     size,
 		Rename:   os.Rename,
 		Remove:   os.Remove,
 		Truncate: truncate,
@@ -57,6 +59,15 @@
 	return File{Write: f.Write, Sync: f.Sync, Close: f.Close}, nil
 }
 
+func size(path string) (int64, error) {
+	fi, err := os.Stat(path)
+	if err != nil {
+		return 0, err
+	}
+
+	return fi.Size(), nil
+}
+
 func truncate(path string, size int64) error {
 	f, err := os.OpenFile(path, os.O_WRONLY, 0o600)
 	if err != nil {
