Start the components of a failed node again in its process, with a back-off

Only a disk error delayed the exit, by 1 s.

Change: `node` starts its components again in the process. The first failure is followed by a start at once; failures in a row with the same code wait 1 s, doubled each time, 30 s at most, which is logged with the number of failures. Another code, or a run of a minute, starts the count anew. Invalid settings and a data folder of a newer format or of another process still end the process; a stop signal does so during a wait too. A start that fails midway closes its listeners and the log segment that it opened. The delay of 1 s before the exit is gone.

One goroutine of each start stays: the cache of stream origins (golang-lru's expirable) can't be ended.

--- a/cmd/tamarackbay/node.go
+++ b/cmd/tamarackbay/node.go
@@ -4,14 +4,12 @@
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/apex/log"
 
 	"github.com/tamarackbay/tamarackbay/internal/logging"
 	"github.com/tamarackbay/tamarackbay/internal/program"
-	"github.com/tamarackbay/tamarackbay/internal/result"
 	"github.com/tamarackbay/tamarackbay/internal/settings"
 	"github.com/tamarackbay/tamarackbay/platform"
 )
@@ -37,26 +35,18 @@
 	return []command{{c, func() error {
 		ah := logging.NewAsyncHandler(os.Stdout)
 		defer ah.Close()
-		err := runNode(*role, *peerListen, logging.NewWithHandler(ah, *level, "tamarackbay", *role), ah.Dropped)
-		if result.Is(err, result.DataFolderWrite) {
-			time.Sleep(diskErrorExitDelay)
-		}
 
-		return err
+		return runNode(*role, *peerListen, logging.NewWithHandler(ah, *level, "tamarackbay", *role), ah.Dropped)
 	}}}
 }
 
-// diskErrorExitDelay delays the exit of a process that cannot write to its disk: the platform
-// restarts it immediately, and it would fail on the same disk again.
-const diskErrorExitDelay = time.Second
-
-// runNode runs the process of a role until it fails or a stop signal has been handled.
+// runNode runs the process of a role until a stop signal has been handled or it fails for good.
 func runNode(role, peerListen string, lo log.Interface, dropped func() int64) error {
 	// Registered before the start, so that a signal received meanwhile is queued.
 	sig := make(chan os.Signal, 4)
 	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	signal.Ignore(syscall.SIGXFSZ) // a write over the file size limit fails like on a full disk
-	nd, err := program.StartNode(role, func() (*settings.Node, error) {
+	readSettings := func() (*settings.Node, error) {
 		no, err := platform.LoadSettings()
 		if err != nil {
 			return nil, err
@@ -64,25 +54,14 @@
 		no.PeerListen = peerListen
 
 		return no, nil
-	}, lo, dropped)
-	if err != nil {
-		lo.WithError(err).Error("node could not be started")
-
-		return err
 	}
 
-	for {
-		select {
-		case s := <-sig:
-			if s == syscall.SIGHUP {
-				nd.Reload()
-
-				continue
-			}
-			nd.Shutdown()
-		case <-nd.Done():
+	return program.RunNode(func() (*program.Node, error) {
+		nd, err := program.StartNode(role, readSettings, lo, dropped)
+		if err != nil {
+			lo.WithError(err).Error("node could not be started")
 		}
 
-		return nd.Err()
-	}
+		return nd, err
+	}, sig, lo)
 }
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -213,11 +213,7 @@
 func (gr *Group) Run(ctx context.Context) error {
 	defer gr.transport.wait()
 	defer gr.stop()
-	defer func() {
-		if gr.opened != nil {
-			_ = gr.opened.store.Close() // no node took it
-		}
-	}()
+	defer gr.Close()
 
 	if !gr.HasDisk() {
 		gr.follow(ctx)
@@ -267,6 +263,15 @@
 	return err
 }
 
+// Close frees what New opened and Run has not taken. It must not be called while Run runs.
+func (gr *Group) Close() {
+	gr.stop()
+	if gr.opened != nil {
+		_ = gr.opened.store.Close() // nothing was written since it was opened
+		gr.opened = nil
+	}
+}
+
 func (gr *Group) openNode() (*node, error) {
 	gr.cfg.Log.WithFields(log.Fields{"replica": gr.identity.Replica, "cluster": gr.identity.Cluster}).Info("replica starts")
 	if op := gr.opened; op != nil {
--- a/internal/program/node.go
+++ b/internal/program/node.go
@@ -88,6 +88,7 @@
 	handOver     func(ctx context.Context)
 	isLeader     func() bool
 	updateGauges func() // updates the gauges that are computed only when metrics are read
+	abandon      func() // frees what a part that was created and never run holds
 	droppedLines func() int64
 }
 
@@ -141,7 +142,7 @@
 	nd := &Node{
 		runGroup: newRunGroup("process", lo.WithFields(log.Fields{"role": role, "node": no.Name})), role: role, loadSettings: readSettings, meter: meter.New(),
 		settings: no, cancel: cancel, handOver: func(context.Context) {}, isLeader: func() bool { return false }, updateGauges: func() {},
-		droppedLines: dropped,
+		abandon: func() {}, droppedLines: dropped,
 	}
 	nd.terminate = nd.Kill
 	nd.controllers.Store(&no.Controllers)
@@ -155,7 +156,9 @@
 		err = start(ctx)
 	}
 	if err != nil {
-		cancel()
+		nd.Kill()
+		nd.wg.Wait()
+		nd.abandon()
 
 		return nil, err
 	}
@@ -277,6 +280,7 @@
 	if err != nil {
 		return err
 	}
+	nd.abandon = co.Group().Close
 	if err := nd.servePeers(nd.replicaPeerConfig(string(co.Group().Replica())), co.Handlers()); err != nil {
 		return err
 	}
@@ -323,6 +327,7 @@
 	if err != nil {
 		return err
 	}
+	nd.abandon = st.Group().Close
 	if err := nd.servePeers(nd.replicaPeerConfig(string(st.Group().Replica())), st.Handlers()); err != nil {
 		return err
 	}
