--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -74,6 +74,9 @@
 	disk     *disk
 	start    time.Time
 
+	opened       *openedState // read by New, until Run takes it; nil if there is none
+	damagedBytes int64        // size of the damaged files that were set aside
+
 	ctx       context.Context
 	stop      context.CancelFunc
 	transport *transport
@@ -90,7 +93,6 @@
 	addresses     map[consensus.ReplicaID]string
 	storedPeers   map[consensus.ReplicaID]string // as stored in the data folder
 	upstreamIndex int
-	completeAt    string        // address of the process that refused this replica last, as the group is complete; used by one goroutine
 	feedSlots     chan struct{} // holds one element for each subscriber that waits
 
 	deltas      []statemachine.Delta // the latest changes; used only without a replica
@@ -115,7 +117,7 @@
 	gr.view.Store(vi)
 	gr.ctx, gr.stop = context.WithCancel(context.Background())
 	if cfg.DataFolder != "" {
-		if gr.identity, err = loadIdentity(cfg.Files, cfg.DataFolder, cfg.Name); err != nil && !storage.IsTransient(err) {
+		if err := gr.openFolder(); err != nil {
 			return nil, err
 		}
 		gr.cfg.Peer.Hello.Replica = string(gr.identity.Replica)
@@ -214,6 +216,7 @@
 func (gr *Group) Run(ctx context.Context) error {
 	defer gr.transport.wait()
 	defer gr.stop()
+	defer gr.Close()
 
 	if !gr.HasDisk() {
 		gr.follow(ctx)
@@ -263,17 +266,35 @@
 	return err
 }
 
+// Close frees what New opened and Run has not taken. It must not be called while Run runs.
+func (gr *Group) Close() {
+	gr.stop()
+	if gr.opened != nil {
+		_ = gr.opened.store.Close() // nothing was written since it was opened
+		gr.opened = nil
+	}
+}
+
 func (gr *Group) openNode() (*node, error) {
 	gr.cfg.Log.WithFields(log.Fields{"replica": gr.identity.Replica, "cluster": gr.identity.Cluster}).Info("replica starts")
+	if op := gr.opened; op != nil {
+		gr.opened = nil
+
+		return newNode(gr.nodeConfig(), op)
+	}
+
+	return openNode(gr.nodeConfig())
+}
 
-	return openNode(nodeConfig{
+func (gr *Group) nodeConfig() nodeConfig {
+	return nodeConfig{
 		id: gr.identity.Replica, group: MainGroup,
 		bootstrap: consensus.Membership{Voters: gr.identity.Bootstrap},
-		files:     gr.cfg.Files, dir: filepath.Join(gr.cfg.DataFolder, "group-1"),
+		files:     gr.cfg.Files, dir: filepath.Join(gr.cfg.DataFolder, groupFolder),
 		election: gr.cfg.Election, heartbeat: gr.cfg.Heartbeat, wallMs: gr.cfg.WallMs,
 		send:    func(m consensus.Message) { gr.transport.send(gr.addressOf(m.To), m) },
 		onApply: gr.onApply, onStatus: gr.onStatus, disk: gr.disk, onDroppedTransfer: gr.onDroppedTransfer,
-	})
+	}
 }
 
 // publishView sets the group's first view from the restored state machine.
