Run requests only in the regions that their route and workspace allow

Cause: some workspaces may be served in some regions only, and the bodies of their requests must not reach VMs elsewhere. Change: routes and workspaces list regions; if both do, both apply. The settings name the region of each failure domain. Requests, streams, items and scores are placed only at backend servers there; a request without one is refused at once as not run (noServerInRegion, 4017). The store group sends a job to all its members, so a gateway refuses a job (noStoreInRegion, 4018) unless a store is in an allowed region and every known store is in one or in the client's, which is the gateway's own.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -14,6 +14,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/logging"
 	"github.com/tamarackbay/tamarackbay/internal/permit"
 	"github.com/tamarackbay/tamarackbay/internal/registry"
+	"github.com/tamarackbay/tamarackbay/internal/routing"
 	"github.com/tamarackbay/tamarackbay/internal/scheduler"
 )
 
@@ -29,6 +30,9 @@
 	// Permits keeps the requests within the limits of the backend servers; a holder of its
 	// own if it is nil.
 	Permits *permit.Holder
+	// RegionOf returns the region of a failure domain, "" if it is not known. Without it no region
+	// is known.
+	RegionOf func(failureDomain string) string
 }
 
 // Balancer holds the backend servers by service. It is safe for concurrent use.
@@ -72,6 +76,9 @@
 	if cfg.Permits == nil {
 		cfg.Permits = permit.NewHolder(permit.Config{Log: logging.Discard()})
 	}
+	if cfg.RegionOf == nil {
+		cfg.RegionOf = func(string) string { return "" }
+	}
 
 	return &Balancer{cfg: cfg, services: map[string]*serverSet{}}
 }
@@ -158,6 +165,9 @@
 	Tokens     int
 	IsSuspect  bool // was in flight at a crash: must be the only suspect of this process on its backend server
 	ExtraSlots int  // requests that a backend server may get beyond its slots, where they queue
+	// Regions lists the regions whose backend servers may be picked. It is nil for any; with a list
+	// without elements none may be.
+	Regions []string
 }
 
 // Grant is the right to send one request to a backend server.
@@ -292,7 +302,7 @@
 		if rq.Model != "" {
 			se.cands[i].Sequence = sv.record.Version(rq.Model)
 		}
-		if !sv.runs(rq.Software) || !rq.allows(sv.record.ID) || now < sv.pausedUntil || sv.record.IsLoading {
+		if !sv.runs(rq.Software) || !rq.allows(sv.record.ID) || !ba.isInRegion(sv, rq.Regions) || now < sv.pausedUntil || sv.record.IsLoading {
 			sr.Exclude = append(sr.Exclude, i)
 		}
 		if rq.Prefix != "" && sv.lastPrefix == rq.Prefix {
@@ -309,6 +319,45 @@
 	return !slices.Contains(rq.Exclude, id) && (len(rq.Only) == 0 || slices.Contains(rq.Only, id))
 }
 
+// isInRegion reports whether a backend server is in one of some regions, nil for any.
+func (ba *Balancer) isInRegion(sv *server, regions []string) bool {
+	if regions == nil {
+		return true
+	}
+	re := ba.cfg.RegionOf(sv.record.FailureDomain)
+
+	return re != "" && slices.Contains(regions, re)
+}
+
+// HasAllowed reports whether any backend server of a service that is ready is in one of some
+// regions, nil for any.
+func (ba *Balancer) HasAllowed(service string, regions []string) bool {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+
+	se := ba.services[service]
+	if se == nil {
+		return false
+	}
+	for i, sv := range se.servers {
+		if se.cands[i].IsReady && ba.isInRegion(sv, regions) {
+			return true
+		}
+	}
+
+	return false
+}
+
+// PickService picks a service of a route by weight, among those with a backend server in one of
+// some regions, nil for any. draw is a random number in [0, 1).
+func (ba *Balancer) PickService(ro *routing.Route, regions []string, draw float64) string {
+	if regions == nil {
+		return ro.PickTarget(draw)
+	}
+
+	return ro.PickAllowed(draw, func(service string) bool { return ba.HasAllowed(service, regions) })
+}
+
 // runs reports whether the backend server runs a version of its software, "" for any.
 func (sv *server) runs(software string) bool { return software == "" || sv.record.Software == software }
 
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -347,7 +347,7 @@
 	st.Limits = co.publishedLimits(alive, coldServers(now, st))
 	st.IsSettled = now-co.startedAt > (maxMissedHeartbeats+1)*co.cfg.Settings.HeartbeatPeriod
 	for _, me := range members {
-		out := feed.Store{Name: me.Name, Replica: string(me.Replica), Address: me.Address, Retiring: retirement[me.Name] != 0}
+		out := feed.Store{Name: me.Name, Replica: string(me.Replica), Address: me.Address, FailureDomain: me.FailureDomain, Retiring: retirement[me.Name] != 0}
 		if so := co.stores[me.Name]; so != nil && so.Member.Replica == me.Replica {
 			out.Leads, out.Term = so.Leads && now-so.lastHeard < storeTimeout, so.Term
 		}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -85,7 +85,7 @@
 	})
 	ed.balancer = balance.New(balance.Config{
 		FailureDomain: cfg.Settings.FailureDomain, Scheduler: scheduler.Config{RandomChoices: schedulerCandidates}, Now: cfg.Now, Random: rand.IntN, IdleTimeout: cfg.Client.IdleTimeout,
-		Permits: ed.permits,
+		Permits: ed.permits, RegionOf: cfg.Settings.RegionOf,
 	})
 	ed.guard = crashguard.New(crashguard.Config{
 		Entries: func() map[string]quarantine.Entry { return ed.follower.View().Quarantine.Entries },
@@ -106,6 +106,7 @@
 	})
 	ed.jobProxy = jobproxy.New(jobproxy.Config{
 		Ingress: ed.ingress, Table: ed.Table, View: ed.follower.View, Changed: ed.follower.Changed, Links: ed.links,
+		Balancer: ed.balancer, Region: cfg.Settings.OwnRegion(), RegionOf: cfg.Settings.RegionOf,
 		Meter: cfg.Meter, Log: cfg.Log,
 	})
 
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -39,6 +39,8 @@
 	Leads    bool   `cbor:"4,keyasint"`
 	Term     uint64 `cbor:"5,keyasint"` // of its leadership
 	Retiring bool   `cbor:"6,keyasint"`
+	// FailureDomain is that of the VM.
+	FailureDomain string `cbor:"7,keyasint,omitempty"`
 }
 
 // State is what one controller reports. It is never changed, only replaced.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -114,6 +114,7 @@
 	ro            *routing.Route
 	workspace     string
 	urgency       int
+	regions       []string  // in which it may run, nil for any
 	began         time.Time // when the request arrived
 	deadline      time.Time // when the client must have received its answer
 	tried         []string  // IDs of the backend servers that were picked, in order
@@ -148,7 +149,7 @@
 	if ws != nil {
 		rs.workspace = ws.Name
 	}
-	rs.urgency = ro.Urgency(ws)
+	rs.urgency, rs.regions = ro.Urgency(ws), ro.AllowedRegions(ws)
 	wait := ro.Timeout
 	if rq.ClientTimeout > 0 {
 		wait = min(wait, rq.ClientTimeout)
@@ -221,8 +222,8 @@
 // acquireServer acquires a slot on a backend server. It prefers a server that was not
 // tried, then any server but the last one tried, and takes that one as the last resort.
 func (rs *requestState) acquireServer(ctx context.Context, isSuspect bool) (*balance.Grant, error) {
-	service := rs.ro.PickTarget(rs.in.cfg.Random())
-	rq := &balance.Request{Service: service, Model: rs.rq.Model, Exclude: rs.tried, IsSuspect: isSuspect}
+	service := rs.in.cfg.Balancer.PickService(rs.ro, rs.regions, rs.in.cfg.Random())
+	rq := &balance.Request{Service: service, Model: rs.rq.Model, Exclude: rs.tried, IsSuspect: isSuspect, Regions: rs.regions}
 	if rs.origin != nil {
 		if service = rs.origin.Service; !rs.ro.Allows(service) || rs.in.cfg.Balancer.ReadyBySoftware(service)[rs.origin.Software] == 0 {
 			return nil, result.New(result.NoSameSoftware, "ingress: no backend server of %s with software version %q is ready", service, rs.origin.Software).
@@ -250,6 +251,9 @@
 	if ready, _ := rs.in.cfg.Balancer.Count(service, rs.rq.Model, 0); ready == 0 {
 		return nil, result.New(result.NoBackendServer, "ingress: no backend server of %s is ready", service).WithRetryAfter(defaultRetryAfter)
 	}
+	if !rs.in.cfg.Balancer.HasAllowed(service, rs.regions) {
+		return nil, result.New(result.NoServerInRegion, "ingress: no backend server of %s is ready in the regions %q", service, rs.regions).WithRetryAfter(defaultRetryAfter)
+	}
 
 	return nil, result.New(result.QueueFull, "ingress: every backend server of %s is at its limit", service).WithRetryAfter(defaultRetryAfter)
 }
--- a/internal/jobdriver/move.go
+++ b/internal/jobdriver/move.go
@@ -78,7 +78,7 @@
 		// Reserve the slot before the run is cancelled: other passes happen before it ends.
 		t.nextGrant = dr.cfg.Balancer.Acquire(&balance.Request{
 			Service: t.service, Model: t.job.model, MinVersion: t.job.minVersion, Prefix: t.job.model + "/" + t.item.Group, Tokens: t.item.Tokens,
-			Software: t.software, Exclude: slices.Concat(t.failedServers, dr.classes.slow, dr.classes.lagging),
+			Software: t.software, Regions: t.regions, Exclude: slices.Concat(t.failedServers, dr.classes.slow, dr.classes.lagging),
 		})
 		if t.nextGrant == nil {
 			continue
--- a/internal/jobdriver/place.go
+++ b/internal/jobdriver/place.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -74,7 +75,9 @@
 			t.generated, t.isWhole = generatedText{}, false
 		}
 		dr.discardUnusable(t, ro, now)
-		service := ro.PickTarget(dr.cfg.Random())
+		ws := ta.Workspace(t.job.workspace)
+		t.regions = ro.AllowedRegions(ws)
+		service := dr.cfg.Balancer.PickService(ro, t.regions, dr.cfg.Random())
 		if t.generated.lastEvent > 0 {
 			service = t.generated.service
 		}
@@ -83,11 +86,14 @@
 		if preferred == stepplan.RequireFast {
 			key += "@fast"
 		}
+		if t.regions != nil {
+			key += "@" + strings.Join(t.regions, ",")
+		}
 		if full[key] {
 			continue
 		} else if gr := dr.acquire(service, t, preferred); gr == nil {
 			full[key] = true
-			dr.obtainPermits(service, t, ro.Urgency(ta.Workspace(t.job.workspace)), len(waits)-i)
+			dr.obtainPermits(service, t, ro.Urgency(ws), len(waits)-i)
 		} else {
 			dr.start(t, ro, gr)
 		}
@@ -114,7 +120,7 @@
 func (dr *Driver) acquire(service string, t *task, preferred stepplan.Preference) *balance.Grant {
 	rq := &balance.Request{
 		Service: service, Model: t.job.model, MinVersion: t.job.minVersion, Prefix: t.job.model + "/" + t.item.Group, Tokens: t.item.Tokens,
-		Software: t.generated.software,
+		Software: t.generated.software, Regions: t.regions,
 	}
 	slow, lagging := dr.classes.slow, dr.classes.lagging
 	if preferred == stepplan.PreferLagging && len(lagging) > 0 {
@@ -200,7 +206,7 @@
 		return
 	}
 	limited := dr.cfg.Balancer.Limited(&balance.Request{
-		Service: service, Model: t.job.model, MinVersion: t.job.minVersion, Software: t.generated.software,
+		Service: service, Model: t.job.model, MinVersion: t.job.minVersion, Software: t.generated.software, Regions: t.regions,
 	})
 	if len(limited) == 0 {
 		return
--- a/internal/jobdriver/run.go
+++ b/internal/jobdriver/run.go
@@ -312,11 +312,10 @@
 // fetchScore requests the score until it receives one or backend servers failed too
 // often, and commits the result.
 func (dr *Driver) fetchScore(ctx context.Context, t *task) {
-	rw := t.item.Reward
 	var tried []string
 	broken := 0 // consecutive requests that broke off
 	for ctx.Err() == nil {
-		score, server, oc, limit := dr.requestScore(ctx, rw, tried)
+		score, server, oc, limit := dr.requestScore(ctx, t, tried)
 		if server != "" {
 			tried = append(tried, server)
 			if len(tried) > maxFailedServers {
@@ -354,14 +353,16 @@
 
 // requestScore sends one request for a score. limit is the number of failures after
 // which the item is aborted.
-func (dr *Driver) requestScore(ctx context.Context, rw *job.Reward, tried []string) (score, server string, oc outcome, limit int) {
-	ta := dr.cfg.View().Table
+func (dr *Driver) requestScore(ctx context.Context, t *task, tried []string) (score, server string, oc outcome, limit int) {
+	rw, ta := t.item.Reward, dr.cfg.View().Table
 	ro := ta.Match(rw.Host, rw.Path)
 	if ro == nil {
 		return "", "", refused, 1
 	}
 	limit = max(ro.MaxAttempts, 1)
-	rq := &balance.Request{Service: ro.PickTarget(dr.cfg.Random()), Exclude: tried, ExtraSlots: scoreQueueSlots}
+	regions := ro.AllowedRegions(ta.Workspace(t.job.workspace)) // the score's request holds the workspace's text
+	service := dr.cfg.Balancer.PickService(ro, regions, dr.cfg.Random())
+	rq := &balance.Request{Service: service, Exclude: tried, ExtraSlots: scoreQueueSlots, Regions: regions}
 	gr, err := dr.cfg.Balancer.AcquirePermitted(ctx, rq, ro.Urgency(nil))
 	if gr == nil && err == nil {
 		rq.Exclude = nil
--- a/internal/jobdriver/task.go
+++ b/internal/jobdriver/task.go
@@ -51,6 +51,7 @@
 	startedAt         time.Time          // start of that run
 	service           string             // service to which that backend server belongs
 	software          string             // version of its software
+	regions           []string           // in which it may run, as of the last pass; nil for any
 	cancel            context.CancelFunc // cancels the current run or score request, nil if there is none
 	cancelForMove     func()             // cancels the current run so that it continues elsewhere, nil if it can't be moved
 	nextGrant         *balance.Grant     // slot reserved for the moved run at another backend server
--- a/internal/jobproxy/jobproxy.go
+++ b/internal/jobproxy/jobproxy.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/tamarackbay/tamarackbay/internal/balance"
 	"github.com/tamarackbay/tamarackbay/internal/feed"
 	"github.com/tamarackbay/tamarackbay/internal/ingress"
 	"github.com/tamarackbay/tamarackbay/internal/job"
@@ -46,8 +47,14 @@
 	View    func() *feed.View
 	Changed func() <-chan struct{}
 	Links   *peer.Links
-	Meter   *meter.Meter
-	Log     log.Interface
+	// Balancer knows which backend servers could run a job.
+	Balancer *balance.Balancer
+	// Region is the one of this process and of the clients that connect to it, "" if it is not known.
+	Region string
+	// RegionOf returns the region of a failure domain, "" if it is not known.
+	RegionOf func(failureDomain string) string
+	Meter    *meter.Meter
+	Log      log.Interface
 }
 
 // Proxy forwards requests of clients to stores. It is safe for concurrent use.
@@ -83,7 +90,10 @@
 			sp.Workspace = ws.Name
 		}
 		sp.ResultDeadlineMs, sp.MaxQueueMs = ro.ResultDeadline.Milliseconds(), ro.MaxQueueTime.Milliseconds()
-		err = pr.callStores(ctx, MethodSubmit, &job.Submit{Spec: *sp}, nil, true)
+		regions := ro.AllowedRegions(ws)
+		if err = pr.checkServers(ro, regions); err == nil {
+			err = pr.callStores(ctx, MethodSubmit, &job.Submit{Spec: *sp}, nil, regions)
+		}
 	}
 	pr.logOutcome("request to submit a job", sp.ID, sp.Workspace, err, log.Fields{
 		"items": len(sp.Items), "step": sp.Step, "model": sp.Model, "minVersion": sp.MinVersion, "targetGroups": sp.TargetGroups,
@@ -97,7 +107,7 @@
 	var pa job.Page
 	err := pr.identify(rd.Key, &rd.Workspace)
 	if err == nil {
-		err = pr.callStores(ctx, MethodRead, rd, &pa, false)
+		err = pr.callStores(ctx, MethodRead, rd, &pa, nil)
 	}
 	pr.logOutcome("request to read results of a job", rd.Job, rd.Workspace, err, log.Fields{"from": rd.From, "next": pa.Next, "total": pa.Total})
 
@@ -109,7 +119,7 @@
 	rq, body := BodyRequest{Job: id, Item: item}, []byte(nil)
 	err := pr.identify(key, &rq.Workspace)
 	if err == nil {
-		err = pr.callStores(ctx, MethodBody, &rq, &body, false)
+		err = pr.callStores(ctx, MethodBody, &rq, &body, nil)
 	}
 	pr.logOutcome("request to read the body of an item", id, rq.Workspace, err, log.Fields{"item": item, "bytes": len(body)})
 
@@ -121,7 +131,7 @@
 	en := job.End{Job: id}
 	err := pr.identify(key, &en.Workspace)
 	if err == nil {
-		err = pr.callStores(ctx, MethodEnd, &en, nil, false)
+		err = pr.callStores(ctx, MethodEnd, &en, nil, nil)
 	}
 	pr.logOutcome("request to end a job", id, en.Workspace, err, log.Fields{})
 
@@ -151,10 +161,10 @@
 }
 
 // callStores calls the leader of the store group, and the other stores as well if the
-// leader fails or is unknown, until one answers or requestTimeout has passed. If
-// isWrite is set and a store may have executed a failed call, the error says that its
-// outcome is unknown.
-func (pr *Proxy) callStores(ctx context.Context, method string, in, out any, isWrite bool) error {
+// leader fails or is unknown, until one answers or requestTimeout has passed. If a store may
+// have executed a failed submission, the error says that its outcome is unknown. regions lists
+// those to which the call may be sent beside the client's own, nil for any.
+func (pr *Proxy) callStores(ctx context.Context, method string, in, out any, regions []string) error {
 	b, err := cbor.Marshal(in)
 	if err != nil {
 		return result.New(result.Internal, "jobproxy: encode the request: %v", err)
@@ -166,7 +176,12 @@
 	mayHaveRun := false
 	for try := 0; ; try++ {
 		changed := pr.cfg.Changed()
-		if st, ok := pr.pickStore(try); ok {
+		if err := pr.checkStores(regions); err != nil {
+			if !mayHaveRun {
+				return err
+			}
+			last = err
+		} else if st, ok := pr.pickStore(try); ok {
 			err := pr.callStore(ctx, st, method, b, out)
 			if err == nil || !canRetryElsewhere(err) {
 				return err
@@ -179,7 +194,7 @@
 		case <-time.After(retryPause):
 		case <-ctx.Done():
 			er := result.From(last)
-			if isWrite && mayHaveRun {
+			if method == MethodSubmit && mayHaveRun {
 				return er.WithExecution(result.ExecutionUnknown)
 			}
 
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -89,7 +89,7 @@
 	})
 	st.balancer = balance.New(balance.Config{
 		FailureDomain: no.FailureDomain, Scheduler: scheduler.Config{RandomChoices: schedulerChoices}, Now: cfg.Now, Random: rand.IntN, IdleTimeout: cfg.Client.IdleTimeout,
-		Permits: st.permits,
+		Permits: st.permits, RegionOf: no.RegionOf,
 	})
 	st.driver = jobdriver.New(jobdriver.Config{
 		Group: st.group, View: st.follower.View, Changed: st.follower.Changed, Balancer: st.balancer, Client: cfg.Client,
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -78,6 +78,8 @@
 	ServersLimited      Code = 4014
 	OriginUnknown       Code = 4015
 	NoSameSoftware      Code = 4016
+	NoServerInRegion    Code = 4017
+	NoStoreInRegion     Code = 4018
 
 	NoLeader          Code = 5001
 	StaleProcess      Code = 5002
@@ -160,6 +162,8 @@
 	{ServersLimited, "serversLimited", http.StatusServiceUnavailable, "every backend server with room limits its request rate, and the limits are used up"},
 	{OriginUnknown, "originUnknown", http.StatusServiceUnavailable, "it is not known which software version began the stream"},
 	{NoSameSoftware, "noSameSoftware", http.StatusServiceUnavailable, "no backend server of the software version that began the stream is ready"},
+	{NoServerInRegion, "noServerInRegion", http.StatusServiceUnavailable, "no backend server is ready in a region that the route and the workspace allow"},
+	{NoStoreInRegion, "noStoreInRegion", http.StatusServiceUnavailable, "the job would be stored on VMs in regions that the route and the workspace do not allow"},
 	{NoLeader, "noLeader", http.StatusServiceUnavailable, "the group has no leader now"},
 	{StaleProcess, "staleProcess", http.StatusServiceUnavailable, "the process received nothing from the group within the freshness bound"},
 	{GroupTimeout, "groupTimeout", http.StatusServiceUnavailable, "the group did not answer in time"},
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -44,6 +44,7 @@
 	ResultDeadline   time.Duration `cbor:"13,keyasint"` // of a batch job, from its submission
 	MaxQueueTime     time.Duration `cbor:"14,keyasint"` // from the submission of a batch job; items still waiting after it are aborted, 0 for no limit
 	Targets          []Target      `cbor:"15,keyasint"`
+	Regions          []string      `cbor:"16,keyasint,omitempty"` // in which its requests may run, none for any
 }
 
 // Engine describes the engines of a service that runs models.
@@ -70,7 +71,8 @@
 type Workspace struct {
 	Name     string   `cbor:"1,keyasint"`
 	Keys     []string `cbor:"2,keyasint"`
-	Priority *int     `cbor:"3,keyasint"` // overrides the priority of the route; nil for none
+	Priority *int     `cbor:"3,keyasint"`           // overrides the priority of the route; nil for none
+	Regions  []string `cbor:"4,keyasint,omitempty"` // in which its requests may run, none for any
 }
 
 // Limits bound what a client may send.
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -84,6 +84,30 @@
 	return ro.Priority
 }
 
+// AllowedRegions returns the regions in which requests of a workspace on the route may run: those
+// that both name, if both name any. It returns nil if neither does, so that any region is
+// allowed, and an empty list that is not nil if they have none in common. The workspace may be nil.
+func (ro *Route) AllowedRegions(ws *Workspace) []string {
+	switch {
+	case ws == nil || len(ws.Regions) == 0:
+		if len(ro.Regions) == 0 {
+			return nil
+		}
+
+		return ro.Regions
+	case len(ro.Regions) == 0:
+		return ws.Regions
+	}
+	out := []string{}
+	for _, re := range ro.Regions {
+		if slices.Contains(ws.Regions, re) {
+			out = append(out, re)
+		}
+	}
+
+	return out
+}
+
 // Allows reports whether requests of the route may go to a service.
 func (ro *Route) Allows(service string) bool {
 	return slices.ContainsFunc(ro.Targets, func(ta Target) bool { return ta.Service == service && ta.Weight > 0 })
@@ -98,6 +122,21 @@
 	return ro.Targets[0].Service
 }
 
+// PickAllowed is PickTarget among the targets whose service is allowed, or among all if none is.
+func (ro *Route) PickAllowed(draw float64, isAllowed func(service string) bool) string {
+	some := Route{}
+	for _, ta := range ro.Targets {
+		if ta.Weight > 0 && isAllowed(ta.Service) {
+			some.Targets = append(some.Targets, ta)
+		}
+	}
+	if len(some.Targets) == 0 {
+		return ro.PickTarget(draw)
+	}
+
+	return some.PickTarget(draw)
+}
+
 // PickTarget returns the service of a target chosen by weight; draw is a random number
 // in [0, 1).
 func (ro *Route) PickTarget(draw float64) string {
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/tamarackbay/tamarackbay/internal/result"
@@ -25,18 +26,20 @@
 type Node struct {
 	Name              string
 	FailureDomain     string
-	BindIP            string   // IP number to listen on and to dial from
-	ClientAddress     string   // listens for clients; "" if the process serves none
-	ReadinessAddress  string   // listens for the balancer's readiness checks
-	ControlAddress    string   // listens for operators and backend servers
-	PeerAddress       string   // announced to the other processes of the deployment
-	PeerListen        string   // listens for the other processes; "" for PeerAddress
-	Controllers       []string // peer addresses of some controllers; for a controller, including its own
-	MayBootstrap      bool     // set if the deployment starts for the first time, with empty disks
-	DataFolder        string   // "" if the node has no disk
-	ToleratedFailures int      // number of VMs that may be lost at the same time, with their disks
-	MemoryBytes       int64    // the process is terminated above this limit
-	UsageAddress      string   // of the platform's interface for usage reports; "" for none
+	Region            string            // of this process
+	Regions           map[string]string // region of each failure domain
+	BindIP            string            // IP number to listen on and to dial from
+	ClientAddress     string            // listens for clients; "" if the process serves none
+	ReadinessAddress  string            // listens for the balancer's readiness checks
+	ControlAddress    string            // listens for operators and backend servers
+	PeerAddress       string            // announced to the other processes of the deployment
+	PeerListen        string            // listens for the other processes; "" for PeerAddress
+	Controllers       []string          // peer addresses of some controllers; for a controller, including its own
+	MayBootstrap      bool              // set if the deployment starts for the first time, with empty disks
+	DataFolder        string            // "" if the node has no disk
+	ToleratedFailures int               // number of VMs that may be lost at the same time, with their disks
+	MemoryBytes       int64             // the process is terminated above this limit
+	UsageAddress      string            // of the platform's interface for usage reports; "" for none
 
 	HeartbeatPeriod time.Duration // period of the heartbeats of backend servers
 	FreshnessBound  time.Duration // maximum age of the replicated state at which requests are accepted; 0 for no limit
@@ -49,6 +52,21 @@
 // of ToleratedFailures VMs.
 func (no *Node) Voters() int { return 2*no.ToleratedFailures + 1 }
 
+// RegionOf returns the region of a failure domain, "" if it is not known.
+func (no *Node) RegionOf(failureDomain string) string {
+	if re, ok := no.Regions[failureDomain]; ok {
+		return re
+	}
+	if failureDomain == no.FailureDomain {
+		return no.Region
+	}
+
+	return ""
+}
+
+// OwnRegion returns the region of this process, "" if it is not known.
+func (no *Node) OwnRegion() string { return cmp.Or(no.Region, no.Regions[no.FailureDomain]) }
+
 // Validate checks the settings of a node.
 func (no *Node) Validate() error {
 	switch {
