Answer an evacuation once the followers of the controller were sent it

Cause: an evacuation that is committed and answered reaches gateways and stores only with the feed. If all controllers are lost in between, no process learns of it until they are back. Change: the controller that answers waits until each of its followers was sent the change, for 200 ms at most.

--- a/internal/controller/evacuation.go
+++ b/internal/controller/evacuation.go
@@ -16,6 +16,11 @@
 	"github.com/tamarackbay/tamarackbay/internal/statemachine"
 )
 
+// evacuationSendTimeout bounds the wait until the followers of this controller were sent a
+// committed evacuation, so that it takes effect although all controllers are lost right after the
+// response. It takes milliseconds, and a follower that is cut off must not delay the response.
+const evacuationSendTimeout = 200 * time.Millisecond
+
 // Evacuate commits the request that the backend servers of a failure domain get nothing new.
 func (co *Controller) Evacuate(ctx context.Context, failureDomain string) error {
 	return co.changeEvacuation(ctx, evacuation.Change{FailureDomain: failureDomain})
@@ -35,6 +40,9 @@
 		co.group.Read(func(ma *statemachine.Machine) { ch.Base = ma.Applied() })
 		var rep evacuation.Reply
 		if err = co.group.Propose(ctx, statemachine.KindChangeEvacuation, ch, &rep); err == nil && !rep.IsStale {
+			sctx, cancel := context.WithTimeout(ctx, evacuationSendTimeout)
+			fl["isSentToAll"], fl["position"] = co.feed.AwaitSent(sctx, rep.Revision), rep.Revision
+			cancel()
 			co.cfg.Log.WithFields(fl).Info("evacuation of a failure domain recorded")
 
 			return nil
--- a/internal/evacuation/evacuation.go
+++ b/internal/evacuation/evacuation.go
@@ -27,7 +27,8 @@
 
 // Reply is the reply to a Change.
 type Reply struct {
-	IsStale bool `cbor:"1,keyasint"` // it had no effect, as a later one was committed before it
+	IsStale  bool   `cbor:"1,keyasint"` // it had no effect, as a later one was committed before it
+	Revision uint64 `cbor:"2,keyasint"` // position of the last change of the evacuated failure domains
 }
 
 // Domain is the state of a failure domain for which a Change was committed.
@@ -90,7 +91,7 @@
 	}
 	do, ok := sn.Domains[ch.FailureDomain]
 	if do.Position > ch.Base || (!ok && sn.Floor > ch.Base) {
-		return Reply{IsStale: do.IsEvacuated == ch.IsWithdrawn}, nil
+		return Reply{IsStale: do.IsEvacuated == ch.IsWithdrawn, Revision: sn.Revision}, nil
 	}
 	if !ok && !st.makeRoom() {
 		return Reply{}, result.New(result.InvalidDeclaration, "evacuation: %d failure domains are evacuated, the limit", maxDomains)
@@ -104,7 +105,7 @@
 	do.Position = position
 	sn.Domains[ch.FailureDomain] = do
 
-	return Reply{}, nil
+	return Reply{Revision: sn.Revision}, nil
 }
 
 // makeRoom drops the failure domain that was withdrawn first if there are maxDomains. It
--- a/internal/feed/evacuation_test.go
+++ b/internal/feed/evacuation_test.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"context"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -53,6 +54,31 @@
 		Expect(fo.View().Withdrawn).To(Equal([]Withdrawn{{FailureDomain: "a", At: now.Add(-time.Second)}}))
 	})
 
+	ginkgo.It("were sent to all followers once AwaitSent returns, and a follower that was lost is not waited for", func() {
+		sv := NewServer()
+		await := func(position uint64, timeout time.Duration) bool {
+			ctx, cancel := context.WithTimeout(context.Background(), timeout)
+			defer cancel()
+
+			return sv.AwaitSent(ctx, position)
+		}
+		fos := []*sentState{{}, {}}
+		for _, fo := range fos {
+			sv.recordSent(fo, 0)
+		}
+		Expect(await(4, 10*time.Millisecond)).To(BeFalse(), "the state is not published")
+		sv.Publish(states[0])
+		Expect(await(4, 10*time.Millisecond)).To(BeFalse())
+		sv.recordSent(fos[0], 4)
+		Expect(await(4, 10*time.Millisecond)).To(BeFalse())
+		time.AfterFunc(10*time.Millisecond, func() { sv.recordSent(fos[1], 4) })
+		Expect(await(4, 5*time.Second)).To(BeTrue())
+		sv.Publish(states[1])
+		sv.recordSent(fos[0], 7)
+		time.AfterFunc(10*time.Millisecond, func() { sv.forget(fos[1]) })
+		Expect(await(7, 5*time.Second)).To(BeTrue())
+	})
+
 	ginkgo.It("are sent without waiting for changes of backend servers", func() {
 		Expect(states[0].isOlder(states[1])).To(BeTrue())
 		Expect(states[1].isOlder(states[1])).To(BeFalse())
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -23,6 +23,13 @@
 
 	serversGap time.Duration // minServersGap
 	followers  atomic.Int64
+	sent       map[*sentState]bool // one for each follower
+	sentWake   chan struct{}       // closed and replaced when a follower was sent a later EvacuatedAt
+}
+
+// sentState is what a follower was sent.
+type sentState struct {
+	evacuatedAt uint64
 }
 
 // minServersGap is the shortest time between two messages to a follower where the second has
@@ -35,7 +42,7 @@
 
 // NewServer returns a server with an empty state.
 func NewServer() *Server {
-	return &Server{state: &State{}, changed: make(chan struct{}), serversGap: minServersGap}
+	return &Server{state: &State{}, changed: make(chan struct{}), serversGap: minServersGap, sent: map[*sentState]bool{}, sentWake: make(chan struct{})}
 }
 
 // Publish replaces the state and notifies followers if it has changed.
@@ -87,6 +94,9 @@
 
 	sv.followers.Add(1)
 	defer sv.followers.Add(-1)
+	fo := &sentState{}
+	sv.recordSent(fo, 0)
+	defer sv.forget(fo)
 	sent := noState
 	for {
 		now, b, changed, err := sv.next(sent)
@@ -97,12 +107,60 @@
 			return err
 		}
 		sent = now
+		sv.recordSent(fo, now.EvacuatedAt)
 		if !sv.await(ctx, sent, changed, ticker.C) {
 			return nil
 		}
 	}
 }
 
+// recordSent records that a follower was sent the evacuations of a position in the log.
+func (sv *Server) recordSent(fo *sentState, evacuatedAt uint64) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+
+	sv.sent[fo] = true
+	if evacuatedAt > fo.evacuatedAt {
+		fo.evacuatedAt = evacuatedAt
+		close(sv.sentWake)
+		sv.sentWake = make(chan struct{})
+	}
+}
+
+// forget drops a follower whose stream has ended.
+func (sv *Server) forget(fo *sentState) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+
+	delete(sv.sent, fo)
+	close(sv.sentWake)
+	sv.sentWake = make(chan struct{})
+}
+
+// AwaitSent waits until every follower was sent the evacuations of a position in the log, or
+// until ctx ends, and reports whether they were.
+func (sv *Server) AwaitSent(ctx context.Context, evacuatedAt uint64) bool {
+	for {
+		sv.mu.Lock()
+		isSent, wake := sv.state.EvacuatedAt >= evacuatedAt, sv.sentWake
+		if !isSent {
+			wake = sv.changed
+		}
+		for fo := range sv.sent {
+			isSent = isSent && fo.evacuatedAt >= evacuatedAt
+		}
+		sv.mu.Unlock()
+		if isSent {
+			return true
+		}
+		select {
+		case <-wake:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // await returns when the next message is due to a follower that has just been sent a state: at
 // once after a change that must not wait, after minServersGap if only backend servers changed,
 // and with each tick. It returns false once ctx ends.
