Keep the origins of streams on the controllers' disks

Cause: the origin of a stream was in the memory of its gateway and of the controllers. When all of them were killed at once, each interrupted stream was refused, although its backend servers were still there.

Change: a controller writes each record that is new to it to a file before it replies (internal/origin, File): two segments of at most 100,000 records, replaced after two minutes, each batch with a checksum. It is synced in the background at most every 100 ms, so no first event waits for a sync; a loss of power takes the records of that time. A disk that refuses writes or is damaged costs only the records: their streams are refused after a restart. No message is added.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"maps"
+	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -48,6 +49,8 @@
 	// many stores as the group should have voters. After it the known stores form the
 	// group.
 	formationTimeout = 5 * time.Second
+	// originFolder is the folder for the origins of streams inside the data folder.
+	originFolder = "origins"
 	// storeTimeout is the silence after which a store no longer counts as leader.
 	storeTimeout = 3 * time.Second
 )
@@ -97,10 +100,11 @@
 	swapWake           chan struct{}
 	usage              usageState
 
-	relay   *relay
-	permits permitBroker
-	origins *origin.Table
-	orders  map[registry.Incarnation]uint64 // orders that engines have accepted, by the last of this controller; guarded by mu
+	relay      *relay
+	permits    permitBroker
+	origins    *origin.Table
+	originFile *origin.File
+	orders     map[registry.Incarnation]uint64 // orders that engines have accepted, by the last of this controller; guarded by mu
 }
 
 // Announcement is the state that a store sends to every controller periodically.
@@ -147,6 +151,10 @@
 	if co.group, err = group.New(gc); err != nil {
 		return nil, err
 	}
+	// After the group has checked that the data folder belongs to this process.
+	co.originFile = origin.OpenFile(origin.FileConfig{
+		Folder: filepath.Join(no.DataFolder, originFolder), Files: cfg.Files, Now: cfg.Now, WallMs: cfg.WallMs, Log: cfg.Log,
+	}, co.origins)
 
 	return co, nil
 }
@@ -235,6 +243,7 @@
 	wg.Go(func() { co.publishLoop(ctx) })
 	wg.Go(func() { co.rosterLoop(ctx) })
 	wg.Go(func() { co.relayLoop(ctx) })
+	wg.Go(func() { co.originFile.Run(ctx) })
 	for _, ta := range co.leasedTasks() {
 		wg.Go(func() { ta.Run(ctx) })
 	}
@@ -413,6 +422,8 @@
 	co.group.Read(func(ma *statemachine.Machine) {
 		me.Gauge("configuration.version", int64(ma.Routing().Config().Version))
 	})
+	me.Gauge("origins.known", int64(co.origins.Len()))
+	me.Gauge("origins.notWritten", co.originFile.Lost())
 	co.mu.Lock()
 	defer co.mu.Unlock()
 	alive := 0
--- a/internal/controller/origins.go
+++ b/internal/controller/origins.go
@@ -24,7 +24,7 @@
 			if err := st.RequestRecord(&records); err != nil {
 				return err
 			}
-			co.origins.Add(records)
+			co.originFile.Append(co.origins.Add(records))
 
 			return st.Reply(&wire.Empty{})
 		},
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -1,7 +1,8 @@
 // Package origin remembers which software version began each stream, since a stream may be
 // continued by backend servers of that version alone. The gateway that begins a stream records
 // it with the controllers before it forwards the first event; a gateway at which a client takes
-// the stream up asks them. Gateways send their records again to a controller that has restarted.
+// the stream up asks them. Gateways send their records again to a controller that has restarted,
+// and controllers keep them on their disks too, for the case that all gateways are lost as well.
 package origin
 
 import (
@@ -63,34 +64,64 @@
 // Table holds the origins that were recorded. It is safe for concurrent use.
 type Table struct {
 	mu  sync.Mutex // held while a record is merged with the earlier one of its stream
-	lru *expirable.LRU[Key, Record]
+	lru *expirable.LRU[Key, entry]
+}
+
+type entry struct {
+	record  Record
+	addedAt time.Time // when Add last returned the record
 }
 
 // NewTable returns a table of at most size origins.
 func NewTable(size int) *Table {
-	return &Table{lru: expirable.NewLRU[Key, Record](size, nil, Retention)}
+	return &Table{lru: expirable.NewLRU[Key, entry](size, nil, Retention)}
 }
 
 // Add records origins. A stream that was recorded with another origin before is ambiguous from
-// then on: records arrive in any order and repeatedly, so the later one is not the right one.
-func (ta *Table) Add(records []Record) {
+// then on: records arrive in any order and repeatedly, so the later one is not the right one. Add
+// returns the records that are new, have changed, or were last returned rewriteAfter ago.
+func (ta *Table) Add(records []Record) []Record { return ta.addAged(records, 0) }
+
+// addAged is Add for records that were added elsewhere some time ago.
+func (ta *Table) addAged(records []Record, age time.Duration) []Record {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 
+	now := time.Now()
+	var out []Record
 	for _, re := range records {
-		if old, ok := ta.lru.Peek(re.Key); ok && (old.IsAmbiguous || old.Origin != re.Origin) {
+		old, ok := ta.lru.Peek(re.Key)
+		if ok && (old.record.IsAmbiguous || old.record.Origin != re.Origin) {
 			re.Origin, re.IsAmbiguous = Origin{}, true
 		}
-		ta.lru.Add(re.Key, re)
+		en := entry{record: re, addedAt: old.addedAt}
+		if !ok || old.record != re || now.Sub(old.addedAt) >= rewriteAfter {
+			en.addedAt = now.Add(-age)
+			out = append(out, re)
+		}
+		ta.lru.Add(re.Key, en)
 	}
+
+	return out
 }
 
 // Find returns what is known of the origin of a stream.
 func (ta *Table) Find(key Key) Finding {
-	re, ok := ta.lru.Peek(key)
+	en, ok := ta.lru.Peek(key)
 
-	return Finding{Origin: re.Origin, IsFound: ok && !re.IsAmbiguous, IsAmbiguous: re.IsAmbiguous}
+	return Finding{Origin: en.record.Origin, IsFound: ok && !en.record.IsAmbiguous, IsAmbiguous: en.record.IsAmbiguous}
 }
 
+// Len returns the number of streams in the table.
+func (ta *Table) Len() int { return ta.lru.Len() }
+
 // records returns all records, the oldest first.
-func (ta *Table) records() []Record { return ta.lru.Values() }
+func (ta *Table) records() []Record {
+	entries := ta.lru.Values()
+	out := make([]Record, len(entries))
+	for i := range entries {
+		out[i] = entries[i].record
+	}
+
+	return out
+}
