Place whole steps before parts of many under shortage

Cause: the driver ordered the items of all jobs by latest start alone. Where not all fit, the step with more and longer texts lost groups, whatever its priority. Change: stepplan.Plan decides which steps can be complete in time, chosen by urgency, by the use of their workspace by its share and by latest start; the others yield. One that yields gets a slot after 0.5 s. The driver asks for it only for services that had no free slot in the last pass, and the order by latest start stays where that completes every step.

--- a/internal/jobdriver/driver.go
+++ b/internal/jobdriver/driver.go
@@ -66,6 +66,7 @@
 	obtaining      map[string]bool    // services and urgencies for whose items a permit is being asked for
 	demand         map[string]float64 // recently generated events by model, decaying
 	demandAt       time.Time
+	shortage       shortage
 	wg             sync.WaitGroup
 }
 
@@ -73,7 +74,7 @@
 func New(cfg Config) *Driver {
 	return &Driver{
 		cfg: cfg, wake: make(chan struct{}, 1), jobs: map[string]*jobState{}, running: map[string]int{}, paces: newPaceTracker(),
-		demand: map[string]float64{}, obtaining: map[string]bool{}, commit: func(ctx context.Context, pr job.Progress) error {
+		demand: map[string]float64{}, obtaining: map[string]bool{}, shortage: newShortage(), commit: func(ctx context.Context, pr job.Progress) error {
 			return cfg.Group.ProposeLocal(ctx, statemachine.KindRecordProgress, pr, nil)
 		},
 	}
@@ -192,7 +193,9 @@
 				js.cancelAll()
 				delete(dr.jobs, id)
 			case jo.IsOpen() && js == nil:
-				dr.jobs[id] = newJobState(jo, le.Earlier(&jo.Spec))
+				js = newJobState(jo, le.Earlier(&jo.Spec))
+				js.excess = dr.excessOf(js)
+				dr.jobs[id] = js
 			case jo.IsOpen():
 				for _, re := range jo.Results {
 					if t := js.tasks[re.Item]; t != nil {
@@ -218,14 +221,15 @@
 	at := time.UnixMilli(jo.SubmittedMs)
 	js := &jobState{
 		id: sp.ID, workspace: sp.Workspace, host: sp.Host, model: sp.Model, minVersion: sp.MinVersion, submitted: at,
-		tasks: map[int]*task{}, timeline: timeline{runs: map[string]int{}},
+		tasks: map[int]*task{}, timeline: timeline{runs: map[string]int{}}, placedAt: at,
 		due: at.Add(time.Duration(sp.ResultDeadlineMs) * time.Millisecond),
 	}
 	if sp.MaxQueueMs > 0 {
 		js.queueDeadline = at.Add(time.Duration(sp.MaxQueueMs) * time.Millisecond)
 	}
-	required := map[string]bool{}
+	required, groups := map[string]bool{}, map[string]bool{}
 	for i := range sp.Items {
+		groups[sp.Items[i].Group] = true
 		et, isEarlier := earlier[sp.Items[i].ID]
 		if isEarlier {
 			required[sp.Items[i].Group] = true
@@ -241,7 +245,10 @@
 			t.takeOver(&et)
 		}
 	}
-	js.required = len(required)
+	for _, t := range js.tasks {
+		t.isCarriedOver = required[t.item.Group] // texts of the group that are new, too
+	}
+	js.required, js.groups = len(required), len(groups)
 
 	return js
 }
@@ -360,6 +367,7 @@
 	if t.runs++; t.runs == 1 {
 		t.firstStartedAt = t.startedAt
 	}
+	t.job.placedAt = t.startedAt
 	dr.running[rec.ID]++
 	te := t.generated
 	te.events, te.versions = slices.Clone(te.events), slices.Clone(te.versions)
@@ -371,6 +379,7 @@
 		oc := dr.run(ctx, t, ro, gr, &te)
 		dr.mu.Lock()
 		dr.running[rec.ID]--
+		dr.shortage.addUse(t.job.workspace, time.Since(t.startedAt), time.Now())
 		dr.decayDemand()
 		dr.demand[t.job.model] += float64(max(len(te.events)-began, 0))
 		dr.mu.Unlock()
@@ -438,6 +447,7 @@
 		}
 	}
 	me.Gauge("jobs.open", int64(len(dr.jobs)))
+	me.Gauge("jobs.yielding", int64(dr.shortage.yielding))
 	me.Gauge("items.waiting", int64(waits))
 	me.Gauge("items.running", int64(runs))
 }
--- a/internal/jobdriver/place.go
+++ b/internal/jobdriver/place.go
@@ -54,6 +54,8 @@
 	now := time.Now()
 	full := map[string]bool{} // service and job pairs without a free slot in this pass
 	waits := dr.waitingTasks(now)
+	dr.orderForShortage(waits, ta, now)
+	short := map[string]bool{} // services without a free slot in this pass
 	for i, wt := range waits {
 		t := wt.task
 		if !t.job.queueDeadline.IsZero() && now.After(t.job.queueDeadline) {
@@ -87,11 +89,15 @@
 			continue
 		} else if gr := dr.acquire(service, t, preferred); gr == nil {
 			full[key] = true
+			if preferred != stepplan.RequireFast && dr.isEligible(service, t) {
+				short[service] = true
+			}
 			dr.obtainPermits(service, t, ro.Urgency(ta.Workspace(t.job.workspace)), len(waits)-i)
 		} else {
 			dr.start(t, ro, gr)
 		}
 	}
+	dr.shortage.setShort(short)
 }
 
 // maxFastWait is how long a text waits for a slot at a fast backend server, although others
--- a/internal/jobdriver/task.go
+++ b/internal/jobdriver/task.go
@@ -35,6 +35,7 @@
 	generated         generatedText
 	isWhole           bool         // the text is that of an earlier job, complete
 	earlierEvents     int          // events that an earlier job had of the text at least
+	isCarriedOver     bool         // its group came again from an earlier job
 	runEvents         atomic.Int32 // events of the current run so far
 	notBefore         time.Time
 	waitingSince      time.Time // when its current wait for a backend server began
@@ -68,7 +69,10 @@
 	tasks         map[int]*task
 	timeline      timeline
 	due           time.Time // when the results are due
-	required      int       // groups that came again from an earlier job
+	groups        int       // in the whole job
+	required      int       // of them, those that came again from an earlier job
+	placedAt      time.Time // when one of its texts was placed last, its submission before the first
+	excess        float64   // use of its workspace by share, as of its arrival
 }
 
 // remaining returns how many tokens the text is expected to need. An event holds
--- a/internal/meter/names.go
+++ b/internal/meter/names.go
@@ -42,6 +42,7 @@
 	{"items.waiting", KindGauge, "items that wait for a backend server; only on the store that leads"},
 	{"items.running", KindGauge, "items that run at backend servers; only on the store that leads"},
 	{"jobs.open", KindGauge, "batch jobs that have not ended; only on the store that leads"},
+	{"jobs.yielding", KindGauge, "batch jobs whose items give way to those of others, as not all can be complete in time; only on the store that leads"},
 	{"reward.*", KindCounter, "calls to the scorer, by outcome"},
 	{"samples.again.*", KindCounter, "attempts of samples that failed after all retries and were repeated by the step, by result code"},
 	{"samples.stale", KindCounter, "samples sent back while a page was formed, because newer weights had made them stale"},
