Report the use and demand of workspaces to the controllers

Cause: the shares of internal/fairshare need the counts of all gateways and stores. Gateways and stores run a holder; the job driver counts its running items and those that wait for a service without a free slot.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -15,6 +15,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/balance"
 	"github.com/tamarackbay/tamarackbay/internal/controller"
 	"github.com/tamarackbay/tamarackbay/internal/crashguard"
+	"github.com/tamarackbay/tamarackbay/internal/fairshare"
 	"github.com/tamarackbay/tamarackbay/internal/feed"
 	"github.com/tamarackbay/tamarackbay/internal/ingress"
 	"github.com/tamarackbay/tamarackbay/internal/jobproxy"
@@ -62,6 +63,7 @@
 	follower    *feed.Follower
 	controllers *controller.Client
 	permits     *permit.Holder
+	shares      *fairshare.Holder
 	balancer    *balance.Balancer
 	origins     *origin.Book
 	guard       *crashguard.Guard
@@ -83,6 +85,7 @@
 		Name: cfg.Settings.Name, Ask: ed.controllers.AskPermits, Report: ed.controllers.ReportLimits, Processes: ed.follower.Processes,
 		Now: cfg.Now, Random: rand.Float64, Meter: cfg.Meter, Log: cfg.Log,
 	})
+	ed.shares = fairshare.NewHolder(cfg.Settings.Name, time.Now().UnixMilli())
 	ed.balancer = balance.New(balance.Config{
 		FailureDomain: cfg.Settings.FailureDomain, Scheduler: scheduler.Config{RandomChoices: schedulerCandidates}, Now: cfg.Now, Random: rand.IntN, IdleTimeout: cfg.Client.IdleTimeout,
 		Permits: ed.permits,
@@ -172,6 +175,7 @@
 	wg.Go(func() { ed.sendUsageLoop(ctx) })
 	wg.Go(func() { ed.guard.Run(ctx) })
 	wg.Go(func() { ed.permits.Run(ctx) })
+	wg.Go(func() { ed.controllers.RunShares(ctx, ed.shares, ed.cfg.Now, ed.cfg.Log) })
 	wg.Go(func() { ed.origins.Run(ctx) })
 	wg.Wait()
 }
--- a/internal/jobdriver/driver.go
+++ b/internal/jobdriver/driver.go
@@ -15,6 +15,7 @@
 
 	"github.com/tamarackbay/tamarackbay/internal/backend"
 	"github.com/tamarackbay/tamarackbay/internal/balance"
+	"github.com/tamarackbay/tamarackbay/internal/fairshare"
 	"github.com/tamarackbay/tamarackbay/internal/feed"
 	"github.com/tamarackbay/tamarackbay/internal/group"
 	"github.com/tamarackbay/tamarackbay/internal/job"
@@ -39,6 +40,8 @@
 	Changed  func() <-chan struct{}
 	Balancer *balance.Balancer
 	Client   *backend.Client
+	Shares   *fairshare.Holder    // counts the items for the shares of their workspaces; one of its own if it is nil
+	Now      func() time.Duration // monotonic, for Shares
 	Random   func() float64
 	Meter    *meter.Meter
 	Log      log.Interface
@@ -72,6 +75,11 @@
 
 // New returns a driver.
 func New(cfg Config) *Driver {
+	if cfg.Shares == nil {
+		start := time.Now()
+		cfg.Shares, cfg.Now = fairshare.NewHolder("", 0), func() time.Duration { return time.Since(start) }
+	}
+
 	return &Driver{
 		cfg: cfg, wake: make(chan struct{}, 1), jobs: map[string]*jobState{}, running: map[string]int{}, paces: newPaceTracker(),
 		demand: map[string]float64{}, obtaining: map[string]bool{}, shortage: newShortage(), commit: func(ctx context.Context, pr job.Progress) error {
@@ -163,6 +171,7 @@
 		js.cancelAll()
 	}
 	dr.jobs, dr.progress = map[string]*jobState{}, nil
+	dr.cfg.Shares.SetWaiting(dr.cfg.Now(), nil)
 }
 
 func (js *jobState) cancelAll() {
@@ -369,6 +378,8 @@
 	}
 	t.job.placedAt = t.startedAt
 	dr.running[rec.ID]++
+	ke := fairshare.Key{Service: rec.Service, Workspace: t.job.workspace}
+	dr.cfg.Shares.Begin(dr.cfg.Now(), ke)
 	te := t.generated
 	te.events, te.versions = slices.Clone(te.events), slices.Clone(te.versions)
 	began := len(te.events)
@@ -377,6 +388,7 @@
 		defer dr.wg.Done()
 		defer cancel(nil)
 		oc := dr.run(ctx, t, ro, gr, &te)
+		dr.cfg.Shares.End(dr.cfg.Now(), ke)
 		dr.mu.Lock()
 		dr.running[rec.ID]--
 		dr.shortage.addUse(t.job.workspace, time.Since(t.startedAt), time.Now())
--- a/internal/jobdriver/place.go
+++ b/internal/jobdriver/place.go
@@ -98,6 +98,7 @@
 		}
 	}
 	dr.shortage.setShort(short)
+	dr.countWaiting(ta)
 }
 
 // maxFastWait is how long a text waits for a slot at a fast backend server, although others
--- a/internal/jobdriver/shortage.go
+++ b/internal/jobdriver/shortage.go
@@ -8,6 +8,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/tamarackbay/tamarackbay/internal/fairshare"
 	"github.com/tamarackbay/tamarackbay/internal/routing"
 	"github.com/tamarackbay/tamarackbay/internal/stepplan"
 )
@@ -74,9 +75,38 @@
 	return n
 }
 
-// excessOf returns the use of a job's workspace by its share among the workspaces with open jobs.
-// A later job of a workspace gets no lower one than those before it, so that it does not overtake
-// them. The caller holds dr.mu.
+// serviceOf returns the service of a task's route, "" if it has none.
+func (t *task) serviceOf(ta *routing.Table) string {
+	ro := ta.Match(t.job.host, t.item.Path)
+	if ro == nil || len(ro.Targets) == 0 {
+		return ""
+	}
+
+	return ro.Targets[0].Service
+}
+
+// countWaiting reports the tasks that wait for a slot of a service that has none. The caller holds
+// dr.mu.
+func (dr *Driver) countWaiting(ta *routing.Table) {
+	counts := map[fairshare.Key]int{}
+	for _, js := range dr.jobs {
+		for _, t := range js.tasks {
+			if t.phase != waiting || len(dr.shortage.isShort) == 0 {
+				continue
+			}
+			if service := t.serviceOf(ta); dr.shortage.isShort[service] {
+				counts[fairshare.Key{Service: service, Workspace: js.workspace}]++
+			}
+		}
+	}
+	dr.cfg.Shares.SetWaiting(dr.cfg.Now(), counts)
+}
+
+// excessOf returns the use of a job's workspace by its share: the use by all workspaces with open
+// jobs, divided by their number. This process executes all items, and it counts them over several
+// steps: by the shares of the controllers, which are of the last second, a trainer would always be
+// below its own when a step begins. A later job of a workspace gets no lower value than those
+// before it, so that it does not overtake them. The caller holds dr.mu.
 func (dr *Driver) excessOf(js *jobState) float64 {
 	now := time.Now()
 	workspaces := map[string]bool{js.workspace: true}
@@ -175,11 +205,10 @@
 				continue // its text is complete
 			}
 			if service == "" {
-				ro := ta.Match(js.host, t.item.Path)
-				if ro == nil || len(ro.Targets) == 0 {
+				if service = t.serviceOf(ta); service == "" {
 					continue
 				}
-				service, st.Urgency = ro.Targets[0].Service, ro.Urgency(ta.Workspace(js.workspace))
+				st.Urgency = ta.Match(js.host, t.item.Path).Urgency(ta.Workspace(js.workspace))
 			}
 			gr := groups[t.item.Group]
 			if gr == nil {
--- a/internal/jobdriver/shortage_test.go
+++ b/internal/jobdriver/shortage_test.go
@@ -102,6 +102,21 @@
 		Expect(dr.excessOf(&later)).To(BeNumerically(">=", dr.jobs["b"].excess))
 	})
 
+	ginkgo.It("that wait for a slot are reported as demand of their workspace, until the driver stops", func() {
+		dr := newDriver(2)
+		add(dr, "a", "/usual/x", 5, nil)
+		dr.countWaiting(ta)
+		_, waits, _ := dr.cfg.Shares.Totals(dr.cfg.Now())
+		Expect(waits).To(BeZero(), "without shortage")
+		dr.shortage.setShort(map[string]bool{"s": true})
+		dr.countWaiting(ta)
+		_, waits, _ = dr.cfg.Shares.Totals(dr.cfg.Now())
+		Expect(waits).To(Equal(5))
+		dr.stop()
+		_, waits, _ = dr.cfg.Shares.Totals(dr.cfg.Now())
+		Expect(waits).To(BeZero())
+	})
+
 	ginkgo.It("that wait for weights leave the turns to others", func() {
 		dr := newDriver(2)
 		add(dr, "a", "/usual/x", 10, nil)
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -17,6 +17,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/balance"
 	"github.com/tamarackbay/tamarackbay/internal/consensus"
 	"github.com/tamarackbay/tamarackbay/internal/controller"
+	"github.com/tamarackbay/tamarackbay/internal/fairshare"
 	"github.com/tamarackbay/tamarackbay/internal/feed"
 	"github.com/tamarackbay/tamarackbay/internal/group"
 	"github.com/tamarackbay/tamarackbay/internal/job"
@@ -62,6 +63,8 @@
 	follower      *feed.Follower
 	balancer      *balance.Balancer
 	permits       *permit.Holder
+	shares        *fairshare.Holder
+	controllers   *controller.Client
 	driver        *jobdriver.Driver
 	statusChanged chan struct{} // holds an element after a change of the group's status
 }
@@ -82,9 +85,10 @@
 	if err != nil {
 		return nil, err
 	}
-	controllers := &controller.Client{Links: st.links, Addresses: st.follower.Controllers}
+	st.shares = fairshare.NewHolder(no.Name, time.Now().UnixMilli())
+	st.controllers = &controller.Client{Links: st.links, Addresses: st.follower.Controllers}
 	st.permits = permit.NewHolder(permit.Config{
-		Name: no.Name, Ask: controllers.AskPermits, Report: controllers.ReportLimits, Processes: st.follower.Processes,
+		Name: no.Name, Ask: st.controllers.AskPermits, Report: st.controllers.ReportLimits, Processes: st.follower.Processes,
 		Now: cfg.Now, Random: rand.Float64, Meter: cfg.Meter, Log: cfg.Log,
 	})
 	st.balancer = balance.New(balance.Config{
@@ -93,7 +97,7 @@
 	})
 	st.driver = jobdriver.New(jobdriver.Config{
 		Group: st.group, View: st.follower.View, Changed: st.follower.Changed, Balancer: st.balancer, Client: cfg.Client,
-		Random: rand.Float64, Meter: cfg.Meter, Log: cfg.Log,
+		Shares: st.shares, Now: cfg.Now, Random: rand.Float64, Meter: cfg.Meter, Log: cfg.Log,
 	})
 
 	return st, nil
@@ -154,6 +158,7 @@
 	wg.Go(func() { st.announceLoop(ctx) })
 	wg.Go(func() { st.driver.Run(ctx) })
 	wg.Go(func() { st.permits.Run(ctx) })
+	wg.Go(func() { st.controllers.RunShares(ctx, st.shares, st.cfg.Now, st.cfg.Log) })
 	wg.Go(func() {
 		st.follower.EachView(ctx, func(vi *feed.View) {
 			st.balancer.Sync(vi.Servers)
--- a/internal/meter/names.go
+++ b/internal/meter/names.go
@@ -43,6 +43,8 @@
 	{"items.running", KindGauge, "items that run at backend servers; only on the store that leads"},
 	{"jobs.open", KindGauge, "batch jobs that have not ended; only on the store that leads"},
 	{"jobs.yielding", KindGauge, "batch jobs whose items give way to those of others, as not all can be complete in time; only on the store that leads"},
+	{"shares.services", KindGauge, "services for which requests or items wait, by the reports to the controller that leads"},
+	{"shares.processes", KindGauge, "processes that report the use and demand of workspaces to the controller that leads"},
 	{"reward.*", KindCounter, "calls to the scorer, by outcome"},
 	{"samples.again.*", KindCounter, "attempts of samples that failed after all retries and were repeated by the step, by result code"},
 	{"samples.stale", KindCounter, "samples sent back while a page was formed, because newer weights had made them stale"},
