Queue requests that find no free slot, shared fairly between workspaces

Cause: a request that found every backend server at its limit was refused at once, so that the caller that repeated most often got the free slots. Change: such a request waits for a quarter of its route's latency objective at most. The queue is that of internal/admission: urgency first, then workspaces that are below their share at all processes, then weighted fair queueing. Routes without an objective are as before.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -72,6 +72,22 @@
 		Expect(got["a"]).To(BeNumerically("~", 100, 2))
 	})
 
+	It("serves the workspaces above their share after the others, and leaves no slot idle", func() {
+		over := map[string]bool{"a": true}
+		q := admission.NewQueue(admission.Config{IsFair: true, IsOver: func(workspace string) bool { return over[workspace] }})
+		for _, w := range []string{"a", "b", "c"} {
+			for range 10 {
+				Expect(q.Push(0, item(w, 1, 2, 1))).To(Succeed())
+			}
+		}
+		Expect(serve(q, time.Millisecond, 10)).To(Equal(map[string]float64{"b": 5, "c": 5}))
+		delete(over, "a")
+		Expect(serve(q, time.Millisecond, 9)["a"]).To(BeNumerically(">=", 3), "its wait is no credit and no debt")
+		over["a"] = true
+		Expect(serve(q, time.Millisecond, 99)).To(HaveKey("a"))
+		Expect(q.Len()).To(BeZero())
+	})
+
 	It("serves classes in order and bounds the wait of the lowest class", func() {
 		q := admission.NewQueue(admission.Config{IsFair: true, MaxWait: time.Second})
 		Expect(q.Push(0, item("late", 1, declaration.ClassRank(declaration.ClassBatch), 1))).To(Succeed())
@@ -157,7 +173,7 @@
 
 // BenchmarkQueue measures one pop and push in a queue with n workspaces.
 func BenchmarkQueue(b *testing.B) {
-	for _, n := range []int{8, 64, 512} {
+	for _, n := range []int{8, 64, 512, 10_000} {
 		b.Run(fmt.Sprintf("workspaces=%d", n), func(b *testing.B) {
 			q := admission.NewQueue(admission.Config{IsFair: true})
 			items := make([]*admission.Item, n)
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -30,6 +30,7 @@
 	items       []*Item
 	waitingCost float64 // estimated cost of items
 	startTag    float64 // virtual time at which its next item is due
+	isOver      bool    // as of the current pop
 }
 
 // class holds the waiting requests of one class and its virtual time, which advances
@@ -47,6 +48,9 @@
 	MaxItems int           // waiting in all classes together
 	MaxWait  time.Duration // after which an item of a lower class is served before higher classes
 	IsFair   bool          // false: first come, first served, a baseline for comparison
+	// IsOver reports whether a workspace uses more than its share at all processes together. Within a
+	// class, its requests are served after those of the others. Nil: none does.
+	IsOver func(workspace string) bool
 }
 
 // Defaults fills the fields left zero.
@@ -188,11 +192,25 @@
 	return nil
 }
 
-// popClass pops from the flow with the lowest start tag whose first item fits. Flows
+// precedes reports whether the next item of a flow is due before that of another one.
+func (fl *flow) precedes(other *flow) bool {
+	if fl.isOver != other.isOver {
+		return other.isOver
+	}
+
+	return fl.startTag < other.startTag
+}
+
+// popClass pops from the flow that is due first among those whose first item fits. Flows
 // that don't fit are skipped only if they are among the first 64, the size of the bit
 // set.
 func (q *Queue) popClass(now time.Duration, cl *class, fits func(it *Item) bool, expired func(it *Item)) *Item {
 	q.dropExpired(now, cl, expired)
+	if q.cfg.IsOver != nil {
+		for _, fl := range cl.flows {
+			fl.isOver = q.cfg.IsOver(fl.workspace)
+		}
+	}
 	var tried uint64 // bit i: flows[i] did not fit
 	for range min(len(cl.flows), 64) {
 		best := -1
@@ -200,7 +218,7 @@
 			if i < 64 && tried&(1<<i) != 0 {
 				continue
 			}
-			if best < 0 || fl.startTag < cl.flows[best].startTag {
+			if best < 0 || fl.precedes(cl.flows[best]) {
 				best = i
 			}
 		}
@@ -208,7 +226,9 @@
 			return nil
 		}
 		if it := cl.flows[best].items[0]; fits(it) {
-			cl.virtualTime = cl.flows[best].startTag
+			if tag := cl.flows[best].startTag; q.cfg.IsOver == nil || tag > cl.virtualTime {
+				cl.virtualTime = tag // a flow that was passed over has an earlier one
+			}
 			cl.flows[best].startTag += it.Cost / it.Weight
 			q.removeHead(cl, best)
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -40,6 +40,9 @@
 	// answerMemoryShare is the divisor of the process's memory that gives what buffered
 	// answers may take.
 	answerMemoryShare = 8
+	// waitingMemoryShare is the divisor that gives what the bodies of requests that wait for a
+	// slot may take.
+	waitingMemoryShare = 16
 	// defaultMaxBodyBytes limits a request's body where the configuration sets no
 	// limit, or none has arrived yet.
 	defaultMaxBodyBytes = 32 << 20
@@ -105,7 +108,8 @@
 	})
 	ed.ingress = ingress.New(ingress.Config{
 		Table: ed.Table, Fresh: ed.fresh, Balancer: ed.balancer, Client: cfg.Client, Random: rand.Float64, OnStart: ed.tally.Count,
-		Guard: ed.guard, Origins: ed.origins, BufferBytes: cfg.Settings.MemoryBytes / answerMemoryShare, Meter: cfg.Meter, Log: cfg.Log,
+		Guard: ed.guard, Origins: ed.origins, BufferBytes: cfg.Settings.MemoryBytes / answerMemoryShare,
+		Shares: ed.shares, MaxWaitingBytes: cfg.Settings.MemoryBytes / waitingMemoryShare, Now: cfg.Now, Meter: cfg.Meter, Log: cfg.Log,
 	})
 	ed.jobProxy = jobproxy.New(jobproxy.Config{
 		Ingress: ed.ingress, Table: ed.Table, View: ed.follower.View, Changed: ed.follower.Changed, Links: ed.links,
@@ -207,4 +211,7 @@
 }
 
 // Measure sets the gauges of this edge's view of the configuration and the servers.
-func (ed *Edge) Measure(me *meter.Meter) { ed.follower.Measure(me) }
+func (ed *Edge) Measure(me *meter.Meter) {
+	ed.follower.Measure(me)
+	ed.ingress.Measure()
+}
--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -86,3 +86,19 @@
 	AgeMs    int64   `cbor:"4,keyasint"` // of the oldest report that the shares are made of
 	Shares   []Share `cbor:"5,keyasint"`
 }
+
+// Backlog is the outstanding work of all processes at a service, in seconds of one slot.
+type Backlog struct {
+	Waiting   float64
+	InFlight  float64
+	PerSecond float64 // how much of it the backend servers do per second, 0 if unknown
+}
+
+// Clears returns the seconds in which the waiting work and more work is done, 0 if unknown.
+func (ba Backlog) Clears(more float64) float64 {
+	if ba.PerSecond <= 0 {
+		return 0
+	}
+
+	return (ba.Waiting + more) / ba.PerSecond
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -10,6 +10,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/backend"
 	"github.com/tamarackbay/tamarackbay/internal/balance"
 	"github.com/tamarackbay/tamarackbay/internal/crashguard"
+	"github.com/tamarackbay/tamarackbay/internal/fairshare"
 	"github.com/tamarackbay/tamarackbay/internal/meter"
 	"github.com/tamarackbay/tamarackbay/internal/origin"
 	"github.com/tamarackbay/tamarackbay/internal/result"
@@ -49,23 +50,56 @@
 	Origins *origin.Book
 	// BufferBytes bounds the memory of answers that are buffered, 0 for a default.
 	BufferBytes int64
-	Meter       *meter.Meter
-	Log         log.Interface
+	// Shares counts the requests of workspaces and knows their shares; a holder of its own if it is
+	// nil.
+	Shares *fairshare.Holder
+	// Backlog returns the outstanding work at a service, for the times to retry after; nil if it is
+	// not known.
+	Backlog func(service string) fairshare.Backlog
+	// MaxWaiting and MaxWaitingBytes bound the requests that wait for a slot and the size of their
+	// bodies, 0 for defaults.
+	MaxWaiting      int
+	MaxWaitingBytes int64
+	Now             func() time.Duration // monotonic, for Shares; nil for the clock of the process
+	Meter           *meter.Meter
+	Log             log.Interface
+}
+
+// Defaults fills the fields left zero.
+func (c *Config) Defaults() {
+	if c.Origins == nil {
+		c.Origins = origin.NewBook(origin.Config{Meter: c.Meter, Log: c.Log})
+	}
+	if c.Shares == nil {
+		c.Shares = fairshare.NewHolder("", 0)
+	}
+	if c.Now == nil {
+		start := time.Now()
+		c.Now = func() time.Duration { return time.Since(start) }
+	}
+	if c.MaxWaiting == 0 {
+		c.MaxWaiting = defaultMaxWaiting
+	}
+	if c.MaxWaitingBytes == 0 {
+		c.MaxWaitingBytes = defaultMaxWaitingBytes
+	}
 }
 
 // Ingress routes requests to backend servers. It is safe for concurrent use.
 type Ingress struct {
 	cfg     Config
 	answers *answerReader
+	waiting *waitingRoom
+	work    routeWork
 }
 
 // New returns an ingress.
 func New(cfg Config) *Ingress {
-	if cfg.Origins == nil {
-		cfg.Origins = origin.NewBook(origin.Config{Meter: cfg.Meter, Log: cfg.Log})
-	}
+	cfg.Defaults()
+	in := &Ingress{cfg: cfg, answers: newAnswerReader(cfg.BufferBytes), work: routeWork{mean: map[string]float64{}}}
+	in.waiting = newWaitingRoom(&in.cfg)
 
-	return &Ingress{cfg: cfg, answers: newAnswerReader(cfg.BufferBytes)}
+	return in
 }
 
 // Admit returns the route and the workspace of a request. The workspace is nil where
@@ -124,6 +158,8 @@
 	failedAnswer  *completeAnswer // last answer with an error status, nil if there is none
 	configVersion uint64          // configuration version at the start of the request
 	fingerprint   string          // "" until it is needed
+	slotKey       fairshare.Key   // service and workspace of the slot in use
+	slotAt        time.Time       // when it got the slot
 	origin        *origin.Origin  // what began the stream, nil before its first event
 }
 
@@ -218,42 +254,6 @@
 	return !rs.mayHaveRun || rs.ro.Kind == routing.Repeatable || (rs.ro.IsStreaming && rs.ro.IsResumable)
 }
 
-// acquireServer acquires a slot on a backend server. It prefers a server that was not
-// tried, then any server but the last one tried, and takes that one as the last resort.
-func (rs *requestState) acquireServer(ctx context.Context, isSuspect bool) (*balance.Grant, error) {
-	service := rs.ro.PickTarget(rs.in.cfg.Random())
-	rq := &balance.Request{Service: service, Model: rs.rq.Model, Exclude: rs.tried, IsSuspect: isSuspect}
-	if rs.origin != nil {
-		if service = rs.origin.Service; !rs.ro.Allows(service) || rs.in.cfg.Balancer.ReadyBySoftware(service)[rs.origin.Software] == 0 {
-			return nil, result.New(result.NoSameSoftware, "ingress: no backend server of %s with software version %q is ready", service, rs.origin.Software).
-				WithRetryAfter(sameSoftwareRetryAfter)
-		}
-		rq.Service, rq.Software, rq.ExtraSlots = service, rs.origin.Software, resumeQueueSlots
-	}
-	gr, limitErr := rs.in.cfg.Balancer.AcquirePermitted(ctx, rq, rs.urgency)
-	if gr != nil {
-		return gr, nil
-	}
-	if len(rs.tried) > 0 {
-		rq.Exclude = rs.tried[len(rs.tried)-1:]
-		if gr := rs.in.cfg.Balancer.Acquire(rq); gr != nil {
-			return gr, nil
-		}
-		rq.Exclude = nil
-		if gr := rs.in.cfg.Balancer.Acquire(rq); gr != nil {
-			return gr, nil
-		}
-	}
-	if limitErr != nil {
-		return nil, limitErr
-	}
-	if ready, _ := rs.in.cfg.Balancer.Count(service, rs.rq.Model, 0); ready == 0 {
-		return nil, result.New(result.NoBackendServer, "ingress: no backend server of %s is ready", service).WithRetryAfter(defaultRetryAfter)
-	}
-
-	return nil, result.New(result.QueueFull, "ingress: every backend server of %s is at its limit", service).WithRetryAfter(defaultRetryAfter)
-}
-
 // newCall returns the call for the granted backend server and records the attempt.
 func (rs *requestState) newCall(gr *balance.Grant) *backend.Call {
 	re := gr.Record()
@@ -312,7 +312,7 @@
 // sendComplete sends the request to one backend server and reads its complete answer.
 func (rs *requestState) sendComplete(ctx context.Context, gr *balance.Grant, pa *crashguard.Pass) (*completeAnswer, error) {
 	outcome, load := balance.Failed, (*backend.Load)(nil)
-	defer func() { gr.Release(outcome, load) }()
+	defer func() { rs.release(gr, outcome, load) }()
 
 	ca, whole := rs.newCall(gr), ctx
 	if rs.canRetryAfterThis() && rs.ro.LatencyObjective > 0 {
--- /dev/null
+++ b/internal/ingress/slot.go
@@ -0,0 +1,120 @@
+package ingress
+
+import (
+	"context"
+	"time"
+
+	"github.com/tamarackbay/tamarackbay/internal/backend"
+	"github.com/tamarackbay/tamarackbay/internal/balance"
+	"github.com/tamarackbay/tamarackbay/internal/fairshare"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+)
+
+// acquireServer acquires a slot on a backend server. It prefers a server that was not
+// tried, then any server but the last one tried, and takes that one as the last resort.
+func (rs *requestState) acquireServer(ctx context.Context, isSuspect bool) (*balance.Grant, error) {
+	service := rs.ro.PickTarget(rs.in.cfg.Random())
+	rq := &balance.Request{Service: service, Model: rs.rq.Model, Exclude: rs.tried, IsSuspect: isSuspect}
+	if rs.origin != nil {
+		if service = rs.origin.Service; !rs.ro.Allows(service) || rs.in.cfg.Balancer.ReadyBySoftware(service)[rs.origin.Software] == 0 {
+			return nil, result.New(result.NoSameSoftware, "ingress: no backend server of %s with software version %q is ready", service, rs.origin.Software).
+				WithRetryAfter(sameSoftwareRetryAfter)
+		}
+		rq.Service, rq.Software, rq.ExtraSlots = service, rs.origin.Software, resumeQueueSlots
+	}
+	ke := fairshare.Key{Service: service, Workspace: rs.workspace}
+	isOver, wr := rs.in.waiting.isOver(ke), rs.in.waiting
+	if rs.hold() == 0 || (!isOver && wr.isEmpty(service)) {
+		gr, err := rs.acquireNow(ctx, rq)
+		if gr != nil || err != nil || rs.hold() == 0 {
+			return rs.begin(ke, gr, err)
+		}
+	} else if ready, _ := rs.in.cfg.Balancer.Count(service, rs.rq.Model, 0); ready == 0 {
+		return nil, noBackendServer(service)
+	}
+	gr, err := wr.wait(ctx, &waitRequest{
+		key: ke, urgency: rs.urgency, work: rs.in.work.of(rs.ro.Name), hold: rs.hold(), bytes: len(rs.rq.Body),
+		isUsual: rs.origin == nil && len(rs.tried) == 0 && !isSuspect, model: rs.rq.Model, isOver: isOver,
+		acquire: func() *balance.Grant { return rs.acquireAny(rq) },
+	})
+	if err != nil && len(rs.in.cfg.Balancer.Limited(rq)) > 0 {
+		// The slots that are left need permits, which a waiting request does not ask for.
+		if gr, err := rs.acquireNow(ctx, rq); gr != nil || err != nil {
+			return rs.begin(ke, gr, err)
+		}
+	}
+
+	return rs.begin(ke, gr, err)
+}
+
+// hold returns how long the request may wait for a slot, 0 if it may not.
+func (rs *requestState) hold() time.Duration {
+	return min(rs.ro.LatencyObjective/waitDivisor, max(time.Until(rs.deadline)-answerMargin, 0))
+}
+
+// begin counts a request that got a slot.
+func (rs *requestState) begin(ke fairshare.Key, gr *balance.Grant, err error) (*balance.Grant, error) {
+	switch {
+	case err != nil:
+		return nil, err
+	case gr == nil:
+		return nil, rs.in.waiting.refusal(ke.Service, "no slot is free")
+	}
+	rs.in.cfg.Shares.Begin(rs.in.cfg.Now(), ke)
+	rs.slotKey, rs.slotAt = ke, time.Now()
+
+	return gr, nil
+}
+
+// release ends the use of a slot and gives it to a request that waits.
+func (rs *requestState) release(gr *balance.Grant, outcome balance.Outcome, load *backend.Load) {
+	gr.Release(outcome, load)
+	rs.in.cfg.Shares.End(rs.in.cfg.Now(), rs.slotKey)
+	if outcome == balance.Succeeded {
+		rs.in.work.record(rs.ro.Name, time.Since(rs.slotAt))
+	}
+	rs.in.waiting.dispatch(rs.slotKey.Service, true)
+}
+
+// acquireAny acquires a slot for which no permit must be asked for, or returns nil.
+func (rs *requestState) acquireAny(rq *balance.Request) *balance.Grant {
+	last := rs.tried[max(len(rs.tried)-1, 0):]
+	for _, exclude := range [][]string{rs.tried, last, nil} {
+		with := *rq
+		with.Exclude = exclude
+		if gr := rs.in.cfg.Balancer.Acquire(&with); gr != nil {
+			return gr
+		}
+		if len(exclude) == 0 {
+			break
+		}
+	}
+
+	return nil
+}
+
+// acquireNow acquires a slot, also one that needs a permit. It returns an error if there is none
+// and it is no use to wait for one.
+func (rs *requestState) acquireNow(ctx context.Context, rq *balance.Request) (*balance.Grant, error) {
+	gr, limitErr := rs.in.cfg.Balancer.AcquirePermitted(ctx, rq, rs.urgency)
+	if gr != nil {
+		return gr, nil
+	}
+	if len(rs.tried) > 0 {
+		if gr := rs.acquireAny(rq); gr != nil {
+			return gr, nil
+		}
+	}
+	if limitErr != nil {
+		return nil, limitErr
+	}
+	if ready, _ := rs.in.cfg.Balancer.Count(rq.Service, rs.rq.Model, 0); ready == 0 {
+		return nil, noBackendServer(rq.Service)
+	}
+
+	return nil, nil
+}
+
+func noBackendServer(service string) error {
+	return result.New(result.NoBackendServer, "ingress: no backend server of %s is ready", service).WithRetryAfter(defaultRetryAfter)
+}
--- a/internal/meter/names.go
+++ b/internal/meter/names.go
@@ -36,6 +36,8 @@
 	{"retry.*", KindCounter, "retried attempts, by the reason of the failure"},
 	{"noRetry.*", KindCounter, "failures that were not retried, by the reason for that: final, notRepeatable, attemptsSpent, deadline, budgetSpent"},
 	{"queue.wait", KindHistogram, "time that a request waited in the queue of a gateway"},
+	{"wait.requests", KindGauge, "requests that wait at this gateway for a slot at a backend server"},
+	{"wait.hopeless", KindCounter, "requests that were refused at once because they would have waited for too long"},
 	{"item.run.*", KindCounter, "runs of items of batch jobs, by outcome"},
 	{"item.run", KindHistogram, "duration of one run of an item at a backend server"},
 	{"item.listed", KindCounter, "results of items that were committed"},
