--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"maps"
+	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -15,6 +16,7 @@
 
 	"github.com/tamarackbay/tamarackbay/internal/backend"
 	"github.com/tamarackbay/tamarackbay/internal/consensus"
+	"github.com/tamarackbay/tamarackbay/internal/fairshare"
 	"github.com/tamarackbay/tamarackbay/internal/feed"
 	"github.com/tamarackbay/tamarackbay/internal/group"
 	"github.com/tamarackbay/tamarackbay/internal/lease"
@@ -48,6 +50,8 @@
 	// many stores as the group should have voters. After it the known stores form the
 	// group.
 	formationTimeout = 5 * time.Second
+	// originFolder is the folder for the origins of streams inside the data folder.
+	originFolder = "origins"
 	// storeTimeout is the silence after which a store no longer counts as leader.
 	storeTimeout = 3 * time.Second
 )
@@ -97,10 +101,12 @@
 	swapWake           chan struct{}
 	usage              usageState
 
-	relay   *relay
-	permits permitBroker
-	origins *origin.Table
-	orders  map[registry.Incarnation]uint64 // orders that engines have accepted, by the last of this controller; guarded by mu
+	relay      *relay
+	permits    permitBroker
+	shares     shareDivider
+	origins    *origin.Table
+	originFile *origin.File
+	orders     map[registry.Incarnation]uint64 // orders that engines have accepted, by the last of this controller; guarded by mu
 }
 
 // Announcement is the state that a store sends to every controller periodically.
@@ -127,7 +133,7 @@
 		cfg: cfg, feed: feed.NewServer(), links: peer.NewLinks(context.Background(), cfg.Peer), stopped: make(chan struct{}),
 		registry: registry.New(maxMissedHeartbeats * no.HeartbeatPeriod), stores: map[string]*store{}, publishWake: make(chan struct{}, 1),
 		startedAt: cfg.Now(), swapPlanners: map[string]*weights.JointPlanner{}, swapWake: make(chan struct{}, 1),
-		relay: newRelay(), permits: permitBroker{broker: permit.NewBroker()}, origins: origin.NewTable(origin.MaxOrigins), orders: map[registry.Incarnation]uint64{},
+		relay: newRelay(), permits: permitBroker{broker: permit.NewBroker()}, shares: shareDivider{divider: fairshare.NewDivider()}, origins: origin.NewTable(origin.MaxOrigins), orders: map[registry.Incarnation]uint64{},
 	}
 	var founders []group.Founder
 	for _, a := range no.Controllers {
@@ -147,6 +153,10 @@
 	if co.group, err = group.New(gc); err != nil {
 		return nil, err
 	}
+	// After the group has checked that the data folder belongs to this process.
+	co.originFile = origin.OpenFile(origin.FileConfig{
+		Folder: filepath.Join(no.DataFolder, originFolder), Files: cfg.Files, Now: cfg.Now, WallMs: cfg.WallMs, Log: cfg.Log,
+	}, co.origins)
 
 	return co, nil
 }
@@ -184,6 +194,7 @@
 	maps.Copy(mux, co.feed.Handlers())
 	maps.Copy(mux, co.permitHandlers())
 	maps.Copy(mux, co.originHandlers())
+	maps.Copy(mux, co.shareHandlers())
 	mux[methodHeartbeats] = co.handleHeartbeats
 	mux[MethodAnnounce] = co.handleAnnounce
 	mux[MethodUsage] = handlePropose[usage.AddCounters](co, statemachine.KindAddUsage)
@@ -235,6 +246,7 @@
 	wg.Go(func() { co.publishLoop(ctx) })
 	wg.Go(func() { co.rosterLoop(ctx) })
 	wg.Go(func() { co.relayLoop(ctx) })
+	wg.Go(func() { co.originFile.Run(ctx) })
 	for _, ta := range co.leasedTasks() {
 		wg.Go(func() { ta.Run(ctx) })
 	}
@@ -346,7 +358,7 @@
 	st.Limits = co.publishedLimits(alive, coldServers(now, st))
 	st.IsSettled = now-co.startedAt > (maxMissedHeartbeats+1)*co.cfg.Settings.HeartbeatPeriod
 	for _, me := range members {
-		out := feed.Store{Name: me.Name, Replica: string(me.Replica), Address: me.Address, Retiring: retirement[me.Name] != 0}
+		out := feed.Store{Name: me.Name, Replica: string(me.Replica), Address: me.Address, FailureDomain: me.FailureDomain, Retiring: retirement[me.Name] != 0}
 		if so := co.stores[me.Name]; so != nil && so.Member.Replica == me.Replica {
 			out.Leads, out.Term = so.Leads && now-so.lastHeard < storeTimeout, so.Term
 		}
@@ -417,6 +429,13 @@
 	co.group.Read(func(ma *statemachine.Machine) {
 		me.Gauge("configuration.version", int64(ma.Routing().Config().Version))
 	})
+	me.Gauge("origins.known", int64(co.origins.Len()))
+	me.Gauge("origins.notWritten", co.originFile.Lost())
+	co.shares.mu.Lock()
+	services, processes := co.shares.divider.Services()
+	co.shares.mu.Unlock()
+	me.Gauge("shares.services", int64(services))
+	me.Gauge("shares.processes", int64(processes))
 	co.mu.Lock()
 	defer co.mu.Unlock()
 	alive := 0
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -15,6 +15,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/balance"
 	"github.com/tamarackbay/tamarackbay/internal/controller"
 	"github.com/tamarackbay/tamarackbay/internal/crashguard"
+	"github.com/tamarackbay/tamarackbay/internal/fairshare"
 	"github.com/tamarackbay/tamarackbay/internal/feed"
 	"github.com/tamarackbay/tamarackbay/internal/ingress"
 	"github.com/tamarackbay/tamarackbay/internal/jobproxy"
@@ -39,6 +40,9 @@
 	// answerMemoryShare is the divisor of the process's memory that gives what buffered
 	// answers may take.
 	answerMemoryShare = 8
+	// waitingMemoryShare is the divisor that gives what the bodies of requests that wait for a
+	// slot may take.
+	waitingMemoryShare = 16
 	// defaultMaxBodyBytes limits a request's body where the configuration sets no
 	// limit, or none has arrived yet.
 	defaultMaxBodyBytes = 32 << 20
@@ -62,6 +66,7 @@
 	follower    *feed.Follower
 	controllers *controller.Client
 	permits     *permit.Holder
+	shares      *fairshare.Holder
 	balancer    *balance.Balancer
 	origins     *origin.Book
 	guard       *crashguard.Guard
@@ -83,9 +88,10 @@
 		Name: cfg.Settings.Name, Ask: ed.controllers.AskPermits, Report: ed.controllers.ReportLimits, Processes: ed.follower.Processes,
 		Now: cfg.Now, Random: rand.Float64, Meter: cfg.Meter, Log: cfg.Log,
 	})
+	ed.shares = fairshare.NewHolder(cfg.Settings.Name, time.Now().UnixMilli())
 	ed.balancer = balance.New(balance.Config{
 		FailureDomain: cfg.Settings.FailureDomain, Scheduler: scheduler.Config{RandomChoices: schedulerCandidates}, Now: cfg.Now, Random: rand.IntN, IdleTimeout: cfg.Client.IdleTimeout,
-		Permits: ed.permits, Meter: cfg.Meter, Log: cfg.Log,
+		Permits: ed.permits, RegionOf: cfg.Settings.RegionOf, Meter: cfg.Meter, Log: cfg.Log,
 	})
 	ed.guard = crashguard.New(crashguard.Config{
 		Entries: func() map[string]quarantine.Entry { return ed.follower.View().Quarantine.Entries },
@@ -102,10 +108,12 @@
 	})
 	ed.ingress = ingress.New(ingress.Config{
 		Table: ed.Table, Fresh: ed.fresh, Balancer: ed.balancer, Client: cfg.Client, Random: rand.Float64, OnStart: ed.tally.Count,
-		Guard: ed.guard, Origins: ed.origins, BufferBytes: cfg.Settings.MemoryBytes / answerMemoryShare, Meter: cfg.Meter, Log: cfg.Log,
+		Guard: ed.guard, Origins: ed.origins, BufferBytes: cfg.Settings.MemoryBytes / answerMemoryShare,
+		Shares: ed.shares, MaxWaitingBytes: cfg.Settings.MemoryBytes / waitingMemoryShare, Now: cfg.Now, Meter: cfg.Meter, Log: cfg.Log,
 	})
 	ed.jobProxy = jobproxy.New(jobproxy.Config{
 		Ingress: ed.ingress, Table: ed.Table, View: ed.follower.View, Changed: ed.follower.Changed, Links: ed.links,
+		Balancer: ed.balancer, Region: cfg.Settings.OwnRegion(), RegionOf: cfg.Settings.RegionOf,
 		Meter: cfg.Meter, Log: cfg.Log,
 	})
 
@@ -174,6 +182,7 @@
 	wg.Go(func() { ed.sendUsageLoop(ctx) })
 	wg.Go(func() { ed.guard.Run(ctx) })
 	wg.Go(func() { ed.permits.Run(ctx) })
+	wg.Go(func() { ed.controllers.RunShares(ctx, ed.shares, ed.cfg.Now, ed.cfg.Log) })
 	wg.Go(func() { ed.origins.Run(ctx) })
 	wg.Wait()
 }
@@ -205,4 +214,7 @@
 }
 
 // Measure sets the gauges of this edge's view of the configuration and the servers.
-func (ed *Edge) Measure(me *meter.Meter) { ed.follower.Measure(me) }
+func (ed *Edge) Measure(me *meter.Meter) {
+	ed.follower.Measure(me)
+	ed.ingress.Measure()
+}
--- a/internal/group/repair.go
+++ b/internal/group/repair.go
@@ -37,12 +37,10 @@
 	return names
 }
 
-// awaitVacancy waits after the group has refused this replica because it is complete, until
-// the group takes it in or can't be asked any more. It asks one process only.
-func (gr *Group) awaitVacancy(ctx context.Context) {
-	address := gr.completeAt
-	gr.completeAt = ""
-	for address != "" && ctx.Err() == nil {
+// awaitVacancy waits after the process at an address has refused this replica because the group
+// is complete, until the group takes it in or can't be asked any more. It asks that process only.
+func (gr *Group) awaitVacancy(ctx context.Context, address string) {
+	for {
 		select {
 		case <-time.After(vacancyPeriod/2 + rand.N(vacancyPeriod)):
 		case <-ctx.Done():
--- a/internal/jobdriver/task.go
+++ b/internal/jobdriver/task.go
@@ -35,6 +35,7 @@
 	generated         generatedText
 	isWhole           bool         // the text is that of an earlier job, complete
 	earlierEvents     int          // events that an earlier job had of the text at least
+	isCarriedOver     bool         // its group came again from an earlier job
 	runEvents         atomic.Int32 // events of the current run so far
 	notBefore         time.Time
 	waitingSince      time.Time // when its current wait for a backend server began
@@ -51,6 +52,7 @@
 	startedAt         time.Time          // start of that run
 	service           string             // service to which that backend server belongs
 	software          string             // version of its software
+	regions           []string           // in which it may run, as of the last pass; nil for any
 	cancel            context.CancelFunc // cancels the current run or score request, nil if there is none
 	cancelForMove     func()             // cancels the current run so that it continues elsewhere, nil if it can't be moved
 	nextGrant         *balance.Grant     // slot reserved for the moved run at another backend server
@@ -68,7 +70,10 @@
 	tasks         map[int]*task
 	timeline      timeline
 	due           time.Time // when the results are due
-	required      int       // groups that came again from an earlier job
+	groups        int       // in the whole job
+	required      int       // of them, those that came again from an earlier job
+	placedAt      time.Time // when one of its texts was placed last, its submission before the first
+	excess        float64   // use of its workspace by share, as of its arrival
 }
 
 // remaining returns how many tokens the text is expected to need. An event holds
