--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -45,6 +45,7 @@
 
 	mu               sync.Mutex
 	services         map[string]*serverSet
+	evacuated        []string      // failure domains whose backend servers get nothing new
 	unreadableLogged time.Duration // when an unreadable load was last logged, 0 before
 }
 
@@ -128,7 +129,7 @@
 				continue
 			}
 			se.servers[i].record = re
-			se.cands[i].IsReady = re.State == registry.Ready
+			se.cands[i].IsReady = ba.isReady(&re)
 			se.cands[i].Slots = re.Slots
 			delete(alive[name], old.ID)
 		}
@@ -142,12 +143,34 @@
 		for _, re := range res {
 			se.servers = append(se.servers, &server{record: re})
 			se.cands = append(se.cands, scheduler.Candidate{
-				Slots: re.Slots, FailureDomain: re.FailureDomain, IsReady: re.State == registry.Ready, ReadySince: now,
+				Slots: re.Slots, FailureDomain: re.FailureDomain, IsReady: ba.isReady(&re), ReadySince: now,
 			})
 		}
 	}
 }
 
+// SetEvacuated replaces the evacuated failure domains. Their backend servers are not picked, and
+// do not count as ready, from now on; grants that were given before stay valid.
+func (ba *Balancer) SetEvacuated(failureDomains []string) {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+
+	if slices.Equal(ba.evacuated, failureDomains) {
+		return
+	}
+	ba.evacuated = slices.Clone(failureDomains)
+	for _, se := range ba.services {
+		for i, sv := range se.servers {
+			se.cands[i].IsReady = ba.isReady(&sv.record)
+		}
+	}
+}
+
+// isReady reports whether a backend server may get new requests. The caller holds mu.
+func (ba *Balancer) isReady(re *registry.Record) bool {
+	return re.State == registry.Ready && !slices.Contains(ba.evacuated, re.FailureDomain)
+}
+
 // Request describes the request to place.
 type Request struct {
 	Service    string
--- a/internal/controller/permits.go
+++ b/internal/controller/permits.go
@@ -133,11 +133,13 @@
 	return struct{}{}, nil
 }
 
-// publishedLimits returns the limits that this replica knows as the broker, nil if it is not.
-func (co *Controller) publishedLimits(alive map[registry.Incarnation]bool) []permit.Limit {
+// publishedLimits returns the limits that this replica knows as the broker, nil if it is not. The
+// broker also learns which backend servers are cold, so that a new one knows them at once.
+func (co *Controller) publishedLimits(alive map[registry.Incarnation]bool, cold map[registry.Incarnation]permit.Cold) []permit.Limit {
 	pb := &co.permits
 	pb.mu.Lock()
 	defer pb.mu.Unlock()
+	pb.broker.SetCold(co.cfg.Now(), cold)
 
 	if co.lead(pb) != nil {
 		return nil
@@ -199,10 +201,14 @@
 }
 
 // awaitPermit waits until a report or an order may be sent to an engine, or returns errNoPermit
-// if that takes long. It reports whether the engine limits its rate.
-func (co *Controller) awaitPermit(ctx context.Context, in registry.Incarnation) (isLimited bool, err error) {
-	rq := permit.Request{Holder: co.cfg.Settings.Name, Urgency: orderUrgency, Count: 1, Limits: []permit.Limit{{Server: in}}}
+// if that takes long, or errEvacuated if nothing may be sent to its failure domain. It reports
+// whether the engine limits its rate.
+func (co *Controller) awaitPermit(ctx context.Context, re registry.Record) (isLimited bool, err error) {
+	rq := permit.Request{Holder: co.cfg.Settings.Name, Urgency: orderUrgency, Count: 1, Limits: []permit.Limit{{Server: re.Incarnation()}}}
 	for {
+		if co.isEvacuated(re.FailureDomain) {
+			return false, errEvacuated
+		}
 		rep, err := co.takePermits(ctx, &rq)
 		if result.Is(err, result.NotLeader) {
 			err = co.callBroker(ctx, methodPermitsLeader, rq, &rep)
