Place requests of gateways by their expected work

Cause: gateways placed requests by counts, whatever their work and the speed of the servers. Change: the ingress estimates the work of each request and learns it from complete answers that did not wait for a slot, and the edge places by the time to completion. Both take effect only for services whose backend servers report their pace; scheduler.Config.Policy switches them off. The fixture of the ingress tests has an estimator now, so that all of its cases run with one. Measured: go test -race ./internal/ingress passes.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -28,6 +28,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/scheduler"
 	"github.com/tamarackbay/tamarackbay/internal/settings"
 	"github.com/tamarackbay/tamarackbay/internal/usage"
+	"github.com/tamarackbay/tamarackbay/internal/workload"
 )
 
 const (
@@ -84,7 +85,7 @@
 		Now: cfg.Now, Random: rand.Float64, Meter: cfg.Meter, Log: cfg.Log,
 	})
 	ed.balancer = balance.New(balance.Config{
-		FailureDomain: cfg.Settings.FailureDomain, Scheduler: scheduler.Config{RandomChoices: schedulerCandidates}, Now: cfg.Now, Random: rand.IntN, IdleTimeout: cfg.Client.IdleTimeout,
+		FailureDomain: cfg.Settings.FailureDomain, Scheduler: scheduler.Config{Policy: scheduler.PolicyCompletion, RandomChoices: schedulerCandidates}, Now: cfg.Now, Random: rand.IntN, IdleTimeout: cfg.Client.IdleTimeout,
 		Permits: ed.permits, Meter: cfg.Meter, Log: cfg.Log,
 	})
 	ed.guard = crashguard.New(crashguard.Config{
@@ -102,7 +103,7 @@
 	})
 	ed.ingress = ingress.New(ingress.Config{
 		Table: ed.Table, Fresh: ed.fresh, Balancer: ed.balancer, Client: cfg.Client, Random: rand.Float64, OnStart: ed.tally.Count,
-		Guard: ed.guard, Origins: ed.origins, BufferBytes: cfg.Settings.MemoryBytes / answerMemoryShare, Meter: cfg.Meter, Log: cfg.Log,
+		Guard: ed.guard, Origins: ed.origins, Workload: workload.New(), Now: cfg.Now, BufferBytes: cfg.Settings.MemoryBytes / answerMemoryShare, Meter: cfg.Meter, Log: cfg.Log,
 	})
 	ed.jobProxy = jobproxy.New(jobproxy.Config{
 		Ingress: ed.ingress, Table: ed.Table, View: ed.follower.View, Changed: ed.follower.Changed, Links: ed.links,
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -14,6 +14,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/origin"
 	"github.com/tamarackbay/tamarackbay/internal/result"
 	"github.com/tamarackbay/tamarackbay/internal/routing"
+	"github.com/tamarackbay/tamarackbay/internal/workload"
 )
 
 const (
@@ -47,6 +48,10 @@
 	Guard    *crashguard.Guard
 	// Origins knows which software version began each stream; a book of its own if it is nil.
 	Origins *origin.Book
+	// Workload learns the work of requests, for the backend servers that report their pace;
+	// Now is its time. Both may be nil.
+	Workload *workload.Estimator
+	Now      func() time.Duration
 	// BufferBytes bounds the memory of answers that are buffered, 0 for a default.
 	BufferBytes int64
 	Meter       *meter.Meter
@@ -222,7 +227,7 @@
 // tried, then any server but the last one tried, and takes that one as the last resort.
 func (rs *requestState) acquireServer(ctx context.Context, isSuspect bool) (*balance.Grant, error) {
 	service := rs.ro.PickTarget(rs.in.cfg.Random())
-	rq := &balance.Request{Service: service, Model: rs.rq.Model, Exclude: rs.tried, IsSuspect: isSuspect}
+	rq := &balance.Request{Service: service, Model: rs.rq.Model, Exclude: rs.tried, IsSuspect: isSuspect, Work: rs.estimate(service)}
 	if rs.origin != nil {
 		if service = rs.origin.Service; !rs.ro.Allows(service) || rs.in.cfg.Balancer.ReadyBySoftware(service)[rs.origin.Software] == 0 {
 			return nil, result.New(result.NoSameSoftware, "ingress: no backend server of %s with software version %q is ready", service, rs.origin.Software).
@@ -312,7 +317,7 @@
 // sendComplete sends the request to one backend server and reads its complete answer.
 func (rs *requestState) sendComplete(ctx context.Context, gr *balance.Grant, pa *crashguard.Pass) (*completeAnswer, error) {
 	outcome, load := balance.Failed, (*backend.Load)(nil)
-	defer func() { gr.Release(outcome, load) }()
+	defer func() { rs.release(gr, outcome, load) }()
 
 	ca, whole := rs.newCall(gr), ctx
 	if rs.canRetryAfterThis() && rs.ro.LatencyObjective > 0 {
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -25,6 +25,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/result"
 	"github.com/tamarackbay/tamarackbay/internal/routing"
 	"github.com/tamarackbay/tamarackbay/internal/suite"
+	"github.com/tamarackbay/tamarackbay/internal/workload"
 )
 
 func TestSuite(t *testing.T) { suite.Run(t, "ingress") }
@@ -77,12 +78,13 @@
 	ended  bool // broken connections mean that the backend server has ended
 	status int
 	body   string
+	work   *workload.Estimator
 }
 
 // newFixture serves the route ro with three backend servers, or with none if there are
 // no replies. It fills in the route's name, host, prefix, times and targets.
 func newFixture(ro routing.Route, replies ...reply) *fixture {
-	fi := &fixture{}
+	fi := &fixture{work: workload.New()}
 	ro.Name, ro.Host, ro.Prefix, ro.Timeout, ro.LatencyObjective = "r", "h", "/p/", time.Second, 50*time.Millisecond
 	ro.Targets = []routing.Target{{Service: "s", Weight: 1}}
 	cfg := &routing.Config{
@@ -105,7 +107,7 @@
 	}
 	fi.in = ingress.New(ingress.Config{
 		Table: func() *routing.Table { return ta }, Fresh: func() error { return nil }, Balancer: ba, Random: func() float64 { return 0 },
-		OnStart: func(string, time.Time) { fi.began++ }, Meter: meter.New(), Log: logging.Discard(),
+		Workload: fi.work, Now: now, OnStart: func(string, time.Time) { fi.began++ }, Meter: meter.New(), Log: logging.Discard(),
 		Guard: crashguard.New(crashguard.Config{
 			Entries: func() map[string]quarantine.Entry { return nil }, HasEnded: func(context.Context, string) bool { return fi.ended },
 			Now: time.Now, Meter: meter.New(), Log: logging.Discard(),
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -84,7 +84,7 @@
 // stream has ended regularly.
 func (rs *requestState) sendStream(ctx context.Context, gr *balance.Grant, pa *crashguard.Pass, sink *Sink, begun *bool, last *uint64) error {
 	outcome, load := balance.Failed, (*backend.Load)(nil)
-	defer func() { gr.Release(outcome, load) }()
+	defer func() { rs.release(gr, outcome, load) }()
 
 	ca, pending := rs.newCall(gr), rs.beginOrigin(gr)
 	ca.ResumeAfter = *last
--- /dev/null
+++ b/internal/ingress/work.go
@@ -0,0 +1,36 @@
+package ingress
+
+import (
+	"github.com/tamarackbay/tamarackbay/internal/backend"
+	"github.com/tamarackbay/tamarackbay/internal/balance"
+	"github.com/tamarackbay/tamarackbay/internal/workload"
+)
+
+// kind describes the request for the estimate of its work at a service.
+func (rs *requestState) kind(service string) *workload.Request {
+	return &workload.Request{
+		Service: service, Route: rs.ro.Name, Model: rs.rq.Model, Workspace: rs.workspace, BodyBytes: len(rs.rq.Body),
+	}
+}
+
+// estimate returns the expected work of the request at a service, zero if it is not known.
+func (rs *requestState) estimate(service string) workload.Estimate {
+	if rs.in.cfg.Workload == nil {
+		return workload.Estimate{}
+	}
+
+	return rs.in.cfg.Workload.Estimate(rs.in.cfg.Now(), rs.kind(service))
+}
+
+// release ends a grant and learns the work of a complete request. A stream that the client
+// resumed is not a complete one.
+func (rs *requestState) release(gr *balance.Grant, oc balance.Outcome, load *backend.Load) {
+	gr.Release(oc, load)
+	if rs.in.cfg.Workload == nil || oc != balance.Succeeded || rs.rq.ResumeAfter > 0 || rs.sentCount > 1 {
+		return
+	}
+	if work := gr.Work(); work > 0 {
+		re := gr.Record()
+		rs.in.cfg.Workload.Observe(rs.in.cfg.Now(), rs.kind(re.Service), &workload.Result{Seconds: work})
+	}
+}
