Use learned lengths and lasting speeds for items and scores

Cause: the rest of a text was the declared length less what is generated, whatever the caller's lengths are worth. Engines that are slow for 600 ms at a time counted as slow ones, so that runs moved to engines whose spell began; each move closes a connection. Change: where backend servers report their pace, the rest of a text is expected from the learned relation of actual to declared lengths, the classes of engines follow a moving mean of 5 s, and a run moves for a gain of a second, or if it would be late otherwise. Items and score requests are placed with their expected work, and teach it.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -233,7 +233,7 @@
 
 	return &Grant{
 		balancer: ba, set: se, server: sv, record: sv.record, tokens: rq.Tokens, isSuspect: rq.IsSuspect, grantedAt: now,
-		expected: expected, work: rq.Work.Seconds, ahead: ahead,
+		expected: expected, work: rq.Work.Seconds, ahead: ahead, isHeld: sr.Affinity == i,
 	}
 }
 
@@ -327,6 +327,16 @@
 // runs reports whether the backend server runs a version of its software, "" for any.
 func (sv *server) runs(software string) bool { return software == "" || sv.record.Software == software }
 
+// IsPaced reports whether backend servers of a service report their pace.
+func (ba *Balancer) IsPaced(service string) bool {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+
+	se := ba.services[service]
+
+	return se != nil && se.paced > 0
+}
+
 // ReadyBySoftware returns the number of ready backend servers of a service by the version of
 // their software.
 func (ba *Balancer) ReadyBySoftware(service string) map[string]int {
--- a/internal/balance/grant.go
+++ b/internal/balance/grant.go
@@ -28,6 +28,7 @@
 	hasWaiting bool    // requests waited at the backend server when it answered
 	hasLoad    bool    // the load in the answer has been recorded
 	pace       float64 // in the answer, 0 if unknown
+	isHeld     bool    // the backend server held the prefix
 	done       float64 // work that the request turned out to be, 0 if unknown
 }
 
@@ -91,6 +92,9 @@
 	}
 }
 
+// HoldsPrefix reports whether the backend server was known to hold the request's prefix.
+func (gr *Grant) HoldsPrefix() bool { return gr.isHeld }
+
 // Record returns the record of the backend server at the time it was picked.
 func (gr *Grant) Record() registry.Record { return gr.record }
 
--- a/internal/jobdriver/driver.go
+++ b/internal/jobdriver/driver.go
@@ -22,6 +22,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/routing"
 	"github.com/tamarackbay/tamarackbay/internal/statemachine"
 	"github.com/tamarackbay/tamarackbay/internal/stepplan"
+	"github.com/tamarackbay/tamarackbay/internal/workload"
 )
 
 const (
@@ -40,6 +41,10 @@
 	Balancer *balance.Balancer
 	Client   *backend.Client
 	Random   func() float64
+	// Workload learns the work of texts and scores, for backend servers that report their pace;
+	// Now is its time. Both may be nil.
+	Workload *workload.Estimator
+	Now      func() time.Duration
 	Meter    *meter.Meter
 	Log      log.Interface
 }
@@ -66,6 +71,7 @@
 	obtaining      map[string]bool    // services and urgencies for whose items a permit is being asked for
 	demand         map[string]float64 // recently generated events by model, decaying
 	demandAt       time.Time
+	services       map[string]string // the last service that ran each model
 	wg             sync.WaitGroup
 }
 
@@ -73,7 +79,7 @@
 func New(cfg Config) *Driver {
 	return &Driver{
 		cfg: cfg, wake: make(chan struct{}, 1), jobs: map[string]*jobState{}, running: map[string]int{}, paces: newPaceTracker(),
-		demand: map[string]float64{}, obtaining: map[string]bool{}, commit: func(ctx context.Context, pr job.Progress) error {
+		services: map[string]string{}, demand: map[string]float64{}, obtaining: map[string]bool{}, commit: func(ctx context.Context, pr job.Progress) error {
 			return cfg.Group.ProposeLocal(ctx, statemachine.KindRecordProgress, pr, nil)
 		},
 	}
@@ -361,6 +367,7 @@
 		t.firstStartedAt = t.startedAt
 	}
 	dr.running[rec.ID]++
+	dr.services[t.job.model] = rec.Service
 	te := t.generated
 	te.events, te.versions = slices.Clone(te.events), slices.Clone(te.versions)
 	began := len(te.events)
--- a/internal/jobdriver/move.go
+++ b/internal/jobdriver/move.go
@@ -56,8 +56,8 @@
 			if time.Since(t.startedAt) < dr.minAge(t) {
 				continue
 			}
-			remaining := t.remaining(dr.tokensPerEvent)
-			if stepplan.IsMoveWorthwhile(remaining, dr.classes.interval[t.server]/dr.tokensPerEvent, pa.Fast) {
+			remaining := dr.remaining(t)
+			if dr.isMoveWorthwhile(t, remaining, pa) {
 				out = append(out, stuckRun{task: t, latestStart: stepplan.LatestStart(js.due, remaining, pa.Fast)})
 			}
 		}
@@ -69,6 +69,24 @@
 	return out
 }
 
+// minPacedGain is what a move must gain at least, in seconds, where backend servers report their
+// pace, unless the text would be late. Each move closes a connection, and their paces vary.
+const minPacedGain = 1.0
+
+// isMoveWorthwhile reports whether a run gains more by a move than the move costs. The caller
+// holds dr.mu.
+func (dr *Driver) isMoveWorthwhile(t *task, remaining float64, pa stepplan.Paces) bool {
+	here := dr.classes.interval[t.server] / dr.tokensPerEvent
+	if !stepplan.IsMoveWorthwhile(remaining, here, pa.Fast) {
+		return false
+	}
+	if !dr.isPaced(t) {
+		return true
+	}
+
+	return remaining*(here-pa.Fast) > minPacedGain || remaining*here > time.Until(t.job.due).Seconds()
+}
+
 // moveRuns moves runs to fast backend servers, as far as these have free slots. A moved run
 // resumes after its last event.
 func (dr *Driver) moveRuns() {
@@ -78,7 +96,7 @@
 		// Reserve the slot before the run is cancelled: other passes happen before it ends.
 		t.nextGrant = dr.cfg.Balancer.Acquire(&balance.Request{
 			Service: t.service, Model: t.job.model, MinVersion: t.job.minVersion, Prefix: t.job.model + "/" + t.item.Group, Tokens: t.item.Tokens,
-			Software: t.software, Exclude: slices.Concat(t.failedServers, dr.classes.slow, dr.classes.lagging),
+			Software: t.software, Exclude: slices.Concat(t.failedServers, dr.classes.slow, dr.classes.lagging), Work: dr.work(t),
 		})
 		if t.nextGrant == nil {
 			continue
--- a/internal/jobdriver/pace.go
+++ b/internal/jobdriver/pace.go
@@ -26,6 +26,9 @@
 	minServers = 3
 	// minSamples is how many intervals of a backend server are needed to classify it.
 	minSamples = 8
+	// lastingPeriod is the time constant of the moving average of a backend server that reports
+	// its pace: it is slow for some hundred milliseconds at a time, which no move of a run avoids.
+	lastingPeriod = 5 * time.Second
 )
 
 // paceTracker measures how fast each backend server generates events in the runs of
@@ -47,6 +50,19 @@
 
 // record adds the time between two events of one run.
 func (pa *paceTracker) record(server string, d time.Duration, at time.Time) {
+	pa.add(server, d, at, func(time.Duration) float64 { return paceSmoothing })
+}
+
+// recordLasting adds the time between two events of one run at a backend server that reports
+// its pace.
+func (pa *paceTracker) recordLasting(server string, d time.Duration, at time.Time) {
+	pa.add(server, d, at, func(since time.Duration) float64 {
+		return min(max(float64(since)/float64(lastingPeriod), 0), paceSmoothing)
+	})
+}
+
+// add adds an interval whose weight depends on the time since the last one.
+func (pa *paceTracker) add(server string, d time.Duration, at time.Time, weight func(since time.Duration) float64) {
 	pa.mu.Lock()
 	defer pa.mu.Unlock()
 
@@ -57,7 +73,7 @@
 	} else if at.Sub(pc.sampledAt) > paceRetention && pc.baseline > 0 {
 		pc.interval = pc.baseline
 	}
-	pc.interval += paceSmoothing * (d.Seconds() - pc.interval)
+	pc.interval += weight(at.Sub(pc.sampledAt)) * (d.Seconds() - pc.interval)
 	pc.samples++
 	pc.sampledAt = at
 	if pc.samples >= minSamples && (pc.baseline == 0 || pc.interval < pc.baseline) {
--- a/internal/jobdriver/place.go
+++ b/internal/jobdriver/place.go
@@ -30,7 +30,7 @@
 	for _, js := range dr.jobs {
 		for _, t := range js.tasks {
 			if t.phase == waiting && !now.Before(t.notBefore) {
-				remaining := t.remaining(dr.tokensPerEvent)
+				remaining := dr.remaining(t)
 				out = append(out, waitingTask{task: t, remaining: remaining, latestStart: stepplan.LatestStart(js.due, remaining, pa.Fast)})
 			}
 		}
@@ -114,7 +114,7 @@
 func (dr *Driver) acquire(service string, t *task, preferred stepplan.Preference) *balance.Grant {
 	rq := &balance.Request{
 		Service: service, Model: t.job.model, MinVersion: t.job.minVersion, Prefix: t.job.model + "/" + t.item.Group, Tokens: t.item.Tokens,
-		Software: t.generated.software,
+		Software: t.generated.software, Work: dr.work(t),
 	}
 	slow, lagging := dr.classes.slow, dr.classes.lagging
 	if preferred == stepplan.PreferLagging && len(lagging) > 0 {
--- a/internal/jobdriver/run.go
+++ b/internal/jobdriver/run.go
@@ -61,14 +61,17 @@
 	rec := gr.Record()
 	began, from := time.Now(), te.lastEvent
 	grantOutcome, load := balance.Failed, (*backend.Load)(nil)
-	defer func() { gr.Release(grantOutcome, load) }()
+	oc, begun := brokenOff, len(te.events)
+	te.runBegan, te.untilFirst = began, 0
+	defer func() { dr.releaseRun(t, gr, te, begun, grantOutcome, load, oc == complete) }()
 
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watch := time.AfterFunc(firstEventTimeout, func() { cancel(errSilent) })
 	defer watch.Stop()
 
-	oc, err := dr.exchange(ctx, t, ro, gr, te, watch, &load)
+	var err error
+	oc, err = dr.exchange(ctx, t, ro, gr, te, watch, &load)
 	te.took += time.Since(began)
 	switch {
 	case oc == complete:
@@ -153,7 +156,12 @@
 		}
 		watch.Reset(eventGapTimeout)
 		now := time.Now()
-		if !lastAt.IsZero() {
+		switch {
+		case lastAt.IsZero():
+			te.untilFirst = now.Sub(te.runBegan)
+		case an.Load != nil && an.Load.Pace > 0:
+			dr.paces.recordLasting(rec.ID, now.Sub(lastAt), now)
+		default:
 			dr.paces.record(rec.ID, now.Sub(lastAt), now)
 		}
 		lastAt = now
@@ -361,7 +369,9 @@
 		return "", "", refused, 1
 	}
 	limit = max(ro.MaxAttempts, 1)
-	rq := &balance.Request{Service: ro.PickTarget(dr.cfg.Random()), Exclude: tried, ExtraSlots: scoreQueueSlots}
+	service := ro.PickTarget(dr.cfg.Random())
+	kind := scoreKind(service, ro, rw)
+	rq := &balance.Request{Service: service, Exclude: tried, ExtraSlots: scoreQueueSlots, Work: dr.scoreWork(kind)}
 	gr, err := dr.cfg.Balancer.AcquirePermitted(ctx, rq, ro.Urgency(nil))
 	if gr == nil && err == nil {
 		rq.Exclude = nil
@@ -377,7 +387,7 @@
 
 	began := time.Now()
 	grantOutcome, load := balance.Failed, (*backend.Load)(nil)
-	defer func() { gr.Release(grantOutcome, load) }()
+	defer func() { dr.releaseScore(gr, kind, grantOutcome, load) }()
 	rec := gr.Record()
 	ctx, cancel := context.WithTimeout(ctx, scoreTimeout)
 	defer cancel()
--- a/internal/jobdriver/task.go
+++ b/internal/jobdriver/task.go
@@ -13,6 +13,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/registry"
 	"github.com/tamarackbay/tamarackbay/internal/routing"
 	"github.com/tamarackbay/tamarackbay/internal/stepplan"
+	"github.com/tamarackbay/tamarackbay/internal/workload"
 )
 
 // phase is the state of a task.
@@ -49,6 +50,8 @@
 	completedAt       time.Time          // when its text became complete
 	server            string             // ID of the backend server of its current run
 	startedAt         time.Time          // start of that run
+	length            workload.Length    // expected, in events; unknown until it is needed
+	lengthAt          time.Duration      // when it was estimated
 	service           string             // service to which that backend server belongs
 	software          string             // version of its software
 	cancel            context.CancelFunc // cancels the current run or score request, nil if there is none
@@ -84,13 +87,15 @@
 
 // generatedText is the text generated for an item so far.
 type generatedText struct {
-	events    []string      // data of each event
-	bytes     int           // size of all data with their line ends
-	lastEvent uint64        // number of the last event, 0 for none
-	versions  []uint64      // weight versions that wrote it, ascending
-	service   string        // that wrote it, "" before the first event
-	software  string        // version of the software that wrote it
-	took      time.Duration // duration of the runs that wrote it, as far as this driver knows
+	events     []string      // data of each event
+	bytes      int           // size of all data with their line ends
+	lastEvent  uint64        // number of the last event, 0 for none
+	versions   []uint64      // weight versions that wrote it, ascending
+	service    string        // that wrote it, "" before the first event
+	software   string        // version of the software that wrote it
+	took       time.Duration // duration of the runs that wrote it, as far as this driver knows
+	runBegan   time.Time     // start of the current or last run
+	untilFirst time.Duration // from there to its first event
 
 	// The part already queued for commit.
 	proposed       uint64 // number of its last event, 0 for none
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -32,6 +32,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/statemachine"
 	"github.com/tamarackbay/tamarackbay/internal/storage"
 	"github.com/tamarackbay/tamarackbay/internal/wire"
+	"github.com/tamarackbay/tamarackbay/internal/workload"
 )
 
 const (
@@ -88,12 +89,12 @@
 		Now: cfg.Now, Random: rand.Float64, Meter: cfg.Meter, Log: cfg.Log,
 	})
 	st.balancer = balance.New(balance.Config{
-		FailureDomain: no.FailureDomain, Scheduler: scheduler.Config{RandomChoices: schedulerChoices}, Now: cfg.Now, Random: rand.IntN, IdleTimeout: cfg.Client.IdleTimeout,
+		FailureDomain: no.FailureDomain, Scheduler: scheduler.Config{Policy: scheduler.PolicyCompletion, RandomChoices: schedulerChoices}, Now: cfg.Now, Random: rand.IntN, IdleTimeout: cfg.Client.IdleTimeout,
 		Permits: st.permits, Meter: cfg.Meter, Log: cfg.Log,
 	})
 	st.driver = jobdriver.New(jobdriver.Config{
 		Group: st.group, View: st.follower.View, Changed: st.follower.Changed, Balancer: st.balancer, Client: cfg.Client,
-		Random: rand.Float64, Meter: cfg.Meter, Log: cfg.Log,
+		Random: rand.Float64, Workload: workload.New(), Now: cfg.Now, Meter: cfg.Meter, Log: cfg.Log,
 	})
 
 	return st, nil
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -49,8 +49,9 @@
 
 // Result is what the work of a request turned out to be.
 type Result struct {
-	Seconds       float64 // at a server of usual speed
-	Units         float64 // length of the text, in the units in which it is delivered; 0 if it is none
+	Seconds       float64 // at a server of usual speed; 0 if not known, for a text
+	Units         float64 // of the text that the work was for, as it is delivered; 0 if it is none
+	Length        float64 // units of the complete text, more than Units if an earlier request began it; 0 for Units
 	PromptSeconds float64 // the part before the first unit; 0 if unknown, or if the server held the prompt
 }
 
@@ -191,7 +192,8 @@
 
 // Observe learns from a complete request.
 func (es *Estimator) Observe(now time.Duration, rq *Request, re *Result) {
-	if !(re.Seconds > 0) || math.IsInf(re.Seconds, 0) {
+	isTime := re.Seconds > 0 && !math.IsInf(re.Seconds, 0)
+	if !isTime && !(rq.IsText && re.Seconds == 0) {
 		return
 	}
 	es.mu.Lock()
@@ -227,6 +229,10 @@
 	if rest > 0 {
 		ki.unit.add(rest / re.Units)
 	}
+	length := re.Length
+	if length <= 0 {
+		length = re.Units
+	}
 	key := callerKey{rq.kind(), rq.Workspace}
 	ca, ok := es.callers.Get(key)
 	if !ok {
@@ -234,9 +240,9 @@
 		es.callers.Add(key, ca)
 	}
 	if rq.Declared > 0 && ki.length.n > 0 {
-		ca.ratio.add(math.Log(re.Units) - ki.length.predict(rq.Declared).mu)
+		ca.ratio.add(math.Log(length) - ki.length.predict(rq.Declared).mu)
 	}
-	ki.length.add(rq.Declared, re.Units)
+	ki.length.add(rq.Declared, length)
 }
 
 // kindOf returns the state of a kind, which is new if it has not been seen lately.
