--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -29,6 +29,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/scheduler"
 	"github.com/tamarackbay/tamarackbay/internal/settings"
 	"github.com/tamarackbay/tamarackbay/internal/usage"
+	"github.com/tamarackbay/tamarackbay/internal/workload"
 )
 
 const (
@@ -90,7 +91,7 @@
 	})
 	ed.shares = fairshare.NewHolder(cfg.Settings.Name, time.Now().UnixMilli())
 	ed.balancer = balance.New(balance.Config{
-		FailureDomain: cfg.Settings.FailureDomain, Scheduler: scheduler.Config{RandomChoices: schedulerCandidates}, Now: cfg.Now, Random: rand.IntN, IdleTimeout: cfg.Client.IdleTimeout,
+		FailureDomain: cfg.Settings.FailureDomain, Scheduler: scheduler.Config{Policy: scheduler.PolicyCompletion, RandomChoices: schedulerCandidates}, Now: cfg.Now, Random: rand.IntN, IdleTimeout: cfg.Client.IdleTimeout,
 		Permits: ed.permits, RegionOf: cfg.Settings.RegionOf, Meter: cfg.Meter, Log: cfg.Log,
 	})
 	ed.guard = crashguard.New(crashguard.Config{
@@ -108,8 +109,8 @@
 	})
 	ed.ingress = ingress.New(ingress.Config{
 		Table: ed.Table, Fresh: ed.fresh, Balancer: ed.balancer, Client: cfg.Client, Random: rand.Float64, OnStart: ed.tally.Count,
-		Guard: ed.guard, Origins: ed.origins, BufferBytes: cfg.Settings.MemoryBytes / answerMemoryShare,
-		Shares: ed.shares, MaxWaitingBytes: cfg.Settings.MemoryBytes / waitingMemoryShare, Now: cfg.Now, Meter: cfg.Meter, Log: cfg.Log,
+		Guard: ed.guard, Origins: ed.origins, Workload: workload.New(), BufferBytes: cfg.Settings.MemoryBytes / answerMemoryShare,
+		Shares: ed.shares, Backlog: ed.backlog, MaxWaitingBytes: cfg.Settings.MemoryBytes / waitingMemoryShare, Now: cfg.Now, Meter: cfg.Meter, Log: cfg.Log,
 	})
 	ed.jobProxy = jobproxy.New(jobproxy.Config{
 		Ingress: ed.ingress, Table: ed.Table, View: ed.follower.View, Changed: ed.follower.Changed, Links: ed.links,
@@ -120,6 +121,13 @@
 	return ed
 }
 
+// backlog returns the outstanding work of all processes at a service, as far as it is known.
+func (ed *Edge) backlog(service string) fairshare.Backlog {
+	waiting, inFlight, perSecond := ed.balancer.Backlog(service)
+
+	return fairshare.Backlog{Waiting: waiting, InFlight: inFlight, PerSecond: perSecond}
+}
+
 // Ingress serves plain and streamed requests.
 func (ed *Edge) Ingress() *ingress.Ingress { return ed.ingress }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -15,6 +15,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/origin"
 	"github.com/tamarackbay/tamarackbay/internal/result"
 	"github.com/tamarackbay/tamarackbay/internal/routing"
+	"github.com/tamarackbay/tamarackbay/internal/workload"
 )
 
 const (
@@ -48,6 +49,8 @@
 	Guard    *crashguard.Guard
 	// Origins knows which software version began each stream; a book of its own if it is nil.
 	Origins *origin.Book
+	// Workload learns the work of requests; an estimator of its own if it is nil.
+	Workload *workload.Estimator
 	// BufferBytes bounds the memory of answers that are buffered, 0 for a default.
 	BufferBytes int64
 	// Shares counts the requests of workspaces and knows their shares; a holder of its own if it is
@@ -60,7 +63,7 @@
 	// bodies, 0 for defaults.
 	MaxWaiting      int
 	MaxWaitingBytes int64
-	Now             func() time.Duration // monotonic, for Shares; nil for the clock of the process
+	Now             func() time.Duration // monotonic; nil for the clock of the process
 	Meter           *meter.Meter
 	Log             log.Interface
 }
@@ -77,6 +80,9 @@
 		start := time.Now()
 		c.Now = func() time.Duration { return time.Since(start) }
 	}
+	if c.Workload == nil {
+		c.Workload = workload.New()
+	}
 	if c.MaxWaiting == 0 {
 		c.MaxWaiting = defaultMaxWaiting
 	}
@@ -90,13 +96,12 @@
 	cfg     Config
 	answers *answerReader
 	waiting *waitingRoom
-	work    routeWork
 }
 
 // New returns an ingress.
 func New(cfg Config) *Ingress {
 	cfg.Defaults()
-	in := &Ingress{cfg: cfg, answers: newAnswerReader(cfg.BufferBytes), work: routeWork{mean: map[string]float64{}}}
+	in := &Ingress{cfg: cfg, answers: newAnswerReader(cfg.BufferBytes)}
 	in.waiting = newWaitingRoom(&in.cfg)
 
 	return in
@@ -160,7 +165,6 @@
 	configVersion uint64          // configuration version at the start of the request
 	fingerprint   string          // "" until it is needed
 	slotKey       fairshare.Key   // service and workspace of the slot in use
-	slotAt        time.Time       // when it got the slot
 	origin        *origin.Origin  // what began the stream, nil before its first event
 }
 
--- a/internal/ingress/slot.go
+++ b/internal/ingress/slot.go
@@ -14,7 +14,7 @@
 // tried, then any server but the last one tried, and takes that one as the last resort.
 func (rs *requestState) acquireServer(ctx context.Context, isSuspect bool) (*balance.Grant, error) {
 	service := rs.in.cfg.Balancer.PickService(rs.ro, rs.regions, rs.in.cfg.Random())
-	rq := &balance.Request{Service: service, Model: rs.rq.Model, Exclude: rs.tried, IsSuspect: isSuspect, Regions: rs.regions}
+	rq := &balance.Request{Service: service, Model: rs.rq.Model, Exclude: rs.tried, IsSuspect: isSuspect, Regions: rs.regions, Work: rs.estimate(service)}
 	if rs.origin != nil {
 		if service = rs.origin.Service; !rs.ro.Allows(service) || rs.in.cfg.Balancer.ReadyBySoftware(service)[rs.origin.Software] == 0 {
 			return nil, result.New(result.NoSameSoftware, "ingress: no backend server of %s with software version %q is ready", service, rs.origin.Software).
@@ -33,7 +33,7 @@
 		return nil, err
 	}
 	gr, err := wr.wait(ctx, &waitRequest{
-		key: ke, urgency: rs.urgency, work: rs.in.work.of(rs.ro.Name), hold: rs.hold(), bytes: len(rs.rq.Body),
+		key: ke, urgency: rs.urgency, work: rq.Work.Seconds, hold: rs.hold(), bytes: len(rs.rq.Body),
 		isUsual: rs.origin == nil && len(rs.tried) == 0 && !isSuspect, model: rs.rq.Model, isOver: isOver,
 		acquire: func() *balance.Grant { return rs.acquireAny(rq) },
 	})
@@ -61,7 +61,7 @@
 		return nil, rs.in.waiting.refusal(ke.Service, "no slot is free")
 	}
 	rs.in.cfg.Shares.Begin(rs.in.cfg.Now(), ke)
-	rs.slotKey, rs.slotAt = ke, time.Now()
+	rs.slotKey = ke
 
 	return gr, nil
 }
@@ -70,9 +70,7 @@
 func (rs *requestState) release(gr *balance.Grant, outcome balance.Outcome, load *backend.Load) {
 	gr.Release(outcome, load)
 	rs.in.cfg.Shares.End(rs.in.cfg.Now(), rs.slotKey)
-	if outcome == balance.Succeeded {
-		rs.in.work.record(rs.ro.Name, time.Since(rs.slotAt))
-	}
+	rs.learnWork(gr, outcome)
 	rs.in.waiting.dispatch(rs.slotKey.Service, true)
 }
 
--- a/internal/jobdriver/driver.go
+++ b/internal/jobdriver/driver.go
@@ -23,6 +23,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/routing"
 	"github.com/tamarackbay/tamarackbay/internal/statemachine"
 	"github.com/tamarackbay/tamarackbay/internal/stepplan"
+	"github.com/tamarackbay/tamarackbay/internal/workload"
 )
 
 const (
@@ -41,8 +42,11 @@
 	Balancer *balance.Balancer
 	Client   *backend.Client
 	Shares   *fairshare.Holder    // counts the items for the shares of their workspaces; one of its own if it is nil
-	Now      func() time.Duration // monotonic, for Shares
+	Now      func() time.Duration // monotonic; nil for the clock of the process
 	Random   func() float64
+	// Workload learns the work of texts and scores, for backend servers that report their pace; nil
+	// for none.
+	Workload *workload.Estimator
 	Meter    *meter.Meter
 	Log      log.Interface
 }
@@ -70,6 +74,7 @@
 	demand         map[string]float64 // recently generated events by model, decaying
 	demandAt       time.Time
 	shortage       shortage
+	services       map[string]string // the last service that ran each model
 	wg             sync.WaitGroup
 }
 
@@ -82,7 +87,7 @@
 
 	return &Driver{
 		cfg: cfg, wake: make(chan struct{}, 1), jobs: map[string]*jobState{}, running: map[string]int{}, paces: newPaceTracker(),
-		demand: map[string]float64{}, obtaining: map[string]bool{}, shortage: newShortage(), commit: func(ctx context.Context, pr job.Progress) error {
+		services: map[string]string{}, demand: map[string]float64{}, obtaining: map[string]bool{}, shortage: newShortage(), commit: func(ctx context.Context, pr job.Progress) error {
 			return cfg.Group.ProposeLocal(ctx, statemachine.KindRecordProgress, pr, nil)
 		},
 	}
@@ -380,6 +385,7 @@
 	dr.running[rec.ID]++
 	ke := fairshare.Key{Service: rec.Service, Workspace: t.job.workspace}
 	dr.cfg.Shares.Begin(dr.cfg.Now(), ke)
+	dr.services[t.job.model] = rec.Service
 	te := t.generated
 	te.events, te.versions = slices.Clone(te.events), slices.Clone(te.versions)
 	began := len(te.events)
