--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -98,12 +98,11 @@
 	swapWake           chan struct{}
 	usage              usageState
 
-	relay    *relay
-	permits  permitBroker
-	shares   shareDivider
-	origins  *origin.Table
-	software softwareHistory                 // guarded by mu
-	orders   map[registry.Incarnation]uint64 // orders that engines have accepted, by the last of this controller; guarded by mu
+	relay   *relay
+	permits permitBroker
+	shares  shareDivider
+	origins *origin.Table
+	orders  map[registry.Incarnation]uint64 // orders that engines have accepted, by the last of this controller; guarded by mu
 }
 
 // Announcement is the state that a store sends to every controller periodically.
@@ -130,7 +129,7 @@
 		cfg: cfg, feed: feed.NewServer(), links: peer.NewLinks(context.Background(), cfg.Peer), stopped: make(chan struct{}),
 		registry: registry.New(maxMissedHeartbeats * no.HeartbeatPeriod), stores: map[string]*store{}, publishWake: make(chan struct{}, 1),
 		startedAt: cfg.Now(), swapPlanners: map[string]*weights.JointPlanner{}, swapWake: make(chan struct{}, 1),
-		relay: newRelay(), permits: permitBroker{broker: permit.NewBroker()}, shares: shareDivider{divider: fairshare.NewDivider()}, origins: origin.NewTable(origin.MaxOrigins), software: softwareHistory{}, orders: map[registry.Incarnation]uint64{},
+		relay: newRelay(), permits: permitBroker{broker: permit.NewBroker()}, shares: shareDivider{divider: fairshare.NewDivider()}, origins: origin.NewTable(origin.MaxOrigins), orders: map[registry.Incarnation]uint64{},
 	}
 	var founders []group.Founder
 	for _, a := range no.Controllers {
@@ -320,6 +319,7 @@
 		}
 		st.Versions = maps.Clone(ma.Versions().All())
 		st.Quarantine = feed.Quarantine{Revision: ma.Revision(), Entries: ma.Quarantine().Entries()}
+		co.readEvacuations(ma, st)
 		members = ma.Roster().Members()
 		for _, id := range ma.Roster().Formation() {
 			st.Formation = append(st.Formation, string(id))
@@ -338,12 +338,15 @@
 	for _, id := range co.registry.Sweep(now) {
 		co.cfg.Log.WithField("server", id).Warn("backend server silent")
 	}
+	for _, wi := range st.Withdrawn {
+		co.registry.Withdraw(now, wi.FailureDomain, wi.Position, co.cfg.Settings.HeartbeatPeriod)
+	}
 	st.Servers = co.serverStatuses()
 	alive := map[registry.Incarnation]bool{}
 	for i := range st.Servers {
 		alive[st.Servers[i].Record.Incarnation()] = true
 	}
-	st.Limits = co.publishedLimits(alive)
+	st.Limits = co.publishedLimits(alive, coldServers(now, st))
 	st.IsSettled = now-co.startedAt > (maxMissedHeartbeats+1)*co.cfg.Settings.HeartbeatPeriod
 	for _, me := range members {
 		out := feed.Store{Name: me.Name, Replica: string(me.Replica), Address: me.Address, Retiring: retirement[me.Name] != 0}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -91,7 +91,7 @@
 	ed.shares = fairshare.NewHolder(cfg.Settings.Name, time.Now().UnixMilli())
 	ed.balancer = balance.New(balance.Config{
 		FailureDomain: cfg.Settings.FailureDomain, Scheduler: scheduler.Config{RandomChoices: schedulerCandidates}, Now: cfg.Now, Random: rand.IntN, IdleTimeout: cfg.Client.IdleTimeout,
-		Permits: ed.permits,
+		Permits: ed.permits, Meter: cfg.Meter, Log: cfg.Log,
 	})
 	ed.guard = crashguard.New(crashguard.Config{
 		Entries: func() map[string]quarantine.Entry { return ed.follower.View().Quarantine.Entries },
@@ -171,6 +171,8 @@
 	wg.Go(func() {
 		ed.follower.EachView(ctx, func(vi *feed.View) {
 			ed.guard.ObserveServers(vi.Servers)
+			ed.permits.SetCold(vi.Cold(ed.cfg.Now())) // before a cold backend server can be picked
+			ed.balancer.SetEvacuated(vi.Evacuated)
 			ed.balancer.Sync(vi.Servers)
 			ed.permits.Apply(vi.Limits)
 			ed.origins.SetControllers(ed.follower.Controllers())
