--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -15,6 +15,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/origin"
 	"github.com/tamarackbay/tamarackbay/internal/result"
 	"github.com/tamarackbay/tamarackbay/internal/routing"
+	"github.com/tamarackbay/tamarackbay/internal/workload"
 )
 
 const (
@@ -48,6 +49,9 @@
 	Guard    *crashguard.Guard
 	// Origins knows which software version began each stream; a book of its own if it is nil.
 	Origins *origin.Book
+	// Workload learns the work of requests, for the backend servers that report their pace; it may
+	// be nil.
+	Workload *workload.Estimator
 	// BufferBytes bounds the memory of answers that are buffered, 0 for a default.
 	BufferBytes int64
 	// Shares counts the requests of workspaces and knows their shares; a holder of its own if it is
@@ -60,7 +64,7 @@
 	// bodies, 0 for defaults.
 	MaxWaiting      int
 	MaxWaitingBytes int64
-	Now             func() time.Duration // monotonic, for Shares; nil for the clock of the process
+	Now             func() time.Duration // monotonic, for Workload and Shares; nil for the clock of the process
 	Meter           *meter.Meter
 	Log             log.Interface
 }
@@ -312,7 +316,7 @@
 // sendComplete sends the request to one backend server and reads its complete answer.
 func (rs *requestState) sendComplete(ctx context.Context, gr *balance.Grant, pa *crashguard.Pass) (*completeAnswer, error) {
 	outcome, load := balance.Failed, (*backend.Load)(nil)
-	defer func() { rs.release(gr, outcome, load) }()
+	defer func() { rs.releaseSlot(gr, outcome, load) }()
 
 	ca, whole := rs.newCall(gr), ctx
 	if rs.canRetryAfterThis() && rs.ro.LatencyObjective > 0 {
--- a/internal/ingress/slot.go
+++ b/internal/ingress/slot.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -14,7 +15,7 @@
 // tried, then any server but the last one tried, and takes that one as the last resort.
 func (rs *requestState) acquireServer(ctx context.Context, isSuspect bool) (*balance.Grant, error) {
 	service := rs.ro.PickTarget(rs.in.cfg.Random())
-	rq := &balance.Request{Service: service, Model: rs.rq.Model, Exclude: rs.tried, IsSuspect: isSuspect}
+	rq := &balance.Request{Service: service, Model: rs.rq.Model, Exclude: rs.tried, IsSuspect: isSuspect, Work: rs.estimate(service)}
 	if rs.origin != nil {
 		if service = rs.origin.Service; !rs.ro.Allows(service) || rs.in.cfg.Balancer.ReadyBySoftware(service)[rs.origin.Software] == 0 {
 			return nil, result.New(result.NoSameSoftware, "ingress: no backend server of %s with software version %q is ready", service, rs.origin.Software).
@@ -33,7 +34,7 @@
 		return nil, noBackendServer(service)
 	}
 	gr, err := wr.wait(ctx, &waitRequest{
-		key: ke, urgency: rs.urgency, work: rs.in.work.of(rs.ro.Name), hold: rs.hold(), bytes: len(rs.rq.Body),
+		key: ke, urgency: rs.urgency, work: cmp.Or(rq.Work.Seconds, rs.in.work.of(rs.ro.Name)), hold: rs.hold(), bytes: len(rs.rq.Body),
 		isUsual: rs.origin == nil && len(rs.tried) == 0 && !isSuspect, model: rs.rq.Model, isOver: isOver,
 		acquire: func() *balance.Grant { return rs.acquireAny(rq) },
 	})
@@ -66,9 +67,9 @@
 	return gr, nil
 }
 
-// release ends the use of a slot and gives it to a request that waits.
-func (rs *requestState) release(gr *balance.Grant, outcome balance.Outcome, load *backend.Load) {
-	gr.Release(outcome, load)
+// releaseSlot ends the use of a slot and gives it to a request that waits.
+func (rs *requestState) releaseSlot(gr *balance.Grant, outcome balance.Outcome, load *backend.Load) {
+	rs.release(gr, outcome, load)
 	rs.in.cfg.Shares.End(rs.in.cfg.Now(), rs.slotKey)
 	if outcome == balance.Succeeded {
 		rs.in.work.record(rs.ro.Name, time.Since(rs.slotAt))
--- a/internal/jobdriver/driver.go
+++ b/internal/jobdriver/driver.go
@@ -23,6 +23,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/routing"
 	"github.com/tamarackbay/tamarackbay/internal/statemachine"
 	"github.com/tamarackbay/tamarackbay/internal/stepplan"
+	"github.com/tamarackbay/tamarackbay/internal/workload"
 )
 
 const (
@@ -40,11 +41,15 @@
 	Changed  func() <-chan struct{}
 	Balancer *balance.Balancer
 	Client   *backend.Client
-	Shares   *fairshare.Holder    // counts the items for the shares of their workspaces; one of its own if it is nil
-	Now      func() time.Duration // monotonic, for Shares
 	Random   func() float64
-	Meter    *meter.Meter
-	Log      log.Interface
+	// Workload learns the work of texts and scores, for backend servers that report their pace; it
+	// may be nil.
+	Workload *workload.Estimator
+	// Shares counts the items for the shares of their workspaces; a holder of its own if it is nil.
+	Shares *fairshare.Holder
+	Now    func() time.Duration // monotonic, for Workload and Shares; nil for the clock of the process
+	Meter  *meter.Meter
+	Log    log.Interface
 }
 
 // Driver executes the items of all open jobs.
@@ -70,19 +75,23 @@
 	demand         map[string]float64 // recently generated events by model, decaying
 	demandAt       time.Time
 	shortage       shortage
+	services       map[string]string // the last service that ran each model
 	wg             sync.WaitGroup
 }
 
 // New returns a driver.
 func New(cfg Config) *Driver {
 	if cfg.Shares == nil {
+		cfg.Shares = fairshare.NewHolder("", 0)
+	}
+	if cfg.Now == nil {
 		start := time.Now()
-		cfg.Shares, cfg.Now = fairshare.NewHolder("", 0), func() time.Duration { return time.Since(start) }
+		cfg.Now = func() time.Duration { return time.Since(start) }
 	}
 
 	return &Driver{
 		cfg: cfg, wake: make(chan struct{}, 1), jobs: map[string]*jobState{}, running: map[string]int{}, paces: newPaceTracker(),
-		demand: map[string]float64{}, obtaining: map[string]bool{}, shortage: newShortage(), commit: func(ctx context.Context, pr job.Progress) error {
+		services: map[string]string{}, demand: map[string]float64{}, obtaining: map[string]bool{}, shortage: newShortage(), commit: func(ctx context.Context, pr job.Progress) error {
 			return cfg.Group.ProposeLocal(ctx, statemachine.KindRecordProgress, pr, nil)
 		},
 	}
@@ -380,6 +389,7 @@
 	dr.running[rec.ID]++
 	ke := fairshare.Key{Service: rec.Service, Workspace: t.job.workspace}
 	dr.cfg.Shares.Begin(dr.cfg.Now(), ke)
+	dr.services[t.job.model] = rec.Service
 	te := t.generated
 	te.events, te.versions = slices.Clone(te.events), slices.Clone(te.versions)
 	began := len(te.events)
--- a/internal/jobdriver/shortage.go
+++ b/internal/jobdriver/shortage.go
@@ -215,7 +215,7 @@
 				gr = &stepplan.Group{}
 				groups[t.item.Group] = gr
 			}
-			remaining := t.remaining(dr.tokensPerEvent)
+			remaining := dr.remaining(t)
 			work := remaining * tokenSeconds
 			gr.Longest = max(gr.Longest, work)
 			if t.phase == running {
