Refuse requests early at a gateway that is short of memory or descriptors

Cause: a gateway took requests until its memory or file descriptors were used up, and exited or failed to connect. Change: internal/headroom reads the live heap with the stacks and the open descriptors every 250 ms. Above half of the memory or 75% of the descriptors the gateway is not ready, above 60% and 85% it refuses requests as not run (3009 processOverloaded) before it looks up anything; both end 10% below. The change of state is logged with the figures.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -17,6 +17,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/crashguard"
 	"github.com/tamarackbay/tamarackbay/internal/fairshare"
 	"github.com/tamarackbay/tamarackbay/internal/feed"
+	"github.com/tamarackbay/tamarackbay/internal/headroom"
 	"github.com/tamarackbay/tamarackbay/internal/ingress"
 	"github.com/tamarackbay/tamarackbay/internal/jobproxy"
 	"github.com/tamarackbay/tamarackbay/internal/meter"
@@ -74,6 +75,7 @@
 	ingress     *ingress.Ingress
 	jobProxy    *jobproxy.Proxy
 	tally       *usage.Tally
+	headroom    headroom.Gate
 	isClosing   atomic.Bool
 }
 
@@ -108,7 +110,7 @@
 		Connect: ed.controllers.ConnectOrigins, Find: ed.controllers.FindOrigin, Meter: cfg.Meter, Log: cfg.Log,
 	})
 	ed.ingress = ingress.New(ingress.Config{
-		Table: ed.Table, Fresh: ed.fresh, Balancer: ed.balancer, Client: cfg.Client, Random: rand.Float64, OnStart: ed.tally.Count,
+		Table: ed.Table, Fresh: ed.fresh, Room: ed.headroom.Check, Balancer: ed.balancer, Client: cfg.Client, Random: rand.Float64, OnStart: ed.tally.Count,
 		Guard: ed.guard, Origins: ed.origins, Workload: workload.New(), BufferBytes: cfg.Settings.MemoryBytes / answerMemoryShare,
 		Shares: ed.shares, Backlog: ed.backlog, MaxWaitingBytes: cfg.Settings.MemoryBytes / waitingMemoryShare, Now: cfg.Now, Meter: cfg.Meter, Log: cfg.Log,
 	})
@@ -147,7 +149,9 @@
 }
 
 // IsReady reports whether the load balancer may send new clients to this edge.
-func (ed *Edge) IsReady() bool { return !ed.isClosing.Load() && ed.Table() != nil && ed.fresh() == nil }
+func (ed *Edge) IsReady() bool {
+	return !ed.isClosing.Load() && ed.Table() != nil && ed.fresh() == nil && ed.headroom.IsReady()
+}
 
 // IsClosing reports whether this edge is shutting down and clients should reconnect
 // to another one.
@@ -191,9 +195,31 @@
 	wg.Go(func() { ed.permits.Run(ctx) })
 	wg.Go(func() { ed.controllers.RunShares(ctx, ed.shares, ed.cfg.Now, ed.cfg.Log) })
 	wg.Go(func() { ed.origins.Run(ctx) })
+	wg.Go(func() { ed.observeHeadroom(ctx) })
 	wg.Wait()
 }
 
+// headroomPeriod is how often the use of memory and descriptors is read: a part of the time in
+// which a balancer learns that a gateway is not ready.
+const headroomPeriod = 250 * time.Millisecond
+
+// observeHeadroom reads the use of memory and descriptors until ctx ends.
+func (ed *Edge) observeHeadroom(ctx context.Context) {
+	for ctx.Err() == nil {
+		use := headroom.OfProcess(ed.cfg.Settings.MemoryBytes)
+		if ed.headroom.Observe(use) {
+			ed.cfg.Log.WithFields(log.Fields{
+				"memoryBytes": use.Memory, "memoryLimit": use.MemoryLimit, "files": use.Files, "filesLimit": use.FilesLimit,
+				"ready": ed.headroom.IsReady(), "refusing": ed.headroom.Check() != nil,
+			}).Warn("readiness by the use of memory and file descriptors changed")
+		}
+		select {
+		case <-time.After(headroomPeriod):
+		case <-ctx.Done():
+		}
+	}
+}
+
 // sendUsageLoop sends pending usage counters to the controllers every usagePeriod,
 // and once more after ctx has ended.
 func (ed *Edge) sendUsageLoop(ctx context.Context) {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -42,6 +42,7 @@
 type Config struct {
 	Table    func() *routing.Table // nil before the first configuration
 	Fresh    func() error          // an error if this process must refuse new work
+	Room     func() error          // an error if this process is short of memory or descriptors; nil for enough
 	Balancer *balance.Balancer
 	Client   *backend.Client
 	Random   func() float64                       // in [0, 1)
@@ -81,6 +82,9 @@
 		start := time.Now()
 		c.Now = func() time.Duration { return time.Since(start) }
 	}
+	if c.Room == nil {
+		c.Room = func() error { return nil }
+	}
 	if c.MaxWaiting == 0 {
 		c.MaxWaiting = defaultMaxWaiting
 	}
@@ -116,6 +120,9 @@
 	if err := in.cfg.Fresh(); err != nil {
 		return nil, nil, err
 	}
+	if err := in.cfg.Room(); err != nil {
+		return nil, nil, err
+	}
 	ro := ta.Match(host, path)
 	if ro == nil {
 		return nil, nil, result.New(result.UnknownRoute, "ingress: no route for %s%s in configuration version %d", host, path, ta.Version())
--- a/internal/ingress/waiting_test.go
+++ b/internal/ingress/waiting_test.go
@@ -10,8 +10,10 @@
 
 	"github.com/tamarackbay/tamarackbay/internal/balance"
 	"github.com/tamarackbay/tamarackbay/internal/fairshare"
+	"github.com/tamarackbay/tamarackbay/internal/logging"
 	"github.com/tamarackbay/tamarackbay/internal/meter"
 	"github.com/tamarackbay/tamarackbay/internal/result"
+	"github.com/tamarackbay/tamarackbay/internal/routing"
 )
 
 // slots are the slots of a service as a test controls them.
@@ -39,6 +41,20 @@
 	sl.free++
 }
 
+// Guards against a gateway that takes requests until it fails.
+var _ = ginkgo.Describe("a request at a process that is short of memory or descriptors", func() {
+	ginkgo.It("is refused as not run before anything is done for it", func() {
+		in := New(Config{
+			Table: func() *routing.Table { return routing.NewTable(&routing.Config{Version: 1}) }, Fresh: func() error { return nil },
+			Room:  func() error { return result.New(result.ProcessOverloaded, "short").WithRetryAfter(time.Second) },
+			Meter: meter.New(), Log: logging.Discard(),
+		})
+		err := in.Serve(context.Background(), &Request{Host: "h", Path: "/x", Arrived: time.Now()}, &Sink{})
+		Expect(result.Is(err, result.ProcessOverloaded)).To(BeTrue())
+		Expect(result.From(err).Execution).To(Equal(result.NotRun))
+	})
+})
+
 // Guards against a workspace that takes all slots, against requests that wait until their deadline
 // only to be refused, and against slots that stay idle while requests wait.
 var _ = ginkgo.Describe("requests that wait for a slot", func() {
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -61,6 +61,7 @@
 	RetryBudgetSpent  Code = 3006
 	Quarantined       Code = 3007
 	ShuttingDown      Code = 3008
+	ProcessOverloaded Code = 3009
 
 	NoBackendServer     Code = 4001
 	NoEligibleVersion   Code = 4002
@@ -145,6 +146,7 @@
 	{RetryBudgetSpent, "retryBudgetSpent", http.StatusServiceUnavailable, "the attempt failed and the retry budget is spent"},
 	{Quarantined, "quarantined", http.StatusUnprocessableEntity, "this request crashed backend servers and is quarantined"},
 	{ShuttingDown, "shuttingDown", http.StatusServiceUnavailable, "the process is shutting down"},
+	{ProcessOverloaded, "processOverloaded", http.StatusServiceUnavailable, "the process is short of memory or file descriptors"},
 	{NoBackendServer, "noBackendServer", http.StatusServiceUnavailable, "no backend server is ready for the route"},
 	{NoEligibleVersion, "noEligibleVersion", http.StatusServiceUnavailable, "no backend server runs an eligible weight version"},
 	{BackendUnreachable, "backendUnreachable", http.StatusBadGateway, "the backend server could not be reached"},
