--- a/internal/scheduler/completion.go
+++ b/internal/scheduler/completion.go
@@ -5,9 +5,9 @@
 	// expected time are then multiples of it.
 	unknownWork = 0.05
 	// connectSeconds is how much sooner a request must be complete to be worth a new connection,
-	// besides Config.ConnectShare: with less, short lookups leave their connection for each of
-	// the spells in which its backend server is slow.
-	connectSeconds = 0.01
+	// besides Config.ConnectShare of its work: with 10 ms, short lookups left their connection
+	// for each of the spells in which its backend server is slow.
+	connectSeconds = 0.05
 	// spellSeconds is for how long the momentary pace is expected to last.
 	spellSeconds = 0.3
 	// riskShare is the penalty for a backend server whose slots are nearly all in use, as a share
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -108,7 +108,7 @@
 		c.MaxEjectedShare = 0.4
 	}
 	if c.ConnectShare == 0 {
-		c.ConnectShare = 0.15
+		c.ConnectShare = 0.3
 	}
 	if c.DomainShare == 0 {
 		c.DomainShare = 0.1
