--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -34,7 +34,7 @@
 	kind               string
 	target             int // index of the process or backend server
 	other              int // index of the second process of a fault between two
-	size               int // bytes of garbage, milliseconds of delay, or which events break off (serverBreaksOff)
+	size               int // bytes of garbage, milliseconds of delay, which events break off (serverBreaksOff), or which of corruptions
 }
 
 func (fa fault) String() string {
@@ -78,11 +78,31 @@
 			target: rnd.IntN(cfg.Controllers + cfg.Stores),
 		})
 	}
+	out = append(out, drawCorruptions(rnd, cfg, out)...)
 	slices.SortStableFunc(out, func(a, b fault) int { return cmp.Compare(a.startsAt, b.startsAt) })
 
 	return out
 }
 
+// drawCorruptions draws one damaged data folder for each group of which no disk is emptied: a second
+// replica without its data could come before the repair of the first.
+func drawCorruptions(rnd *rand.Rand, cfg *Config, drawn []fault) []fault {
+	var out []fault
+	for _, group := range []struct{ first, size int }{{0, cfg.Controllers}, {cfg.Controllers, cfg.Stores}} {
+		fa := fault{
+			startsAt: time.Second + time.Duration(rnd.Int64N(int64(cfg.Length))), duration: 200*time.Millisecond + time.Duration(rnd.Int64N(int64(maxRandomDuration))),
+			kind: "corrupt", target: group.first + rnd.IntN(group.size), size: rnd.IntN(len(corruptions)),
+		}
+		if fa.startsAt <= cfg.Length && !slices.ContainsFunc(drawn, func(o fault) bool {
+			return o.kind == "wipe" && o.target >= group.first && o.target < group.first+group.size
+		}) {
+			out = append(out, fa)
+		}
+	}
+
+	return out
+}
+
 // drawWeighted draws the faults of faultKinds.
 func drawWeighted(rnd *rand.Rand, cfg *Config) []fault {
 	sum := 0
@@ -276,6 +296,15 @@
 			in.recordError(pr.appendGarbage(b))
 		}
 	}
+	isCorrupt := false
+	if fa.kind == "corrupt" {
+		var err error
+		isCorrupt, err = corruptions[fa.size].inject(pr.settings.DataFolder)
+		in.recordError(err)
+	}
 	time.Sleep(fa.duration / 2)
 	in.recordError(pr.start())
+	if isCorrupt {
+		in.recordError(pr.awaitSetAside(corruptions[fa.size].name))
+	}
 }
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -149,6 +149,9 @@
 func (pr *process) appendGarbage(b []byte) error {
 	newest := ""
 	err := filepath.WalkDir(pr.settings.DataFolder, func(path string, de os.DirEntry, err error) error {
+		if err == nil && de.IsDir() && de.Name() == damagedFolder {
+			return filepath.SkipDir
+		}
 		if err == nil && !de.IsDir() && filepath.Base(path) > filepath.Base(newest) && filepath.Base(path)[:3] == "log" {
 			newest = path
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -121,20 +121,27 @@
 		})
 	}
 
-	ginkgo.It("draws the same faults for the same seed, and at most one emptied disk per group", func() {
+	ginkgo.It("draws the same faults for the same seed, and at most one emptied or damaged disk per group", func() {
 		cfg := Config{Length: time.Minute}
 		cfg.Defaults()
 		for seed := range uint64(100) {
 			a, b := drawFaults(rand.New(rand.NewPCG(seed, 1)), &cfg), drawFaults(rand.New(rand.NewPCG(seed, 1)), &cfg)
 			Expect(a).To(Equal(b))
-			wiped := map[bool]int{}
+			lost, wiped := map[bool]int{}, map[bool]int{}
 			for _, fa := range a {
-				if fa.kind == "wipe" {
-					wiped[fa.target >= cfg.Controllers]++
+				isStore := fa.target >= cfg.Controllers
+				switch fa.kind {
+				case "wipe":
+					wiped[isStore]++
+					lost[isStore]++
+				case "corrupt":
+					lost[isStore]++
 				}
 			}
-			Expect(wiped[false]).To(BeNumerically("<=", 1))
-			Expect(wiped[true]).To(BeNumerically("<=", 1))
+			for _, isStore := range []bool{false, true} {
+				Expect(wiped[isStore]).To(BeNumerically("<=", 1))
+				Expect(lost[isStore]).To(BeNumerically("<=", 1))
+			}
 		}
 	})
 })
