--- a/internal/group/damage_test.go
+++ b/internal/group/damage_test.go
@@ -53,6 +53,7 @@
 	group              *Group
 	logs               *logLines
 	stop               func()
+	failed             chan error // receives the error that ended the group by itself
 }
 
 // testCluster runs groups that talk over the loopback interface.
@@ -96,8 +97,18 @@
 	Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
+	failed := make(chan error, 1)
+	me.failed = failed
 	go func() { _ = li.Serve() }()
-	go func() { done <- gr.Run(ctx) }()
+	go func() {
+		err := gr.Run(ctx)
+		if err != nil {
+			li.Close()
+			failed <- err
+			err = nil
+		}
+		done <- err
+	}()
 	me.stop = func() {
 		cancel()
 		li.Close()
@@ -238,6 +249,35 @@
 		})
 	}
 
+	ginkgo.It("ends if it finds that while it leads, sets the data aside with the next start, and holds up nobody", func() {
+		tg := newTestCluster("127.93.31.1")
+		defer func() { tg.stopAll() }()
+		ld := tg.leader()
+		for j := range 13 {
+			ld.submit(fmt.Sprintf("j%d", j), 1<<20)
+		}
+		for _, me := range tg.members {
+			Eventually(func() []string { return snapshotsIn(filepath.Join(me.dir, groupFolder)) }, "10s").ShouldNot(BeEmpty())
+		}
+		change(ld.file(groupFolder+"/snapshot-"), flipped(0.5))
+
+		ln, err := net.Listen("tcp", "127.93.31.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(ln.Close()).To(Succeed())
+		learner := &member{name: "m3", address: ln.Addr().String(), dir: filepath.Join(ginkgo.GinkgoT().TempDir(), "m3")}
+		tg.members = append(tg.members, learner)
+		tg.start(learner) // needs a snapshot, which the leader can't read
+		Eventually(ld.failed, "10s").Should(Receive(Satisfy(isDamage)))
+		Eventually(learner.jobs, "10s").Should(Equal(13), "the next leader sends its own snapshot")
+
+		old := ld.group.Replica()
+		ld.stop()
+		tg.start(ld)
+		Expect(ld.group.Replica()).NotTo(Equal(old))
+		Expect(ld.damagedFiles()).NotTo(BeEmpty())
+		Eventually(ld.jobs, "10s").Should(Equal(13))
+	})
+
 	for i, tc := range []struct {
 		name    string
 		damaged int
