--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -133,6 +133,7 @@
 			bs.Pace, bs.TagsEvents = 15*time.Millisecond, true
 			bs.Software = []string{"v1", "v1.1"}[i%2]
 		}
+		bs.Zone = string(rune('a' + i%cfg.Zones))
 		ip := host(cfg.Subnet, hostServer, i)
 		bs.Address = fmt.Sprintf("%s:%d", ip, port)
 		de.listenAddresses[bs] = fmt.Sprintf("%s:%d", ip, internalPort)
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -53,6 +53,7 @@
 	Gateways     int
 	PlainServers int // backend servers of the plain service
 	Engines      int
+	Zones        int                              // failure domains of the backend servers
 	Logf         func(format string, args ...any) // logs progress, one line per fault
 }
 
@@ -69,6 +70,7 @@
 	def(&cfg.Gateways, 3)
 	def(&cfg.PlainServers, 3)
 	def(&cfg.Engines, 4)
+	def(&cfg.Zones, 1)
 	if cfg.Length == 0 {
 		cfg.Length = 20 * time.Second
 	}
@@ -115,6 +117,9 @@
 	return out
 }
 
+// makeFolders makes the folders for settings, data and logs.
+func makeFolders(cfg *Config) error { return os.MkdirAll(filepath.Join(cfg.Folder, "data"), 0o700) }
+
 // Run runs one seed: it applies load, injects the faults, waits for the recovery, and checks
 // every promise.
 func Run(ctx context.Context, cfg Config) (*Report, error) {
@@ -122,7 +127,7 @@
 	if err := cfg.Validate(); err != nil {
 		return nil, err
 	}
-	if err := os.MkdirAll(filepath.Join(cfg.Folder, "data"), 0o700); err != nil {
+	if err := makeFolders(&cfg); err != nil {
 		return nil, err
 	}
 	faults := drawFaults(rand.New(rand.NewPCG(cfg.Seed, 1)), &cfg)
