--- a/soak/corrupt_test.go
+++ b/soak/corrupt_test.go
@@ -32,6 +32,19 @@
 	{"a truncated identity", func(dir string) (bool, error) { return damageOldest(dir, "identity.json", 1, cut) }},
 }
 
+// corrupt damages a data folder in one of the ways of corruptions, or in the next that finds
+// something to damage, and returns its name: a short run has no snapshots.
+func corrupt(dataFolder string, which int) (string, error) {
+	for i := range corruptions {
+		co := corruptions[(which+i)%len(corruptions)]
+		if ok, err := co.inject(dataFolder); ok || err != nil {
+			return co.name, err
+		}
+	}
+
+	return "", nil
+}
+
 // damageOldest changes the oldest file that matches pattern, if at least so many match.
 func damageOldest(dir, pattern string, atLeast int, change func(b []byte) []byte) (bool, error) {
 	paths, err := filepath.Glob(filepath.Join(dir, pattern))
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -296,15 +296,16 @@
 			in.recordError(pr.appendGarbage(b))
 		}
 	}
-	isCorrupt := false
+	damage := ""
 	if fa.kind == "corrupt" {
 		var err error
-		isCorrupt, err = corruptions[fa.size].inject(pr.settings.DataFolder)
+		damage, err = corrupt(pr.settings.DataFolder, fa.size)
 		in.recordError(err)
+		in.logf("process %s has %s", pr.settings.Name, cmp.Or(damage, "nothing to damage"))
 	}
 	time.Sleep(fa.duration / 2)
 	in.recordError(pr.start())
-	if isCorrupt {
-		in.recordError(pr.awaitSetAside(corruptions[fa.size].name))
+	if damage != "" {
+		in.recordError(pr.awaitSetAside(damage))
 	}
 }
