--- a/internal/group/damage.go
+++ b/internal/group/damage.go
@@ -19,7 +19,7 @@
 	// damagedFolder keeps files that could not be read, inside the data folder, for the operator.
 	damagedFolder = "damaged"
 	// maxDamagedBytes bounds what damagedFolder keeps: the largest state known, 25 MB, with the log
-	// after it, and no more than half of the smallest disk.
+	// after it, and about half of the smallest disk.
 	maxDamagedBytes = 64 << 20
 )
 
