Confirm the replicated state before a call to an engine when it is old

Cause: a controller that was cut off while it ordered weights polled an engine of an evacuated failure domain 2.4 ms after the cut ended, as it had not applied the evacuation yet. Found by soak/evacuation_test.go with weight versions named all the time. Change: with a permit at hand, a controller whose state was not confirmed for a second confirms it with a quorum, and then looks whether the failure domain is evacuated. The test names versions, and allows the harmed controller 1.2 s after the response.

--- a/internal/controller/evacuation.go
+++ b/internal/controller/evacuation.go
@@ -92,6 +92,25 @@
 	})
 }
 
+// maxCallAge is the age of the replicated state above which it is confirmed before a call to an
+// engine: a controller that was cut off or frozen may have missed an evacuation. It is a few
+// periods of the confirmations.
+const maxCallAge = time.Second
+
+// checkCall returns an error unless an engine may be called now.
+func (co *Controller) checkCall(ctx context.Context, re *registry.Record) error {
+	if age, ok := co.group.Age(); !ok || age > maxCallAge {
+		if err := co.group.Barrier(ctx); err != nil {
+			return err
+		}
+	}
+	if co.isEvacuated(re.FailureDomain) {
+		return errEvacuated
+	}
+
+	return nil
+}
+
 // isEvacuated reports whether the backend servers of a failure domain get nothing new.
 func (co *Controller) isEvacuated(failureDomain string) bool {
 	var evacuated []string
--- a/internal/controller/permits.go
+++ b/internal/controller/permits.go
@@ -215,9 +215,9 @@
 		}
 		switch {
 		case err == nil && len(rep.Unlimited) > 0:
-			return false, nil
+			return false, co.checkCall(ctx, &re)
 		case err == nil && len(rep.Granted) > 0:
-			return true, nil
+			return true, co.checkCall(ctx, &re)
 		case err == nil && rep.RetryAfter > maxPermitWait:
 			return true, errNoPermit // the token is reserved for the next attempt
 		case err != nil:
