--- a/cmd/tamarackbay/experiment.go
+++ b/cmd/tamarackbay/experiment.go
@@ -19,6 +19,7 @@
   tamarackbay experiment --workload consortium
   tamarackbay experiment --spending --duration 30s
   tamarackbay experiment --overload --duration 5s
+  tamarackbay experiment --placement --duration 60s
   tamarackbay experiment --policy current --policy noFairness --repetitions 5`
 
 func addExperiment(app *kingpin.Application) []command {
@@ -30,6 +31,7 @@
 	c.Flag("policy", "Policy to run; all by default; may be repeated.").StringsVar(&cfg.Policies)
 	spending := c.Flag("spending", "Compare how the policies size the fleet over a day's load curve, compressed to --duration.").Bool()
 	overload := c.Flag("overload", "Serve lookups together with previews, at capacity and at twice the capacity.").Bool()
+	placement := c.Flag("placement", "Compare policies of placement in virtual time; --duration is virtual, too.").Bool()
 	plotFile := c.Flag("plot", "PNG or SVG file to write the plot to.").String()
 
 	return []command{{c, func() error {
@@ -42,6 +44,11 @@
 
 			return err
 		}
+		if *placement {
+			experiment.WritePlacement(os.Stdout, experiment.RunPlacement(cfg.Duration, os.Stderr))
+
+			return nil
+		}
 		if *overload {
 			loads, err := experiment.RunOverload(context.Background(), cfg.Duration, os.Stderr)
 			if err == nil {
