--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -15,7 +15,9 @@
 	"github.com/tamarackbay/tamarackbay/internal/balance"
 	"github.com/tamarackbay/tamarackbay/internal/controller"
 	"github.com/tamarackbay/tamarackbay/internal/crashguard"
+	"github.com/tamarackbay/tamarackbay/internal/fairshare"
 	"github.com/tamarackbay/tamarackbay/internal/feed"
+	"github.com/tamarackbay/tamarackbay/internal/headroom"
 	"github.com/tamarackbay/tamarackbay/internal/ingress"
 	"github.com/tamarackbay/tamarackbay/internal/jobproxy"
 	"github.com/tamarackbay/tamarackbay/internal/meter"
@@ -40,6 +42,9 @@
 	// answerMemoryShare is the divisor of the process's memory that gives what buffered
 	// answers may take.
 	answerMemoryShare = 8
+	// waitingMemoryShare is the divisor that gives what the bodies of requests that wait for a
+	// slot may take.
+	waitingMemoryShare = 16
 	// defaultMaxBodyBytes limits a request's body where the configuration sets no
 	// limit, or none has arrived yet.
 	defaultMaxBodyBytes = 32 << 20
@@ -63,12 +68,14 @@
 	follower    *feed.Follower
 	controllers *controller.Client
 	permits     *permit.Holder
+	shares      *fairshare.Holder
 	balancer    *balance.Balancer
 	origins     *origin.Book
 	guard       *crashguard.Guard
 	ingress     *ingress.Ingress
 	jobProxy    *jobproxy.Proxy
 	tally       *usage.Tally
+	headroom    headroom.Gate
 	isClosing   atomic.Bool
 }
 
@@ -84,9 +91,10 @@
 		Name: cfg.Settings.Name, Ask: ed.controllers.AskPermits, Report: ed.controllers.ReportLimits, Processes: ed.follower.Processes,
 		Now: cfg.Now, Random: rand.Float64, Meter: cfg.Meter, Log: cfg.Log,
 	})
+	ed.shares = fairshare.NewHolder(cfg.Settings.Name, time.Now().UnixMilli())
 	ed.balancer = balance.New(balance.Config{
 		FailureDomain: cfg.Settings.FailureDomain, Scheduler: scheduler.Config{Policy: scheduler.PolicyCompletion, RandomChoices: schedulerCandidates}, Now: cfg.Now, Random: rand.IntN, IdleTimeout: cfg.Client.IdleTimeout,
-		Permits: ed.permits, Meter: cfg.Meter, Log: cfg.Log,
+		Permits: ed.permits, RegionOf: cfg.Settings.RegionOf, Meter: cfg.Meter, Log: cfg.Log,
 	})
 	ed.guard = crashguard.New(crashguard.Config{
 		Entries: func() map[string]quarantine.Entry { return ed.follower.View().Quarantine.Entries },
@@ -102,17 +110,26 @@
 		Connect: ed.controllers.ConnectOrigins, Find: ed.controllers.FindOrigin, Meter: cfg.Meter, Log: cfg.Log,
 	})
 	ed.ingress = ingress.New(ingress.Config{
-		Table: ed.Table, Fresh: ed.fresh, Balancer: ed.balancer, Client: cfg.Client, Random: rand.Float64, OnStart: ed.tally.Count,
-		Guard: ed.guard, Origins: ed.origins, Workload: workload.New(), Now: cfg.Now, BufferBytes: cfg.Settings.MemoryBytes / answerMemoryShare, Meter: cfg.Meter, Log: cfg.Log,
+		Table: ed.Table, Fresh: ed.fresh, Room: ed.headroom.Check, Balancer: ed.balancer, Client: cfg.Client, Random: rand.Float64, OnStart: ed.tally.Count,
+		Guard: ed.guard, Origins: ed.origins, Workload: workload.New(), BufferBytes: cfg.Settings.MemoryBytes / answerMemoryShare,
+		Shares: ed.shares, Backlog: ed.backlog, MaxWaitingBytes: cfg.Settings.MemoryBytes / waitingMemoryShare, Now: cfg.Now, Meter: cfg.Meter, Log: cfg.Log,
 	})
 	ed.jobProxy = jobproxy.New(jobproxy.Config{
 		Ingress: ed.ingress, Table: ed.Table, View: ed.follower.View, Changed: ed.follower.Changed, Links: ed.links,
+		Balancer: ed.balancer, Region: cfg.Settings.OwnRegion(), RegionOf: cfg.Settings.RegionOf,
 		Meter: cfg.Meter, Log: cfg.Log,
 	})
 
 	return ed
 }
 
+// backlog returns the outstanding work of all processes at a service, as far as it is known.
+func (ed *Edge) backlog(service string) fairshare.Backlog {
+	waiting, inFlight, perSecond := ed.balancer.Backlog(service)
+
+	return fairshare.Backlog{Waiting: waiting, InFlight: inFlight, PerSecond: perSecond}
+}
+
 // Ingress serves plain and streamed requests.
 func (ed *Edge) Ingress() *ingress.Ingress { return ed.ingress }
 
@@ -133,7 +150,9 @@
 }
 
 // IsReady reports whether the load balancer may send new clients to this edge.
-func (ed *Edge) IsReady() bool { return !ed.isClosing.Load() && ed.Table() != nil && ed.fresh() == nil }
+func (ed *Edge) IsReady() bool {
+	return !ed.isClosing.Load() && ed.Table() != nil && ed.fresh() == nil && ed.headroom.IsReady()
+}
 
 // IsClosing reports whether this edge is shutting down and clients should reconnect
 // to another one.
@@ -175,10 +194,33 @@
 	wg.Go(func() { ed.sendUsageLoop(ctx) })
 	wg.Go(func() { ed.guard.Run(ctx) })
 	wg.Go(func() { ed.permits.Run(ctx) })
+	wg.Go(func() { ed.controllers.RunShares(ctx, ed.shares, ed.cfg.Now, ed.cfg.Log) })
 	wg.Go(func() { ed.origins.Run(ctx) })
+	wg.Go(func() { ed.observeHeadroom(ctx) })
 	wg.Wait()
 }
 
+// headroomPeriod is how often the use of memory and descriptors is read: a part of the time in
+// which a balancer learns that a gateway is not ready.
+const headroomPeriod = 250 * time.Millisecond
+
+// observeHeadroom reads the use of memory and descriptors until ctx ends.
+func (ed *Edge) observeHeadroom(ctx context.Context) {
+	for ctx.Err() == nil {
+		use := headroom.OfProcess(ed.cfg.Settings.MemoryBytes)
+		if ed.headroom.Observe(use) {
+			ed.cfg.Log.WithFields(log.Fields{
+				"memoryBytes": use.Memory, "memoryLimit": use.MemoryLimit, "files": use.Files, "filesLimit": use.FilesLimit,
+				"ready": ed.headroom.IsReady(), "refusing": ed.headroom.Check() != nil,
+			}).Warn("readiness by the use of memory and file descriptors changed")
+		}
+		select {
+		case <-time.After(headroomPeriod):
+		case <-ctx.Done():
+		}
+	}
+}
+
 // sendUsageLoop sends pending usage counters to the controllers every usagePeriod,
 // and once more after ctx has ended.
 func (ed *Edge) sendUsageLoop(ctx context.Context) {
@@ -206,4 +248,7 @@
 }
 
 // Measure sets the gauges of this edge's view of the configuration and the servers.
-func (ed *Edge) Measure(me *meter.Meter) { ed.follower.Measure(me) }
+func (ed *Edge) Measure(me *meter.Meter) {
+	ed.follower.Measure(me)
+	ed.ingress.Measure()
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -10,6 +10,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/backend"
 	"github.com/tamarackbay/tamarackbay/internal/balance"
 	"github.com/tamarackbay/tamarackbay/internal/crashguard"
+	"github.com/tamarackbay/tamarackbay/internal/fairshare"
 	"github.com/tamarackbay/tamarackbay/internal/meter"
 	"github.com/tamarackbay/tamarackbay/internal/origin"
 	"github.com/tamarackbay/tamarackbay/internal/result"
@@ -41,6 +42,7 @@
 type Config struct {
 	Table    func() *routing.Table // nil before the first configuration
 	Fresh    func() error          // an error if this process must refuse new work
+	Room     func() error          // an error if this process is short of memory or descriptors; nil for enough
 	Balancer *balance.Balancer
 	Client   *backend.Client
 	Random   func() float64                       // in [0, 1)
@@ -48,29 +50,65 @@
 	Guard    *crashguard.Guard
 	// Origins knows which software version began each stream; a book of its own if it is nil.
 	Origins *origin.Book
-	// Workload learns the work of requests, for the backend servers that report their pace;
-	// Now is its time. Both may be nil.
+	// Workload learns the work of requests; an estimator of its own if it is nil.
 	Workload *workload.Estimator
-	Now      func() time.Duration
 	// BufferBytes bounds the memory of answers that are buffered, 0 for a default.
 	BufferBytes int64
-	Meter       *meter.Meter
-	Log         log.Interface
+	// Shares counts the requests of workspaces and knows their shares; a holder of its own if it is
+	// nil.
+	Shares *fairshare.Holder
+	// Backlog returns the outstanding work at a service, for the times to retry after; nil if it is
+	// not known.
+	Backlog func(service string) fairshare.Backlog
+	// MaxWaiting and MaxWaitingBytes bound the requests that wait for a slot and the size of their
+	// bodies, 0 for defaults.
+	MaxWaiting      int
+	MaxWaitingBytes int64
+	Now             func() time.Duration // monotonic; nil for the clock of the process
+	Meter           *meter.Meter
+	Log             log.Interface
+}
+
+// Defaults fills the fields left zero.
+func (c *Config) Defaults() {
+	if c.Origins == nil {
+		c.Origins = origin.NewBook(origin.Config{Meter: c.Meter, Log: c.Log})
+	}
+	if c.Shares == nil {
+		c.Shares = fairshare.NewHolder("", 0)
+	}
+	if c.Now == nil {
+		start := time.Now()
+		c.Now = func() time.Duration { return time.Since(start) }
+	}
+	if c.Workload == nil {
+		c.Workload = workload.New()
+	}
+	if c.Room == nil {
+		c.Room = func() error { return nil }
+	}
+	if c.MaxWaiting == 0 {
+		c.MaxWaiting = defaultMaxWaiting
+	}
+	if c.MaxWaitingBytes == 0 {
+		c.MaxWaitingBytes = defaultMaxWaitingBytes
+	}
 }
 
 // Ingress routes requests to backend servers. It is safe for concurrent use.
 type Ingress struct {
 	cfg     Config
 	answers *answerReader
+	waiting *waitingRoom
 }
 
 // New returns an ingress.
 func New(cfg Config) *Ingress {
-	if cfg.Origins == nil {
-		cfg.Origins = origin.NewBook(origin.Config{Meter: cfg.Meter, Log: cfg.Log})
-	}
+	cfg.Defaults()
+	in := &Ingress{cfg: cfg, answers: newAnswerReader(cfg.BufferBytes)}
+	in.waiting = newWaitingRoom(&in.cfg)
 
-	return &Ingress{cfg: cfg, answers: newAnswerReader(cfg.BufferBytes)}
+	return in
 }
 
 // Admit returns the route and the workspace of a request. The workspace is nil where
@@ -83,6 +121,9 @@
 	if err := in.cfg.Fresh(); err != nil {
 		return nil, nil, err
 	}
+	if err := in.cfg.Room(); err != nil {
+		return nil, nil, err
+	}
 	ro := ta.Match(host, path)
 	if ro == nil {
 		return nil, nil, result.New(result.UnknownRoute, "ingress: no route for %s%s in configuration version %d", host, path, ta.Version())
@@ -119,6 +160,7 @@
 	ro            *routing.Route
 	workspace     string
 	urgency       int
+	regions       []string  // in which it may run, nil for any
 	began         time.Time // when the request arrived
 	deadline      time.Time // when the client must have received its answer
 	tried         []string  // IDs of the backend servers that were picked, in order
@@ -129,6 +171,7 @@
 	failedAnswer  *completeAnswer // last answer with an error status, nil if there is none
 	configVersion uint64          // configuration version at the start of the request
 	fingerprint   string          // "" until it is needed
+	slotKey       fairshare.Key   // service and workspace of the slot in use
 	origin        *origin.Origin  // what began the stream, nil before its first event
 }
 
@@ -153,7 +196,7 @@
 	if ws != nil {
 		rs.workspace = ws.Name
 	}
-	rs.urgency = ro.Urgency(ws)
+	rs.urgency, rs.regions = ro.Urgency(ws), ro.AllowedRegions(ws)
 	wait := ro.Timeout
 	if rq.ClientTimeout > 0 {
 		wait = min(wait, rq.ClientTimeout)
@@ -223,42 +266,6 @@
 	return !rs.mayHaveRun || rs.ro.Kind == routing.Repeatable || (rs.ro.IsStreaming && rs.ro.IsResumable)
 }
 
-// acquireServer acquires a slot on a backend server. It prefers a server that was not
-// tried, then any server but the last one tried, and takes that one as the last resort.
-func (rs *requestState) acquireServer(ctx context.Context, isSuspect bool) (*balance.Grant, error) {
-	service := rs.ro.PickTarget(rs.in.cfg.Random())
-	rq := &balance.Request{Service: service, Model: rs.rq.Model, Exclude: rs.tried, IsSuspect: isSuspect, Work: rs.estimate(service)}
-	if rs.origin != nil {
-		if service = rs.origin.Service; !rs.ro.Allows(service) || rs.in.cfg.Balancer.ReadyBySoftware(service)[rs.origin.Software] == 0 {
-			return nil, result.New(result.NoSameSoftware, "ingress: no backend server of %s with software version %q is ready", service, rs.origin.Software).
-				WithRetryAfter(sameSoftwareRetryAfter)
-		}
-		rq.Service, rq.Software, rq.ExtraSlots = service, rs.origin.Software, resumeQueueSlots
-	}
-	gr, limitErr := rs.in.cfg.Balancer.AcquirePermitted(ctx, rq, rs.urgency)
-	if gr != nil {
-		return gr, nil
-	}
-	if len(rs.tried) > 0 {
-		rq.Exclude = rs.tried[len(rs.tried)-1:]
-		if gr := rs.in.cfg.Balancer.Acquire(rq); gr != nil {
-			return gr, nil
-		}
-		rq.Exclude = nil
-		if gr := rs.in.cfg.Balancer.Acquire(rq); gr != nil {
-			return gr, nil
-		}
-	}
-	if limitErr != nil {
-		return nil, limitErr
-	}
-	if ready, _ := rs.in.cfg.Balancer.Count(service, rs.rq.Model, 0); ready == 0 {
-		return nil, result.New(result.NoBackendServer, "ingress: no backend server of %s is ready", service).WithRetryAfter(defaultRetryAfter)
-	}
-
-	return nil, result.New(result.QueueFull, "ingress: every backend server of %s is at its limit", service).WithRetryAfter(defaultRetryAfter)
-}
-
 // newCall returns the call for the granted backend server and records the attempt.
 func (rs *requestState) newCall(gr *balance.Grant) *backend.Call {
 	re := gr.Record()
--- a/internal/ingress/work.go
+++ b/internal/ingress/work.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"github.com/tamarackbay/tamarackbay/internal/backend"
 	"github.com/tamarackbay/tamarackbay/internal/balance"
 	"github.com/tamarackbay/tamarackbay/internal/workload"
 )
@@ -13,20 +12,15 @@
 	}
 }
 
-// estimate returns the expected work of the request at a service, zero if it is not known.
+// estimate returns the expected work of the request at a service.
 func (rs *requestState) estimate(service string) workload.Estimate {
-	if rs.in.cfg.Workload == nil {
-		return workload.Estimate{}
-	}
-
 	return rs.in.cfg.Workload.Estimate(rs.in.cfg.Now(), rs.kind(service))
 }
 
-// release ends a grant and learns the work of a complete request. A stream that the client
-// resumed is not a complete one.
-func (rs *requestState) release(gr *balance.Grant, oc balance.Outcome, load *backend.Load) {
-	gr.Release(oc, load)
-	if rs.in.cfg.Workload == nil || oc != balance.Succeeded || rs.rq.ResumeAfter > 0 || rs.sentCount > 1 {
+// learnWork learns the work of a complete request. A stream that the client resumed is not a
+// complete one.
+func (rs *requestState) learnWork(gr *balance.Grant, oc balance.Outcome) {
+	if oc != balance.Succeeded || rs.rq.ResumeAfter > 0 || rs.sentCount > 1 {
 		return
 	}
 	if work := gr.Work(); work > 0 {
--- a/internal/jobdriver/place.go
+++ b/internal/jobdriver/place.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -54,6 +55,8 @@
 	now := time.Now()
 	full := map[string]bool{} // service and job pairs without a free slot in this pass
 	waits := dr.waitingTasks(now)
+	dr.orderForShortage(waits, ta, now)
+	short := map[string]bool{} // services without a free slot in this pass
 	for i, wt := range waits {
 		t := wt.task
 		if !t.job.queueDeadline.IsZero() && now.After(t.job.queueDeadline) {
@@ -74,7 +77,9 @@
 			t.generated, t.isWhole = generatedText{}, false
 		}
 		dr.discardUnusable(t, ro, now)
-		service := ro.PickTarget(dr.cfg.Random())
+		ws := ta.Workspace(t.job.workspace)
+		t.regions = ro.AllowedRegions(ws)
+		service := dr.cfg.Balancer.PickService(ro, t.regions, dr.cfg.Random())
 		if t.generated.lastEvent > 0 {
 			service = t.generated.service
 		}
@@ -83,15 +88,23 @@
 		if preferred == stepplan.RequireFast {
 			key += "@fast"
 		}
+		if t.regions != nil {
+			key += "@" + strings.Join(t.regions, ",")
+		}
 		if full[key] {
 			continue
 		} else if gr := dr.acquire(service, t, preferred); gr == nil {
 			full[key] = true
-			dr.obtainPermits(service, t, ro.Urgency(ta.Workspace(t.job.workspace)), len(waits)-i)
+			if preferred != stepplan.RequireFast && dr.isEligible(service, t) {
+				short[service] = true
+			}
+			dr.obtainPermits(service, t, ro.Urgency(ws), len(waits)-i)
 		} else {
 			dr.start(t, ro, gr)
 		}
 	}
+	dr.shortage.setShort(short)
+	dr.countWaiting(ta)
 }
 
 // maxFastWait is how long a text waits for a slot at a fast backend server, although others
@@ -114,7 +127,7 @@
 func (dr *Driver) acquire(service string, t *task, preferred stepplan.Preference) *balance.Grant {
 	rq := &balance.Request{
 		Service: service, Model: t.job.model, MinVersion: t.job.minVersion, Prefix: t.job.model + "/" + t.item.Group, Tokens: t.item.Tokens,
-		Software: t.generated.software, Work: dr.work(t),
+		Software: t.generated.software, Regions: t.regions, Work: dr.work(t),
 	}
 	slow, lagging := dr.classes.slow, dr.classes.lagging
 	if preferred == stepplan.PreferLagging && len(lagging) > 0 {
@@ -200,7 +213,7 @@
 		return
 	}
 	limited := dr.cfg.Balancer.Limited(&balance.Request{
-		Service: service, Model: t.job.model, MinVersion: t.job.minVersion, Software: t.generated.software,
+		Service: service, Model: t.job.model, MinVersion: t.job.minVersion, Software: t.generated.software, Regions: t.regions,
 	})
 	if len(limited) == 0 {
 		return
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -61,6 +61,7 @@
 	RetryBudgetSpent  Code = 3006
 	Quarantined       Code = 3007
 	ShuttingDown      Code = 3008
+	ProcessOverloaded Code = 3009
 
 	NoBackendServer     Code = 4001
 	NoEligibleVersion   Code = 4002
@@ -78,6 +79,8 @@
 	ServersLimited      Code = 4014
 	OriginUnknown       Code = 4015
 	NoSameSoftware      Code = 4016
+	NoServerInRegion    Code = 4017
+	NoStoreInRegion     Code = 4018
 
 	NoLeader          Code = 5001
 	StaleProcess      Code = 5002
@@ -145,6 +148,7 @@
 	{RetryBudgetSpent, "retryBudgetSpent", http.StatusServiceUnavailable, "the attempt failed and the retry budget is spent"},
 	{Quarantined, "quarantined", http.StatusUnprocessableEntity, "this request crashed backend servers and is quarantined"},
 	{ShuttingDown, "shuttingDown", http.StatusServiceUnavailable, "the process is shutting down"},
+	{ProcessOverloaded, "processOverloaded", http.StatusServiceUnavailable, "the process is short of memory or file descriptors"},
 	{NoBackendServer, "noBackendServer", http.StatusServiceUnavailable, "no backend server is ready for the route"},
 	{NoEligibleVersion, "noEligibleVersion", http.StatusServiceUnavailable, "no backend server runs an eligible weight version"},
 	{BackendUnreachable, "backendUnreachable", http.StatusBadGateway, "the backend server could not be reached"},
@@ -161,6 +165,8 @@
 	{ServersLimited, "serversLimited", http.StatusServiceUnavailable, "every backend server with room limits its request rate, and the limits are used up"},
 	{OriginUnknown, "originUnknown", http.StatusServiceUnavailable, "it is not known which software version began the stream"},
 	{NoSameSoftware, "noSameSoftware", http.StatusServiceUnavailable, "no backend server of the software version that began the stream is ready"},
+	{NoServerInRegion, "noServerInRegion", http.StatusServiceUnavailable, "no backend server is ready in a region that the route and the workspace allow"},
+	{NoStoreInRegion, "noStoreInRegion", http.StatusServiceUnavailable, "the job would be stored on VMs in regions that the route and the workspace do not allow"},
 	{NoLeader, "noLeader", http.StatusServiceUnavailable, "the group has no leader now"},
 	{StaleProcess, "staleProcess", http.StatusServiceUnavailable, "the process received nothing from the group within the freshness bound"},
 	{GroupTimeout, "groupTimeout", http.StatusServiceUnavailable, "the group did not answer in time"},
