Let the policy switch off all that follows from a reported pace

Cause: with the policy set to score, picks were as before, but items still used learned lengths, engines were classified over 5 s, loads were recorded with the head of the answer and the usual load of other processes replaced an old report, so that on and off could not be compared. Change: a balancer whose policy is not the time to completion ignores reported paces, and the driver asks the balancer. The result of the simulation is then the same as without a pace. Measured: go test ./internal/balance ./internal/jobdriver ./internal/loadsim passes, the first two with -race.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -61,7 +61,8 @@
 	cands   []scheduler.Candidate
 
 	usual     usualWork
-	paced     int           // servers whose last report held their pace
+	usesPace  bool          // the policy is that of the time to completion
+	paced     int           // servers whose last report held their pace, 0 unless it is used
 	relatedAt time.Duration // when the slowness of the servers was last related to their mean
 }
 
@@ -144,7 +145,7 @@
 	for name, res := range alive {
 		se := ba.services[name]
 		if se == nil {
-			se = &serverSet{sched: scheduler.New(ba.cfg.Scheduler, ba.cfg.Random)}
+			se = &serverSet{sched: scheduler.New(ba.cfg.Scheduler, ba.cfg.Random), usesPace: ba.cfg.Scheduler.Policy == scheduler.PolicyCompletion}
 			ba.services[name] = se
 		}
 		for _, re := range res {
@@ -376,7 +377,7 @@
 // runs reports whether the backend server runs a version of its software, "" for any.
 func (sv *server) runs(software string) bool { return software == "" || sv.record.Software == software }
 
-// IsPaced reports whether backend servers of a service report their pace.
+// IsPaced reports whether backend servers of a service report their pace, and the policy uses it.
 func (ba *Balancer) IsPaced(service string) bool {
 	ba.mu.Lock()
 	defer ba.mu.Unlock()
--- a/internal/balance/grant.go
+++ b/internal/balance/grant.go
@@ -39,7 +39,7 @@
 	if an.IsLoadUnreadable {
 		ba.reportUnreadable(&gr.record)
 	}
-	if an.Load != nil && an.Load.Pace > 0 {
+	if an.Load != nil && an.Load.Pace > 0 && gr.set.usesPace {
 		ba.recordLoad(gr, an.Load)
 	}
 }
--- a/internal/balance/speed.go
+++ b/internal/balance/speed.go
@@ -82,7 +82,7 @@
 	sv.loadReportedAt = now
 	sv.speed.others += othersSmoothing * (float64(ca.Running-ca.InFlightReported) - sv.speed.others)
 	sv.speed.usualOthers = int(math.Round(sv.speed.others))
-	if isPaced := lo.Pace > 0; isPaced != sv.speed.isPaced {
+	if isPaced := lo.Pace > 0 && se.usesPace; isPaced != sv.speed.isPaced {
 		sv.speed.isPaced = isPaced
 		se.countPaced(isPaced)
 	}
--- a/internal/jobdriver/run.go
+++ b/internal/jobdriver/run.go
@@ -142,6 +142,7 @@
 
 	next := dr.cfg.Client.NewEventReader(an.Body)
 	lastAt, progressAt := time.Time{}, time.Now()
+	isPaced := dr.cfg.Balancer.IsPaced(rec.Service)
 	for {
 		ev, err := next()
 		if errors.Is(err, io.EOF) {
@@ -159,7 +160,7 @@
 		switch {
 		case lastAt.IsZero():
 			te.untilFirst = now.Sub(te.runBegan)
-		case an.Load != nil && an.Load.Pace > 0:
+		case isPaced:
 			dr.paces.recordLasting(rec.ID, now.Sub(lastAt), now)
 		default:
 			dr.paces.record(rec.ID, now.Sub(lastAt), now)
--- a/internal/jobdriver/work_test.go
+++ b/internal/jobdriver/work_test.go
@@ -25,10 +25,10 @@
 
 // newEstimatingDriver returns a driver with one backend server, which reports a pace, 0 for none.
 // Each of its texts has a number of events.
-func newEstimatingDriver(pace float64, events int) *Driver {
+func newEstimatingDriver(pace float64, events int, policy ...string) *Driver {
 	start := time.Now().Add(-time.Hour)
 	now := func() time.Duration { return time.Since(start) }
-	ba := balance.New(balance.Config{Now: now, Random: func(int) int { return 0 }, Scheduler: scheduler.Config{Policy: scheduler.PolicyCompletion}})
+	ba := balance.New(balance.Config{Now: now, Random: func(int) int { return 0 }, Scheduler: scheduler.Config{Policy: append(policy, scheduler.PolicyCompletion)[0]}})
 	ba.Sync([]registry.Record{{
 		ID: "a", BornMs: 1, Address: "a", Service: "s", Slots: 6, State: registry.Ready, Models: []registry.Model{{Name: "m", Version: 1}},
 	}})
@@ -94,6 +94,12 @@
 		Expect(dr.work(t).Seconds).To(BeNumerically(">", 0))
 	})
 
+	ginkgo.It("is the declared one where the policy is switched off", func() {
+		dr := newEstimatingDriver(1, 30, scheduler.PolicyScore)
+		dr.write(20, 620)
+		Expect(dr.remaining(newText(dr, 99, 620))).To(BeEquivalentTo(620))
+	})
+
 	ginkgo.It("is the declared one where they report none, as before", func() {
 		dr := newEstimatingDriver(0, 30)
 		dr.write(20, 620)
--- a/internal/loadsim/loadsim_test.go
+++ b/internal/loadsim/loadsim_test.go
@@ -137,7 +137,7 @@
 	})
 
 	// Guards against a change for services whose servers report no pace.
-	It("gives the same result as the previous policy, request by request, where no pace is reported", func() {
+	It("gives the same result as the previous policy, request by request, where no pace is reported or the policy is switched off", func() {
 		cfg := base()
 		cfg.Servers, cfg.NoPace, cfg.Seed, cfg.Load = servers(8, 1/0.55), true, 3, 0.9
 		cfg.Policy = scheduler.PolicyScore
@@ -146,6 +146,8 @@
 		Expect(loadsim.Run(cfg)).To(Equal(before))
 		cfg.NoPace = false
 		Expect(loadsim.Run(cfg)).NotTo(Equal(before))
+		cfg.Policy = scheduler.PolicyScore
+		Expect(loadsim.Run(cfg)).To(Equal(before), "the policy switches off all that follows from a pace")
 	})
 })
 
