Refuse streams begun at a backend server that had returned with other software

Cause: a backend server may return under its ID with another software version. Until its heartbeat has reached a gateway, the gateway records the streams that begin there under the earlier version, and their resumes are joined.

Change: a record names the backend server, the start of its incarnation as the gateway knew it, and the time of the first event. A controller that knows a later incarnation of other software, which started before that time (250 ms are allowed for clocks), answers that the origin is ambiguous. The search for an origin is bounded by 100 ms instead of 200: a refusal took up to 260 ms while controllers restarted.

--- a/internal/controller/origins.go
+++ b/internal/controller/origins.go
@@ -17,6 +17,25 @@
 	methodFindOrigin    = "controller.findOrigin"
 )
 
+// findOrigin returns what this controller knows of the beginning of a stream.
+func (co *Controller) findOrigin(key origin.Key) origin.Finding {
+	fi := co.origins.Find(key)
+	re, ok := co.origins.Record(key)
+	if !ok || re.Server == "" {
+		return fi
+	}
+	co.mu.Lock()
+	defer co.mu.Unlock()
+
+	// A backend server may return with other software under its ID before gateways know that.
+	now, ok := co.registry.Record(re.Server)
+	if ok && now.Software != "" && now.Software != re.Origin.Software && re.MayBeOf(now.BornMs) {
+		return origin.Finding{IsAmbiguous: true}
+	}
+
+	return fi
+}
+
 func (co *Controller) originHandlers() peer.Mux {
 	return peer.Mux{
 		methodRecordOrigins: func(_ context.Context, st *peer.Stream) error {
@@ -33,7 +52,7 @@
 			if err := st.RequestRecord(&qu); err != nil {
 				return err
 			}
-			b, err := cbor.Marshal(co.origins.Find(qu.Key))
+			b, err := cbor.Marshal(co.findOrigin(qu.Key))
 			if err != nil {
 				return result.New(result.Internal, "controller: encode the origin of a stream: %v", err)
 			}
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -63,10 +63,10 @@
 		return err
 	}
 	rs.origin = &or
-	rs.in.cfg.Origins.Begin(key, or) // this gateway may be the only one left that knows it
+	rs.in.cfg.Origins.Begin(origin.Record{Key: key, Origin: or}) // this gateway may be the only one left that knows it
 	if rs.rq.ID != "" && rs.rq.ID != rs.rq.Resumes {
 		// A later resume may name this attempt instead of the first one.
-		rs.in.cfg.Origins.Begin(origin.KeyOf(rs.workspace, rs.rq.ID), or)
+		rs.in.cfg.Origins.Begin(origin.Record{Key: origin.KeyOf(rs.workspace, rs.rq.ID), Origin: or})
 	}
 
 	return nil
@@ -78,18 +78,15 @@
 	if rs.origin != nil || !rs.ro.IsResumable {
 		return
 	}
-	rs.origin = originOf(gr)
+	re := gr.Record()
+	rs.origin = &origin.Origin{Service: re.Service, Software: re.Software}
 	if rs.rq.ID != "" {
-		rs.in.cfg.Origins.Begin(origin.KeyOf(rs.workspace, rs.rq.ID), *rs.origin).Wait(ctx)
+		rs.in.cfg.Origins.Begin(origin.Record{
+			Key: origin.KeyOf(rs.workspace, rs.rq.ID), Origin: *rs.origin, Server: re.ID, BornMs: re.BornMs, BegunMs: time.Now().UnixMilli(),
+		}).Wait(ctx)
 	}
 }
 
-func originOf(gr *balance.Grant) *origin.Origin {
-	re := gr.Record()
-
-	return &origin.Origin{Service: re.Service, Software: re.Software}
-}
-
 // sendStream forwards the stream of one backend server. It returns nil once the
 // stream has ended regularly.
 func (rs *requestState) sendStream(ctx context.Context, gr *balance.Grant, pa *crashguard.Pass, sink *Sink, begun *bool, last *uint64) error {
--- a/internal/origin/book.go
+++ b/internal/origin/book.go
@@ -16,8 +16,9 @@
 	// recordTimeout bounds how long the first event of a stream waits until a controller has
 	// recorded the stream's origin, which usually takes one round trip.
 	recordTimeout = 100 * time.Millisecond
-	// findTimeout bounds the search for an origin.
-	findTimeout = 200 * time.Millisecond
+	// findTimeout bounds the search for an origin. With 200 ms a refusal took up to 260 ms while
+	// controllers restarted.
+	findTimeout = 100 * time.Millisecond
 	// agreeTimeout bounds how long a search waits for the other controllers once the origin was
 	// found, since one of them may know another origin. A controller that is suspended would
 	// otherwise delay each resume by findTimeout.
@@ -83,8 +84,8 @@
 // Begin records the origin of a stream here and sends it to all controllers. It is called once
 // the first event has arrived: an earlier record would name a version of which the client
 // receives nothing if that try fails or the client leaves.
-func (bo *Book) Begin(key Key, or Origin) *Pending {
-	pe := &Pending{record: Record{Key: key, Origin: or}, done: make(chan struct{})}
+func (bo *Book) Begin(re Record) *Pending {
+	pe := &Pending{record: re, done: make(chan struct{})}
 	bo.table.Add([]Record{pe.record})
 
 	bo.mu.Lock()
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -37,6 +37,20 @@
 	// IsAmbiguous says that attempts with the same ID began at different versions or services, so
 	// that nobody knows which of them the client has events of. Origin is empty then.
 	IsAmbiguous bool `cbor:"3,keyasint,omitempty"`
+	// Server is the ID of the backend server that began the stream, "" if it is not known, BornMs
+	// the start of its incarnation as the gateway knew it, and BegunMs the time of the first event.
+	Server  string `cbor:"4,keyasint,omitempty"`
+	BornMs  int64  `cbor:"5,keyasint,omitempty"`
+	BegunMs int64  `cbor:"6,keyasint,omitempty"`
+}
+
+// maxClockDifference is the difference of the clocks of two VMs up to which MayBeOf is right.
+const maxClockDifference = 250 * time.Millisecond
+
+// MayBeOf reports whether a later incarnation of the backend server may have begun the stream:
+// it started, at bornMs, before the first event, while the gateway did not know of it yet.
+func (re *Record) MayBeOf(bornMs int64) bool {
+	return bornMs > re.BornMs && re.BegunMs+maxClockDifference.Milliseconds() >= bornMs
 }
 
 // Query asks a controller for the origin of a stream.
@@ -91,8 +105,11 @@
 	var out []Record
 	for _, re := range records {
 		old, ok := ta.lru.Peek(re.Key)
-		if ok && (old.record.IsAmbiguous || old.record.Origin != re.Origin) {
-			re.Origin, re.IsAmbiguous = Origin{}, true
+		switch {
+		case ok && (old.record.IsAmbiguous || old.record.Origin != re.Origin):
+			re = Record{Key: re.Key, IsAmbiguous: true}
+		case ok && old.record.Server != "":
+			re = old.record // the gateway of a resume does not know the backend server
 		}
 		en := entry{record: re, addedAt: old.addedAt}
 		if !ok || old.record != re || now.Sub(old.addedAt) >= rewriteAfter {
@@ -107,9 +124,16 @@
 
 // Find returns what is known of the origin of a stream.
 func (ta *Table) Find(key Key) Finding {
+	re, ok := ta.Record(key)
+
+	return Finding{Origin: re.Origin, IsFound: ok && !re.IsAmbiguous, IsAmbiguous: re.IsAmbiguous}
+}
+
+// Record returns the record of a stream, and false if there is none.
+func (ta *Table) Record(key Key) (Record, bool) {
 	en, ok := ta.lru.Peek(key)
 
-	return Finding{Origin: en.record.Origin, IsFound: ok && !en.record.IsAmbiguous, IsAmbiguous: en.record.IsAmbiguous}
+	return en.record, ok
 }
 
 // Len returns the number of streams in the table.
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -134,7 +134,7 @@
 	}()
 	<-started
 	Eventually(func() bool {
-		pe := bo.Begin(origin.KeyOf("probe", "x"), origin.Origin{})
+		pe := bo.Begin(origin.Record{Key: origin.KeyOf("probe", "x")})
 		pe.Wait(ctx)
 		_, err := bo.Find(ctx, origin.KeyOf("probe", "x"))
 
@@ -174,7 +174,7 @@
 			cs := newControllers()
 			first, second := cs.newBook(ctx), cs.newBook(ctx)
 			Eventually(func() error {
-				first.Begin(key, v1).Wait(ctx)
+				first.Begin(origin.Record{Key: key, Origin: v1}).Wait(ctx)
 				_, err := second.Find(ctx, key)
 
 				return err
@@ -205,8 +205,8 @@
 		It(tc.name, func() {
 			cs := newControllers()
 			first, second, third := cs.newBook(ctx), cs.newBook(ctx), cs.newBook(ctx)
-			first.Begin(key, tc.first).Wait(ctx)
-			second.Begin(key, tc.second).Wait(ctx)
+			first.Begin(origin.Record{Key: key, Origin: tc.first}).Wait(ctx)
+			second.Begin(origin.Record{Key: key, Origin: tc.second}).Wait(ctx)
 			Eventually(func() bool { return cs.know(key) }).Should(BeTrue())
 			cs.restart("b") // both send their records again, in any order
 			for _, bo := range []*origin.Book{first, second, third} {
@@ -245,6 +245,30 @@
 		Expect(result.Is(err, result.OriginUnknown)).To(BeTrue(), "%v", err)
 	})
 
+	for _, tc := range []struct {
+		name   string
+		bornMs int64 // of the incarnation that is known when the stream is resumed
+		may    bool
+	}{
+		{"may not be of an incarnation that started after its first event", 10_400, false},
+		{"may be of one that started before its first event", 9_000, true},
+		{"may be of one that started a little later, as clocks differ", 10_100, true},
+		{"may not be of another one than the gateway knew if that is still there", 1_000, false},
+	} {
+		It(tc.name, func() {
+			re := origin.Record{Server: "e", BornMs: 1_000, BegunMs: 10_000}
+			Expect(re.MayBeOf(tc.bornMs)).To(Equal(tc.may))
+		})
+	}
+
+	It("keeps its backend server when another gateway records a resume", func() {
+		ta := origin.NewTable(10)
+		began := origin.Record{Key: key, Origin: v1, Server: "e", BornMs: 1, BegunMs: 2}
+		ta.Add([]origin.Record{began, {Key: key, Origin: v1}})
+		re, _ := ta.Record(key)
+		Expect(re).To(Equal(began))
+	})
+
 	It("differs between workspaces", func() {
 		Expect(origin.KeyOf("w", "x")).NotTo(Equal(origin.KeyOf("v", "x")))
 	})
