Show demand, share, use and refusals of workspaces in metrics

Cause: an operator could not see who uses a service that has not enough slots. Change: the controller that leads has gauges of use, demand and share by workspace and logs the five workspaces with the highest demand when the number of short services changes, at most every 5 s. Gateways count refused requests by workspace. 32 workspaces have a label of their own in a process, the rest is summed under `other`.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -15,7 +15,6 @@
 
 	"github.com/tamarackbay/tamarackbay/internal/backend"
 	"github.com/tamarackbay/tamarackbay/internal/consensus"
-	"github.com/tamarackbay/tamarackbay/internal/fairshare"
 	"github.com/tamarackbay/tamarackbay/internal/feed"
 	"github.com/tamarackbay/tamarackbay/internal/group"
 	"github.com/tamarackbay/tamarackbay/internal/lease"
@@ -129,7 +128,7 @@
 		cfg: cfg, feed: feed.NewServer(), links: peer.NewLinks(context.Background(), cfg.Peer), stopped: make(chan struct{}),
 		registry: registry.New(maxMissedHeartbeats * no.HeartbeatPeriod), stores: map[string]*store{}, publishWake: make(chan struct{}, 1),
 		startedAt: cfg.Now(), swapPlanners: map[string]*weights.JointPlanner{}, swapWake: make(chan struct{}, 1),
-		relay: newRelay(), permits: permitBroker{broker: permit.NewBroker()}, shares: shareDivider{divider: fairshare.NewDivider()}, origins: origin.NewTable(origin.MaxOrigins), orders: map[registry.Incarnation]uint64{},
+		relay: newRelay(), permits: permitBroker{broker: permit.NewBroker()}, shares: newShareDivider(), origins: origin.NewTable(origin.MaxOrigins), orders: map[registry.Incarnation]uint64{},
 	}
 	var founders []group.Founder
 	for _, a := range no.Controllers {
@@ -420,11 +419,7 @@
 	co.group.Read(func(ma *statemachine.Machine) {
 		me.Gauge("configuration.version", int64(ma.Routing().Config().Version))
 	})
-	co.shares.mu.Lock()
-	services, processes := co.shares.divider.Services()
-	co.shares.mu.Unlock()
-	me.Gauge("shares.services", int64(services))
-	me.Gauge("shares.processes", int64(processes))
+	co.shares.measure(me)
 	co.mu.Lock()
 	defer co.mu.Unlock()
 	alive := 0
--- a/internal/controller/shares.go
+++ b/internal/controller/shares.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
 	"github.com/apex/log"
 
 	"github.com/tamarackbay/tamarackbay/internal/fairshare"
+	"github.com/tamarackbay/tamarackbay/internal/meter"
 	"github.com/tamarackbay/tamarackbay/internal/peer"
 	"github.com/tamarackbay/tamarackbay/internal/result"
 )
@@ -28,8 +30,62 @@
 
 // shareDivider divides the services while this replica leads.
 type shareDivider struct {
-	mu      sync.Mutex
-	divider *fairshare.Divider
+	mu       sync.Mutex
+	divider  *fairshare.Divider
+	services int // for which anything waited at the last log line
+	loggedAt time.Duration
+	labels   *meter.Labels
+	labeled  map[string]bool // labels whose gauges were set
+}
+
+const (
+	// maxStandings is the number of workspaces in a log line.
+	maxStandings = 5
+	// maxWorkspaceLabels bounds the workspaces that have metrics of their own.
+	maxWorkspaceLabels = 32
+	// shareLogPause is the pause between two log lines about shares.
+	shareLogPause = 5 * time.Second
+)
+
+func newShareDivider() shareDivider {
+	return shareDivider{divider: fairshare.NewDivider(), labels: meter.NewLabels(maxWorkspaceLabels), labeled: map[string]bool{}, loggedAt: -shareLogPause}
+}
+
+// logShares logs when services become short of slots and when none is any more. The caller holds
+// sd.mu.
+func (sd *shareDivider) logShares(now time.Duration, lo log.Interface) {
+	services, processes := sd.divider.Services()
+	if services == sd.services || now-sd.loggedAt < shareLogPause {
+		return
+	}
+	sd.services, sd.loggedAt = services, now
+	lo.WithFields(log.Fields{"services": services, "processes": processes, "workspaces": sd.divider.Standings(maxStandings)}).
+		Info("services for which requests wait changed")
+}
+
+// measure sets the gauges of the shares. Workspaces that left have gauges of 0.
+func (sd *shareDivider) measure(me *meter.Meter) {
+	sd.mu.Lock()
+	defer sd.mu.Unlock()
+
+	services, processes := sd.divider.Services()
+	me.Gauge("shares.services", int64(services))
+	me.Gauge("shares.processes", int64(processes))
+	sums := map[string]fairshare.Standing{}
+	for la := range sd.labeled {
+		sums[la] = fairshare.Standing{}
+	}
+	for _, st := range sd.divider.Standings(math.MaxInt) {
+		la := sd.labels.Of(st.Workspace)
+		sum := sums[la]
+		sums[la] = fairshare.Standing{Use: sum.Use + st.Use, Waiting: sum.Waiting + st.Waiting, Share: sum.Share + st.Share}
+		sd.labeled[la] = true
+	}
+	for la, st := range sums {
+		me.Gauge("shares.use."+la, int64(math.Round(st.Use)))
+		me.Gauge("shares.waiting."+la, int64(math.Round(st.Waiting)))
+		me.Gauge("shares.share."+la, int64(math.Round(st.Share)))
+	}
 }
 
 // recordShares takes a report and returns the shares if this replica leads.
@@ -45,7 +101,10 @@
 	now := co.cfg.Now()
 	sd.divider.Lead(now, st.Term)
 
-	return sd.divider.Report(now, &re, equalWeight), nil
+	rep := sd.divider.Report(now, &re, equalWeight)
+	sd.logShares(now, co.cfg.Log)
+
+	return rep, nil
 }
 
 // equalWeight is the weight of every workspace: the configuration names none.
--- a/internal/fairshare/divider.go
+++ b/internal/fairshare/divider.go
@@ -1,7 +1,9 @@
 package fairshare
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -194,6 +196,40 @@
 	return true
 }
 
+// Standing is the demand, share and use of a workspace at all services with waiting requests.
+type Standing struct {
+	Workspace           string
+	Use, Waiting, Share float64
+}
+
+// Standings returns the standings of the workspaces at the services for which anything waits, those
+// with the highest demand first, n at most.
+func (di *Divider) Standings(n int) []Standing {
+	sums := map[string]*Standing{}
+	for _, se := range di.services {
+		if se.waiting < minWaiting {
+			continue
+		}
+		for workspace, to := range se.totals {
+			st := sums[workspace]
+			if st == nil {
+				st = &Standing{Workspace: workspace}
+				sums[workspace] = st
+			}
+			st.Use, st.Waiting, st.Share = st.Use+to.use, st.Waiting+to.waiting, st.Share+to.share
+		}
+	}
+	out := make([]Standing, 0, len(sums))
+	for _, st := range sums {
+		out = append(out, *st)
+	}
+	slices.SortFunc(out, func(a, b Standing) int {
+		return cmp.Or(cmp.Compare(b.Use+b.Waiting, a.Use+a.Waiting), cmp.Compare(a.Workspace, b.Workspace))
+	})
+
+	return out[:min(n, len(out))]
+}
+
 // Services returns the number of services for which anything waits, and Processes the number of
 // processes that report.
 func (di *Divider) Services() (waiting, processes int) {
--- a/internal/fairshare/fairshare_test.go
+++ b/internal/fairshare/fairshare_test.go
@@ -204,6 +204,21 @@
 		})
 	}
 
+	It("names the workspaces with the highest demand", func() {
+		di := fairshare.NewDivider()
+		di.Lead(0, 1)
+		di.Report(5*time.Second, &fairshare.Report{Process: "g", BornMs: 1, Sequence: 1, Counts: []fairshare.Count{
+			{Key: key("a"), Use: 1},
+			{Key: key("b"), Use: 2, Waiting: 4},
+			{Key: key("c"), Use: 3},
+			{Key: fairshare.Key{Service: "idle", Workspace: "d"}, Use: 99},
+		}}, equalWeights)
+		st := di.Standings(2)
+		Expect(st).To(HaveLen(2))
+		Expect(st[0]).To(Equal(fairshare.Standing{Workspace: "b", Use: 2, Waiting: 4, Share: 2.5}))
+		Expect(st[1].Workspace).To(Equal("c"))
+	})
+
 	It("forgets a process that reports no more", func() {
 		di := fairshare.NewDivider()
 		di.Lead(0, 1)
--- a/internal/ingress/waiting.go
+++ b/internal/ingress/waiting.go
@@ -9,6 +9,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/balance"
 	"github.com/tamarackbay/tamarackbay/internal/declaration"
 	"github.com/tamarackbay/tamarackbay/internal/fairshare"
+	"github.com/tamarackbay/tamarackbay/internal/meter"
 	"github.com/tamarackbay/tamarackbay/internal/result"
 )
 
@@ -33,6 +34,8 @@
 	// maxRetryJitter is the largest part by which the time to retry after is longer than expected,
 	// so that refused requests do not return at once.
 	maxRetryJitter = 0.5
+	// maxWorkspaceLabels bounds the workspaces whose refusals are counted by name.
+	maxWorkspaceLabels = 32
 	// maxRetryAfter bounds the time to retry after.
 	maxRetryAfter = 5 * time.Second
 )
@@ -41,6 +44,8 @@
 type waitingRoom struct {
 	cfg *Config
 
+	labels *meter.Labels
+
 	mu     sync.Mutex
 	queues map[string]*serviceQueue
 	count  int
@@ -64,7 +69,7 @@
 }
 
 func newWaitingRoom(cfg *Config) *waitingRoom {
-	return &waitingRoom{cfg: cfg, queues: map[string]*serviceQueue{}}
+	return &waitingRoom{cfg: cfg, labels: meter.NewLabels(maxWorkspaceLabels), queues: map[string]*serviceQueue{}}
 }
 
 // queueOf returns the queue of a service. The caller holds mu.
@@ -123,6 +128,8 @@
 		Deadline: now + hopelessFactor*rq.hold, MaxQueued: wr.cfg.MaxWaiting, Payload: w,
 	}
 	if err := wr.push(now, it, rq); err != nil {
+		wr.cfg.Meter.Count("wait.refused." + wr.labels.Of(rq.key.Workspace))
+
 		return nil, err
 	}
 	defer wr.leave(rq)
@@ -146,6 +153,8 @@
 			return gr, nil
 		}
 
+		wr.cfg.Meter.Count("wait.refused." + wr.labels.Of(rq.key.Workspace))
+
 		return nil, wr.refusal(rq.key.Service, "no slot became free in %v", rq.hold)
 	}
 }
