--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -94,7 +94,7 @@
 	ed.shares = fairshare.NewHolder(cfg.Settings.Name, time.Now().UnixMilli())
 	ed.balancer = balance.New(balance.Config{
 		FailureDomain: cfg.Settings.FailureDomain, Scheduler: scheduler.Config{Policy: scheduler.PolicyCompletion, RandomChoices: schedulerCandidates}, Now: cfg.Now, Random: rand.IntN, IdleTimeout: cfg.Client.IdleTimeout,
-		Permits: ed.permits, Meter: cfg.Meter, Log: cfg.Log,
+		Permits: ed.permits, RegionOf: cfg.Settings.RegionOf, Meter: cfg.Meter, Log: cfg.Log,
 	})
 	ed.guard = crashguard.New(crashguard.Config{
 		Entries: func() map[string]quarantine.Entry { return ed.follower.View().Quarantine.Entries },
@@ -116,13 +116,14 @@
 	})
 	ed.jobProxy = jobproxy.New(jobproxy.Config{
 		Ingress: ed.ingress, Table: ed.Table, View: ed.follower.View, Changed: ed.follower.Changed, Links: ed.links,
+		Balancer: ed.balancer, Region: cfg.Settings.OwnRegion(), RegionOf: cfg.Settings.RegionOf,
 		Meter: cfg.Meter, Log: cfg.Log,
 	})
 
 	return ed
 }
 
-// backlog returns the outstanding work at a service as far as this process knows it.
+// backlog returns the outstanding work of all processes at a service, as far as it is known.
 func (ed *Edge) backlog(service string) fairshare.Backlog {
 	waiting, inFlight, perSecond := ed.balancer.Backlog(service)
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -50,8 +50,7 @@
 	Guard    *crashguard.Guard
 	// Origins knows which software version began each stream; a book of its own if it is nil.
 	Origins *origin.Book
-	// Workload learns the work of requests, for the backend servers that report their pace; it may
-	// be nil.
+	// Workload learns the work of requests; an estimator of its own if it is nil.
 	Workload *workload.Estimator
 	// BufferBytes bounds the memory of answers that are buffered, 0 for a default.
 	BufferBytes int64
@@ -65,7 +64,7 @@
 	// bodies, 0 for defaults.
 	MaxWaiting      int
 	MaxWaitingBytes int64
-	Now             func() time.Duration // monotonic, for Workload and Shares; nil for the clock of the process
+	Now             func() time.Duration // monotonic; nil for the clock of the process
 	Meter           *meter.Meter
 	Log             log.Interface
 }
@@ -82,6 +81,9 @@
 		start := time.Now()
 		c.Now = func() time.Duration { return time.Since(start) }
 	}
+	if c.Workload == nil {
+		c.Workload = workload.New()
+	}
 	if c.Room == nil {
 		c.Room = func() error { return nil }
 	}
@@ -98,13 +100,12 @@
 	cfg     Config
 	answers *answerReader
 	waiting *waitingRoom
-	work    routeWork
 }
 
 // New returns an ingress.
 func New(cfg Config) *Ingress {
 	cfg.Defaults()
-	in := &Ingress{cfg: cfg, answers: newAnswerReader(cfg.BufferBytes), work: routeWork{mean: map[string]float64{}}}
+	in := &Ingress{cfg: cfg, answers: newAnswerReader(cfg.BufferBytes)}
 	in.waiting = newWaitingRoom(&in.cfg)
 
 	return in
@@ -159,6 +160,7 @@
 	ro            *routing.Route
 	workspace     string
 	urgency       int
+	regions       []string  // in which it may run, nil for any
 	began         time.Time // when the request arrived
 	deadline      time.Time // when the client must have received its answer
 	tried         []string  // IDs of the backend servers that were picked, in order
@@ -170,7 +172,6 @@
 	configVersion uint64          // configuration version at the start of the request
 	fingerprint   string          // "" until it is needed
 	slotKey       fairshare.Key   // service and workspace of the slot in use
-	slotAt        time.Time       // when it got the slot
 	origin        *origin.Origin  // what began the stream, nil before its first event
 }
 
@@ -195,7 +196,7 @@
 	if ws != nil {
 		rs.workspace = ws.Name
 	}
-	rs.urgency = ro.Urgency(ws)
+	rs.urgency, rs.regions = ro.Urgency(ws), ro.AllowedRegions(ws)
 	wait := ro.Timeout
 	if rq.ClientTimeout > 0 {
 		wait = min(wait, rq.ClientTimeout)
@@ -323,7 +324,7 @@
 // sendComplete sends the request to one backend server and reads its complete answer.
 func (rs *requestState) sendComplete(ctx context.Context, gr *balance.Grant, pa *crashguard.Pass) (*completeAnswer, error) {
 	outcome, load := balance.Failed, (*backend.Load)(nil)
-	defer func() { rs.releaseSlot(gr, outcome, load) }()
+	defer func() { rs.release(gr, outcome, load) }()
 
 	ca, whole := rs.newCall(gr), ctx
 	if rs.canRetryAfterThis() && rs.ro.LatencyObjective > 0 {
--- a/internal/ingress/slot.go
+++ b/internal/ingress/slot.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"cmp"
 	"context"
 	"time"
 
@@ -14,8 +13,8 @@
 // acquireServer acquires a slot on a backend server. It prefers a server that was not
 // tried, then any server but the last one tried, and takes that one as the last resort.
 func (rs *requestState) acquireServer(ctx context.Context, isSuspect bool) (*balance.Grant, error) {
-	service := rs.ro.PickTarget(rs.in.cfg.Random())
-	rq := &balance.Request{Service: service, Model: rs.rq.Model, Exclude: rs.tried, IsSuspect: isSuspect, Work: rs.estimate(service)}
+	service := rs.in.cfg.Balancer.PickService(rs.ro, rs.regions, rs.in.cfg.Random())
+	rq := &balance.Request{Service: service, Model: rs.rq.Model, Exclude: rs.tried, IsSuspect: isSuspect, Regions: rs.regions, Work: rs.estimate(service)}
 	if rs.origin != nil {
 		if service = rs.origin.Service; !rs.ro.Allows(service) || rs.in.cfg.Balancer.ReadyBySoftware(service)[rs.origin.Software] == 0 {
 			return nil, result.New(result.NoSameSoftware, "ingress: no backend server of %s with software version %q is ready", service, rs.origin.Software).
@@ -30,11 +29,11 @@
 		if gr != nil || err != nil || rs.hold() == 0 {
 			return rs.begin(ke, gr, err)
 		}
-	} else if ready, _ := rs.in.cfg.Balancer.Count(service, rs.rq.Model, 0); ready == 0 {
-		return nil, noBackendServer(service)
+	} else if err := rs.checkReady(service); err != nil {
+		return nil, err
 	}
 	gr, err := wr.wait(ctx, &waitRequest{
-		key: ke, urgency: rs.urgency, work: cmp.Or(rq.Work.Seconds, rs.in.work.of(rs.ro.Name)), hold: rs.hold(), bytes: len(rs.rq.Body),
+		key: ke, urgency: rs.urgency, work: rq.Work.Seconds, hold: rs.hold(), bytes: len(rs.rq.Body),
 		isUsual: rs.origin == nil && len(rs.tried) == 0 && !isSuspect, model: rs.rq.Model, isOver: isOver,
 		acquire: func() *balance.Grant { return rs.acquireAny(rq) },
 	})
@@ -62,18 +61,16 @@
 		return nil, rs.in.waiting.refusal(ke.Service, "no slot is free")
 	}
 	rs.in.cfg.Shares.Begin(rs.in.cfg.Now(), ke)
-	rs.slotKey, rs.slotAt = ke, time.Now()
+	rs.slotKey = ke
 
 	return gr, nil
 }
 
-// releaseSlot ends the use of a slot and gives it to a request that waits.
-func (rs *requestState) releaseSlot(gr *balance.Grant, outcome balance.Outcome, load *backend.Load) {
-	rs.release(gr, outcome, load)
+// release ends the use of a slot and gives it to a request that waits.
+func (rs *requestState) release(gr *balance.Grant, outcome balance.Outcome, load *backend.Load) {
+	gr.Release(outcome, load)
 	rs.in.cfg.Shares.End(rs.in.cfg.Now(), rs.slotKey)
-	if outcome == balance.Succeeded {
-		rs.in.work.record(rs.ro.Name, time.Since(rs.slotAt))
-	}
+	rs.learnWork(gr, outcome)
 	rs.in.waiting.dispatch(rs.slotKey.Service, true)
 }
 
@@ -109,13 +106,19 @@
 	if limitErr != nil {
 		return nil, limitErr
 	}
-	if ready, _ := rs.in.cfg.Balancer.Count(rq.Service, rs.rq.Model, 0); ready == 0 {
-		return nil, noBackendServer(rq.Service)
-	}
 
-	return nil, nil
+	return nil, rs.checkReady(rq.Service)
 }
 
-func noBackendServer(service string) error {
-	return result.New(result.NoBackendServer, "ingress: no backend server of %s is ready", service).WithRetryAfter(defaultRetryAfter)
+// checkReady returns an error if no backend server of a service that the request may use is
+// ready, so that it is no use to wait for a slot.
+func (rs *requestState) checkReady(service string) error {
+	if ready, _ := rs.in.cfg.Balancer.Count(service, rs.rq.Model, 0); ready == 0 {
+		return result.New(result.NoBackendServer, "ingress: no backend server of %s is ready", service).WithRetryAfter(defaultRetryAfter)
+	}
+	if !rs.in.cfg.Balancer.HasAllowed(service, rs.regions) {
+		return result.New(result.NoServerInRegion, "ingress: no backend server of %s is ready in the regions %q", service, rs.regions).WithRetryAfter(defaultRetryAfter)
+	}
+
+	return nil
 }
--- a/internal/ingress/waiting.go
+++ b/internal/ingress/waiting.go
@@ -27,10 +27,6 @@
 	// configuration of the ingress does not.
 	defaultMaxWaiting      = 1000
 	defaultMaxWaitingBytes = 8 << 20
-	// workSmoothing is the weight of a request in the mean work of its route.
-	workSmoothing = 0.1
-	// unknownWork is the work in seconds of a request whose route has served none yet.
-	unknownWork = 0.05
 	// maxRetryJitter is the largest part by which the time to retry after is longer than expected,
 	// so that refused requests do not return at once.
 	maxRetryJitter = 0.5
@@ -263,30 +259,3 @@
 
 	in.cfg.Meter.Gauge("wait.requests", int64(in.waiting.count))
 }
-
-// routeWork is the mean time in seconds that requests of each route occupy a slot.
-type routeWork struct {
-	mu   sync.Mutex
-	mean map[string]float64
-}
-
-func (rw *routeWork) of(route string) float64 {
-	rw.mu.Lock()
-	defer rw.mu.Unlock()
-
-	if m, ok := rw.mean[route]; ok {
-		return m
-	}
-
-	return unknownWork
-}
-
-func (rw *routeWork) record(route string, took time.Duration) {
-	rw.mu.Lock()
-	defer rw.mu.Unlock()
-
-	if _, ok := rw.mean[route]; !ok {
-		rw.mean[route] = unknownWork
-	}
-	rw.mean[route] += workSmoothing * (took.Seconds() - rw.mean[route])
-}
--- a/internal/jobdriver/driver.go
+++ b/internal/jobdriver/driver.go
@@ -41,15 +41,14 @@
 	Changed  func() <-chan struct{}
 	Balancer *balance.Balancer
 	Client   *backend.Client
+	Shares   *fairshare.Holder    // counts the items for the shares of their workspaces; one of its own if it is nil
+	Now      func() time.Duration // monotonic; nil for the clock of the process
 	Random   func() float64
-	// Workload learns the work of texts and scores, for backend servers that report their pace; it
-	// may be nil.
+	// Workload learns the work of texts and scores, for backend servers that report their pace; nil
+	// for none.
 	Workload *workload.Estimator
-	// Shares counts the items for the shares of their workspaces; a holder of its own if it is nil.
-	Shares *fairshare.Holder
-	Now    func() time.Duration // monotonic, for Workload and Shares; nil for the clock of the process
-	Meter  *meter.Meter
-	Log    log.Interface
+	Meter    *meter.Meter
+	Log      log.Interface
 }
 
 // Driver executes the items of all open jobs.
@@ -82,11 +81,8 @@
 // New returns a driver.
 func New(cfg Config) *Driver {
 	if cfg.Shares == nil {
-		cfg.Shares = fairshare.NewHolder("", 0)
-	}
-	if cfg.Now == nil {
 		start := time.Now()
-		cfg.Now = func() time.Duration { return time.Since(start) }
+		cfg.Shares, cfg.Now = fairshare.NewHolder("", 0), func() time.Duration { return time.Since(start) }
 	}
 
 	return &Driver{
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -94,11 +94,11 @@
 	})
 	st.balancer = balance.New(balance.Config{
 		FailureDomain: no.FailureDomain, Scheduler: scheduler.Config{Policy: scheduler.PolicyCompletion, RandomChoices: schedulerChoices}, Now: cfg.Now, Random: rand.IntN, IdleTimeout: cfg.Client.IdleTimeout,
-		Permits: st.permits, Meter: cfg.Meter, Log: cfg.Log,
+		Permits: st.permits, RegionOf: no.RegionOf, Meter: cfg.Meter, Log: cfg.Log,
 	})
 	st.driver = jobdriver.New(jobdriver.Config{
 		Group: st.group, View: st.follower.View, Changed: st.follower.Changed, Balancer: st.balancer, Client: cfg.Client,
-		Workload: workload.New(), Shares: st.shares, Now: cfg.Now, Random: rand.Float64, Meter: cfg.Meter, Log: cfg.Log,
+		Shares: st.shares, Random: rand.Float64, Workload: workload.New(), Now: cfg.Now, Meter: cfg.Meter, Log: cfg.Log,
 	})
 
 	return st, nil
