Refuse no request for lack of slots while one is free

Cause: a workspace that was alone at a service counted as above its share as soon as its use rose, so its requests went through the queue. Change: a workspace is above its share from 1.2 times on; the rate counts requests that got a slot without a wait; before a refusal, the queue is offered the slots once more and what is left is taken.

--- a/internal/ingress/slot.go
+++ b/internal/ingress/slot.go
@@ -37,8 +37,10 @@
 		isUsual: rs.origin == nil && len(rs.tried) == 0 && !isSuspect, model: rs.rq.Model, isOver: isOver,
 		acquire: func() *balance.Grant { return rs.acquireAny(rq) },
 	})
-	if err != nil && len(rs.in.cfg.Balancer.Limited(rq)) > 0 {
-		// The slots that are left need permits, which a waiting request does not ask for.
+	if err != nil && ctx.Err() == nil {
+		// A slot that is left now fits no request that waits, or needs a permit, for which these
+		// do not ask.
+		wr.dispatch(service, true)
 		if gr, err := rs.acquireNow(ctx, rq); gr != nil || err != nil {
 			return rs.begin(ke, gr, err)
 		}
@@ -61,6 +63,7 @@
 		return nil, rs.in.waiting.refusal(ke.Service, "no slot is free")
 	}
 	rs.in.cfg.Shares.Begin(rs.in.cfg.Now(), ke)
+	rs.in.waiting.recordServed(ke.Service, rs.estimate(ke.Service).Seconds)
 	rs.slotKey = ke
 
 	return gr, nil
--- a/internal/ingress/waiting.go
+++ b/internal/ingress/waiting.go
@@ -27,6 +27,9 @@
 	// configuration of the ingress does not.
 	defaultMaxWaiting      = 1000
 	defaultMaxWaitingBytes = 8 << 20
+	// overShare is the use by share from which a workspace is above its share. The use varies with
+	// each request: a workspace alone at a service is a little above and below all the time.
+	overShare = 1.2
 	// maxRetryJitter is the largest part by which the time to retry after is longer than expected,
 	// so that refused requests do not return at once.
 	maxRetryJitter = 0.5
@@ -85,7 +88,7 @@
 func (wr *waitingRoom) isOver(ke fairshare.Key) bool {
 	excess, ok := wr.cfg.Shares.Excess(wr.cfg.Now(), ke)
 
-	return ok && excess > 1
+	return ok && excess > overShare
 }
 
 // isEmpty reports whether no request waits for a service.
@@ -199,6 +202,16 @@
 	return w.grant
 }
 
+// recordServed counts work that got a slot, also without a wait: the expected waits depend on it.
+func (wr *waitingRoom) recordServed(service string, work float64) {
+	wr.mu.Lock()
+	defer wr.mu.Unlock()
+
+	if sq := wr.queues[service]; sq != nil {
+		sq.queue.RecordServed(wr.cfg.Now(), work)
+	}
+}
+
 // dispatch gives free slots to waiting requests. Unless isDue, it does so only if half a
 // dispatchPeriod has passed since the last time: each waiting request has a ticker of its own.
 func (wr *waitingRoom) dispatch(service string, isDue bool) {
@@ -227,7 +240,6 @@
 		if it == nil {
 			return
 		}
-		sq.queue.RecordServed(now, it.Cost)
 		wr.cfg.Meter.RecordDuration("queue.wait", now-it.Arrived)
 		close(it.Payload.(*waiter).granted)
 	}
--- a/internal/ingress/waiting_test.go
+++ b/internal/ingress/waiting_test.go
@@ -150,6 +150,16 @@
 		Expect(serve(4)).To(Equal([]string{"small", "small", "large", "large"}))
 	})
 
+	ginkgo.It("of a workspace that is alone at a service do not count as above its share", func() {
+		ke := fairshare.Key{Service: "s", Workspace: "alone"}
+		wr.cfg.Shares.Begin(0, ke)
+		re := wr.cfg.Shares.NextReport(wr.cfg.Now())
+		Expect(wr.cfg.Shares.Apply(wr.cfg.Now(), &fairshare.Reply{Term: 1, Revision: 1, Sequence: re.Sequence, Shares: []fairshare.Share{
+			{Key: ke, Share: 9, Use: 9.9},
+		}})).To(BeTrue())
+		Expect(wr.isOver(ke)).To(BeFalse())
+	})
+
 	ginkgo.It("get a slot that became free by a request of another process", func() {
 		waits(request("a", 1))
 		sl.release()
