--- a/internal/consensus/transfer.go
+++ b/internal/consensus/transfer.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -97,3 +98,76 @@
 func (ou *outgoingSnapshot) accepts(m Message) bool {
 	return m.Index == ou.snapshot.Index && (m.SnapshotTransfer == 0 || m.SnapshotTransfer == ou.transfer) && m.SnapshotOffset <= ou.sentTo
 }
+
+func (r *Replica) startSnapshot(now time.Duration, id ReplicaID, pr *progress) {
+	ou := &outgoingSnapshot{}
+	if sent := r.snapshotInTransit(); sent != nil {
+		ou.snapshot, ou.digest = sent.snapshot, sent.digest
+	} else {
+		sn, ok := r.cfg.LatestSnapshot()
+		if !ok || sn.Index < r.log.snapIndex {
+			return
+		}
+		ou.snapshot, ou.digest = sn, snapshotDigest(&sn)
+	}
+
+	r.lastTransfer++
+	ou.transfer = r.lastTransfer
+	pr.outgoing = ou
+	r.sendChunk(now, id, pr)
+}
+
+// snapshotInTransit returns a transfer of the newest snapshot that another follower is
+// receiving, if the log still holds all entries after it. Followers then share one copy of its
+// data.
+func (r *Replica) snapshotInTransit() *outgoingSnapshot {
+	var newest *outgoingSnapshot
+	for _, pr := range r.progress {
+		if pr.outgoing != nil && (newest == nil || pr.outgoing.snapshot.Index > newest.snapshot.Index) {
+			newest = pr.outgoing
+		}
+	}
+	if newest == nil || newest.snapshot.Index < r.log.snapIndex {
+		return nil
+	}
+
+	return newest
+}
+
+func (r *Replica) sendChunk(now time.Duration, id ReplicaID, pr *progress) {
+	pr.snapshotSent = now
+	ou := pr.outgoing
+	size := uint64(len(ou.snapshot.Data))
+	from := min(ou.offset, size)
+	end := min(from+uint64(r.cfg.ChunkBytes), size)
+	ou.sentTo = max(ou.sentTo, end)
+	r.sendUnsynced(Message{
+		Kind: MessageSnapshot, To: id, Index: ou.snapshot.Index, LogTerm: ou.snapshot.Term,
+		Membership: ou.snapshot.Membership, SnapshotOffset: from, Chunk: ou.snapshot.Data[from:end],
+		SnapshotDone: end == size, SnapshotTransfer: ou.transfer, SnapshotDigest: ou.digest, Round: r.round,
+	})
+}
+
+func (r *Replica) onSnapshotReply(now time.Duration, m Message) {
+	pr := r.progress[m.From]
+	if r.role != RoleLeader || pr == nil {
+		return
+	}
+
+	pr.lastContact = now
+	if pr.outgoing == nil || !pr.outgoing.accepts(m) {
+		return
+	}
+	switch {
+	case m.Reject:
+		pr.outgoing = nil // the next heartbeat starts a new transfer
+	case m.SnapshotDone:
+		pr.outgoing = nil
+		pr.match = max(pr.match, m.Index)
+		pr.next = pr.match + 1
+		r.sendAppend(now, m.From, true)
+	default:
+		pr.outgoing.offset = m.SnapshotOffset
+		r.sendChunk(now, m.From, pr)
+	}
+}
