Submit the jobs of a case of the order under shortage at one time

The order itself is right. Change: all jobs of a case have the same submission time. The expected order is unchanged.

--- a/internal/jobdriver/shortage_test.go
+++ b/internal/jobdriver/shortage_test.go
@@ -22,13 +22,16 @@
 		{Name: "urgent", Host: "h", Prefix: "/urgent/", Priority: 0, Targets: []routing.Target{{Service: "s", Weight: 1}}},
 		{Name: "usual", Host: "h", Prefix: "/usual/", Priority: 1, Targets: []routing.Target{{Service: "s", Weight: 1}}},
 	}})
+	// All jobs of a case are submitted at the same time: the items of a job differ by 1 ms.
+	var submittedMs int64
+	ginkgo.BeforeEach(func() { submittedMs = time.Now().UnixMilli() })
 	// newDriver has a backend server with two slots and this many runs.
 	newDriver := func(runs int) *Driver {
 		start := time.Now().Add(-time.Hour)
 		ba := balance.New(balance.Config{Now: func() time.Duration { return time.Since(start) }, Random: func(int) int { return 0 }})
 		ba.Sync([]registry.Record{{ID: "a", BornMs: 1, Address: "a", Service: "s", Slots: 2, State: registry.Ready, Models: []registry.Model{{Name: "m", Version: 3}}}})
 		dr := New(Config{Log: logging.Discard(), Meter: meter.New(), Balancer: ba})
-		js := newJobState(&job.Job{SubmittedMs: time.Now().UnixMilli(), Spec: job.Spec{ID: "other", Workspace: "other", Host: "h", Model: "m", ResultDeadlineMs: 7500}}, nil)
+		js := newJobState(&job.Job{SubmittedMs: submittedMs, Spec: job.Spec{ID: "other", Workspace: "other", Host: "h", Model: "m", ResultDeadlineMs: 7500}}, nil)
 		for i := range runs {
 			js.tasks[i] = &task{job: js, phase: running, service: "s", item: job.Item{ID: fmt.Sprint(i), Path: "/usual/x", Group: fmt.Sprint(i)}}
 		}
@@ -38,7 +41,7 @@
 	}
 	// add adds a step of groups with one item each, of one second.
 	add := func(dr *Driver, id, path string, groups int, earlier map[string]job.EarlierText) {
-		jo := &job.Job{SubmittedMs: time.Now().UnixMilli(), Spec: job.Spec{ID: id, Workspace: id, Host: "h", Model: "m", ResultDeadlineMs: 7500}}
+		jo := &job.Job{SubmittedMs: submittedMs, Spec: job.Spec{ID: id, Workspace: id, Host: "h", Model: "m", ResultDeadlineMs: 7500}}
 		for i := range groups {
 			jo.Spec.Items = append(jo.Spec.Items, job.Item{ID: fmt.Sprintf("%s%d", id, i), Group: fmt.Sprint(i), Path: path, Expected: 1000 - i})
 		}
