Decide for all gateways together when a suspect may run

Callers saw a plain service end when many of its requests crashed backend servers at one time: each gateway ran its own suspects, one at a time on each backend server, so that suspects of several gateways met on one, their reports cancelled each other and none was refused; the runs grew with the gateways and the returns of the backend servers. A gateway that was killed lost its count.

Now each run of a suspect is a trial that the controllers grant in their log: one of a fingerprint, one on a backend server, on half of a service, and none while suspects have taken a quarter of it (one backend server at least) within the 5 s that a crashed one takes to return. A trial of which no end is reported counts as a crash. Runs of other requests that end at a crash of a trial do not become suspects. While no controller answers, each process runs its equal share.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -63,6 +63,8 @@
 	MethodUsage        = "controller.usage"
 	MethodCrash        = "controller.crash"
 	MethodClearSuspect = "controller.clearSuspect"
+	MethodTrial        = "controller.trial"
+	MethodEndTrial     = "controller.endTrial"
 )
 
 // Config builds a Controller.
@@ -198,6 +200,8 @@
 	mux[MethodAnnounce] = co.handleAnnounce
 	mux[MethodUsage] = handlePropose[usage.AddCounters](co, statemachine.KindAddUsage)
 	mux[MethodCrash] = co.handleCrash
+	mux[MethodTrial] = co.handleTrial
+	mux[MethodEndTrial] = handlePropose[quarantine.EndTrial](co, statemachine.KindEndTrial)
 	mux[MethodClearSuspect] = handlePropose[quarantine.ClearSuspect](co, statemachine.KindClearSuspect)
 
 	return mux
@@ -209,14 +213,33 @@
 	if err := st.RequestRecord(&cr); err != nil {
 		return err
 	}
-	if err := co.group.Propose(ctx, statemachine.KindRecordCrash, cr, nil); err != nil {
+	var rep quarantine.CrashReply
+	if err := co.group.Propose(ctx, statemachine.KindRecordCrash, cr, &rep); err != nil {
 		return err
 	}
 	co.cfg.Log.WithFields(log.Fields{
-		"server": cr.Server, "fingerprints": cr.Fingerprints, "wereSuspects": cr.WereSuspects, "lastEvent": cr.LastEvent,
+		"server": cr.Server, "fingerprints": cr.Fingerprints, "wereSuspects": cr.WereSuspects, "lastEvent": cr.LastEvent, "explained": rep.IsExplained,
 	}).Info("crash of a backend server recorded")
 
-	return st.Reply(&wire.Empty{})
+	return st.ReplyRecord(rep)
+}
+
+// handleTrial decides whether a gateway may run a suspect once.
+func (co *Controller) handleTrial(ctx context.Context, st *peer.Stream) error {
+	var tr quarantine.Trial
+	if err := st.RequestRecord(&tr); err != nil {
+		return err
+	}
+	var rep quarantine.TrialReply
+	if err := co.group.Propose(ctx, statemachine.KindTrial, tr, &rep); err != nil {
+		return err
+	}
+	co.cfg.Log.WithFields(log.Fields{
+		"fingerprint": tr.Fingerprint, "server": tr.Server, "service": tr.Service, "servers": tr.Servers, "granted": rep.IsGranted,
+		"retryAfterMs": rep.RetryAfterMs, "serviceSpent": rep.IsServiceSpent,
+	}).Info("run of a suspect request decided")
+
+	return st.ReplyRecord(rep)
 }
 
 // handlePropose returns a handler that commits the command in a call.
--- a/internal/crashguard/crash.go
+++ b/internal/crashguard/crash.go
@@ -45,12 +45,16 @@
 	ServerID    string
 	BornMs      int64 // start of the backend server's incarnation, Unix milliseconds
 	Address     string
+	Service     string
 	IsSuspect   bool
 	LastEvent   uint64 // last event that it delivered, 0 for none
 }
 
 // server names the incarnation of the backend server.
-func (ru FailedRun) server() string { return fmt.Sprintf("%s/%d", ru.ServerID, ru.BornMs) }
+func (ru FailedRun) server() string { return ServerName(ru.ServerID, ru.BornMs) }
+
+// ServerName names an incarnation of a backend server in reports and trials.
+func ServerName(id string, bornMs int64) string { return fmt.Sprintf("%s/%d", id, bornMs) }
 
 // RecordBreak records a run whose connection broke. If its backend server has ended, the
 // run was in flight at a crash.
@@ -103,10 +107,16 @@
 func (gu *Guard) recordCrash(ru FailedRun) {
 	server := ru.server()
 	now := gu.cfg.Now()
-	cr := quarantine.Crash{Server: server, Fingerprints: []string{ru.Fingerprint}, WereSuspects: ru.IsSuspect, LastEvent: ru.LastEvent}
+	cr := quarantine.Crash{Server: server, Fingerprints: []string{ru.Fingerprint}, WereSuspects: ru.IsSuspect, LastEvent: ru.LastEvent, Service: ru.Service}
 	gu.mu.Lock()
 	gu.pruneLocal()
-	gu.local[ru.Fingerprint] = append(gu.local[ru.Fingerprint], localCrash{crash: cr, atMs: now.UnixMilli()})
+	isExplained := !ru.IsSuspect && gu.isExplained(server)
+	if !isExplained {
+		gu.local[ru.Fingerprint] = append(gu.local[ru.Fingerprint], localCrash{crash: cr, atMs: now.UnixMilli()})
+	}
+	if ru.IsSuspect {
+		delete(gu.trials, ru.Fingerprint) // the report ends it
+	}
 	en := gu.entry(ru.Fingerprint)
 	gu.queue(report{fingerprint: ru.Fingerprint, crash: &cr})
 	gu.mu.Unlock()
@@ -114,7 +124,7 @@
 	gu.cfg.Meter.Count("servers.crashed")
 	gu.cfg.Log.WithFields(log.Fields{
 		"request": ru.RequestID, "fingerprint": ru.Fingerprint, "server": ru.ServerID, "born": ru.BornMs, "onlySuspect": ru.IsSuspect,
-		"lastEvent": ru.LastEvent, "crashes": len(en.Crashes), "verdict": en.Verdict(now.UnixMilli()).String(),
+		"lastEvent": ru.LastEvent, "crashes": len(en.Crashes), "verdict": en.Verdict(now.UnixMilli()).String(), "explained": isExplained,
 	}).Warn("backend server crashed during a request")
 }
 
--- a/internal/crashguard/crashguard.go
+++ b/internal/crashguard/crashguard.go
@@ -30,8 +30,13 @@
 	// Entries returns the quarantine as the controllers last reported it.
 	Entries func() map[string]quarantine.Entry
 	// ReportCrash and ReportCompletion record a command at a controller, in bounded time.
-	ReportCrash      func(ctx context.Context, cr quarantine.Crash) error
+	ReportCrash      func(ctx context.Context, cr quarantine.Crash) (quarantine.CrashReply, error)
 	ReportCompletion func(ctx context.Context, cl quarantine.ClearSuspect) error
+	// Trial asks the controllers for the run of a suspect, and EndTrial reports its end.
+	Trial    func(ctx context.Context, tr quarantine.Trial) (quarantine.TrialReply, error)
+	EndTrial func(ctx context.Context, en quarantine.EndTrial) error
+	// Processes returns the number of processes that share trials while no controller answers.
+	Processes func() int
 	// HasEnded reports whether nothing listens at the address of a backend server.
 	HasEnded func(ctx context.Context, address string) bool
 	Now      func() time.Time
@@ -46,10 +51,16 @@
 	wake   chan struct{}
 
 	mu      sync.Mutex
-	local   map[string][]localCrash  // by fingerprint: crashes that the controllers may not show yet
-	running map[string]chan struct{} // by fingerprint: closed when its suspect run ends
-	ended   map[string]time.Time     // incarnations of backend servers that ended, and when
-	reports []report                 // in the order in which they are sent
+	local   map[string][]localCrash        // by fingerprint: crashes that the controllers may not show yet
+	running map[string]chan struct{}       // by fingerprint: closed when its suspect run ends
+	ended   map[string]time.Time           // incarnations of backend servers that ended, and when
+	reports []report                       // in the order in which they are sent
+	trials  map[string]quarantine.EndTrial // by fingerprint: granted, and not ended
+	turns   map[string]chan struct{}       // by service: held while this process asks for a trial
+	// servicePauses holds until when a service can spare no backend server, and ownTrialAt when
+	// this process last decided about a trial by itself.
+	servicePauses map[string]time.Time
+	ownTrialAt    time.Time
 	// unresolved holds the runs that ended without an answer at a backend server of which it
 	// is not known whether it crashed.
 	unresolved []unresolvedRun
@@ -59,7 +70,7 @@
 func New(cfg Config) *Guard {
 	return &Guard{
 		cfg: cfg, wake: make(chan struct{}, 1), local: map[string][]localCrash{}, running: map[string]chan struct{}{},
-		ended: map[string]time.Time{},
+		ended: map[string]time.Time{}, trials: map[string]quarantine.EndTrial{}, servicePauses: map[string]time.Time{}, turns: map[string]chan struct{}{},
 	}
 }
 
--- a/internal/crashguard/crashguard_test.go
+++ b/internal/crashguard/crashguard_test.go
@@ -31,7 +31,7 @@
 }
 
 func newGateway() *gateway {
-	ga := &gateway{state: quarantine.NewState(nil), ended: true}
+	ga := &gateway{state: quarantine.NewState(nil, nil), ended: true}
 	nowMs := func() int64 { return time.Now().UnixMilli() }
 	ga.Guard = crashguard.New(crashguard.Config{
 		Entries: func() map[string]quarantine.Entry {
@@ -40,16 +40,34 @@
 
 			return ga.state.Entries()
 		},
-		ReportCrash: func(_ context.Context, cr quarantine.Crash) error {
+		ReportCrash: func(_ context.Context, cr quarantine.Crash) (quarantine.CrashReply, error) {
 			if ga.unreachable {
-				return errors.New("unreachable")
+				return quarantine.CrashReply{}, errors.New("unreachable")
 			}
 			ga.mu.Lock()
 			defer ga.mu.Unlock()
-			ga.state.Crash(cr, nowMs())
+			_, isExplained := ga.state.Crash(cr, nowMs())
+
+			return quarantine.CrashReply{IsExplained: isExplained}, nil
+		},
+		Trial: func(_ context.Context, tr quarantine.Trial) (quarantine.TrialReply, error) {
+			if ga.unreachable {
+				return quarantine.TrialReply{}, errors.New("unreachable")
+			}
+			ga.mu.Lock()
+			defer ga.mu.Unlock()
+			rep, _ := ga.state.Trial(tr, nowMs())
+
+			return rep, nil
+		},
+		EndTrial: func(_ context.Context, en quarantine.EndTrial) error {
+			ga.mu.Lock()
+			defer ga.mu.Unlock()
+			ga.state.EndTrial(en)
 
 			return nil
 		},
+		Processes: func() int { return 4 },
 		ReportCompletion: func(_ context.Context, cl quarantine.ClearSuspect) error {
 			ga.mu.Lock()
 			defer ga.mu.Unlock()
--- a/internal/crashguard/report.go
+++ b/internal/crashguard/report.go
@@ -17,10 +17,11 @@
 	localRetention = 2 * time.Second
 )
 
-// report is a command for the controllers: a crash, or else a completion.
+// report is a command for the controllers: a crash, the end of a trial, or else a completion.
 type report struct {
 	fingerprint string
 	crash       *quarantine.Crash
+	end         quarantine.EndTrial // "" as its fingerprint for none
 	completion  quarantine.ClearSuspect
 }
 
@@ -34,7 +35,12 @@
 	gu.unresolved = slices.DeleteFunc(gu.unresolved, func(ur unresolvedRun) bool { return ur.Fingerprint == fp })
 	gu.reports = slices.DeleteFunc(gu.reports, func(re report) bool { return re.fingerprint == fp })
 	en := gu.cfg.Entries()[fp]
-	if en.Verdict(gu.cfg.Now().UnixMilli()) == quarantine.Suspect {
+	_, wasTried := gu.trials[fp]
+	delete(gu.trials, fp)
+	if wasTried {
+		gu.ownTrialAt = time.Time{}
+	}
+	if wasTried || en.Verdict(gu.cfg.Now().UnixMilli()) == quarantine.Suspect {
 		gu.queue(report{fingerprint: fp, completion: quarantine.ClearSuspect{Fingerprint: fp, Crashes: len(en.Crashes)}})
 	}
 }
@@ -91,19 +97,39 @@
 
 func (gu *Guard) send(ctx context.Context, re report) error {
 	if re.crash != nil {
-		return gu.cfg.ReportCrash(ctx, *re.crash)
+		rep, err := gu.cfg.ReportCrash(ctx, *re.crash)
+		if err == nil && rep.IsExplained {
+			gu.forget(re)
+		}
+
+		return err
+	}
+	if re.end.Fingerprint != "" {
+		return gu.cfg.EndTrial(ctx, re.end)
 	}
 	gu.cfg.Meter.Count("quarantine.cleared")
 
 	return gu.cfg.ReportCompletion(ctx, re.completion)
 }
 
+// forget drops a crash of this process's own that the controllers put down to another
+// fingerprint.
+func (gu *Guard) forget(re report) {
+	gu.mu.Lock()
+	defer gu.mu.Unlock()
+
+	kept := slices.DeleteFunc(gu.local[re.fingerprint], func(lc localCrash) bool { return lc.crash.Server == re.crash.Server })
+	if gu.local[re.fingerprint] = kept; len(kept) == 0 {
+		delete(gu.local, re.fingerprint)
+	}
+}
+
 // confirm removes a report that a controller has recorded.
 func (gu *Guard) confirm(re report) {
 	gu.mu.Lock()
 	defer gu.mu.Unlock()
 
-	if i := slices.IndexFunc(gu.reports, func(o report) bool { return o.crash == re.crash && o.completion == re.completion }); i >= 0 {
+	if i := slices.IndexFunc(gu.reports, func(o report) bool { return o.crash == re.crash && o.end == re.end && o.completion == re.completion }); i >= 0 {
 		gu.reports = slices.Delete(gu.reports, i, i+1)
 	}
 	if re.crash == nil {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -98,9 +98,20 @@
 	})
 	ed.guard = crashguard.New(crashguard.Config{
 		Entries: func() map[string]quarantine.Entry { return ed.follower.View().Quarantine.Entries },
-		ReportCrash: func(ctx context.Context, cr quarantine.Crash) error {
-			return ed.controllers.Call(ctx, controller.MethodCrash, cr, nil)
+		ReportCrash: func(ctx context.Context, cr quarantine.Crash) (rep quarantine.CrashReply, err error) {
+			err = ed.controllers.Call(ctx, controller.MethodCrash, cr, &rep)
+
+			return rep, err
+		},
+		Trial: func(ctx context.Context, tr quarantine.Trial) (rep quarantine.TrialReply, err error) {
+			err = ed.controllers.Call(ctx, controller.MethodTrial, tr, &rep)
+
+			return rep, err
+		},
+		EndTrial: func(ctx context.Context, en quarantine.EndTrial) error {
+			return ed.controllers.Call(ctx, controller.MethodEndTrial, en, nil)
 		},
+		Processes: ed.follower.Processes,
 		ReportCompletion: func(ctx context.Context, cl quarantine.ClearSuspect) error {
 			return ed.controllers.Call(ctx, controller.MethodClearSuspect, cl, nil)
 		},
--- a/internal/ingress/crash.go
+++ b/internal/ingress/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
@@ -34,6 +35,11 @@
 		}
 	}
 	gr, err := rs.acquireServer(ctx, pa.IsSuspect)
+	if err == nil {
+		if err = rs.tryOut(ctx, pa, gr); err != nil {
+			rs.release(gr, balance.Unused, nil)
+		}
+	}
 	if err != nil {
 		pa.Release()
 
@@ -43,6 +49,20 @@
 	return pa, gr, nil
 }
 
+// tryOut asks whether a suspect may run on the backend server of a grant.
+func (rs *requestState) tryOut(ctx context.Context, pa *crashguard.Pass, gr *balance.Grant) error {
+	if !pa.IsSuspect {
+		return nil
+	}
+	re := gr.Record()
+	servers, _ := rs.in.cfg.Balancer.Count(re.Service, "", 0)
+
+	return rs.in.cfg.Guard.TryOut(ctx, pa, quarantine.Trial{
+		Fingerprint: rs.identify(), Server: crashguard.ServerName(re.ID, re.BornMs), Service: re.Service, Servers: servers,
+		RunMs: time.Until(rs.deadline).Milliseconds(),
+	})
+}
+
 // recordBreak records that the connection of a run broke after the event lastEvent.
 func (rs *requestState) recordBreak(ctx context.Context, gr *balance.Grant, pa *crashguard.Pass, lastEvent uint64) {
 	if ctx.Err() != nil {
@@ -62,7 +82,7 @@
 
 	return crashguard.FailedRun{
 		RequestID: rs.rq.ID, Fingerprint: rs.identify(), ServerID: re.ID, BornMs: re.BornMs, Address: re.Address,
-		IsSuspect: pa.IsSuspect, LastEvent: lastEvent,
+		Service: re.Service, IsSuspect: pa.IsSuspect, LastEvent: lastEvent,
 	}
 }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -337,6 +337,8 @@
 	if err != nil {
 		rs.recordSendError(err, &outcome, sent)
 		switch {
+		case !backend.MayHaveRun(err):
+			rs.in.cfg.Guard.RecordNotRun(pa, rs.fingerprint)
 		case result.Is(err, result.BackendCrashed):
 			rs.recordBreak(ctx, gr, pa, 0)
 		case result.Is(err, result.BackendTimeout) && whole.Err() == nil:
@@ -351,6 +353,7 @@
 	load = an.Load
 	if an.IsNotRun {
 		outcome = balance.Busy
+		rs.in.cfg.Guard.RecordNotRun(pa, rs.fingerprint)
 
 		return nil, result.New(result.ServerDraining, "ingress: backend server %s refused with status %d", gr.Record().ID, an.Status).WithRetryAfter(defaultRetryAfter)
 	}
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -110,6 +110,9 @@
 		Workload: fi.work, Now: now, OnStart: func(string, time.Time) { fi.began++ }, Meter: meter.New(), Log: logging.Discard(),
 		Guard: crashguard.New(crashguard.Config{
 			Entries: func() map[string]quarantine.Entry { return nil }, HasEnded: func(context.Context, string) bool { return fi.ended },
+			Trial: func(context.Context, quarantine.Trial) (quarantine.TrialReply, error) {
+				return quarantine.TrialReply{IsGranted: true}, nil
+			},
 			Now: time.Now, Meter: meter.New(), Log: logging.Discard(),
 		}),
 		Client: &backend.Client{NewEventReader: readEvents, Send: func(ctx context.Context, address string, ca *backend.Call) (*backend.Answer, error) {
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -99,7 +99,10 @@
 	an, err := rs.in.cfg.Client.Send(ctx, gr.Record().Address, ca)
 	if err != nil {
 		rs.recordSendError(err, &outcome, sent)
-		if result.Is(err, result.BackendCrashed) {
+		switch {
+		case !backend.MayHaveRun(err):
+			rs.in.cfg.Guard.RecordNotRun(pa, rs.fingerprint)
+		case result.Is(err, result.BackendCrashed):
 			rs.recordBreak(ctx, gr, pa, 0)
 		}
 
@@ -111,6 +114,7 @@
 	load = an.Load
 	if an.IsNotRun {
 		outcome = balance.Busy
+		rs.in.cfg.Guard.RecordNotRun(pa, rs.fingerprint)
 
 		return result.New(result.ServerDraining, "ingress: backend server %s refused with status %d", gr.Record().ID, an.Status).WithRetryAfter(defaultRetryAfter)
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -53,6 +53,8 @@
 	Released       bool     `cbor:"4,keyasint"`           // by an operator
 	SuspectAt      []string `cbor:"5,keyasint,omitempty"` // the crashes at which it ran as a suspect
 	LastEvent      uint64   `cbor:"6,keyasint,omitempty"` // furthest event that any of its crashed runs reached
+	// Trial is its run as a suspect, nil if none is known.
+	Trial *runningTrial `cbor:"7,keyasint,omitempty"`
 }
 
 // Crash records which fingerprints were in flight on a backend server that crashed.
@@ -61,6 +63,7 @@
 	Fingerprints []string `cbor:"2,keyasint"`
 	WereSuspects bool     `cbor:"3,keyasint"`           // the fingerprints ran as suspects
 	LastEvent    uint64   `cbor:"4,keyasint,omitempty"` // last event of the crashed run, 0 for none
+	Service      string   `cbor:"5,keyasint,omitempty"` // of the backend server, "" if it is not known
 }
 
 // ClearSuspect records that a request of a suspect fingerprint has completed.
@@ -92,15 +95,20 @@
 // State holds the entries of a replicated group by fingerprint.
 type State struct {
 	entries map[string]Entry
+	crashed Snapshot
 }
 
-// NewState returns a state with the entries, which may be nil.
-func NewState(entries map[string]Entry) *State {
+// NewState returns a state with the entries and the backend servers that crashed a short time
+// ago. Both may be nil.
+func NewState(entries map[string]Entry, crashed Snapshot) *State {
 	if entries == nil {
 		entries = map[string]Entry{}
 	}
+	if crashed == nil {
+		crashed = Snapshot{}
+	}
 
-	return &State{entries: entries}
+	return &State{entries: entries, crashed: crashed}
 }
 
 // Entries returns all entries. The map is never changed, only replaced.
@@ -147,6 +155,9 @@
 		en.Crashes = appendLast(en.Crashes, cr.Server)
 		en.AtMs = atMs
 	}
+	if en.Trial != nil && en.Trial.Server == cr.Server {
+		en.Trial = nil
+	}
 	if cr.WereSuspects && !slices.Contains(en.SuspectAt, cr.Server) {
 		en.SuspectAt = appendLast(en.SuspectAt, cr.Server)
 		en.WasOnlySuspect = en.WasOnlySuspect || cr.hasOneFingerprint()
@@ -167,8 +178,11 @@
 }
 
 // Crash records the crash of a backend server and removes expired entries. Reports of
-// the same crash count once. It returns the fingerprints whose entries changed.
-func (st *State) Crash(cr Crash, atMs int64) (changed []string) {
+// the same crash count once. If a suspect ran there alone, the crash explains the ends of all
+// other runs, and they are not counted. It returns the fingerprints whose entries changed.
+func (st *State) Crash(cr Crash, atMs int64) (changed []string, isExplained bool) {
+	isExplained = !cr.WereSuspects && st.isExplained(cr.Server, atMs)
+	st.recordCrashed(cr, atMs)
 	next := maps.Clone(st.entries)
 	for fp, en := range st.entries {
 		if atMs > en.AtMs+retentionMs {
@@ -178,7 +192,7 @@
 	}
 	for _, fp := range cr.Fingerprints {
 		en, ok := next[fp]
-		if !ok && len(next) >= maxEntries {
+		if isExplained || (!ok && len(next) >= maxEntries) {
 			continue
 		}
 		next[fp] = en.WithCrash(cr, atMs)
@@ -189,7 +203,7 @@
 	}
 	st.entries = next
 
-	return changed
+	return changed, isExplained
 }
 
 // shareSuspicion corrects the entries of the fingerprints that ran as suspects on the
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -31,7 +31,7 @@
 	}
 	for _, tc := range cases {
 		It("returns the verdict on a fingerprint after "+tc.name, func() {
-			st := quarantine.NewState(nil)
+			st := quarantine.NewState(nil, nil)
 			for _, c := range tc.crashes {
 				st.Crash(c, 1)
 			}
@@ -40,7 +40,7 @@
 	}
 
 	It("clears a suspect that completes, keeps a refused fingerprint, and releases it on request", func() {
-		st := quarantine.NewState(nil)
+		st := quarantine.NewState(nil, nil)
 		st.Crash(crash("s1", false, "x", "y"), 1)
 		st.ClearSuspect(quarantine.ClearSuspect{Fingerprint: "y"}, 1)
 		Expect(st.Entries()).NotTo(HaveKey("y"))
@@ -53,7 +53,7 @@
 	})
 
 	It("ends a refusal, and refuses for longer after each further crash", func() {
-		st := quarantine.NewState(nil)
+		st := quarantine.NewState(nil, nil)
 		st.Crash(crash("s1", false, "x"), 0)
 		at := int64(0)
 		for i, refusedMs := range []int64{30_000, 300_000, 3_600_000} {
@@ -65,7 +65,7 @@
 	})
 
 	It("clears a fingerprint that completes after its refusal by the sender's clock, unless it crashed again", func() {
-		st := quarantine.NewState(nil)
+		st := quarantine.NewState(nil, nil)
 		st.Crash(crash("s1", false, "x"), 1)
 		st.Crash(crash("s2", true, "x"), 1)
 		st.ClearSuspect(quarantine.ClearSuspect{Fingerprint: "x", Crashes: 1}, 2)
@@ -75,12 +75,13 @@
 	})
 
 	It("holds a bounded number of crashes of a fingerprint, and drops fingerprints after a day", func() {
-		st := quarantine.NewState(nil)
+		st := quarantine.NewState(nil, nil)
 		for i := range 50 {
 			st.Crash(crash(fmt.Sprint(i), i%2 == 0, "x"), 1)
 		}
 		Expect(st.Entries()["x"].Crashes).To(HaveLen(8))
-		Expect(st.Crash(crash("s", false, "y"), 2+24*60*60*1000)).To(ConsistOf("x", "y"))
+		changed, _ := st.Crash(crash("s", false, "y"), 2+24*60*60*1000)
+		Expect(changed).To(ConsistOf("x", "y"))
 		Expect(st.Entries()).To(HaveLen(1))
 	})
 })
--- a/internal/statemachine/command.go
+++ b/internal/statemachine/command.go
@@ -47,6 +47,8 @@
 	KindEndJob
 	KindRecordProgress
 	KindChangeEvacuation
+	KindTrial
+	KindEndTrial
 )
 
 // commandHeaderBytes is the size of a command's kind (1 byte) and time (8 bytes).
--- a/internal/statemachine/statemachine.go
+++ b/internal/statemachine/statemachine.go
@@ -97,6 +97,7 @@
 	Roster        roster.Snapshot                      `cbor:"14,keyasint"`
 	Jobs          map[string]*job.Job                  `cbor:"15,keyasint"`
 	Evacuations   evacuation.Snapshot                  `cbor:"16,keyasint"`
+	Crashed       quarantine.Snapshot                  `cbor:"17,keyasint,omitempty"`
 }
 
 // Snapshot returns the encoded state.
@@ -120,7 +121,7 @@
 	rest, err := codec.Append(nil, snapshot{
 		Applied: ma.applied, AtMs: ma.atMs, Configuration: cs, Leases: ma.leases.Leases(), Intents: ma.intents.Snapshot(),
 		Steps: ma.steps.Steps(), Calls: ma.calls.Snapshot(), Usage: ma.usage.Snapshot(),
-		Quarantine: ma.quarantine.Entries(), Replicas: ma.replicas, Revision: ma.revision,
+		Quarantine: ma.quarantine.Entries(), Crashed: ma.quarantine.Crashed(), Replicas: ma.replicas, Revision: ma.revision,
 		Routing: ma.routing.Snapshot(), Versions: ma.versions.All(), Roster: ma.roster.Snapshot(), Evacuations: ma.evacuations.Snapshot(),
 	})
 	if err != nil {
@@ -166,7 +167,7 @@
 	return &Machine{
 		applied: sn.Applied, atMs: sn.AtMs, configuration: cs, leases: lease.NewTable(sn.Leases),
 		intents: intent.NewLog(sn.Intents), steps: step.NewLedger(sn.Steps), calls: idempotency.NewLedger(sn.Calls),
-		usage: usage.NewLedger(sn.Usage), quarantine: quarantine.NewState(sn.Quarantine), replicas: sn.Replicas,
+		usage: usage.NewLedger(sn.Usage), quarantine: quarantine.NewState(sn.Quarantine, sn.Crashed), replicas: sn.Replicas,
 		deltasAfter: sn.Applied, revision: sn.Revision,
 		routing: routing.NewState(sn.Routing), versions: weights.NewVersionTable(sn.Versions),
 		roster: roster.NewRoster(sn.Roster), jobs: job.NewLedger(sn.Jobs), evacuations: evacuation.NewState(sn.Evacuations),
@@ -293,6 +294,14 @@
 
 		return nil, nil
 	}),
+	KindTrial: handle((*Machine).tryOut),
+	KindEndTrial: handle(func(ma *Machine, c quarantine.EndTrial) (any, error) {
+		if ma.quarantine.EndTrial(c) {
+			ma.appendQuarantineDelta([]string{c.Fingerprint})
+		}
+
+		return nil, nil
+	}),
 	KindReleaseQuarantine: handle(func(ma *Machine, c quarantine.Release) (any, error) {
 		if !ma.quarantine.Release(c) {
 			return nil, result.New(result.UnknownObject, "quarantine: unknown fingerprint %s", c.Fingerprint)
@@ -400,9 +409,21 @@
 }
 
 func (ma *Machine) recordCrash(cr quarantine.Crash) (any, error) {
-	ma.appendQuarantineDelta(ma.quarantine.Crash(cr, ma.atMs))
+	changed, isExplained := ma.quarantine.Crash(cr, ma.atMs)
+	if len(changed) > 0 {
+		ma.appendQuarantineDelta(changed)
+	}
 
-	return nil, nil
+	return quarantine.CrashReply{IsExplained: isExplained}, nil
+}
+
+func (ma *Machine) tryOut(tr quarantine.Trial) (any, error) {
+	rep, changed := ma.quarantine.Trial(tr, ma.atMs)
+	if len(changed) > 0 {
+		ma.appendQuarantineDelta(changed)
+	}
+
+	return rep, nil
 }
 
 // appendQuarantineDelta adds the current quarantine entries of fingerprints as a change.
