Tell a request that was served before from one that crashes backend servers

Callers of a request that all repeat got refusals for as long as many others crashed backend servers: it was in flight at one of the first crashes, so it was a suspect like them, and waited for its trial behind all of them.

Now each gateway remembers the fingerprints that ran to their end (8,192, the last ones). One crash does not make such a fingerprint a suspect, a second one does before it completes again; the count is in the controllers' log, so that all gateways together excuse one. Its trials do not wait while the service is short of backend servers. A crash in a trial ends the excuse.

--- a/internal/crashguard/crash.go
+++ b/internal/crashguard/crash.go
@@ -108,6 +108,7 @@
 	server := ru.server()
 	now := gu.cfg.Now()
 	cr := quarantine.Crash{Server: server, Fingerprints: []string{ru.Fingerprint}, WereSuspects: ru.IsSuspect, LastEvent: ru.LastEvent, Service: ru.Service}
+	cr.HasCompleted = gu.completed.Contains(ru.Fingerprint)
 	gu.mu.Lock()
 	gu.pruneLocal()
 	isExplained := !ru.IsSuspect && gu.isExplained(server)
@@ -115,6 +116,7 @@
 		gu.local[ru.Fingerprint] = append(gu.local[ru.Fingerprint], localCrash{crash: cr, atMs: now.UnixMilli()})
 	}
 	if ru.IsSuspect {
+		gu.completed.Remove(ru.Fingerprint)
 		delete(gu.trials, ru.Fingerprint) // the report ends it
 	}
 	en := gu.entry(ru.Fingerprint)
--- a/internal/crashguard/crashguard.go
+++ b/internal/crashguard/crashguard.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/apex/log"
+	lru "github.com/hashicorp/golang-lru/v2"
 	"golang.org/x/sync/singleflight"
 
 	"github.com/tamarackbay/tamarackbay/internal/meter"
@@ -48,7 +49,9 @@
 type Guard struct {
 	cfg    Config
 	probes singleflight.Group
-	wake   chan struct{}
+	// completed holds the fingerprints that ran to their end a short time ago.
+	completed *lru.Cache[string, struct{}]
+	wake      chan struct{}
 
 	mu      sync.Mutex
 	local   map[string][]localCrash        // by fingerprint: crashes that the controllers may not show yet
@@ -68,8 +71,13 @@
 
 // New returns a guard. Run sends its reports.
 func New(cfg Config) *Guard {
+	completed, err := lru.New[string, struct{}](maxCompleted)
+	if err != nil {
+		panic(err) // the size is positive
+	}
+
 	return &Guard{
-		cfg: cfg, wake: make(chan struct{}, 1), local: map[string][]localCrash{}, running: map[string]chan struct{}{},
+		cfg: cfg, completed: completed, wake: make(chan struct{}, 1), local: map[string][]localCrash{}, running: map[string]chan struct{}{},
 		ended: map[string]time.Time{}, trials: map[string]quarantine.EndTrial{}, servicePauses: map[string]time.Time{}, turns: map[string]chan struct{}{},
 	}
 }
--- a/internal/crashguard/report.go
+++ b/internal/crashguard/report.go
@@ -15,6 +15,8 @@
 	// localRetention is how long a reported crash counts here although the controllers
 	// do not show it: they may have cleared the fingerprint since.
 	localRetention = 2 * time.Second
+	// maxCompleted bounds the fingerprints that are known to have completed, the last ones.
+	maxCompleted = 8192
 )
 
 // report is a command for the controllers: a crash, the end of a trial, or else a completion.
@@ -26,8 +28,12 @@
 }
 
 // RecordCompletion records that a request ran to its end, which clears its fingerprint
-// unless it is refused.
+// unless it is refused, and speaks for it at its next crash.
 func (gu *Guard) RecordCompletion(fp string) {
+	gu.completed.Add(fp, struct{}{})
+	if gu.IsIdle() {
+		return
+	}
 	gu.mu.Lock()
 	defer gu.mu.Unlock()
 
@@ -40,7 +46,7 @@
 	if wasTried {
 		gu.ownTrialAt = time.Time{}
 	}
-	if wasTried || en.Verdict(gu.cfg.Now().UnixMilli()) == quarantine.Suspect {
+	if wasTried || (!en.IsClear() && en.Verdict(gu.cfg.Now().UnixMilli()) != quarantine.Refused) {
 		gu.queue(report{fingerprint: fp, completion: quarantine.ClearSuspect{Fingerprint: fp, Crashes: len(en.Crashes)}})
 	}
 }
--- a/internal/crashguard/trial.go
+++ b/internal/crashguard/trial.go
@@ -22,6 +22,7 @@
 	if !pa.IsSuspect {
 		return nil
 	}
+	tr.HasCompleted = gu.completed.Contains(tr.Fingerprint)
 	ctx, cancel := context.WithTimeout(ctx, maxSuspectWait)
 	defer cancel()
 	turn := gu.turnOf(tr.Service)
@@ -63,7 +64,7 @@
 	gu.mu.Lock()
 	left := gu.servicePauses[tr.Service].Sub(asked)
 	gu.mu.Unlock()
-	if left > 0 {
+	if left > 0 && !tr.HasCompleted {
 		return 0, trialRefused(tr, left)
 	}
 
--- a/internal/ingress/crash.go
+++ b/internal/ingress/crash.go
@@ -97,8 +97,4 @@
 }
 
 // recordCompletion records that the request ran to its end on a backend server.
-func (rs *requestState) recordCompletion() {
-	if !rs.in.cfg.Guard.IsIdle() {
-		rs.in.cfg.Guard.RecordCompletion(rs.identify())
-	}
-}
+func (rs *requestState) recordCompletion() { rs.in.cfg.Guard.RecordCompletion(rs.identify()) }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,6 +1,7 @@
 // Package quarantine refuses requests that crash the backend servers they run on. A
-// fingerprint that was in flight at a crash becomes suspect; from then on its requests
-// run as the only suspect on their backend server. A suspect that completes is cleared.
+// fingerprint that was in flight at a crash becomes suspect, at a second one if it has
+// completed before; from then on its requests run as the only suspect on their backend
+// server. A suspect that completes is cleared.
 // A fingerprint is refused by all gateways after two crashes if it was the only suspect
 // at one of them. Without this condition, a popular request, which is in flight at
 // nearly every crash, would be refused. A refusal ends after a time that grows with the
@@ -53,6 +54,9 @@
 	Released       bool     `cbor:"4,keyasint"`           // by an operator
 	SuspectAt      []string `cbor:"5,keyasint,omitempty"` // the crashes at which it ran as a suspect
 	LastEvent      uint64   `cbor:"6,keyasint,omitempty"` // furthest event that any of its crashed runs reached
+	// HasCompleted is set if it ran to its end before its first crash. Then that crash alone does
+	// not make it a suspect.
+	HasCompleted bool `cbor:"8,keyasint,omitempty"`
 	// Trial is its run as a suspect, nil if none is known.
 	Trial *runningTrial `cbor:"7,keyasint,omitempty"`
 }
@@ -64,6 +68,7 @@
 	WereSuspects bool     `cbor:"3,keyasint"`           // the fingerprints ran as suspects
 	LastEvent    uint64   `cbor:"4,keyasint,omitempty"` // last event of the crashed run, 0 for none
 	Service      string   `cbor:"5,keyasint,omitempty"` // of the backend server, "" if it is not known
+	HasCompleted bool     `cbor:"6,keyasint,omitempty"` // the fingerprint is known to have run to its end before
 }
 
 // ClearSuspect records that a request of a suspect fingerprint has completed.
@@ -117,7 +122,7 @@
 // Verdict returns the verdict on a fingerprint at a time in Unix milliseconds.
 func (en Entry) Verdict(atMs int64) Verdict {
 	switch {
-	case en.IsClear():
+	case en.IsClear(), en.HasCompleted && len(en.Crashes) == 1:
 		return Clear
 	case atMs < en.RefusedUntilMs():
 		return Refused
@@ -152,6 +157,9 @@
 			en.Crashes, en.SuspectAt, en.WasOnlySuspect = nil, nil, false
 		}
 		en.LastEvent = max(en.LastEvent, cr.LastEvent)
+		if len(en.Crashes) == 0 {
+			en.HasCompleted = cr.HasCompleted
+		}
 		en.Crashes = appendLast(en.Crashes, cr.Server)
 		en.AtMs = atMs
 	}
@@ -232,10 +240,10 @@
 	return involved
 }
 
-// ClearSuspect removes a suspect that completed. A refused fingerprint stays refused.
+// ClearSuspect removes a fingerprint that completed. A refused one stays refused.
 func (st *State) ClearSuspect(cl ClearSuspect, atMs int64) {
 	en, ok := st.entries[cl.Fingerprint]
-	if !ok || (en.Verdict(atMs) != Suspect && (en.Released || cl.Crashes == 0 || cl.Crashes != len(en.Crashes))) {
+	if !ok || en.Released || (en.Verdict(atMs) == Refused && (cl.Crashes == 0 || cl.Crashes != len(en.Crashes))) {
 		return
 	}
 	st.entries = maps.Clone(st.entries)
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -27,6 +27,9 @@
 		{"a crash alone after two with another suspect", []quarantine.Crash{crash("s1", true, "y"), crash("s1", true, "x"), crash("s2", true, "x")}, quarantine.Refused},
 		{"a run that got further than those at the crashes before", []quarantine.Crash{crash("s1", false, "x"), {Server: "s2", Fingerprints: []string{"x"}, WereSuspects: true, LastEvent: 4}}, quarantine.Suspect},
 		{"crashes at the same event of a stream", []quarantine.Crash{{Server: "s1", Fingerprints: []string{"x"}, LastEvent: 4}, {Server: "s2", Fingerprints: []string{"x"}, WereSuspects: true, LastEvent: 4}}, quarantine.Refused},
+		{"one crash after it has completed", []quarantine.Crash{{Server: "s1", Fingerprints: []string{"x"}, HasCompleted: true}}, quarantine.Clear},
+		{"two crashes after it has completed", []quarantine.Crash{{Server: "s1", Fingerprints: []string{"x"}, HasCompleted: true}, crash("s2", false, "x")}, quarantine.Suspect},
+		{"a completion that only the report of its second crash tells of", []quarantine.Crash{crash("s1", false, "x"), {Server: "s1", Fingerprints: []string{"x"}, HasCompleted: true}}, quarantine.Suspect},
 		{"a crash at which only another fingerprint was in flight", []quarantine.Crash{crash("s1", false, "y")}, quarantine.Clear},
 	}
 	for _, tc := range cases {
--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -35,6 +35,9 @@
 	Service     string `cbor:"3,keyasint"`
 	Servers     int    `cbor:"4,keyasint"` // backend servers of the service that are ready
 	RunMs       int64  `cbor:"5,keyasint"` // how long the run may take, milliseconds
+	// HasCompleted is set if the gateway knows that the fingerprint ran to its end before. It need
+	// not wait for the backend servers that other suspects crashed.
+	HasCompleted bool `cbor:"6,keyasint,omitempty"`
 }
 
 // TrialReply answers a Trial.
@@ -139,12 +142,12 @@
 		}
 	}
 	lost, servers := len(backAtMs), tr.Servers+len(backAtMs)
-	if excess := lost - max(1, servers/lostShare); excess >= 0 {
+	if excess := lost - max(1, servers/lostShare); excess >= 0 && !tr.HasCompleted {
 		slices.Sort(backAtMs)
 
 		return backAtMs[excess] - atMs, true
 	}
-	if running+lost >= max(1, servers/runningShare) {
+	if running >= max(1, servers/runningShare-lost) {
 		return busyRetryMs, false
 	}
 
--- a/internal/quarantine/trial_test.go
+++ b/internal/quarantine/trial_test.go
@@ -52,11 +52,15 @@
 	})
 
 	It("pause while the backend servers that suspects crashed are missing", func() {
-		st := suspects("x", "y")
+		st := suspects("x", "y", "z")
 		Expect(grant(st, trial("x", "a", 3), 1)).To(BeTrue())
 		st.Crash(crash("x", "a"), 100)
 		rep, _ := st.Trial(trial("y", "b", 2), 200)
 		Expect(rep).To(Equal(quarantine.TrialReply{RetryAfterMs: 4900, IsServiceSpent: true}))
+		completed := trial("z", "b", 2)
+		completed.HasCompleted = true
+		Expect(grant(st, completed, 200)).To(BeTrue(), "it has completed before")
+		st.ClearSuspect(quarantine.ClearSuspect{Fingerprint: "z"}, 201)
 		Expect(grant(st, trial("y", "b", 7), 200)).To(BeTrue(), "a larger service can spare two")
 		Expect(grant(st, trial("x", "b", 7), 200)).To(BeFalse(), "refused")
 	})
