Send nothing new to a backend server whose answers say that it leaves

No process read the header.

A process now marks the incarnation as leaving at the head of the first such answer, and reports it to a controller, where it is a leave notice like one of the backend server's own: it goes to the other controllers, to all processes and to the weight planner by the ways that exist. Heartbeats that deny it no longer restore it after two minutes. What runs there ends there.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -59,10 +59,12 @@
 	Status   int
 	Header   http.Header // for the client, without hop-by-hop headers
 	Body     io.ReadCloser
-	IsNotRun bool   // the backend server reports that it did not run the request
-	Stamp    string // signature of the backend server, "" if missing
-	Version  uint64 // weight version at the start, 0 if missing
-	Load     *Load  // nil if not reported
+	IsNotRun bool // the backend server reports that it did not run the request
+	// IsLeaving says that the backend server is about to end, and wants nothing new.
+	IsLeaving bool
+	Stamp     string // signature of the backend server, "" if missing
+	Version   uint64 // weight version at the start, 0 if missing
+	Load      *Load  // nil if not reported
 	// IsLoadUnreadable says that a load was reported, but not, or not entirely, as numbers.
 	IsLoadUnreadable bool
 	Limit            RateLimit
@@ -102,6 +104,8 @@
 	Sequence uint64            // orders accepted so far
 	Versions map[string]uint64 // by model
 	Limit    RateLimit
+	// IsLeaving is as in Answer.
+	IsLeaving bool
 }
 
 // Client sends requests to backend servers in one dialect.
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -41,6 +41,9 @@
 	// RegionOf returns the region of a failure domain, "" if it is not known. Without it no region
 	// is known.
 	RegionOf func(failureDomain string) string
+	// ReportLeaving tells a controller of a backend server whose answer said that it leaves. Nobody
+	// is told if it is nil.
+	ReportLeaving func(ctx context.Context, in registry.Incarnation) error
 }
 
 // Balancer holds the backend servers by service. It is safe for concurrent use.
@@ -51,6 +54,7 @@
 	services         map[string]*serverSet
 	evacuated        []string      // failure domains whose backend servers get nothing new
 	unreadableLogged time.Duration // when an unreadable load was last logged, 0 before
+	leaving          leaving
 }
 
 // serverSet holds the backend servers of one service; cands has the same order as
@@ -103,7 +107,7 @@
 		cfg.RegionOf = func(string) string { return "" }
 	}
 
-	return &Balancer{cfg: cfg, services: map[string]*serverSet{}}
+	return &Balancer{cfg: cfg, services: map[string]*serverSet{}, leaving: newLeaving()}
 }
 
 // Sync replaces the backend servers by those that are alive now. A server keeps its
@@ -176,7 +180,7 @@
 
 // isReady reports whether a backend server may get new requests. The caller holds mu.
 func (ba *Balancer) isReady(re *registry.Record) bool {
-	return re.State == registry.Ready && !slices.Contains(ba.evacuated, re.FailureDomain)
+	return re.State == registry.Ready && !slices.Contains(ba.evacuated, re.FailureDomain) && !ba.leaving.incarnations.Contains(re.Incarnation())
 }
 
 // Request describes the request to place.
--- a/internal/balance/grant.go
+++ b/internal/balance/grant.go
@@ -35,6 +35,9 @@
 // RecordAnswer records the head of the backend server's answer to the request.
 func (gr *Grant) RecordAnswer(an *backend.Answer) {
 	ba := gr.balancer
+	if an.IsLeaving {
+		ba.markLeaving(&gr.record)
+	}
 	ba.cfg.Permits.Observe(gr.record.Incarnation(), gr.grantedAt, an.Limit)
 	if an.IsLoadUnreadable {
 		ba.reportUnreadable(&gr.record)
--- a/internal/controller/client.go
+++ b/internal/controller/client.go
@@ -9,6 +9,7 @@
 
 	"github.com/tamarackbay/tamarackbay/internal/peer"
 	"github.com/tamarackbay/tamarackbay/internal/permit"
+	"github.com/tamarackbay/tamarackbay/internal/registry"
 	"github.com/tamarackbay/tamarackbay/internal/result"
 	"github.com/tamarackbay/tamarackbay/internal/wire"
 )
@@ -68,6 +69,11 @@
 	return rep, err
 }
 
+// ReportLeaving tells a controller that a backend server said in an answer that it leaves.
+func (cl *Client) ReportLeaving(ctx context.Context, in registry.Incarnation) error {
+	return cl.Call(ctx, MethodLeaving, in, nil)
+}
+
 // ReportLimits reports rate limits to the broker.
 func (cl *Client) ReportLimits(ctx context.Context, limits []permit.Limit) error {
 	return cl.Call(ctx, MethodLimits, limits, &struct{}{})
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -65,6 +65,7 @@
 	MethodClearSuspect = "controller.clearSuspect"
 	MethodTrial        = "controller.trial"
 	MethodEndTrial     = "controller.endTrial"
+	MethodLeaving      = "controller.leaving" // also called by stores
 )
 
 // Config builds a Controller.
@@ -200,6 +201,7 @@
 	mux[MethodAnnounce] = co.handleAnnounce
 	mux[MethodUsage] = handlePropose[usage.AddCounters](co, statemachine.KindAddUsage)
 	mux[MethodCrash] = co.handleCrash
+	mux[MethodLeaving] = co.handleLeaving
 	mux[MethodTrial] = co.handleTrial
 	mux[MethodEndTrial] = handlePropose[quarantine.EndTrial](co, statemachine.KindEndTrial)
 	mux[MethodClearSuspect] = handlePropose[quarantine.ClearSuspect](co, statemachine.KindClearSuspect)
@@ -224,6 +226,17 @@
 	return st.ReplyRecord(rep)
 }
 
+// handleLeaving records that a backend server said in an answer that it leaves.
+func (co *Controller) handleLeaving(_ context.Context, st *peer.Stream) error {
+	var in registry.Incarnation
+	if err := st.RequestRecord(&in); err != nil {
+		return err
+	}
+	co.RecordLeave(in.ID, in.BornMs)
+
+	return st.Reply(&wire.Empty{})
+}
+
 // handleTrial decides whether a gateway may run a suspect once.
 func (co *Controller) handleTrial(ctx context.Context, st *peer.Stream) error {
 	var tr quarantine.Trial
--- a/internal/controller/weights.go
+++ b/internal/controller/weights.go
@@ -257,8 +257,13 @@
 	if err == nil {
 		co.reportLimit(ctx, re.Incarnation(), rep.Limit)
 	}
-	if err == nil && rep.BornMs != 0 && rep.BornMs != re.BornMs {
+	switch {
+	case err != nil:
+	case rep.BornMs != 0 && rep.BornMs != re.BornMs:
 		err = errOtherIncarnation
+	case rep.IsLeaving:
+		co.RecordLeave(re.ID, re.BornMs)
+		err = errLeaving
 	}
 
 	return rep, err
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -94,7 +94,7 @@
 	ed.shares = fairshare.NewHolder(cfg.Settings.Name, time.Now().UnixMilli())
 	ed.balancer = balance.New(balance.Config{
 		FailureDomain: cfg.Settings.FailureDomain, Scheduler: scheduler.Config{Policy: scheduler.PolicyCompletion, RandomChoices: schedulerCandidates}, Now: cfg.Now, Random: rand.IntN, IdleTimeout: cfg.Client.IdleTimeout,
-		Permits: ed.permits, RegionOf: cfg.Settings.RegionOf, Meter: cfg.Meter, Log: cfg.Log,
+		Permits: ed.permits, ReportLeaving: ed.controllers.ReportLeaving, RegionOf: cfg.Settings.RegionOf, Meter: cfg.Meter, Log: cfg.Log,
 	})
 	ed.guard = crashguard.New(crashguard.Config{
 		Entries: func() map[string]quarantine.Entry { return ed.follower.View().Quarantine.Entries },
@@ -205,6 +205,7 @@
 	wg.Go(func() { ed.sendUsageLoop(ctx) })
 	wg.Go(func() { ed.guard.Run(ctx) })
 	wg.Go(func() { ed.permits.Run(ctx) })
+	wg.Go(func() { ed.balancer.Run(ctx) })
 	wg.Go(func() { ed.controllers.RunShares(ctx, ed.shares, ed.cfg.Now, ed.cfg.Log) })
 	wg.Go(func() { ed.origins.Run(ctx) })
 	wg.Go(func() { ed.observeHeadroom(ctx) })
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -94,7 +94,7 @@
 	})
 	st.balancer = balance.New(balance.Config{
 		FailureDomain: no.FailureDomain, Scheduler: scheduler.Config{Policy: scheduler.PolicyCompletion, RandomChoices: schedulerChoices}, Now: cfg.Now, Random: rand.IntN, IdleTimeout: cfg.Client.IdleTimeout,
-		Permits: st.permits, RegionOf: no.RegionOf, Meter: cfg.Meter, Log: cfg.Log,
+		Permits: st.permits, ReportLeaving: st.controllers.ReportLeaving, RegionOf: no.RegionOf, Meter: cfg.Meter, Log: cfg.Log,
 	})
 	st.driver = jobdriver.New(jobdriver.Config{
 		Group: st.group, View: st.follower.View, Changed: st.follower.Changed, Balancer: st.balancer, Client: cfg.Client,
@@ -159,6 +159,7 @@
 	wg.Go(func() { st.announceLoop(ctx) })
 	wg.Go(func() { st.driver.Run(ctx) })
 	wg.Go(func() { st.permits.Run(ctx) })
+	wg.Go(func() { st.balancer.Run(ctx) })
 	wg.Go(func() { st.controllers.RunShares(ctx, st.shares, st.cfg.Now, st.cfg.Log) })
 	wg.Go(func() {
 		st.follower.EachView(ctx, func(vi *feed.View) {
--- a/internal/registry/outbox.go
+++ b/internal/registry/outbox.go
@@ -172,8 +172,12 @@
 	switch {
 	case !ok || en.record.BornMs < no.Record.BornMs:
 		return false, false
-	case en.record.BornMs > no.Record.BornMs || en.record.State == Left || en.record.Sequence >= no.Record.Sequence:
+	case en.record.BornMs > no.Record.BornMs || en.record.Sequence >= no.Record.Sequence:
 		return true, false // out of date
+	case en.record.State == Left:
+		en.remember(now)
+
+		return true, false
 	case en.record.digest() != no.Digest:
 		return false, false
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -138,7 +138,10 @@
 		return false
 	}
 	if ok && old.record.BornMs == re.BornMs && old.record.State == Left {
-		return false // a heartbeat sent before it left
+		// It was sent before the backend server left, or denies that.
+		old.remember(now)
+
+		return false
 	}
 	if rg.isSuperseded(&re) {
 		return false
@@ -162,6 +165,14 @@
 	return changed
 }
 
+// remember keeps a backend server that has left for another retentionPeriod, unless its next
+// incarnation could not be told from it.
+func (en *entry) remember(now time.Duration) {
+	if en.record.BornMs != 0 {
+		en.lastHeard = now
+	}
+}
+
 // unseenHeartbeats is the distance from the last heartbeat that arrived before a moment to the
 // first one that was certainly sent after it: the one in between may be on its way.
 const unseenHeartbeats = 2
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -71,6 +71,24 @@
 		Expect(alive(rg)).To(Equal([]string{"i"}))
 	})
 
+	// Guards against a backend server that says in its answers that it leaves, and is taken back
+	// after minutes because its heartbeats say that it is ready.
+	ginkgo.It("does not restore one that has left while its heartbeats go on", func() {
+		rg := registry.New(lapse)
+		rg.Observe(0, record("i", "x", 1, 1, registry.Ready))
+		rg.Leave(0, "i", 1)
+		now := time.Duration(0)
+		for seq := uint64(2); now < 10*time.Minute; seq++ {
+			now += 10 * time.Second
+			rg.Observe(now, record("i", "x", 1, seq, registry.Ready))
+			rg.Sweep(now)
+			Expect(alive(rg)).To(BeEmpty())
+		}
+		Expect(rg.Leave(now, "i", 0)).To(BeFalse())
+		rg.Observe(now, record("i", "x", 2, 1, registry.Ready))
+		Expect(alive(rg)).To(Equal([]string{"i"}))
+	})
+
 	ginkgo.It("reports a silent backend server once and restores it at its next heartbeat", func() {
 		rg := registry.New(lapse)
 		rg.Observe(0, record("i", "x", 1, 5, registry.Ready))
--- /dev/null
+++ b/soak/leaving_test.go
@@ -0,0 +1,91 @@
+package soak_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarackbay/tamarackbay/internal/program"
+	"github.com/tamarackbay/tamarackbay/platform/standin"
+)
+
+// drainWithin limits the time from an answer that says that its backend server leaves until
+// nothing new arrives there: drain_ms of the deployments.
+const drainWithin = 2 * time.Second
+
+// Guards against new work at a backend server whose answers say that it leaves while its
+// heartbeats say that it is ready, when a process that must learn of it is frozen or cut off.
+var _ = ginkgo.Describe("a backend server whose answers say that it leaves, with real processes", ginkgo.Ordered, func() {
+	var de *deployment
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	var plain, engine *standin.BackendServer
+	ginkgo.BeforeAll(func() {
+		de = startLoaded(ctx, &wg, Config{Folder: filepath.Join(folder, "leaving"), Subnet: 64, PlainServers: 3, Engines: 3})
+		plain, engine = de.servers[0], de.servers[3]
+		for _, bs := range de.servers[:3] {
+			bs.Work = 50 * time.Millisecond // so that a new incarnation, without connections, gets its share
+		}
+		randomGateway := func() string { return de.gateways()[rand.IntN(len(de.gateways()))] }
+		wg.Go(func() {
+			for i := 0; ctx.Err() == nil; i++ {
+				_, _ = de.caller.Submit(ctx, randomGateway(), fmt.Sprintf("job%d", i), 4, 10)
+				time.Sleep(200 * time.Millisecond)
+			}
+		})
+		wg.Go(func() {
+			for i := 0; ctx.Err() == nil; i++ {
+				go func() {
+					_, _ = de.caller.Take(ctx, randomGateway(), &standin.Stream{}, fmt.Sprintf("stream%d", i), 10, 0)
+				}()
+				time.Sleep(50 * time.Millisecond)
+			}
+		})
+	})
+	ginkgo.AfterAll(func() {
+		cancel()
+		wg.Wait()
+		Expect(de.close()).To(Succeed())
+	})
+
+	for _, ha := range harms {
+		ginkgo.It(fmt.Sprintf("gets nothing new while each %s in turn is %s, and after it", ha.role, ha.name), func() {
+			for _, pr := range ha.targets(de) {
+				ha.begin(de, pr)
+				plain.Leave()
+				engine.Leave()
+				time.Sleep(drainWithin + time.Second)
+				ha.end(de, pr)
+				healed := time.Now()
+				time.Sleep(drainWithin + time.Second)
+				for _, bs := range []*standin.BackendServer{plain, engine} {
+					first, _, late := bs.LeavingKnownAt(drainWithin)
+					_, _, lateAfterHealed := bs.LeavingKnownAt(healed.Add(drainWithin).Sub(first))
+					ginkgo.GinkgoWriter.Printf("%s %s: %s was asked %d times later than %v, %d times later than that after the fault\n", pr.settings.Name, ha.name, bs.ID, late, drainWithin, lateAfterHealed)
+					Expect(first).NotTo(BeZero())
+					Expect(lateAfterHealed).To(BeZero())
+					// A freeze excuses what the gateway took before it.
+					if ha.role == program.RoleGateway && ha.name == "frozen" {
+						continue
+					}
+					Expect(late).To(BeZero())
+				}
+				began := time.Now()
+				for _, bs := range []*standin.BackendServer{plain, engine} {
+					Expect(bs.Replace(bs.Software)).To(Succeed())
+					Eventually(func() bool {
+						arrivals := bs.Arrivals()
+
+						return arrivals[len(arrivals)-1].After(began)
+					}, "5s", "10ms").Should(BeTrue(), "the next incarnation of %s gets work", bs.ID)
+				}
+			}
+		})
+	}
+})
