--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -28,6 +28,8 @@
 	maxHeaderBytes     = 64 << 10 // of an answer
 	maxAnswerBytes     = 1 << 20  // of a JSON answer
 	maxErrorBytes      = 512
+	// maxKeepAliveSeconds bounds what a Keep-Alive header may announce to be believed.
+	maxKeepAliveSeconds = 24 * 60 * 60
 )
 
 // Config configures a client.
@@ -153,7 +155,7 @@
 	}
 	s, _, _ = strings.Cut(s, ",")
 	n, err := strconv.Atoi(strings.TrimSpace(s))
-	if err != nil || n <= 0 {
+	if err != nil || n <= 0 || n > maxKeepAliveSeconds {
 		return // without a time-out the server may keep its connections for ever
 	}
 
--- a/internal/httpcall/httpcall_test.go
+++ b/internal/httpcall/httpcall_test.go
@@ -44,6 +44,15 @@
 		get()
 		Expect(opened.Load()).To(Equal(int64(2)))
 
+		announced = "timeout=9223372036854775" // overflows as a duration, and would end the idle time
+		for range 3 {
+			get()
+			time.Sleep(60 * time.Millisecond)
+		}
+		get()
+		Expect(opened.Load()).To(Equal(int64(5)))
+		opened.Store(2)
+
 		announced = "timeout=60"
 		get()
 		get() // opens the first connection that is kept for longer
