Tell which incarnation of an engine wrote a part of an item's text

Trainers could read texts joined from two software versions when an engine returned with other software under the same ID: until its first heartbeat the store took the version from the record of the incarnation before. Two ways: a text that broke off went on at the engine that had just returned, and a text begun there before that heartbeat was put down to the old version.

After a run breaks off the store asks the engine which incarnation it is, one call for all runs that broke, and gives it no texts until the answer fits its record, 1.5 s at most. A run that began after a later incarnation, of which a heartbeat or that answer tells, is discarded unless it holds the whole text.

Cost: one report of the engine for each time that it breaks off, a probe.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -75,6 +75,7 @@
 	record         registry.Record
 	lastPrefix     string // prefix of the last request with one that was sent to it
 	pausedUntil    time.Duration
+	suspendedUntil time.Duration   // it gets nothing until then, as it may not be what its record says
 	loadReportedAt time.Duration   // when it last reported its load
 	idleSince      []time.Duration // start of each connection's idle time, the oldest first
 	speed          speed
@@ -322,7 +323,7 @@
 		if rq.Model != "" {
 			ca.Sequence = sv.record.Version(rq.Model)
 		}
-		if !sv.runs(rq.Software) || !rq.allows(sv.record.ID) || !ba.isInRegion(sv, rq.Regions) || now < sv.pausedUntil || sv.record.IsLoading {
+		if !sv.runs(rq.Software) || !rq.allows(sv.record.ID) || !ba.isInRegion(sv, rq.Regions) || now < max(sv.pausedUntil, sv.suspendedUntil) || sv.record.IsLoading {
 			sr.Exclude = append(sr.Exclude, i)
 		}
 		if rq.Prefix != "" && sv.lastPrefix == rq.Prefix {
--- /dev/null
+++ b/internal/balance/confirm_test.go
@@ -0,0 +1,48 @@
+package balance_test
+
+import (
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarackbay/tamarackbay/internal/balance"
+	"github.com/tamarackbay/tamarackbay/internal/registry"
+)
+
+// Guards against work at a backend server that may not be the incarnation that its record names.
+var _ = ginkgo.Describe("a suspended backend server", func() {
+	first := registry.Incarnation{ID: "s0", BornMs: 1}
+	for _, tc := range []struct {
+		name   string
+		change func(cl *cluster)
+	}{
+		{"the time is over", func(cl *cluster) { cl.now += time.Second }},
+		{"it was confirmed", func(cl *cluster) { cl.Suspend(first, 0) }},
+		{"its record names a later incarnation", func(cl *cluster) {
+			cl.records[0].BornMs = 2
+			cl.Sync(cl.records)
+			cl.now += time.Millisecond
+		}},
+	} {
+		ginkgo.It("gets nothing until "+tc.name, func() {
+			cl := newCluster(3, 2)
+			Expect(cl.BornMs("s", "s0")).To(Equal(int64(1)))
+			Expect(cl.Suspend(first, time.Second)).To(BeTrue())
+			cl.Sync(cl.records)
+			Expect(cl.Acquire(&balance.Request{Service: "s", Only: []string{"s0"}})).To(BeNil())
+			ready, _ := cl.Count("s", "", 0)
+			Expect(ready).To(Equal(3), "it still counts as ready")
+			tc.change(cl)
+			Expect(cl.Acquire(&balance.Request{Service: "s", Only: []string{"s0"}})).NotTo(BeNil())
+		})
+	}
+	ginkgo.It("is not to be had of an incarnation that is not known or not ready", func() {
+		cl := newCluster(3, 2)
+		Expect(cl.Suspend(registry.Incarnation{ID: "s0", BornMs: 2}, time.Second)).To(BeFalse())
+		cl.SetEvacuated([]string{"a"})
+		Expect(cl.Suspend(first, time.Second)).To(BeFalse())
+		Expect(cl.BornMs("other", "s0")).To(BeZero())
+		Expect(cl.BornMs("s", "other")).To(BeZero())
+	})
+})
--- a/internal/jobdriver/driver.go
+++ b/internal/jobdriver/driver.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/tamarackbay/tamarackbay/internal/backend"
 	"github.com/tamarackbay/tamarackbay/internal/balance"
@@ -75,6 +76,7 @@
 	demandAt       time.Time
 	shortage       shortage
 	services       map[string]string // the last service that ran each model
+	confirmations  singleflight.Group
 	wg             sync.WaitGroup
 }
 
@@ -378,6 +380,7 @@
 	t.phase, t.server, t.service, t.software = running, rec.ID, rec.Service, rec.Software
 	t.cancel = func() { cancel(nil) }
 	t.cancelForMove, t.startedAt = func() { cancel(errSlow) }, time.Now()
+	t.cancelReplaced, t.bornMs = func() { cancel(errReplaced) }, rec.BornMs
 	if t.runs++; t.runs == 1 {
 		t.firstStartedAt = t.startedAt
 	}
--- a/internal/jobdriver/run.go
+++ b/internal/jobdriver/run.go
@@ -82,9 +82,18 @@
 		grantOutcome = balance.Succeeded
 	case errors.Is(context.Cause(ctx), errSlow):
 		oc, grantOutcome = moved, balance.Unused
+	case errors.Is(context.Cause(ctx), errReplaced):
+		*te = generatedText{}
+		grantOutcome = balance.Unused
 	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errSilent):
 		oc, grantOutcome = cancelled, balance.Unused
 	}
+	if te.lastEvent > from && (oc != complete || from > 0) && dr.isOutdated(&rec, began) {
+		*te, oc = generatedText{}, brokenOff
+	}
+	if oc == brokenOff && err != nil && backend.MayHaveRun(err) {
+		dr.confirm(ctx, &rec, te, te.lastEvent > from)
+	}
 	fl := log.Fields{
 		"job": t.job.id, "item": t.item.ID, "group": t.item.Group, "expectedTokens": t.item.Expected, "server": rec.ID, "software": rec.Software, "outcome": oc.String(), "fromEvent": from, "lastEvent": te.lastEvent,
 		"believedVersion": rec.Version(t.job.model), "versions": te.versions, "ms": time.Since(began).Milliseconds(),
@@ -212,7 +221,7 @@
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
 
-	t.cancel, t.cancelForMove = nil, nil
+	t.cancel, t.cancelForMove, t.cancelReplaced = nil, nil, nil
 	next := t.nextGrant
 	t.nextGrant = nil
 	defer func() {
--- a/internal/jobdriver/task.go
+++ b/internal/jobdriver/task.go
@@ -58,6 +58,8 @@
 	regions           []string           // in which it may run, as of the last pass; nil for any
 	cancel            context.CancelFunc // cancels the current run or score request, nil if there is none
 	cancelForMove     func()             // cancels the current run so that it continues elsewhere, nil if it can't be moved
+	cancelReplaced    func()             // cancels the current run and discards the text, nil if there is none
+	bornMs            int64              // incarnation of the backend server that its record named
 	nextGrant         *balance.Grant     // slot reserved for the moved run at another backend server
 }
 
