--- a/internal/controller/client.go
+++ b/internal/controller/client.go
@@ -58,6 +58,10 @@
 		return err
 	}
 
+	if len(pa.GetRecord()) == 0 {
+		return nil // a controller of an earlier version, which has nothing to answer
+	}
+
 	return cbor.Unmarshal(pa.GetRecord(), out)
 }
 
--- a/internal/crashguard/crashguard_test.go
+++ b/internal/crashguard/crashguard_test.go
@@ -150,6 +150,69 @@
 		Expect(ga.IsIdle()).To(BeTrue())
 	})
 
+	// Guards against several gateways that each run suspects of their own on the few backend servers
+	// of a service.
+	ginkgo.It("runs a suspect only in a trial, and leaves the end of one to its completion", func() {
+		ga := newGateway()
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); ga.Run(ctx) }()
+		defer func() { cancel(); <-done }()
+		trial := func(fp, server string) quarantine.Trial {
+			return quarantine.Trial{Fingerprint: fp, Server: server, Service: "s", Servers: 3, RunMs: 1000}
+		}
+		for _, fp := range []string{"x", "y", "z"} {
+			Expect(ga.crash(fp, "first")).To(Succeed())
+		}
+		Eventually(func() int { ga.mu.Lock(); defer ga.mu.Unlock(); return len(ga.state.Entries()) }).Should(Equal(3))
+		Expect(ga.TryOut(ctx, crashguard.FreePass(), trial("x", "a/0"))).To(Succeed(), "not a suspect")
+		px, err := ga.Admit(ctx, "x")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(ga.TryOut(ctx, px, trial("x", "a/0"))).To(Succeed())
+		py, err := ga.Admit(ctx, "y")
+		Expect(err).NotTo(HaveOccurred())
+		began := time.Now()
+		Expect(result.From(ga.TryOut(ctx, py, trial("y", "b/0"))).Execution).To(Equal(result.NotRun))
+		Expect(time.Since(began)).To(BeNumerically("~", 250*time.Millisecond, 200*time.Millisecond), "it waited for the other trial")
+
+		ga.RecordBreak(ctx, crashguard.FailedRun{Fingerprint: "bystander", ServerID: "a", Service: "s"})
+		pa, err := ga.Admit(ctx, "bystander")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(pa.IsSuspect).To(BeFalse(), "the crash of a trial is its own")
+
+		ga.RecordNotRun(px, "x")
+		Eventually(func() error { return ga.TryOut(ctx, py, trial("y", "b/0")) }).Should(Succeed())
+		ga.RecordBreak(ctx, crashguard.FailedRun{Fingerprint: "y", ServerID: "b", Service: "s", IsSuspect: true})
+		py.Release()
+		Eventually(func() time.Duration { return result.From(ga.TryOut(ctx, px, trial("x", "c/0"))).RetryAfter }).Should(BeNumerically(">", 3*time.Second), "the service is short of a backend server")
+		px.Release()
+	})
+
+	ginkgo.It("runs its share of the trials while no controller answers", func() {
+		ga := newGateway()
+		ga.unreachable = true
+		ctx := context.Background()
+		trial := quarantine.Trial{Fingerprint: "x", Server: "a/0", Service: "s", Servers: 3, RunMs: 1000}
+		Expect(ga.crash("x", "first")).To(Succeed())
+		pa, err := ga.Admit(ctx, "x")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(ga.TryOut(ctx, pa, trial)).To(Succeed())
+		Expect(ga.TryOut(ctx, pa, trial)).NotTo(Succeed())
+		pa.Release()
+	})
+
+	ginkgo.It("does not suspect a request for its first crash that it has served before", func() {
+		ga := newGateway()
+		ga.RecordCompletion("x")
+		for _, isSuspect := range []bool{false, true} {
+			ga.RecordBreak(context.Background(), crashguard.FailedRun{Fingerprint: "x", ServerID: map[bool]string{false: "a", true: "b"}[isSuspect]})
+			pa, err := ga.Admit(context.Background(), "x")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(pa.IsSuspect).To(Equal(isSuspect))
+			pa.Release()
+		}
+	})
+
 	ginkgo.It("counts a crash of which only a later incarnation tells, and refuses a suspect until it is known", func() {
 		ga := newGateway()
 		ga.ended = false
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -239,7 +239,7 @@
 	if rs.rq.ResumeAfter > 0 || len(rs.software) > 1 {
 		fl["software"], fl["resumes"], fl["resumeAfter"] = rs.software, rs.rq.Resumes, rs.rq.ResumeAfter
 	}
-	if rs.fingerprint != "" {
+	if rs.fingerprint != "" && (err != nil || len(rs.tried) > 1) {
 		fl["fingerprint"] = rs.fingerprint
 	}
 	if err == nil {
