--- a/internal/meter/names.go
+++ b/internal/meter/names.go
@@ -71,6 +71,8 @@
 	{"calls.endLost", KindCounter, "outcomes of calls that could not be committed"},
 	{"calls.abandonLost", KindCounter, "abandoned calls that could not be committed"},
 	{"servers.crashed", KindCounter, "requests that were in flight when their backend server crashed, or crashes reported by agents"},
+	{"servers.leaving", KindCounter, "backend servers whose answers said that they leave"},
+	{"item.replacedServer", KindCounter, "runs that broke off at a backend server which had been replaced by a later incarnation"},
 	{"servers.known", KindGauge, "backend servers that are considered alive"},
 	{"quarantine.cleared", KindCounter, "suspect requests that ran to completion"},
 	{"swaps.failed", KindCounter, "orders to load or activate weights that failed"},
