Ask for more evidence before a request that was served before is refused

One trial convicts a fingerprint with two crashes, and it explained those that had crashed the server, which stayed unknown.

A fingerprint that ran to its end before is refused at the second crash of its own trials, doesn't explain the others in flight there, and is tried on backend servers that have been up for a second. The unit test of internal/quarantine fails without it.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -195,6 +195,7 @@
 	Only       []string // the only backend servers that may be picked, all if it is empty
 	Tokens     int
 	IsSuspect  bool              // was in flight at a crash: must be the only suspect of this process on its backend server
+	MinAge     time.Duration     // how long a backend server must have been known as this incarnation
 	ExtraSlots int               // requests that a backend server may get beyond its slots, where they queue
 	Work       workload.Estimate // expected work, zero if it is not known
 	// Regions lists the regions whose backend servers may be picked. It is nil for any; with a list
@@ -323,7 +324,8 @@
 		if rq.Model != "" {
 			ca.Sequence = sv.record.Version(rq.Model)
 		}
-		if !sv.runs(rq.Software) || !rq.allows(sv.record.ID) || !ba.isInRegion(sv, rq.Regions) || now < max(sv.pausedUntil, sv.suspendedUntil) || sv.record.IsLoading {
+		if !sv.runs(rq.Software) || !rq.allows(sv.record.ID) || !ba.isInRegion(sv, rq.Regions) || now < max(sv.pausedUntil, sv.suspendedUntil) || sv.record.IsLoading ||
+			now-ca.ReadySince < rq.MinAge {
 			sr.Exclude = append(sr.Exclude, i)
 		}
 		if rq.Prefix != "" && sv.lastPrefix == rq.Prefix {
--- a/internal/crashguard/crash.go
+++ b/internal/crashguard/crash.go
@@ -57,13 +57,16 @@
 func ServerName(id string, bornMs int64) string { return fmt.Sprintf("%s/%d", id, bornMs) }
 
 // RecordBreak records a run whose connection broke. If its backend server has ended, the
-// run was in flight at a crash.
-func (gu *Guard) RecordBreak(ctx context.Context, ru FailedRun) {
-	if gu.hasEnded(ctx, ru.server(), ru.Address) {
-		gu.recordCrash(ru)
-	} else {
+// run was in flight at a crash. It reports whether that incarnation has ended.
+func (gu *Guard) RecordBreak(ctx context.Context, ru FailedRun) (hasEnded bool) {
+	if !gu.hasEnded(ctx, ru.server(), ru.Address) {
 		gu.RecordSilence(ru)
+
+		return false
 	}
+	gu.recordCrash(ru)
+
+	return true
 }
 
 // RecordSilence records a run that got no answer in time, from a backend server that may
@@ -116,10 +119,12 @@
 		gu.local[ru.Fingerprint] = append(gu.local[ru.Fingerprint], localCrash{crash: cr, atMs: now.UnixMilli()})
 	}
 	if ru.IsSuspect {
-		gu.completed.Remove(ru.Fingerprint)
 		delete(gu.trials, ru.Fingerprint) // the report ends it
 	}
 	en := gu.entry(ru.Fingerprint)
+	if en.Verdict(now.UnixMilli()) == quarantine.Refused {
+		gu.completed.Remove(ru.Fingerprint)
+	}
 	gu.queue(report{fingerprint: ru.Fingerprint, crash: &cr})
 	gu.mu.Unlock()
 
--- a/internal/crashguard/crashguard.go
+++ b/internal/crashguard/crashguard.go
@@ -114,9 +114,11 @@
 
 // Pass is the permission to run a request once.
 type Pass struct {
-	IsSuspect bool   // it must be the only suspect on its backend server
-	LastEvent uint64 // furthest event of the runs that ended at crashes
-	release   func()
+	IsSuspect bool // it must be the only suspect on its backend server
+	// HasCompleted is set for a suspect that ran to its end before its crashes.
+	HasCompleted bool
+	LastEvent    uint64 // furthest event of the runs that ended at crashes
+	release      func()
 }
 
 // FreePass returns a permission that needs no release.
@@ -142,7 +144,10 @@
 			gu.running[fp] = done
 			gu.mu.Unlock()
 
-			return &Pass{IsSuspect: true, LastEvent: en.LastEvent, release: sync.OnceFunc(func() { gu.endRun(fp, done) })}, nil
+			return &Pass{
+				IsSuspect: true, HasCompleted: en.HasCompleted || gu.completed.Contains(fp), LastEvent: en.LastEvent,
+				release: sync.OnceFunc(func() { gu.endRun(fp, done) }),
+			}, nil
 		}
 		gu.mu.Unlock()
 
--- a/internal/crashguard/trial.go
+++ b/internal/crashguard/trial.go
@@ -22,7 +22,7 @@
 	if !pa.IsSuspect {
 		return nil
 	}
-	tr.HasCompleted = gu.completed.Contains(tr.Fingerprint)
+	tr.HasCompleted = pa.HasCompleted
 	ctx, cancel := context.WithTimeout(ctx, maxSuspectWait)
 	defer cancel()
 	turn := gu.turnOf(tr.Service)
@@ -137,7 +137,7 @@
 // crash is put down to it.
 func (gu *Guard) isExplained(server string) bool {
 	for _, en := range gu.cfg.Entries() {
-		if en.IsTriedAt(server) {
+		if en.Explains(server) {
 			return true
 		}
 	}
--- a/internal/ingress/crash.go
+++ b/internal/ingress/crash.go
@@ -13,6 +13,10 @@
 	"github.com/tamarackbay/tamarackbay/internal/quarantine"
 )
 
+// minTrialAge is for how long a backend server must have been up for a suspect that ran to its end
+// before. One that is back may be crashed at once by what crashed the one before it.
+const minTrialAge = time.Second
+
 // identify sets the fingerprint of the request: what its caller sends again when it
 // repeats the request. IDs, deadlines and other headers differ between repetitions.
 func (rs *requestState) identify() string {
@@ -34,7 +38,7 @@
 			return nil, nil, err
 		}
 	}
-	gr, err := rs.acquireServer(ctx, pa.IsSuspect)
+	gr, err := rs.acquireServer(ctx, pa)
 	if err == nil {
 		if err = rs.tryOut(ctx, pa, gr); err != nil {
 			rs.release(gr, balance.Unused, nil)
--- a/internal/ingress/slot.go
+++ b/internal/ingress/slot.go
@@ -6,15 +6,19 @@
 
 	"github.com/tamarackbay/tamarackbay/internal/backend"
 	"github.com/tamarackbay/tamarackbay/internal/balance"
+	"github.com/tamarackbay/tamarackbay/internal/crashguard"
 	"github.com/tamarackbay/tamarackbay/internal/fairshare"
 	"github.com/tamarackbay/tamarackbay/internal/result"
 )
 
 // acquireServer acquires a slot on a backend server. It prefers a server that was not
 // tried, then any server but the last one tried, and takes that one as the last resort.
-func (rs *requestState) acquireServer(ctx context.Context, isSuspect bool) (*balance.Grant, error) {
+func (rs *requestState) acquireServer(ctx context.Context, pa *crashguard.Pass) (*balance.Grant, error) {
 	service := rs.in.cfg.Balancer.PickService(rs.ro, rs.regions, rs.in.cfg.Random())
-	rq := &balance.Request{Service: service, Model: rs.rq.Model, Exclude: rs.tried, IsSuspect: isSuspect, Regions: rs.regions, Work: rs.estimate(service)}
+	rq := &balance.Request{Service: service, Model: rs.rq.Model, Exclude: rs.tried, IsSuspect: pa.IsSuspect, Regions: rs.regions, Work: rs.estimate(service)}
+	if pa.HasCompleted {
+		rq.MinAge = minTrialAge
+	}
 	if rs.origin != nil {
 		if service = rs.origin.Service; !rs.ro.Allows(service) || rs.in.cfg.Balancer.ReadyBySoftware(service)[rs.origin.Software] == 0 {
 			return nil, result.New(result.NoSameSoftware, "ingress: no backend server of %s with software version %q is ready", service, rs.origin.Software).
@@ -34,7 +38,7 @@
 	}
 	gr, err := wr.wait(ctx, &waitRequest{
 		key: ke, urgency: rs.urgency, work: rq.Work.Seconds, hold: rs.hold(), bytes: len(rs.rq.Body),
-		isUsual: rs.origin == nil && len(rs.tried) == 0 && !isSuspect, model: rs.rq.Model, isOver: isOver,
+		isUsual: rs.origin == nil && len(rs.tried) == 0 && !pa.IsSuspect, model: rs.rq.Model, isOver: isOver,
 		acquire: func() *balance.Grant { return rs.acquireAny(rq) },
 	})
 	if err != nil && ctx.Err() == nil {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -54,8 +54,8 @@
 	Released       bool     `cbor:"4,keyasint"`           // by an operator
 	SuspectAt      []string `cbor:"5,keyasint,omitempty"` // the crashes at which it ran as a suspect
 	LastEvent      uint64   `cbor:"6,keyasint,omitempty"` // furthest event that any of its crashed runs reached
-	// HasCompleted is set if it ran to its end before its first crash. Then that crash alone does
-	// not make it a suspect.
+	// HasCompleted is set if it ran to its end before its crashes. Then the first one does not make
+	// it a suspect, and only crashes of its trials count towards its refusal.
 	HasCompleted bool `cbor:"8,keyasint,omitempty"`
 	// Trial is its run as a suspect, nil if none is known.
 	Trial *runningTrial `cbor:"7,keyasint,omitempty"`
@@ -137,7 +137,12 @@
 // RefusedUntilMs returns when the refusal of a fingerprint ends, in Unix milliseconds.
 // It is 0 for one that is not refused.
 func (en Entry) RefusedUntilMs() int64 {
-	n := len(en.Crashes) - crashLimit
+	evidence := en.Crashes
+	if en.HasCompleted {
+		// At one trial it may have run beside another request that crashes backend servers.
+		evidence = en.SuspectAt
+	}
+	n := len(evidence) - crashLimit
 	if en.Released || n < 0 || !en.WasOnlySuspect {
 		return 0
 	}
@@ -157,9 +162,7 @@
 			en.Crashes, en.SuspectAt, en.WasOnlySuspect = nil, nil, false
 		}
 		en.LastEvent = max(en.LastEvent, cr.LastEvent)
-		if len(en.Crashes) == 0 {
-			en.HasCompleted = cr.HasCompleted
-		}
+		en.HasCompleted = en.HasCompleted || cr.HasCompleted
 		en.Crashes = appendLast(en.Crashes, cr.Server)
 		en.AtMs = atMs
 	}
@@ -186,8 +189,9 @@
 }
 
 // Crash records the crash of a backend server and removes expired entries. Reports of
-// the same crash count once. If a suspect ran there alone, the crash explains the ends of all
-// other runs, and they are not counted. It returns the fingerprints whose entries changed.
+// the same crash count once. If a suspect ran there alone that never completed, the crash
+// explains the ends of all other runs, and they are not counted. It returns the fingerprints
+// whose entries changed.
 func (st *State) Crash(cr Crash, atMs int64) (changed []string, isExplained bool) {
 	isExplained = !cr.WereSuspects && st.isExplained(cr.Server, atMs)
 	st.recordCrashed(cr, atMs)
--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -71,15 +71,20 @@
 // isRunning reports whether a trial may still run.
 func (tr *runningTrial) isRunning(atMs int64) bool { return tr != nil && atMs < tr.UntilMs }
 
-// IsTriedAt reports whether a trial of the fingerprint was granted at a backend server and no
-// end of it is known.
-func (en Entry) IsTriedAt(server string) bool { return en.Trial != nil && en.Trial.Server == server }
+// Explains reports whether a crash of a backend server is put down to the fingerprint: a trial of
+// it was granted there, no end of it is known, and it never completed.
+func (en Entry) Explains(server string) bool {
+	return en.Trial != nil && en.Trial.Server == server && !en.HasCompleted
+}
 
 // Crashed is an incarnation of a backend server that crashed.
 type Crashed struct {
 	Service   string `cbor:"1,keyasint"` // "" if it is not known
 	AtMs      int64  `cbor:"2,keyasint"`
 	IsByTrial bool   `cbor:"3,keyasint"` // it ran a suspect alone
+	// HasCompleted is set if that suspect ran to its end before, so that the crash may be due to
+	// what ran beside it.
+	HasCompleted bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Snapshot is the stored form of a State beside its entries: backend servers that crashed a
@@ -168,11 +173,11 @@
 
 // isExplained reports whether a crash is put down to a suspect that ran on the backend server.
 func (st *State) isExplained(server string, atMs int64) bool {
-	if st.crashed[server].IsByTrial {
+	if cr := st.crashed[server]; cr.IsByTrial && !cr.HasCompleted {
 		return true
 	}
 	for _, en := range st.entries {
-		if en.Trial.isRunning(atMs) && en.Trial.Server == server {
+		if en.Trial.isRunning(atMs) && en.Explains(server) {
 			return true
 		}
 	}
@@ -192,6 +197,7 @@
 		known = Crashed{Service: cr.Service, AtMs: atMs}
 	}
 	known.IsByTrial = cr.WereSuspects && cr.hasOneFingerprint()
+	known.HasCompleted = known.IsByTrial && (cr.HasCompleted || st.entries[cr.Fingerprints[0]].HasCompleted)
 	if ok || len(next) < maxCrashed {
 		next[cr.Server] = known
 	}
--- a/internal/quarantine/trial_test.go
+++ b/internal/quarantine/trial_test.go
@@ -83,6 +83,38 @@
 		Expect(st.Entries()["y"].Verdict(9002)).To(Equal(quarantine.Refused))
 	})
 
+	// Guards against a request that is held back although it was served before: at its only trial
+	// another request, which was not known yet, crashed the backend server.
+	It("refuse a request that completed before at the second of its own crashes, and don't explain others by it", func() {
+		st := quarantine.NewState(nil, nil)
+		served := func(server string, isSuspect bool) quarantine.Crash {
+			return quarantine.Crash{Server: server, Fingerprints: []string{"x"}, WereSuspects: isSuspect, HasCompleted: true, Service: "s"}
+		}
+		st.Crash(served("a", false), 0)
+		Expect(st.Entries()["x"].Verdict(1)).To(Equal(quarantine.Clear))
+		st.Crash(served("b", false), 10)
+		st.Crash(served("c", false), 20)
+		Expect(grant(st, trial("x", "d", 3), 30)).To(BeTrue())
+		_, isExplained := st.Crash(quarantine.Crash{Server: "d", Fingerprints: []string{"beside"}, Service: "s"}, 40)
+		Expect(isExplained).To(BeFalse())
+		st.Crash(served("d", true), 41)
+		_, isExplained = st.Crash(quarantine.Crash{Server: "d", Fingerprints: []string{"late"}, Service: "s"}, 42)
+		Expect(isExplained).To(BeFalse())
+		Expect(st.Entries()["x"].Verdict(43)).To(Equal(quarantine.Suspect))
+		for _, fp := range []string{"beside", "late"} {
+			Expect(st.Entries()[fp].Verdict(43)).To(Equal(quarantine.Suspect))
+		}
+		completed := trial("x", "e", 3)
+		completed.HasCompleted = true
+		Expect(grant(st, completed, 43)).To(BeTrue())
+		st.Crash(served("e", true), 50)
+		Expect(st.Entries()["x"].RefusedUntilMs()).To(Equal(int64(30_050)))
+		Expect(st.Entries()["x"].Verdict(30_049)).To(Equal(quarantine.Refused))
+		Expect(grant(st, trial("x", "f", 3), 30_051)).To(BeTrue())
+		st.Crash(served("f", true), 30_060)
+		Expect(st.Entries()["x"].RefusedUntilMs()).To(Equal(int64(30_060 + 5*60_000)))
+	})
+
 	// Guards against a service that ends because many requests crash it: forty of them, among five
 	// sound ones, are asked for every 20 ms at a service of three backend servers that are back after 3 s.
 	It("cost a small service one backend server in a recovery period", func() {
