Send nothing more to an incarnation of a backend server that has ended

Cause, by the trace of platform/suspects_test.go, case forty: between the return of a backend server at its address and its first heartbeat, gateways went on sending to the record of the incarnation before. Its crash then counted as that one's crash, which was recorded already, so the requests that crashed it were not counted; and as "explained" by the trial that had ended the one before.

A gateway that saw a connection break and a new one refused sends nothing more to that incarnation for 2 s, by the suspension that jobs use already. The controllers grant no trial on an incarnation of which a crash is recorded. The test of streams that crash used one incarnation again and again; its backend servers return as later ones now, and a case for one that doesn't is added, which fails without the change.

--- a/internal/ingress/crash.go
+++ b/internal/ingress/crash.go
@@ -13,9 +13,15 @@
 	"github.com/tamarackbay/tamarackbay/internal/quarantine"
 )
 
-// minTrialAge is for how long a backend server must have been up for a suspect that ran to its end
-// before. One that is back may be crashed at once by what crashed the one before it.
-const minTrialAge = time.Second
+const (
+	// endedSuspension is for how long an incarnation of a backend server that has ended gets nothing
+	// more: what listens at its address later is another one, whose heartbeat is on its way. Heartbeats
+	// of one that has ended are missed after about that time.
+	endedSuspension = 2 * time.Second
+	// minTrialAge is for how long a backend server must have been up for a suspect that ran to its end
+	// before. One that is back may be crashed at once by what crashed the one before it.
+	minTrialAge = time.Second
+)
 
 // identify sets the fingerprint of the request: what its caller sends again when it
 // repeats the request. IDs, deadlines and other headers differ between repetitions.
@@ -77,7 +83,9 @@
 	rs.in.cfg.Log.WithFields(log.Fields{
 		"request": rs.rq.ID, "fingerprint": rs.identify(), "server": re.ID, "born": re.BornMs, "attempt": rs.sentCount, "lastEvent": lastEvent,
 	}).Warn("connection to the backend server broke during a request")
-	rs.in.cfg.Guard.RecordBreak(ctx, rs.newRun(gr, pa, lastEvent))
+	if rs.in.cfg.Guard.RecordBreak(ctx, rs.newRun(gr, pa, lastEvent)) {
+		rs.in.cfg.Balancer.Suspend(re.Incarnation(), endedSuspension)
+	}
 }
 
 // newRun describes a run that ended without an answer, after the event lastEvent.
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -71,14 +72,16 @@
 func (errReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
 
 type fixture struct {
-	in     *ingress.Ingress
-	mu     sync.Mutex
-	sent   []string // addresses of the backend servers that received the request, in order
-	began  int
-	ended  bool // broken connections mean that the backend server has ended
-	status int
-	body   string
-	work   *workload.Estimator
+	in    *ingress.Ingress
+	mu    sync.Mutex
+	sent  []string // addresses of the backend servers that received the request, in order
+	began int
+	ended bool // broken connections mean that the backend server has ended
+	// returns is set if a backend server is known as a later incarnation after each run.
+	returns bool
+	status  int
+	body    string
+	work    *workload.Estimator
 }
 
 // newFixture serves the route ro with three backend servers, or with none if there are
@@ -122,6 +125,11 @@
 			fi.mu.Unlock()
 			Expect(ca.Workspace).To(Equal("w"))
 			Expect(ca.Instance).To(Equal(address))
+			if fi.returns {
+				i := slices.IndexFunc(records, func(re registry.Record) bool { return re.Address == address })
+				records[i].BornMs++
+				ba.Sync(records)
+			}
 
 			return replies[min(n, len(replies)-1)](ctx, ca)
 		}},
--- a/internal/ingress/stream_test.go
+++ b/internal/ingress/stream_test.go
@@ -104,22 +104,25 @@
 	for _, tc := range []struct {
 		name       string
 		replies    []reply
+		returns    bool
 		isComplete bool
 		sent       int
+		code       result.Code // of the error, if the stream is not complete
 	}{
-		{"is refused after two runs that ended at the same event", []reply{streamUntil(3), streamUntil(3), streamUntil(0)}, false, 2},
-		{"is completed if each run gets further than those before", []reply{streamUntil(1), streamUntil(2), streamUntil(3), streamUntil(4), streamUntil(0)}, true, 5},
+		{"is refused after two runs that ended at the same event", []reply{streamUntil(3), streamUntil(3), streamUntil(0)}, true, false, 2, result.Quarantined},
+		{"is completed if each run gets further than those before", []reply{streamUntil(1), streamUntil(2), streamUntil(3), streamUntil(4), streamUntil(0)}, true, true, 5, 0},
+		{"is not resumed at an incarnation that has ended", []reply{streamUntil(1), streamUntil(2), streamUntil(3), streamUntil(4), streamUntil(0)}, false, false, 3, result.QueueFull},
 	} {
 		ginkgo.It(tc.name, func() {
 			fi := newFixture(routing.Route{Kind: routing.AtMostOnce, IsStreaming: true, IsResumable: true, MaxAttempts: 5}, tc.replies...)
-			fi.ended = true
+			fi.ended, fi.returns = true, tc.returns
 			err := fi.in.Serve(context.Background(), &ingress.Request{ID: "1", Host: "h", Path: "/p/x", Key: "k", Arrived: time.Now()}, &ingress.Sink{
 				Begin: func(*backend.Answer) {}, Event: func(backend.Event) error { return nil }, End: func() {},
 			})
 			Expect(fi.sent).To(HaveLen(tc.sent))
 			Expect(err == nil).To(Equal(tc.isComplete), "%v", err)
 			if !tc.isComplete {
-				Expect(result.Is(err, result.Quarantined)).To(BeTrue(), "%v", err)
+				Expect(result.Is(err, tc.code)).To(BeTrue(), "%v", err)
 			}
 		})
 	}
--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -113,7 +113,7 @@
 		return TrialReply{RetryAfterMs: en.RefusedUntilMs() - atMs}, changed
 	case en.Trial != nil && en.Trial.Server == tr.Server:
 		return TrialReply{IsGranted: true}, changed // asked again after a lost reply
-	case en.Trial != nil:
+	case en.Trial != nil || st.hasCrashed(tr.Server):
 		return TrialReply{RetryAfterMs: busyRetryMs}, changed
 	}
 	if wait, isSpent := st.trialWaitMs(tr, atMs); wait > 0 {
@@ -185,6 +185,12 @@
 	return false
 }
 
+func (st *State) hasCrashed(server string) bool {
+	_, ok := st.crashed[server]
+
+	return ok
+}
+
 // recordCrashed remembers a backend server that crashed.
 func (st *State) recordCrashed(cr Crash, atMs int64) {
 	known, ok := st.crashed[cr.Server]
