Clear a request that completed while the report of a crash was on its way

Callers of it would run one at a time until its next completion.

Cause, by a trace of two failures: an agent lists the requests in flight when it sees the crash; one of them completes from what its engine had sent already, and its gateway clears it before the report is recorded, so there is nothing to clear (1 ms and 22 ms before). The platform's gateways report their own runs only and don't have this case.

A clearing that no controller recorded is logged now.

--- a/internal/endtoend/step_test.go
+++ b/internal/endtoend/step_test.go
@@ -11,10 +11,14 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/tamarackbay/tamarackbay/internal/agent"
 	"github.com/tamarackbay/tamarackbay/internal/fake"
+	"github.com/tamarackbay/tamarackbay/internal/peer"
+	"github.com/tamarackbay/tamarackbay/internal/quarantine"
 	"github.com/tamarackbay/tamarackbay/internal/result"
 	"github.com/tamarackbay/tamarackbay/internal/statemachine"
 	"github.com/tamarackbay/tamarackbay/internal/step"
+	"github.com/tamarackbay/tamarackbay/internal/wire"
 	"github.com/tamarackbay/tamarackbay/pkg/client"
 )
 
@@ -361,4 +365,28 @@
 			return nil
 		})).To(Succeed())
 	})
+
+	// Guards against a request that stays suspect although it completed: the report of the crash at
+	// which it was in flight was recorded after it.
+	It("does not make a request suspect that completed before the crash was recorded", func() {
+		st := newSetup(setupConfig{engines: 1, engine: fake.EngineConfig{TokenTime: time.Millisecond}})
+		_, err := st.Client(st.token["beta"], 1).Complete(st.ctx, client.CompletionRequest{Model: "m", Prompt: "innocent", MaxTokens: 4})
+		Expect(err).NotTo(HaveOccurred())
+		se, err := peer.Dial(st.ctx, st.Settings(0).PeerAddress, peer.Config{Hello: &wire.Hello{Name: "late", Role: "agent", Protocol: peer.ProtocolVersion}})
+		Expect(err).NotTo(HaveOccurred())
+		defer se.Close()
+		completed, other := quarantine.Fingerprint("m", "innocent", "4"), quarantine.Fingerprint("m", "other", "4")
+		Expect(se.Call(st.ctx, agent.MethodCrash, &wire.CrashRequest{Server: "engine/1/1", Fingerprints: []string{completed, other}}, &wire.Empty{})).To(Succeed())
+		Expect(st.eventually(func() error {
+			var q struct{ Fingerprints map[string]any }
+			if err := st.CallOperators(st.ctx, http.MethodGet, "/v1/quarantine", nil, &q); err != nil {
+				return err
+			}
+			if q.Fingerprints[other] == nil || q.Fingerprints[completed] != nil {
+				return fmt.Errorf("%v", q.Fingerprints)
+			}
+
+			return nil
+		})).To(Succeed())
+	})
 })
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,7 +66,8 @@
 	runningCalls   map[string]struct{} // IDs of non-repeatable requests that run on this gateway
 	fleetReasons   map[string]string   // by class, the reason of the last fleet decision
 
-	suspects map[string]chan struct{} // by fingerprint, closed when the running suspect request ends
+	suspects  map[string]chan struct{} // by fingerprint, closed when the running suspect request ends
+	completed *completedRuns
 
 	reportPeriod atomic.Int64 // time.Duration, grows with the number of backend servers in the pools
 
@@ -84,9 +85,9 @@
 	ga := &Gateway{
 		cfg: cfg, instance: rand.Uint64(), startedAt: time.Now(), pools: map[string]*pool.Pool{},
 		limiter: admission.NewLimiter(), activeRequests: map[*activeRequest]struct{}{}, fleetReasons: map[string]string{}, runningCalls: map[string]struct{}{},
-		suspects: map[string]chan struct{}{},
-		budget:   retry.NewBudget(retry.Config{NoBudget: se.Policy.NoRetryBudget}, rand.Float64),
-		stopped:  make(chan struct{}),
+		suspects: map[string]chan struct{}{}, completed: newCompletedRuns(),
+		budget:  retry.NewBudget(retry.Config{NoBudget: se.Policy.NoRetryBudget}, rand.Float64),
+		stopped: make(chan struct{}),
 	}
 	ga.reportPeriod.Store(int64(minReportPeriod))
 	pc := cfg.PeerConfig
--- a/internal/gateway/handlers.go
+++ b/internal/gateway/handlers.go
@@ -211,8 +211,19 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), groupCallTimeout)
 	defer cancel()
-	if err := ga.group.Propose(ctx, statemachine.KindClearSuspect, quarantine.ClearSuspect{Fingerprint: fp, Crashes: len(en.Crashes)}, nil); err == nil {
-		ga.cfg.Meter.Count("quarantine.cleared")
+	if err := ga.group.Propose(ctx, statemachine.KindClearSuspect, quarantine.ClearSuspect{Fingerprint: fp, Crashes: len(en.Crashes)}, nil); err != nil {
+		ga.cfg.Log.WithError(err).WithField("fingerprint", fp).Warn("suspect request that completed was not cleared")
+
+		return
+	}
+	ga.cfg.Meter.Count("quarantine.cleared")
+}
+
+// clearCompleted clears the requests that completed while the report of a crash at which they
+// were in flight was on its way.
+func (ga *Gateway) clearCompleted() {
+	for _, fp := range ga.completed.suspects(ga.group.View().Quarantine, time.Now(), ga.cfg.WallMs()) {
+		ga.clearSuspect(fp)
 	}
 }
 
--- a/internal/gateway/periodic.go
+++ b/internal/gateway/periodic.go
@@ -18,6 +18,7 @@
 	return []periodicTask{
 		{name: "sweepPools", period: 200 * time.Millisecond, do: ga.sweepPools},
 		{name: "cutWithdrawn", period: 200 * time.Millisecond, do: ga.cancelRevoked, wake: ga.group.Changed},
+		{name: "clearCompleted", period: time.Second, do: ga.clearCompleted, wake: ga.group.Changed},
 		{name: "gauges", period: time.Second, do: ga.updateGauges},
 	}
 }
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -35,6 +35,7 @@
 		return nil, nil, err
 	}
 
+	pl.ga.completed.recordStart(pl.fingerprint)
 	wo := pl.ga.group.View().Set.Workspaces[pl.workspace]
 	gr, err := pl.po.Acquire(ctx, pool.Request{
 		Workspace: pl.workspace, Weight: max(wo.Weight, 0.001), Class: declaration.ClassRank(pl.class), Cost: pl.cost,
@@ -61,6 +62,7 @@
 		gr.Release(pool.Succeeded)
 		// A request that ran to its end clears its fingerprint, even if the fingerprint
 		// became suspect only while it ran.
+		pl.ga.completed.recordEnd(pl.fingerprint, time.Now())
 		pl.ga.clearSuspect(pl.fingerprint)
 
 		return
