Keep an engine that serves while the others of its service load weights

Cause, by a trace: one of three engines was leaving, a new weight version was named, and the wave of two took both engines that were left. One that loads gets nothing new, for about a second. The same holds for any service with two ready engines (one of them ended, zones evacuated).

The planner orders a load only if another ready engine of the service doesn't load, unless there is just one. The unit test of two engines failed before.

--- a/internal/weights/joint.go
+++ b/internal/weights/joint.go
@@ -48,7 +48,8 @@
 // HomeModel returns the model whose new versions an engine loads.
 func (jp *JointPlanner) HomeModel(server string) string { return jp.homes[server] }
 
-// Next returns the orders to give now; at most wave engines load at once. The model with
+// Next returns the orders to give now; at most wave engines load at once, and of several
+// engines one at least doesn't load, so that requests are served meanwhile. The model with
 // the fewest engines at its newest version goes first, and of its engines the one with
 // the fewest running items.
 func (jp *JointPlanner) Next(now time.Duration, targets []Target, hosts []Host, wave int) []Swap {
@@ -62,7 +63,11 @@
 		byModel[ta.Model] = ta
 	}
 	var due []Host
+	serving := 0
 	for _, ho := range hosts {
+		if jp.inFlight[ho.Server] == "" {
+			serving++
+		}
 		ta := byModel[jp.homes[ho.Server]]
 		if ho.Versions[ta.Model] >= ta.Version || jp.inFlight[ho.Server] != "" {
 			current[ta.Model]++
@@ -72,7 +77,7 @@
 	}
 
 	var out []Swap
-	for len(jp.inFlight) < wave && len(due) > 0 {
+	for len(jp.inFlight) < wave && len(due) > 0 && (serving > 1 || len(hosts) == 1) {
 		best := slices.MinFunc(due, func(a, b Host) int {
 			ma, mb := jp.homes[a.Server], jp.homes[b.Server]
 
@@ -82,6 +87,7 @@
 		out = append(out, Swap{Server: best.Server, Model: model, Version: byModel[model].Version})
 		current[model]++
 		jp.inFlight[best.Server] = Load
+		serving--
 		due = slices.DeleteFunc(due, func(ho Host) bool { return ho.Server == best.Server })
 	}
 
--- a/internal/weights/joint_test.go
+++ b/internal/weights/joint_test.go
@@ -135,4 +135,18 @@
 		Expect(next).To(HaveLen(1))
 		Expect(next[0].Server).NotTo(Equal(first[0].Server))
 	})
+
+	// Guards against a service without an engine that serves: of two engines that were left, as the
+	// third was leaving, both loaded at one time.
+	for _, engines := range []int{1, 2, 3, 4} {
+		ginkgo.It(fmt.Sprintf("leave an engine that serves, of %d", engines), func() {
+			jo, en := weights.NewJointPlanner(), newFakeEngines(engines, "m")
+			targets := []weights.Target{{Model: "m", Version: 2}}
+			for now := time.Duration(0); now < 5*time.Second; now += tick {
+				en.step(now, load, jo, targets, 2)
+			}
+			Expect(en.eligible("m", 2)).To(Equal(engines))
+			Expect(en.maxLoading).To(Equal(min(2, max(engines-1, 1))))
+		})
+	}
 })
