--- a/internal/weights/joint_test.go
+++ b/internal/weights/joint_test.go
@@ -149,4 +149,13 @@
 			Expect(en.maxLoading).To(Equal(min(2, max(engines-1, 1))))
 		})
 	}
+
+	// Guards against an engine that never loads, as another one is given each new version.
+	ginkgo.It("reach all engines in turn while versions come as fast as one engine loads them", func() {
+		jo, en := weights.NewJointPlanner(), newFakeEngines(2, "m")
+		for now := time.Duration(0); now < 5*time.Second; now += tick {
+			en.step(now, load, jo, []weights.Target{{Model: "m", Version: 2 + uint64(now/load)}}, 2)
+		}
+		Expect(en.eligible("m", 4)).To(Equal(2))
+	})
 })
