Give loads to engines with few running items first, in turn only where a wave could take all

The oldest version goes first only where a wave could take all engines of a service, which load in turn since; elsewhere the order is as it was. The unit tests of both rules pass.

--- a/internal/weights/joint.go
+++ b/internal/weights/joint.go
@@ -51,7 +51,8 @@
 // Next returns the orders to give now; at most wave engines load at once, and of several
 // engines one at least doesn't load, so that requests are served meanwhile. The model with
 // the fewest engines at its newest version goes first, and of its engines the one with
-// the oldest version, then the one with the fewest running items.
+// the fewest running items. If a wave could take all engines they load in turn, the one with the
+// oldest version first.
 func (jp *JointPlanner) Next(now time.Duration, targets []Target, hosts []Host, wave int) []Swap {
 	targets = slices.SortedFunc(slices.Values(targets), func(a, b Target) int { return cmp.Compare(a.Model, b.Model) })
 	hosts = slices.SortedFunc(slices.Values(hosts), func(a, b Host) int { return cmp.Compare(a.Server, b.Server) })
@@ -81,10 +82,12 @@
 		best := slices.MinFunc(due, func(a, b Host) int {
 			ma, mb := jp.homes[a.Server], jp.homes[b.Server]
 
-			return cmp.Or(
-				cmp.Compare(current[ma], current[mb]), cmp.Compare(a.Versions[ma], b.Versions[mb]),
-				cmp.Compare(a.Running, b.Running), cmp.Compare(a.Server, b.Server),
-			)
+			oldest := 0
+			if len(hosts) <= wave {
+				oldest = cmp.Compare(a.Versions[ma], b.Versions[mb])
+			}
+
+			return cmp.Or(cmp.Compare(current[ma], current[mb]), oldest, cmp.Compare(a.Running, b.Running), cmp.Compare(a.Server, b.Server))
 		})
 		model := jp.homes[best.Server]
 		out = append(out, Swap{Server: best.Server, Model: model, Version: byModel[model].Version})
