--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -25,6 +25,7 @@
 	ExpectVersion uint64        // the only weight version that may run it, 0 for any
 	Priority      int           // 0 is the highest, -1 for the default
 	ResumeAfter   uint64        // number of the last event already received, 0 for none
+	IsRepeat      bool          // this incarnation was sent a request with the ID before
 }
 
 // Load is the load that a backend server reports.
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -182,6 +182,23 @@
 	return New(Config{Bind: bind, KeepAlive: keepAlive})
 }
 
+// WithoutReuse returns a client that dials like hc, a client of New or NewAdaptive, and opens a
+// connection for each request.
+func WithoutReuse(hc *http.Client) *http.Client {
+	rt := hc.Transport
+	if at, ok := rt.(*adaptiveTransport); ok {
+		rt = New(at.cfg).Transport
+	}
+	out := *hc
+	if tr, ok := rt.(*http.Transport); ok {
+		tr = tr.Clone()
+		tr.DisableKeepAlives = true
+		out.Transport = tr
+	}
+
+	return &out
+}
+
 // Failure returns the numbered error of a call that received no answer.
 func Failure(what string, err error) *result.Error {
 	var op *net.OpError
@@ -208,46 +225,38 @@
 // JSON sends in as JSON, if it is not nil, and decodes the answer into out, if it is
 // not nil. It returns the answer's status, also with an error; 0 if there was no answer.
 func JSON(ctx context.Context, hc *http.Client, method, url string, in, out any) (int, error) {
-	status, _, err := JSONWithHeader(ctx, hc, method, url, in, out)
-
-	return status, err
-}
-
-// JSONWithHeader is JSON, except that it also returns the header of the answer, nil if there
-// was none.
-func JSONWithHeader(ctx context.Context, hc *http.Client, method, url string, in, out any) (int, http.Header, error) {
 	var body io.Reader = http.NoBody
 	if in != nil {
 		b, err := json.Marshal(in)
 		if err != nil {
-			return 0, nil, err
+			return 0, err
 		}
 		body = bytes.NewReader(b)
 	}
 	rq, err := http.NewRequestWithContext(ctx, method, url, body)
 	if err != nil {
-		return 0, nil, err
+		return 0, err
 	}
 	rq.Header.Set("Content-Type", "application/json")
 	what := method + " " + rq.URL.Path
 
 	rs, err := hc.Do(rq)
 	if err != nil {
-		return 0, nil, Failure(what, err)
+		return 0, Failure(what, err)
 	}
 	defer rs.Body.Close()
 
 	if rs.StatusCode >= http.StatusMultipleChoices {
-		return rs.StatusCode, rs.Header, Refusal(what, rs)
+		return rs.StatusCode, Refusal(what, rs)
 	}
 	if out == nil {
 		_, _ = io.Copy(io.Discard, io.LimitReader(rs.Body, maxAnswerBytes))
 
-		return rs.StatusCode, rs.Header, nil
+		return rs.StatusCode, nil
 	}
 	if err := json.NewDecoder(io.LimitReader(rs.Body, maxAnswerBytes)).Decode(out); err != nil {
-		return rs.StatusCode, rs.Header, result.New(result.BackendAnswerBroken, "%s: %v", what, err).WithExecution(result.ExecutionUnknown)
+		return rs.StatusCode, result.New(result.BackendAnswerBroken, "%s: %v", what, err).WithExecution(result.ExecutionUnknown)
 	}
 
-	return rs.StatusCode, rs.Header, nil
+	return rs.StatusCode, nil
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -269,6 +270,7 @@
 // newCall returns the call for the granted backend server and records the attempt.
 func (rs *requestState) newCall(gr *balance.Grant) *backend.Call {
 	re := gr.Record()
+	isRepeat := slices.Contains(rs.tried, re.ID)
 	rs.tried = append(rs.tried, re.ID)
 	rs.software = append(rs.software, re.Software)
 	rs.sentCount++
@@ -276,6 +278,7 @@
 	return &backend.Call{
 		ID: rs.rq.ID, Method: rs.rq.Method, Host: rs.rq.Host, Target: rs.rq.Target, Header: rs.rq.Header, Body: rs.rq.Body,
 		Instance: re.ID, Workspace: rs.workspace, Timeout: time.Until(rs.deadline), Priority: -1, ResumeAfter: rs.rq.ResumeAfter,
+		IsRepeat: isRepeat,
 	}
 }
 
