Acknowledge a notice of leaving once it survives this controller

Cause: the notice was acknowledged from the memory of one process, and relayed 5 ms, published up to 50 ms later. The others held the server ready until it had missed four heartbeats.

Change: a notice that a server takes nothing new, by DELETE, by a heartbeat that says draining or by a gateway's report, is answered once more than half of the controllers have recorded it and the followers were sent it, the latter for 200 ms at most; otherwise 503, so that the server turns to another controller. AwaitSent takes any change of a state, not evacuations alone.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -227,12 +227,14 @@
 }
 
 // handleLeaving records that a backend server said in an answer that it leaves.
-func (co *Controller) handleLeaving(_ context.Context, st *peer.Stream) error {
+func (co *Controller) handleLeaving(ctx context.Context, st *peer.Stream) error {
 	var in registry.Incarnation
 	if err := st.RequestRecord(&in); err != nil {
 		return err
 	}
-	co.RecordLeave(in.ID, in.BornMs)
+	if err := co.RecordLeave(ctx, in.ID, in.BornMs); err != nil {
+		return err
+	}
 
 	return st.Reply(&wire.Empty{})
 }
--- a/internal/controller/evacuation.go
+++ b/internal/controller/evacuation.go
@@ -16,10 +16,19 @@
 	"github.com/tamarackbay/tamarackbay/internal/statemachine"
 )
 
-// evacuationSendTimeout bounds the wait until the followers of this controller were sent a
-// committed evacuation, so that it takes effect although all controllers are lost right after the
+// sendTimeout bounds the wait until the followers of this controller were sent a change that is to
+// be acknowledged, so that it takes effect although all controllers are lost right after the
 // response. It takes milliseconds, and a follower that is cut off must not delay the response.
-const evacuationSendTimeout = 200 * time.Millisecond
+const sendTimeout = 200 * time.Millisecond
+
+// awaitSent waits until all followers of this controller were sent a state that has a change, for
+// sendTimeout at most, and reports whether they were.
+func (co *Controller) awaitSent(ctx context.Context, has func(st *feed.State) bool) bool {
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+
+	return co.feed.AwaitSent(ctx, has)
+}
 
 // Evacuate commits the request that the backend servers of a failure domain get nothing new.
 func (co *Controller) Evacuate(ctx context.Context, failureDomain string) error {
@@ -40,9 +49,8 @@
 		co.group.Read(func(ma *statemachine.Machine) { ch.Base = ma.Applied() })
 		var rep evacuation.Reply
 		if err = co.group.Propose(ctx, statemachine.KindChangeEvacuation, ch, &rep); err == nil && !rep.IsStale {
-			sctx, cancel := context.WithTimeout(ctx, evacuationSendTimeout)
-			fl["isSentToAll"], fl["position"] = co.feed.AwaitSent(sctx, rep.Revision), rep.Revision
-			cancel()
+			fl["isSentToAll"] = co.awaitSent(ctx, func(st *feed.State) bool { return st.EvacuatedAt >= rep.Revision })
+			fl["position"] = rep.Revision
 			co.cfg.Log.WithFields(fl).Info("evacuation of a failure domain recorded")
 
 			return nil
--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -7,8 +7,10 @@
 
 	"github.com/apex/log"
 
+	"github.com/tamarackbay/tamarackbay/internal/feed"
 	"github.com/tamarackbay/tamarackbay/internal/peer"
 	"github.com/tamarackbay/tamarackbay/internal/registry"
+	"github.com/tamarackbay/tamarackbay/internal/result"
 )
 
 const (
@@ -48,14 +50,89 @@
 }
 
 // RecordHeartbeat records a heartbeat of a backend server and passes it on to the other
-// controllers.
-func (co *Controller) RecordHeartbeat(re registry.Record) {
+// controllers. One that says that the backend server takes nothing new is recorded as RecordLeave
+// does it.
+func (co *Controller) RecordHeartbeat(ctx context.Context, re registry.Record) error {
+	if re.State == registry.Draining {
+		return co.recordDeparture(ctx, registry.Notice{Record: re})
+	}
 	co.recordNotice(registry.Notice{Record: re})
+
+	return nil
+}
+
+// RecordLeave records that a backend server leaves. It returns nil once more than half of the
+// controllers know it, so that it survives the loss of this one, and all followers that can be
+// reached were sent it; bornMs is 0 if the incarnation is unknown.
+func (co *Controller) RecordLeave(ctx context.Context, id string, bornMs int64) error {
+	return co.recordDeparture(ctx, registry.Notice{Record: registry.Record{ID: id, BornMs: bornMs}, Leaves: true})
 }
 
-// RecordLeave records that a backend server leaves and passes this on to the other controllers.
-func (co *Controller) RecordLeave(id string, bornMs int64) {
-	co.recordNotice(registry.Notice{Record: registry.Record{ID: id, BornMs: bornMs}, Leaves: true})
+// recordDeparture records a notice that a backend server takes nothing new.
+func (co *Controller) recordDeparture(ctx context.Context, no registry.Notice) error {
+	co.recordNotice(no)
+	began := time.Now()
+	known, all := co.passOn(ctx, no)
+	isSent := co.awaitSent(ctx, func(st *feed.State) bool { return st.HasDeparted(no.Record.Incarnation()) })
+	fl := log.Fields{
+		"server": no.Record.ID, "born": no.Record.BornMs, "leaves": no.Leaves, "controllers": known, "members": all,
+		"isSentToAll": isSent, "ms": time.Since(began).Milliseconds(),
+	}
+	if known <= all/2 {
+		err := result.New(result.GroupTimeout, "controller: %d of %d controllers have recorded that backend server %s takes nothing new", known, all, no.Record.ID)
+		co.cfg.Log.WithFields(fl).WithError(err).Warn("departure of a backend server not acknowledged")
+
+		return err
+	}
+	if no.Leaves {
+		co.cfg.Log.WithFields(fl).Info("departure of a backend server acknowledged")
+	}
+
+	return nil
+}
+
+const (
+	// passOnTimeout bounds the wait for another controller that can be reached. It answers within
+	// milliseconds.
+	passOnTimeout = 300 * time.Millisecond
+	// majorityTimeout bounds the wait for more than half of the controllers. The caller turns to
+	// another one after a second.
+	majorityTimeout = 600 * time.Millisecond
+)
+
+// passOn passes a notice on to all other controllers and returns how many members of the group,
+// this one included, have recorded it, and how many there are. It waits for the rest after
+// passOnTimeout only while these are not more than half.
+func (co *Controller) passOn(ctx context.Context, no registry.Notice) (known, all int) {
+	others := co.otherControllers()
+	ctx, cancel := context.WithTimeout(ctx, majorityTimeout)
+	defer cancel()
+	recorded := make(chan bool, len(others))
+	for _, a := range others {
+		go func() {
+			var rep relayReply
+			recorded <- co.links.CallRecord(ctx, a, methodHeartbeats, relayedNotices{Notices: []registry.Notice{no}}, &rep) == nil
+		}()
+	}
+	known, all = 1, len(others)+1
+	patience, stop := context.WithTimeout(ctx, passOnTimeout)
+	defer stop()
+	for range others {
+		isRecorded := false
+		select {
+		case isRecorded = <-recorded:
+		case <-patience.Done():
+			if known > all/2 {
+				return known, all
+			}
+			isRecorded = <-recorded // majorityTimeout ends all calls
+		}
+		if isRecorded {
+			known++
+		}
+	}
+
+	return known, all
 }
 
 func (co *Controller) recordNotice(no registry.Notice) {
--- a/internal/controller/weights.go
+++ b/internal/controller/weights.go
@@ -262,7 +262,7 @@
 	case rep.BornMs != 0 && rep.BornMs != re.BornMs:
 		err = errOtherIncarnation
 	case rep.IsLeaving:
-		co.RecordLeave(re.ID, re.BornMs)
+		co.recordNotice(registry.Notice{Record: registry.Record{ID: re.ID, BornMs: re.BornMs}, Leaves: true}) // nobody waits for an answer
 		err = errLeaving
 	}
 
--- a/internal/feed/evacuation_test.go
+++ b/internal/feed/evacuation_test.go
@@ -60,21 +60,21 @@
 			ctx, cancel := context.WithTimeout(context.Background(), timeout)
 			defer cancel()
 
-			return sv.AwaitSent(ctx, position)
+			return sv.AwaitSent(ctx, func(st *State) bool { return st.EvacuatedAt >= position })
 		}
 		fos := []*sentState{{}, {}}
 		for _, fo := range fos {
-			sv.recordSent(fo, 0)
+			sv.recordSent(fo, noState)
 		}
 		Expect(await(4, 10*time.Millisecond)).To(BeFalse(), "the state is not published")
 		sv.Publish(states[0])
 		Expect(await(4, 10*time.Millisecond)).To(BeFalse())
-		sv.recordSent(fos[0], 4)
+		sv.recordSent(fos[0], states[0])
 		Expect(await(4, 10*time.Millisecond)).To(BeFalse())
-		time.AfterFunc(10*time.Millisecond, func() { sv.recordSent(fos[1], 4) })
+		time.AfterFunc(10*time.Millisecond, func() { sv.recordSent(fos[1], states[0]) })
 		Expect(await(4, 5*time.Second)).To(BeTrue())
 		sv.Publish(states[1])
-		sv.recordSent(fos[0], 7)
+		sv.recordSent(fos[0], states[1])
 		time.AfterFunc(10*time.Millisecond, func() { sv.forget(fos[1]) })
 		Expect(await(7, 5*time.Second)).To(BeTrue())
 	})
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -63,6 +63,18 @@
 	Age         time.Duration // since the replicated part was last confirmed
 }
 
+// HasDeparted reports whether an incarnation of a backend server gets no new work by this state: it
+// is draining, has left or is not known.
+func (st *State) HasDeparted(in registry.Incarnation) bool {
+	i, ok := slices.BinarySearchFunc(st.Servers, in.ID, func(se registry.Status, id string) int { return strings.Compare(se.Record.ID, id) })
+	if !ok {
+		return true
+	}
+	re := &st.Servers[i].Record
+
+	return re.State != registry.Ready || (in.BornMs != 0 && re.BornMs != in.BornMs)
+}
+
 // Withdrawal is the end of an evacuation of a failure domain.
 type Withdrawal struct {
 	FailureDomain string        `cbor:"1,keyasint"`
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -24,12 +24,13 @@
 	serversGap time.Duration // minServersGap
 	followers  atomic.Int64
 	sent       map[*sentState]bool // one for each follower
-	sentWake   chan struct{}       // closed and replaced when a follower was sent a later EvacuatedAt
+	awaiting   int                 // calls of AwaitSent
+	sentWake   chan struct{}       // closed and replaced when a follower was sent a state, if awaiting is not 0
 }
 
-// sentState is what a follower was sent.
+// sentState is what a follower was sent last.
 type sentState struct {
-	evacuatedAt uint64
+	state *State
 }
 
 // minServersGap is the shortest time between two messages to a follower where the second has
@@ -95,7 +96,7 @@
 	sv.followers.Add(1)
 	defer sv.followers.Add(-1)
 	fo := &sentState{}
-	sv.recordSent(fo, 0)
+	sv.recordSent(fo, noState)
 	defer sv.forget(fo)
 	sent := noState
 	for {
@@ -107,24 +108,20 @@
 			return err
 		}
 		sent = now
-		sv.recordSent(fo, now.EvacuatedAt)
+		sv.recordSent(fo, now)
 		if !sv.await(ctx, sent, changed, ticker.C) {
 			return nil
 		}
 	}
 }
 
-// recordSent records that a follower was sent the evacuations of a position in the log.
-func (sv *Server) recordSent(fo *sentState, evacuatedAt uint64) {
+// recordSent records the state that a follower was sent.
+func (sv *Server) recordSent(fo *sentState, st *State) {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
 
-	sv.sent[fo] = true
-	if evacuatedAt > fo.evacuatedAt {
-		fo.evacuatedAt = evacuatedAt
-		close(sv.sentWake)
-		sv.sentWake = make(chan struct{})
-	}
+	sv.sent[fo], fo.state = true, st
+	sv.wakeAwaiting()
 }
 
 // forget drops a follower whose stream has ended.
@@ -133,29 +130,43 @@
 	defer sv.mu.Unlock()
 
 	delete(sv.sent, fo)
-	close(sv.sentWake)
-	sv.sentWake = make(chan struct{})
+	sv.wakeAwaiting()
+}
+
+// wakeAwaiting wakes the calls of AwaitSent. The caller holds mu.
+func (sv *Server) wakeAwaiting() {
+	if sv.awaiting > 0 {
+		close(sv.sentWake)
+		sv.sentWake = make(chan struct{})
+	}
 }
 
-// AwaitSent waits until every follower was sent the evacuations of a position in the log, or
-// until ctx ends, and reports whether they were.
-func (sv *Server) AwaitSent(ctx context.Context, evacuatedAt uint64) bool {
+// AwaitSent waits until a state that has a change was published and sent to every follower, or
+// until ctx ends, and reports whether it was.
+func (sv *Server) AwaitSent(ctx context.Context, has func(st *State) bool) bool {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+
+	sv.awaiting++
+	defer func() { sv.awaiting-- }()
 	for {
-		sv.mu.Lock()
-		isSent, wake := sv.state.EvacuatedAt >= evacuatedAt, sv.sentWake
+		isSent, wake := has(sv.state), sv.sentWake
 		if !isSent {
 			wake = sv.changed
 		}
 		for fo := range sv.sent {
-			isSent = isSent && fo.evacuatedAt >= evacuatedAt
+			isSent = isSent && has(fo.state)
 		}
-		sv.mu.Unlock()
 		if isSent {
 			return true
 		}
+		sv.mu.Unlock()
 		select {
 		case <-wake:
 		case <-ctx.Done():
+		}
+		sv.mu.Lock()
+		if ctx.Err() != nil {
 			return false
 		}
 	}
--- /dev/null
+++ b/soak/departure_test.go
@@ -0,0 +1,83 @@
+package soak_test
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarackbay/tamarackbay/internal/program"
+	"github.com/tamarackbay/tamarackbay/platform/standin"
+)
+
+// deployedHeartbeat is heartbeat_ms of the deployments. A backend server that is silent counts as
+// ready for four of them.
+const deployedHeartbeat = 1200 * time.Millisecond
+
+// Guards against a notice of leaving that is lost with the controller that acknowledged it: the
+// other controllers hold the backend server ready until it has missed four heartbeats.
+var _ = ginkgo.Describe("a notice that a backend server leaves, with real processes", ginkgo.Ordered, func() {
+	var de *deployment
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	ginkgo.BeforeAll(func() {
+		de = startLoaded(ctx, &wg, Config{Folder: filepath.Join(folder, "departure"), Subnet: 65, PlainServers: 6, Heartbeat: deployedHeartbeat})
+		for _, bs := range de.servers {
+			bs.Work = 50 * time.Millisecond // so that each gets its share
+		}
+	})
+	ginkgo.AfterAll(func() {
+		cancel()
+		wg.Wait()
+		Expect(de.close()).To(Succeed())
+	})
+
+	for _, tc := range []struct {
+		name string
+		send func(ctx context.Context, bs *standin.BackendServer, control string) error
+	}{
+		{"its leave notice", func(ctx context.Context, bs *standin.BackendServer, control string) error {
+			return bs.SendLeave(ctx, control)
+		}},
+		{"its last heartbeat", func(_ context.Context, bs *standin.BackendServer, control string) error {
+			bs.Drain(true)
+			defer bs.Mute(time.Hour)
+
+			return bs.SendHeartbeat(control)
+		}},
+	} {
+		ginkgo.It("survives the controller that acknowledged it: "+tc.name, func() {
+			n := 0
+			for _, pr := range de.processes {
+				if pr.role != program.RoleController {
+					continue
+				}
+				leaving := []*standin.BackendServer{de.servers[n%6], de.servers[(n+1)%6]}
+				n += 2
+				for _, bs := range leaving {
+					Expect(tc.send(ctx, bs, fmt.Sprintf("%s:%d", pr.ip, de.caller.Ports.Control))).To(Succeed())
+				}
+				Expect(pr.stop(syscall.SIGKILL)).To(Succeed())
+				acknowledged := time.Now()
+				time.Sleep(drainWithin + 1500*time.Millisecond)
+				for _, bs := range leaving {
+					late := slices.DeleteFunc(bs.Arrivals(), func(at time.Time) bool { return at.Before(acknowledged.Add(drainWithin)) })
+					Expect(late).To(BeEmpty(), "%s, acknowledged by %s", bs.ID, pr.ip)
+				}
+				Expect(pr.start()).To(Succeed())
+				for _, bs := range leaving {
+					bs.Mute(0)
+					bs.Drain(false)
+					Expect(bs.Replace(bs.Software)).To(Succeed())
+				}
+				time.Sleep(drainWithin) // the controllers are settled
+			}
+		})
+	}
+})
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -91,7 +91,7 @@
 				role: role, ip: ip, binary: cfg.Binary, folder: cfg.Folder, peerListen: fmt.Sprintf("%s:%d", ip, internalPorts.Peers),
 				settings: standin.NodeSettings{
 					Name: fmt.Sprintf("%s-%d", role, i+1), IP: ip, Ports: ports, Controllers: de.caller.ControllerIPs, UsageAddress: de.usage.Address(),
-					Grace: gracePeriod, Window: 5 * time.Second, Lease: 3 * time.Second,
+					Grace: gracePeriod, Window: 5 * time.Second, Lease: 3 * time.Second, Heartbeat: cfg.Heartbeat,
 				},
 			}
 			if role != program.RoleGateway {
