Refuse nothing for good while a newer configuration may be in force

Seen by the users at gateways of an earlier landing: 404 and 401 for what an acknowledged configuration allowed.

Cause, from the code: a gateway without contact to the controllers answered from its last configuration, whatever its age.

Change: if the view was not confirmed within 2 s, the time in which the deployments obey a configuration, a request without a known route or key gets 503 with a time to retry after. What the view allows is served as before, so that the loss of all controllers stops nothing.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -121,7 +121,7 @@
 		Connect: ed.controllers.ConnectOrigins, Find: ed.controllers.FindOrigin, Meter: cfg.Meter, Log: cfg.Log,
 	})
 	ed.ingress = ingress.New(ingress.Config{
-		Table: ed.Table, Fresh: ed.fresh, Room: ed.headroom.Check, Balancer: ed.balancer, Client: cfg.Client, Random: rand.Float64, OnStart: ed.tally.Count,
+		Table: ed.Table, Fresh: ed.fresh, Current: ed.current, Room: ed.headroom.Check, Balancer: ed.balancer, Client: cfg.Client, Random: rand.Float64, OnStart: ed.tally.Count,
 		Guard: ed.guard, Origins: ed.origins, Workload: workload.New(), BufferBytes: cfg.Settings.MemoryBytes / answerMemoryShare,
 		Shares: ed.shares, Backlog: ed.backlog, MaxWaitingBytes: cfg.Settings.MemoryBytes / waitingMemoryShare, Now: cfg.Now, Meter: cfg.Meter, Log: cfg.Log,
 	})
@@ -186,6 +186,20 @@
 	return nil
 }
 
+// applyWithin is the time within which a gateway obeys an acknowledged configuration in all known
+// deployments. A view that was confirmed later than that ago may lack one.
+const applyWithin = 2 * time.Second
+
+// current returns an error if a configuration that was acknowledged applyWithin ago may not have
+// arrived here.
+func (ed *Edge) current() error {
+	if age, ok := ed.follower.Age(); !ok || age > applyWithin {
+		return result.New(result.StaleProcess, "edge: no confirmation of the configuration for %v, a newer one may be in force", age.Round(time.Millisecond))
+	}
+
+	return nil
+}
+
 // Run follows the controllers until ctx ends.
 func (ed *Edge) Run(ctx context.Context) {
 	defer ed.links.Close()
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -41,9 +41,12 @@
 
 // Config configures an Ingress.
 type Config struct {
-	Table    func() *routing.Table // nil before the first configuration
-	Fresh    func() error          // an error if this process must refuse new work
-	Room     func() error          // an error if this process is short of memory or descriptors; nil for enough
+	Table func() *routing.Table // nil before the first configuration
+	Fresh func() error          // an error if this process must refuse new work
+	// Current returns an error if this process may lack a configuration that is due. It then refuses
+	// nothing for good that the newest one may allow; nil if it never lacks one.
+	Current  func() error
+	Room     func() error // an error if this process is short of memory or descriptors; nil for enough
 	Balancer *balance.Balancer
 	Client   *backend.Client
 	Random   func() float64                       // in [0, 1)
@@ -85,6 +88,9 @@
 	if c.Workload == nil {
 		c.Workload = workload.New()
 	}
+	if c.Current == nil {
+		c.Current = func() error { return nil }
+	}
 	if c.Room == nil {
 		c.Room = func() error { return nil }
 	}
@@ -127,7 +133,7 @@
 	}
 	ro := ta.Match(host, path)
 	if ro == nil {
-		return nil, nil, result.New(result.UnknownRoute, "ingress: no route for %s%s in configuration version %d", host, path, ta.Version())
+		return nil, nil, in.denial(result.New(result.UnknownRoute, "ingress: no route for %s%s in configuration version %d", host, path, ta.Version()))
 	}
 	ws, err := in.Identify(key, ro.IsPublic)
 
@@ -144,16 +150,27 @@
 	case isPublic || !ta.NeedsKeys():
 		return nil, nil
 	case key == "":
-		return nil, result.New(result.MissingKey, "ingress: the request carries no key")
+		return nil, in.denial(result.New(result.MissingKey, "ingress: the request carries no key"))
 	}
 	ws := ta.Owner(key)
 	if ws == nil {
-		return nil, result.New(result.UnknownKey, "ingress: the key belongs to no workspace in configuration version %d", ta.Version())
+		return nil, in.denial(result.New(result.UnknownKey, "ingress: the key belongs to no workspace in configuration version %d", ta.Version()))
 	}
 
 	return ws, nil
 }
 
+// denial returns the error for a request that the configuration in force here does not allow. If
+// this process may lack a newer one, the caller is asked to try again, which mostly reaches another
+// gateway.
+func (in *Ingress) denial(denied *result.Error) error {
+	if err := in.cfg.Current(); err != nil {
+		return result.New(result.StaleProcess, "%v; %s", err, denied.Message).WithRetryAfter(configRetryAfter)
+	}
+
+	return denied
+}
+
 // requestState is the state of one request across its attempts.
 type requestState struct {
 	in            *Ingress
