Acknowledge a configuration once the followers were sent it

Cause, from the code: an evacuation was acknowledged only after the followers of the controller were sent it, a configuration as soon as it was committed. If all controllers are lost right after the acknowledgement, gateways may not have it until one leads again.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -414,7 +414,8 @@
 	return co.statuses
 }
 
-// PutRouting commits a validated configuration.
+// PutRouting commits a validated configuration. It returns nil once the followers of this controller
+// that can be reached were sent the one in force.
 func (co *Controller) PutRouting(ctx context.Context, cfg *routing.Config, document []byte) error {
 	var rep routing.PutReply
 	err := co.group.Propose(ctx, statemachine.KindPutRouting, routing.Put{Config: *cfg, Document: document}, &rep)
@@ -425,6 +426,7 @@
 
 		return err
 	}
+	fl["isSentToAll"] = co.awaitSent(ctx, func(st *feed.State) bool { return st.Config != nil && st.Config.Version >= rep.Version })
 	co.cfg.Log.WithFields(fl).Info("configuration accepted")
 
 	return nil
