Answer what runs at the end of a planned stop, and admit nothing late

Requests that a stopping gateway took up to 3 s after the signal, and later on connections without a request before, were cut at the end of the drain.

Change: after the 3 s a gateway refuses new requests as not run. At the end of the drain the contexts of running requests are cancelled, so that they are answered 504 or 502, 300 ms before the connections are closed.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -77,6 +77,7 @@
 	tally       *usage.Tally
 	headroom    headroom.Gate
 	isClosing   atomic.Bool
+	isClosed    atomic.Bool // nothing new is admitted
 }
 
 // New returns an edge without a configuration. Run fetches it from the controllers.
@@ -121,7 +122,7 @@
 		Connect: ed.controllers.ConnectOrigins, Find: ed.controllers.FindOrigin, Meter: cfg.Meter, Log: cfg.Log,
 	})
 	ed.ingress = ingress.New(ingress.Config{
-		Table: ed.Table, Fresh: ed.fresh, Current: ed.current, Room: ed.headroom.Check, Balancer: ed.balancer, Client: cfg.Client, Random: rand.Float64, OnStart: ed.tally.Count,
+		Table: ed.Table, Fresh: ed.fresh, Current: ed.current, Room: ed.room, Balancer: ed.balancer, Client: cfg.Client, Random: rand.Float64, OnStart: ed.tally.Count,
 		Guard: ed.guard, Origins: ed.origins, Workload: workload.New(), BufferBytes: cfg.Settings.MemoryBytes / answerMemoryShare,
 		Shares: ed.shares, Backlog: ed.backlog, MaxWaitingBytes: cfg.Settings.MemoryBytes / waitingMemoryShare, Now: cfg.Now, Meter: cfg.Meter, Log: cfg.Log,
 	})
@@ -172,6 +173,22 @@
 // BeginShutdown makes the edge not ready, so that the load balancer picks another one.
 func (ed *Edge) BeginShutdown() { ed.isClosing.Store(true) }
 
+// StopAdmission refuses all requests that arrive from now on. What is running goes on.
+func (ed *Edge) StopAdmission() { ed.isClosed.Store(true) }
+
+// closedRetryAfter is sent with refusals of a gateway that is about to end. The client's next
+// connection reaches another one.
+const closedRetryAfter = 50 * time.Millisecond
+
+// room returns an error if this edge can take no further request.
+func (ed *Edge) room() error {
+	if ed.isClosed.Load() {
+		return result.New(result.ServerDraining, "edge: the gateway is shutting down").WithRetryAfter(closedRetryAfter)
+	}
+
+	return ed.headroom.Check()
+}
+
 // fresh returns an error if the configuration is too stale to verify keys.
 func (ed *Edge) fresh() error {
 	bound := ed.cfg.Settings.FreshnessBound
--- a/internal/program/node.go
+++ b/internal/program/node.go
@@ -60,6 +60,9 @@
 	// notReadyPeriod is how long a gateway that shuts down still accepts requests: the
 	// balancer checks readiness once a second and removes a gateway after two failures.
 	notReadyPeriod = 3 * time.Second
+	// answerPeriod is how long the requests that are still running at the end of the drain may take to
+	// be answered. It is a part of stopMargin.
+	answerPeriod = 300 * time.Millisecond
 	// stopMargin is the part of the grace period after the stop signal that is left unused
 	// by the drain, so that the process ends before it is killed.
 	stopMargin = time.Second
@@ -83,6 +86,7 @@
 	settings     *settings.Node
 	cancel       context.CancelFunc
 	servers      []*http.Server
+	endRequests  []context.CancelFunc // of servers: ends the requests that still run
 	peers        *peer.Listener
 	edge         *edge.Edge
 	handOver     func(ctx context.Context)
@@ -193,8 +197,11 @@
 	if err != nil {
 		return result.New(result.AddressInUse, "program: listen on %s: %v", address, err)
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	nd.endRequests = append(nd.endRequests, cancel)
 	sv := &http.Server{
-		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: clientIdleTimeout,
+		BaseContext: func(net.Listener) context.Context { return ctx },
+		Handler:     h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: clientIdleTimeout,
 		ErrorLog: stdlog.New(io.Discard, "", 0), // failed connections are counted with their requests
 	}
 	nd.servers = append(nd.servers, sv)
@@ -375,8 +382,9 @@
 // Kill terminates the process's components immediately, as a crash would.
 func (nd *Node) Kill() {
 	nd.cancel()
-	for _, sv := range nd.servers {
+	for i, sv := range nd.servers {
 		_ = sv.Close()
+		nd.endRequests[i]()
 	}
 	if nd.peers != nil {
 		nd.peers.Close()
@@ -395,7 +403,15 @@
 	if nd.edge != nil {
 		nd.edge.BeginShutdown()
 		time.Sleep(notReadyPeriod)
-		dctx, cancel := context.WithDeadline(context.Background(), began.Add(nd.settings.StopGrace-stopMargin))
+		nd.edge.StopAdmission() // net/http serves connections that have not carried a request yet
+		drained := began.Add(nd.settings.StopGrace - stopMargin)
+		timer := time.AfterFunc(time.Until(drained), func() {
+			for _, end := range nd.endRequests {
+				end()
+			}
+		})
+		defer timer.Stop()
+		dctx, cancel := context.WithDeadline(context.Background(), drained.Add(answerPeriod))
 		defer cancel()
 		var wg sync.WaitGroup
 		for _, sv := range nd.servers {
