Take up no stream at a server that runs other software by now

Report of other operators; it can happen here. A gateway that had been frozen while engines were replaced under their IDs went on with a stream of v1 at an engine of v2: the controllers told it the origin, but it picked the engine by its own records from before.

Change: the answer of a controller lists the backend servers of the service with other software, and a resume goes to none of them.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -191,13 +191,16 @@
 	MinVersion uint64 // of the model's weights
 	Prefix     string // of its prompt, "" for none
 	Software   string // version of the backend server's software, "" for any
-	Exclude    []string
-	Only       []string // the only backend servers that may be picked, all if it is empty
-	Tokens     int
-	IsSuspect  bool              // was in flight at a crash: must be the only suspect of this process on its backend server
-	MinAge     time.Duration     // how long a backend server must have been known as this incarnation
-	ExtraSlots int               // requests that a backend server may get beyond its slots, where they queue
-	Work       workload.Estimate // expected work, zero if it is not known
+	// OtherSoftware lists the IDs of backend servers that are known to run other software, whatever
+	// their last known record says.
+	OtherSoftware []string
+	Exclude       []string
+	Only          []string // the only backend servers that may be picked, all if it is empty
+	Tokens        int
+	IsSuspect     bool              // was in flight at a crash: must be the only suspect of this process on its backend server
+	MinAge        time.Duration     // how long a backend server must have been known as this incarnation
+	ExtraSlots    int               // requests that a backend server may get beyond its slots, where they queue
+	Work          workload.Estimate // expected work, zero if it is not known
 	// Regions lists the regions whose backend servers may be picked. It is nil for any; with a list
 	// without elements none may be.
 	Regions []string
@@ -324,7 +327,7 @@
 		if rq.Model != "" {
 			ca.Sequence = sv.record.Version(rq.Model)
 		}
-		if !sv.runs(rq.Software) || !rq.allows(sv.record.ID) || !ba.isInRegion(sv, rq.Regions) || now < max(sv.pausedUntil, sv.suspendedUntil) || sv.record.IsLoading ||
+		if !sv.runs(rq.Software) || slices.Contains(rq.OtherSoftware, sv.record.ID) || !rq.allows(sv.record.ID) || !ba.isInRegion(sv, rq.Regions) || now < max(sv.pausedUntil, sv.suspendedUntil) || sv.record.IsLoading ||
 			now-ca.ReadySince < rq.MinAge {
 			sr.Exclude = append(sr.Exclude, i)
 		}
--- a/internal/controller/origins.go
+++ b/internal/controller/origins.go
@@ -7,6 +7,7 @@
 
 	"github.com/tamarackbay/tamarackbay/internal/origin"
 	"github.com/tamarackbay/tamarackbay/internal/peer"
+	"github.com/tamarackbay/tamarackbay/internal/registry"
 	"github.com/tamarackbay/tamarackbay/internal/result"
 	"github.com/tamarackbay/tamarackbay/internal/wire"
 )
@@ -21,12 +22,20 @@
 func (co *Controller) findOrigin(key origin.Key) origin.Finding {
 	fi := co.origins.Find(key)
 	re, ok := co.origins.Record(key)
-	if !ok || re.Server == "" {
+	if !ok {
 		return fi
 	}
 	co.mu.Lock()
 	defer co.mu.Unlock()
 
+	for _, st := range co.serverStatuses() {
+		if se := &st.Record; se.Service == fi.Origin.Service && se.State != registry.Left && se.Software != fi.Origin.Software {
+			fi.Others = append(fi.Others, se.ID)
+		}
+	}
+	if re.Server == "" {
+		return fi
+	}
 	// A backend server may return with other software under its ID before gateways know that.
 	now, ok := co.registry.Record(re.Server)
 	if ok && now.Software != "" && now.Software != re.Origin.Software && re.MayBeOf(now.BornMs) {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -191,6 +191,7 @@
 	fingerprint   string          // "" until it is needed
 	slotKey       fairshare.Key   // service and workspace of the slot in use
 	origin        *origin.Origin  // what began the stream, nil before its first event
+	otherSoftware []string        // IDs of backend servers that run other software than origin
 }
 
 // completeAnswer is an answer whose body was read to its end.
--- a/internal/ingress/slot.go
+++ b/internal/ingress/slot.go
@@ -24,7 +24,7 @@
 			return nil, result.New(result.NoSameSoftware, "ingress: no backend server of %s with software version %q is ready", service, rs.origin.Software).
 				WithRetryAfter(sameSoftwareRetryAfter)
 		}
-		rq.Service, rq.Software, rq.ExtraSlots = service, rs.origin.Software, resumeQueueSlots
+		rq.Service, rq.Software, rq.OtherSoftware, rq.ExtraSlots = service, rs.origin.Software, rs.otherSoftware, resumeQueueSlots
 	}
 	ke := fairshare.Key{Service: service, Workspace: rs.workspace}
 	isOver, wr := rs.in.waiting.isOver(ke), rs.in.waiting
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -58,11 +58,12 @@
 			WithRetryAfter(sameSoftwareRetryAfter)
 	}
 	key := origin.KeyOf(rs.workspace, rs.rq.Resumes)
-	or, err := rs.in.cfg.Origins.Find(ctx, key)
+	fi, err := rs.in.cfg.Origins.Find(ctx, key)
 	if err != nil {
 		return err
 	}
-	rs.origin = &or
+	or := fi.Origin
+	rs.origin, rs.otherSoftware = &or, fi.Others
 	rs.in.cfg.Origins.Begin(origin.Record{Key: key, Origin: or}) // this gateway may be the only one left that knows it
 	if rs.rq.ID != "" && rs.rq.ID != rs.rq.Resumes {
 		// A later resume may name this attempt instead of the first one.
--- a/internal/origin/book.go
+++ b/internal/origin/book.go
@@ -126,9 +126,9 @@
 	}
 }
 
-// Find returns the origin of a stream. It asks all controllers, also if this gateway knows the
+// Find returns the origin of a stream, and which backend servers run other software now. It asks all controllers, also if this gateway knows the
 // stream: another gateway may have begun an attempt with the same ID at another version.
-func (bo *Book) Find(ctx context.Context, key Key) (Origin, error) {
+func (bo *Book) Find(ctx context.Context, key Key) (Finding, error) {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
 	addresses := bo.addresses()
@@ -159,16 +159,16 @@
 	}
 	switch {
 	case known.IsFound:
-		return known.Origin, nil
+		return known, nil
 	case known.IsAmbiguous:
 		bo.cfg.Meter.Count("origins.ambiguous")
 
-		return Origin{}, result.New(result.OriginUnknown, "origin: attempts with the same ID began at several software versions").
+		return Finding{}, result.New(result.OriginUnknown, "origin: attempts with the same ID began at several software versions").
 			WithRetryAfter(unknownRetryAfter)
 	}
 	bo.cfg.Meter.Count("origins.unknown")
 
-	return Origin{}, result.New(result.OriginUnknown, "origin: none of %d controllers knows which software version began the stream", len(addresses)).
+	return Finding{}, result.New(result.OriginUnknown, "origin: none of %d controllers knows which software version began the stream", len(addresses)).
 		WithRetryAfter(unknownRetryAfter)
 }
 
@@ -178,6 +178,8 @@
 	case fi.IsAmbiguous || other.IsAmbiguous || (fi.IsFound && other.IsFound && fi.Origin != other.Origin):
 		return Finding{IsAmbiguous: true}
 	case fi.IsFound:
+		fi.Others = slices.Concat(fi.Others, other.Others)
+
 		return fi
 	}
 
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -153,7 +153,7 @@
 		DeferCleanup(cancel)
 	})
 	find := func(bo *origin.Book) func() (origin.Origin, error) {
-		return func() (origin.Origin, error) { return bo.Find(ctx, key) }
+		return func() (origin.Origin, error) { return originOf(ctx, bo, key) }
 	}
 
 	for _, tc := range []struct {
@@ -188,7 +188,7 @@
 			_, err := second.Find(ctx, key)
 			Expect(result.Is(err, result.OriginUnknown)).To(BeTrue(), "%v", err)
 			Expect(result.From(err).RetryAfter).To(BeNumerically(">", 0))
-			Expect(first.Find(ctx, key)).To(Equal(v1), "the gateway that began it knows it")
+			Expect(originOf(ctx, first, key)).To(Equal(v1), "the gateway that began it knows it")
 		})
 	}
 
@@ -210,7 +210,7 @@
 			Eventually(func() bool { return cs.know(key) }).Should(BeTrue())
 			cs.restart("b") // both send their records again, in any order
 			for _, bo := range []*origin.Book{first, second, third} {
-				or, err := bo.Find(ctx, key)
+				or, err := originOf(ctx, bo, key)
 				Expect(err == nil).To(Equal(tc.ok), "%v", err)
 				if tc.ok {
 					Expect(or).To(Equal(v1))
@@ -236,7 +236,7 @@
 		cs.table("a").Add([]origin.Record{{Key: key, Origin: v1}})
 		cs.suspend("b")
 		began := time.Now()
-		Expect(bo.Find(ctx, key)).To(Equal(v1))
+		Expect(originOf(ctx, bo, key)).To(Equal(v1))
 		Expect(time.Since(began)).To(BeNumerically("<", 150*time.Millisecond))
 	})
 
@@ -273,3 +273,10 @@
 		Expect(origin.KeyOf("w", "x")).NotTo(Equal(origin.KeyOf("v", "x")))
 	})
 })
+
+// originOf returns the origin that a book finds.
+func originOf(ctx context.Context, bo *origin.Book, key origin.Key) (origin.Origin, error) {
+	fi, err := bo.Find(ctx, key)
+
+	return fi.Origin, err
+}
--- /dev/null
+++ b/soak/outofstep_test.go
@@ -0,0 +1,95 @@
+package soak_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarackbay/tamarackbay/internal/program"
+	"github.com/tamarackbay/tamarackbay/platform/standin"
+)
+
+// Guards against a stream that a gateway out of step joins from two software versions: the backend
+// servers of the new version joined, and began streams, while it was frozen or cut off.
+var _ = ginkgo.Describe("a gateway that was out of step during a release", func() {
+	const streams, events, leftAfter = 24, 12, 4
+	for _, tc := range []struct {
+		ha     harm
+		subnet int
+	}{{freeze(program.RoleGateway), 67}, {cutOff(program.RoleGateway), 68}} {
+		ginkgo.It("goes on with no stream at another version: "+tc.ha.name, func() {
+			ctx, cancel := context.WithCancel(context.Background())
+			var wg sync.WaitGroup
+			de := startLoaded(ctx, &wg, Config{Folder: filepath.Join(folder, "outofstep-"+tc.ha.name[:3]), Subnet: tc.subnet, Gateways: 2, PlainServers: 2, Engines: 6, Stores: 3, Heartbeat: deployedHeartbeat})
+			defer func() {
+				cancel()
+				wg.Wait()
+				Expect(de.close()).To(Succeed())
+			}()
+			engines := de.servers[2:]
+			for _, bs := range engines {
+				Expect(bs.Replace("v1")).To(Succeed())
+			}
+			time.Sleep(2 * deployedHeartbeat)
+			out := tc.ha.targets(de)[0]
+			other := de.gateways()[1]
+			Expect(out.ip).NotTo(Equal(other))
+
+			tc.ha.begin(de, out)
+			// Half of them return with the new version, under the same IDs and addresses.
+			for _, bs := range engines[:3] {
+				Expect(bs.Replace("v2")).To(Succeed())
+			}
+			time.Sleep(time.Second)
+			counts := map[string]int{}
+			taken := make([]*standin.Stream, streams)
+			for i := range taken {
+				st := &standin.Stream{}
+				_, _ = de.caller.Take(ctx, other, st, fmt.Sprintf("begun%d", i), events, leftAfter+1) // its client leaves
+				Expect(st.Events).NotTo(BeEmpty())
+				counts["begun at "+standin.SoftwareOf(st.Events)[0]]++
+				taken[i] = st
+			}
+			Expect(counts["begun at v2"]).To(BeNumerically(">", 0), "%v", counts)
+			if tc.ha.name == "frozen" {
+				tc.ha.end(de, out) // its first requests meet the view from before
+			}
+			var each sync.WaitGroup
+			for i, st := range taken {
+				each.Go(func() {
+					_, _ = de.caller.Take(ctx, out.ip, st, fmt.Sprintf("resumed%d", i), events, 0) // may be refused
+				})
+			}
+			each.Wait()
+			tc.ha.end(de, out)
+			Eventually(func() int {
+				an, _ := de.caller.Lookup(ctx, out.ip, "after", false)
+
+				return an.Status
+			}, "10s", "50ms").Should(Equal(http.StatusOK))
+			for _, st := range taken {
+				Expect(standin.SoftwareOf(st.Events)).To(HaveLen(1), "stream %s, resumed %d times: %v", st.ID, st.Resumed, st.Events)
+				if st.GoneOn > 0 {
+					counts["gone on"]++
+				}
+				// Refused streams go on once the gateway is in step.
+				for try := 0; len(st.Events) < events && try < 50; try++ {
+					_, _ = de.caller.Take(ctx, out.ip, st, fmt.Sprintf("again%d-%s", try, st.ID), events, 0)
+					Expect(standin.SoftwareOf(st.Events)).To(HaveLen(1), "stream %s: %v", st.ID, st.Events)
+					time.Sleep(100 * time.Millisecond)
+				}
+				if len(st.Events) == events {
+					counts["complete"]++
+				}
+			}
+			ginkgo.GinkgoWriter.Printf("%s: %v\n", tc.ha.name, counts)
+			Expect(counts["complete"]).To(BeNumerically(">=", streams/2), "%v", counts)
+		})
+	}
+})
