Ask gateways in touch what they obey, under faults of links and processes

The soak read configurations at controllers alone, and no server left by a notice. obey_test.go adds and takes away routes, lets servers leave by DELETE, harms links, controllers and gateways at random, and judges each gateway from 3 s after the last fault that touched it, by config_apply_ms and drain_ms. departure_test.go also kills all controllers right after an acknowledgement.

The users' cases of CONFIG were not reproduced.

--- a/soak/departure_test.go
+++ b/soak/departure_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"path/filepath"
 	"slices"
 	"sync"
@@ -80,4 +81,48 @@
 			}
 		})
 	}
+
+	// Guards against an acknowledgement that outruns what it acknowledges.
+	ginkgo.It("is known to each gateway, as a configuration is, when all controllers are lost right after the acknowledgement", func() {
+		const rounds = 6
+		var controllers []*process
+		for _, pr := range de.processes {
+			if pr.role == program.RoleController {
+				controllers = append(controllers, pr)
+			}
+		}
+		for n := range rounds {
+			version := n + 2
+			control := fmt.Sprintf("%s:%d", controllers[n%len(controllers)].ip, de.caller.Ports.Control)
+			bs := de.servers[n%len(de.servers)]
+			an, err := de.caller.Call(ctx, http.MethodPut, control, "/config", nil, changedConfiguration(version))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(an.Status).To(Equal(http.StatusOK))
+			if n%2 == 0 {
+				Expect(bs.SendLeave(ctx, control)).To(Succeed())
+			}
+			for _, pr := range controllers {
+				Expect(pr.signal(syscall.SIGKILL)).To(Succeed())
+			}
+			acknowledged := time.Now()
+			time.Sleep(applyWithin)
+			for _, gw := range de.gateways() {
+				an, err := de.caller.Client(ctx, gw, http.MethodPost, fmt.Sprintf("/added%d/x", version), map[string]string{"Attempt-Id": fmt.Sprintf("d%d-%s", n, gw)}, "x")
+				Expect(err).NotTo(HaveOccurred())
+				Expect(an.Status).To(Equal(http.StatusOK), "round %d, gateway %s: %s", n, gw, an.Body)
+			}
+			if n%2 == 0 {
+				late := slices.DeleteFunc(bs.Arrivals(), func(at time.Time) bool { return at.Before(acknowledged.Add(drainWithin)) })
+				Expect(late).To(BeEmpty(), "round %d", n)
+			}
+			for _, pr := range controllers {
+				Expect(pr.stop(syscall.SIGKILL)).To(Succeed())
+				Expect(pr.start()).To(Succeed())
+			}
+			bs.Mute(0)
+			Expect(bs.Replace(bs.Software)).To(Succeed())
+			Eventually(func() error { return de.caller.Configure(ctx, 1) }, readyWithin, "100ms").Should(Succeed(), "a controller leads")
+			time.Sleep(contactWithin)
+		}
+	})
 })
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -25,6 +25,8 @@
 	peerListen string // address on which it listens for other processes, to which network forwards
 	settings   standin.NodeSettings
 
+	harmed sync.Mutex // held by the fault that has stopped or killed it
+
 	mu         sync.Mutex
 	starts     int
 	logSize    int64 // size of the log in bytes before the last start
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -48,6 +48,7 @@
 	seeds   uint64
 	verbose bool
 	measure bool
+	obey    bool
 }
 
 func parseArguments(args []string) (*runArguments, error) {
@@ -65,6 +66,7 @@
 	app.Flag("engines", "Number of engines.").IntVar(&ra.Engines)
 	app.Flag("verbose", "Print each fault.").BoolVar(&ra.verbose)
 	app.Flag("measure", "Print the resource use of each role during start, idle time, lookups and jobs.").BoolVar(&ra.measure)
+	app.Flag("obey", "Play the seeds of obey_test.go: configurations and leave notices at gateways.").BoolVar(&ra.obey)
 	_, err := app.Parse(args)
 
 	return ra, err
@@ -88,6 +90,12 @@
 		cfg.Seed += i
 		ginkgo.It(fmt.Sprintf("keep every promise: seed %d", cfg.Seed), func() {
 			cfg.Folder, cfg.Binary = filepath.Join(cfg.Folder, fmt.Sprintf("soak-%d-%d", os.Getpid(), cfg.Seed)), binary
+			if ra.obey {
+				broken := playObedience(cfg.Seed, cfg.Length, cfg.Subnet)
+				Expect(broken).To(BeEmpty())
+
+				return
+			}
 			if ra.verbose {
 				cfg.Logf = func(format string, args ...any) { fmt.Printf("  "+format+"\n", args...) }
 			}
