Look at a follower only when it was sent something

Cause, found in the read-through: AwaitSent looked at all followers each time one of them was sent a state, so that an acknowledged change cost F x F looks under a lock, F the followers of a controller; since that holds for configurations and notices of leaving too.

Change: a wait keeps the followers that miss the change; a follower is looked at when the wait begins and when it is sent something: 2 x F + 2 looks a change.

--- a/internal/feed/evacuation_test.go
+++ b/internal/feed/evacuation_test.go
@@ -79,6 +79,29 @@
 		Expect(await(7, 5*time.Second)).To(BeTrue())
 	})
 
+	// Guards against a wait that looks at all followers whenever one of them was sent something.
+	ginkgo.It("are awaited at a cost that grows with the followers, and not with their square", func() {
+		const followers = 500
+		sv, looks := NewServer(), 0
+		var fos []*sentState
+		for range followers {
+			fos = append(fos, &sentState{})
+			sv.recordSent(fos[len(fos)-1], noState)
+		}
+		sw := sv.addWait(func(st *State) bool {
+			looks++
+
+			return st.EvacuatedAt >= 4
+		})
+		sv.Publish(states[0])
+		for _, fo := range fos {
+			Expect(sw.done).NotTo(BeClosed())
+			sv.recordSent(fo, states[0])
+		}
+		Expect(sw.done).To(BeClosed())
+		Expect(looks).To(BeNumerically("<=", 2*followers+2))
+	})
+
 	ginkgo.It("are sent without waiting for changes of backend servers", func() {
 		Expect(states[0].isOlder(states[1])).To(BeTrue())
 		Expect(states[1].isOlder(states[1])).To(BeFalse())
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -24,8 +24,7 @@
 	serversGap time.Duration // minServersGap
 	followers  atomic.Int64
 	sent       map[*sentState]bool // one for each follower
-	awaiting   int                 // calls of AwaitSent
-	sentWake   chan struct{}       // closed and replaced when a follower was sent a state, if awaiting is not 0
+	waits      map[*sentWait]bool  // one for each call of AwaitSent
 }
 
 // sentState is what a follower was sent last.
@@ -33,6 +32,27 @@
 	state *State
 }
 
+// sentWait is a call that waits until a change was published and sent to every follower. It looks
+// at a follower only when that one was sent something, so that a change costs each follower once.
+type sentWait struct {
+	has         func(st *State) bool
+	isPublished bool
+	missing     map[*sentState]bool // followers that were not sent it yet
+	done        chan struct{}
+}
+
+// finish ends the wait if nothing is missing. The caller holds the mutex of the Server.
+func (sw *sentWait) finish() {
+	if !sw.isPublished || len(sw.missing) > 0 {
+		return
+	}
+	select {
+	case <-sw.done:
+	default:
+		close(sw.done)
+	}
+}
+
 // minServersGap is the shortest time between two messages to a follower where the second has
 // nothing but changes of backend servers: engines that load weights change several times a
 // second each, and a follower looks at them once for each message.
@@ -43,7 +63,7 @@
 
 // NewServer returns a server with an empty state.
 func NewServer() *Server {
-	return &Server{state: &State{}, changed: make(chan struct{}), serversGap: minServersGap, sent: map[*sentState]bool{}, sentWake: make(chan struct{})}
+	return &Server{state: &State{}, changed: make(chan struct{}), serversGap: minServersGap, sent: map[*sentState]bool{}, waits: map[*sentWait]bool{}}
 }
 
 // Publish replaces the state and notifies followers if it has changed.
@@ -54,6 +74,10 @@
 	de := diff(sv.state, st)
 	notify := !de.isEmpty() || sv.state.IsSettled != st.IsSettled
 	sv.state = st
+	for sw := range sv.waits {
+		sw.isPublished = sw.isPublished || sw.has(st)
+		sw.finish()
+	}
 	if notify {
 		close(sv.changed)
 		sv.changed = make(chan struct{})
@@ -120,8 +144,16 @@
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
 
+	isNew := !sv.sent[fo]
 	sv.sent[fo], fo.state = true, st
-	sv.wakeAwaiting()
+	for sw := range sv.waits {
+		if isNew {
+			sw.missing[fo] = true // until it was sent its first state
+		} else if sw.missing[fo] && sw.has(st) {
+			delete(sw.missing, fo)
+			sw.finish()
+		}
+	}
 }
 
 // forget drops a follower whose stream has ended.
@@ -130,46 +162,43 @@
 	defer sv.mu.Unlock()
 
 	delete(sv.sent, fo)
-	sv.wakeAwaiting()
-}
-
-// wakeAwaiting wakes the calls of AwaitSent. The caller holds mu.
-func (sv *Server) wakeAwaiting() {
-	if sv.awaiting > 0 {
-		close(sv.sentWake)
-		sv.sentWake = make(chan struct{})
+	for sw := range sv.waits {
+		delete(sw.missing, fo)
+		sw.finish()
 	}
 }
 
 // AwaitSent waits until a state that has a change was published and sent to every follower, or
 // until ctx ends, and reports whether it was.
 func (sv *Server) AwaitSent(ctx context.Context, has func(st *State) bool) bool {
+	sw := sv.addWait(has)
+	defer func() {
+		sv.mu.Lock()
+		defer sv.mu.Unlock()
+		delete(sv.waits, sw)
+	}()
+	select {
+	case <-sw.done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (sv *Server) addWait(has func(st *State) bool) *sentWait {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
 
-	sv.awaiting++
-	defer func() { sv.awaiting-- }()
-	for {
-		isSent, wake := has(sv.state), sv.sentWake
-		if !isSent {
-			wake = sv.changed
-		}
-		for fo := range sv.sent {
-			isSent = isSent && has(fo.state)
-		}
-		if isSent {
-			return true
-		}
-		sv.mu.Unlock()
-		select {
-		case <-wake:
-		case <-ctx.Done():
-		}
-		sv.mu.Lock()
-		if ctx.Err() != nil {
-			return false
+	sw := &sentWait{has: has, isPublished: has(sv.state), missing: map[*sentState]bool{}, done: make(chan struct{})}
+	for fo := range sv.sent {
+		if !has(fo.state) {
+			sw.missing[fo] = true
 		}
 	}
+	sv.waits[sw] = true
+	sw.finish()
+
+	return sw
 }
 
 // await returns when the next message is due to a follower that has just been sent a state: at
