--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -191,9 +191,9 @@
 	MinVersion uint64 // of the model's weights
 	Prefix     string // of its prompt, "" for none
 	Software   string // version of the backend server's software, "" for any
-	// OtherSoftware lists the IDs of backend servers that are known to run other software, whatever
+	// OtherSoftware holds the IDs of backend servers that are known to run other software, whatever
 	// their last known record says.
-	OtherSoftware []string
+	OtherSoftware map[string]bool
 	Exclude       []string
 	Only          []string // the only backend servers that may be picked, all if it is empty
 	Tokens        int
@@ -327,7 +327,7 @@
 		if rq.Model != "" {
 			ca.Sequence = sv.record.Version(rq.Model)
 		}
-		if !sv.runs(rq.Software) || slices.Contains(rq.OtherSoftware, sv.record.ID) || !rq.allows(sv.record.ID) || !ba.isInRegion(sv, rq.Regions) || now < max(sv.pausedUntil, sv.suspendedUntil) || sv.record.IsLoading ||
+		if !sv.runs(rq.Software) || rq.OtherSoftware[sv.record.ID] || !rq.allows(sv.record.ID) || !ba.isInRegion(sv, rq.Regions) || now < max(sv.pausedUntil, sv.suspendedUntil) || sv.record.IsLoading ||
 			now-ca.ReadySince < rq.MinAge {
 			sr.Exclude = append(sr.Exclude, i)
 		}
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -202,6 +202,14 @@
 		Expect(got).To(HaveLen(1))
 	})
 
+	// Guards against a stream that goes on at a later incarnation with other software, which the last
+	// known record does not show.
+	ginkgo.It("avoids backend servers that are known to run other software, even if no other has room", func() {
+		cl := newCluster(3, 2)
+		got, _ := cl.place(6, balance.Request{OtherSoftware: map[string]bool{"s0": true, "s2": true}})
+		Expect(got).To(Equal(map[string]int{"s1": 2}))
+	})
+
 	ginkgo.It("includes the reported load of other gateways", func() {
 		cl := newCluster(2, 8)
 		gr := cl.Acquire(&balance.Request{Service: "s", Exclude: []string{"s1"}})
--- a/internal/controller/origins.go
+++ b/internal/controller/origins.go
@@ -18,7 +18,8 @@
 	methodFindOrigin    = "controller.findOrigin"
 )
 
-// findOrigin returns what this controller knows of the beginning of a stream.
+// findOrigin returns what this controller knows of the beginning of a stream, and of the backend
+// servers that can't continue it.
 func (co *Controller) findOrigin(key origin.Key) origin.Finding {
 	fi := co.origins.Find(key)
 	re, ok := co.origins.Record(key)
@@ -30,7 +31,7 @@
 
 	for _, st := range co.serverStatuses() {
 		if se := &st.Record; se.Service == fi.Origin.Service && se.State != registry.Left && se.Software != fi.Origin.Software {
-			fi.Others = append(fi.Others, se.ID)
+			fi.OtherSoftware = append(fi.OtherSoftware, se.ID)
 		}
 	}
 	if re.Server == "" {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -43,8 +43,8 @@
 type Config struct {
 	Table func() *routing.Table // nil before the first configuration
 	Fresh func() error          // an error if this process must refuse new work
-	// Current returns an error if this process may lack a configuration that is due. It then refuses
-	// nothing for good that the newest one may allow; nil if it never lacks one.
+	// Current returns an error if this process may lack a configuration that must be in force by now.
+	// What the known one does not allow may then be retried; nil if no configuration is ever missing.
 	Current  func() error
 	Room     func() error // an error if this process is short of memory or descriptors; nil for enough
 	Balancer *balance.Balancer
@@ -191,7 +191,7 @@
 	fingerprint   string          // "" until it is needed
 	slotKey       fairshare.Key   // service and workspace of the slot in use
 	origin        *origin.Origin  // what began the stream, nil before its first event
-	otherSoftware []string        // IDs of backend servers that run other software than origin
+	otherSoftware map[string]bool // IDs of backend servers that run other software than origin
 }
 
 // completeAnswer is an answer whose body was read to its end.
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -63,7 +63,10 @@
 		return err
 	}
 	or := fi.Origin
-	rs.origin, rs.otherSoftware = &or, fi.Others
+	rs.origin, rs.otherSoftware = &or, make(map[string]bool, len(fi.OtherSoftware))
+	for _, id := range fi.OtherSoftware {
+		rs.otherSoftware[id] = true
+	}
 	rs.in.cfg.Origins.Begin(origin.Record{Key: key, Origin: or}) // this gateway may be the only one left that knows it
 	if rs.rq.ID != "" && rs.rq.ID != rs.rq.Resumes {
 		// A later resume may name this attempt instead of the first one.
--- a/internal/origin/book.go
+++ b/internal/origin/book.go
@@ -126,8 +126,9 @@
 	}
 }
 
-// Find returns the origin of a stream, and which backend servers run other software now. It asks all controllers, also if this gateway knows the
-// stream: another gateway may have begun an attempt with the same ID at another version.
+// Find returns the origin of a stream, and which backend servers run other software now. It asks
+// all controllers, also if this gateway knows the stream: another gateway may have begun an attempt
+// with the same ID at another version.
 func (bo *Book) Find(ctx context.Context, key Key) (Finding, error) {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
@@ -178,7 +179,7 @@
 	case fi.IsAmbiguous || other.IsAmbiguous || (fi.IsFound && other.IsFound && fi.Origin != other.Origin):
 		return Finding{IsAmbiguous: true}
 	case fi.IsFound:
-		fi.Others = slices.Concat(fi.Others, other.Others)
+		fi.OtherSoftware = slices.Concat(fi.OtherSoftware, other.OtherSoftware)
 
 		return fi
 	}
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -63,9 +63,9 @@
 	Origin      Origin `cbor:"1,keyasint"`
 	IsFound     bool   `cbor:"2,keyasint"` // the stream was recorded, and only with this origin
 	IsAmbiguous bool   `cbor:"4,keyasint,omitempty"`
-	// Others lists the IDs of the backend servers of the service that run other software. A gateway
-	// that was out of step may take one of them for its earlier incarnation.
-	Others []string `cbor:"5,keyasint,omitempty"`
+	// OtherSoftware lists the IDs of the backend servers of the service that run other software. A
+	// gateway with an outdated view may take one of them for its earlier incarnation.
+	OtherSoftware []string `cbor:"5,keyasint,omitempty"`
 }
 
 const (
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -23,6 +23,7 @@
 type controllers struct {
 	mu     sync.Mutex
 	tables map[string]*origin.Table
+	others map[string][]string      // backend servers with other software, by the controller that knows them
 	done   map[string]chan struct{} // closed to end the connections of a controller
 	cut    map[string]bool
 
@@ -123,7 +124,10 @@
 				return origin.Finding{}, errCut
 			}
 
-			return cs.tables[address].Find(qu.Key), nil
+			fi := cs.tables[address].Find(qu.Key)
+			fi.OtherSoftware = cs.others[address]
+
+			return fi, nil
 		},
 	})
 	bo.SetControllers(addresses) // takes effect with Run, however late that is scheduled
@@ -230,6 +234,18 @@
 		Expect(result.Is(err, result.OriginUnknown)).To(BeTrue(), "%v", err)
 	})
 
+	It("comes with the backend servers of which any controller knows that they run other software", func() {
+		cs := newControllers()
+		cs.others = map[string][]string{"a": {"s1"}, "c": {"s2"}}
+		for _, address := range []string{"a", "b", "c"} {
+			cs.table(address).Add([]origin.Record{{Key: key, Origin: v1}})
+		}
+		bo := cs.newBook(ctx)
+		fi, err := bo.Find(ctx, key)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(fi.OtherSoftware).To(ConsistOf("s1", "s2"))
+	})
+
 	It("is found soon while a controller does not answer", func() {
 		cs := newControllers()
 		bo := cs.newBook(ctx)
