Send a notice of leaving once to each controller

Cause, found in the read-through: a departure was sent to each other controller by the call that waits for it and a second time by the outbox.

Change: the outbox gets it only for those that have not recorded it. passOn returns these; the design of the control plane has the formulas: C-1 calls for each notice, D*h*(C-1) a second while D drain.

Measured: soak/departure_test.go and leaving_test.go pass (172 s).

--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -70,16 +71,21 @@
 
 // recordDeparture records a notice that a backend server takes nothing new.
 func (co *Controller) recordDeparture(ctx context.Context, no registry.Notice) error {
-	co.recordNotice(no)
+	co.receive([]registry.Notice{no})
 	began := time.Now()
-	known, all := co.passOn(ctx, no)
+	others := co.otherControllers()
+	lacking := co.passOn(ctx, others, no)
+	co.enqueue(lacking, no)
 	isSent := co.awaitSent(ctx, func(st *feed.State) bool { return st.HasDeparted(no.Record.Incarnation()) })
+
+	members := len(others) + 1
+	recorded := members - len(lacking)
 	fl := log.Fields{
-		"server": no.Record.ID, "born": no.Record.BornMs, "leaves": no.Leaves, "controllers": known, "members": all,
+		"server": no.Record.ID, "born": no.Record.BornMs, "leaves": no.Leaves, "controllers": recorded, "members": members,
 		"isSentToAll": isSent, "ms": time.Since(began).Milliseconds(),
 	}
-	if known <= all/2 {
-		err := result.New(result.GroupTimeout, "controller: %d of %d controllers have recorded that backend server %s takes nothing new", known, all, no.Record.ID)
+	if recorded <= members/2 {
+		err := result.New(result.GroupTimeout, "controller: %d of %d controllers have recorded that backend server %s takes nothing new", recorded, members, no.Record.ID)
 		co.cfg.Log.WithFields(fl).WithError(err).Warn("departure of a backend server not acknowledged")
 
 		return err
@@ -92,56 +98,64 @@
 }
 
 const (
-	// passOnTimeout bounds the wait for another controller that can be reached. It answers within
-	// milliseconds.
+	// passOnTimeout bounds the wait for all other controllers, which answer within milliseconds if
+	// they can be reached.
 	passOnTimeout = 300 * time.Millisecond
 	// majorityTimeout bounds the wait for more than half of the controllers. The caller turns to
 	// another one after a second.
 	majorityTimeout = 600 * time.Millisecond
 )
 
-// passOn passes a notice on to all other controllers and returns how many members of the group,
-// this one included, have recorded it, and how many there are. It waits for the rest after
-// passOnTimeout only while these are not more than half.
-func (co *Controller) passOn(ctx context.Context, no registry.Notice) (known, all int) {
-	others := co.otherControllers()
+// passOn passes a notice on to other controllers and returns those that have not recorded it. After
+// passOnTimeout it waits only until this controller and others are more than half.
+func (co *Controller) passOn(ctx context.Context, others []string, no registry.Notice) (lacking []string) {
 	ctx, cancel := context.WithTimeout(ctx, majorityTimeout)
 	defer cancel()
-	recorded := make(chan bool, len(others))
+	type outcome struct {
+		address    string
+		isRecorded bool
+	}
+	outcomes := make(chan outcome, len(others))
 	for _, a := range others {
 		go func() {
 			var rep relayReply
-			recorded <- co.links.CallRecord(ctx, a, methodHeartbeats, relayedNotices{Notices: []registry.Notice{no}}, &rep) == nil
+			err := co.links.CallRecord(ctx, a, methodHeartbeats, relayedNotices{Notices: []registry.Notice{no}}, &rep)
+			outcomes <- outcome{a, err == nil}
 		}()
 	}
-	known, all = 1, len(others)+1
-	patience, stop := context.WithTimeout(ctx, passOnTimeout)
+	waitsForAll, stop := context.WithTimeout(ctx, passOnTimeout)
 	defer stop()
+	lacking = slices.Clone(others)
 	for range others {
-		isRecorded := false
+		var oc outcome
 		select {
-		case isRecorded = <-recorded:
-		case <-patience.Done():
-			if known > all/2 {
-				return known, all
+		case oc = <-outcomes:
+		case <-waitsForAll.Done():
+			if 2*len(lacking) < len(others)+1 {
+				return lacking
 			}
-			isRecorded = <-recorded // majorityTimeout ends all calls
+			oc = <-outcomes // majorityTimeout ends all calls
 		}
-		if isRecorded {
-			known++
+		if oc.isRecorded {
+			lacking = slices.DeleteFunc(lacking, func(a string) bool { return a == oc.address })
 		}
 	}
 
-	return known, all
+	return lacking
 }
 
+// recordNotice records a notice and passes it on to the other controllers in the background.
 func (co *Controller) recordNotice(no registry.Notice) {
 	co.receive([]registry.Notice{no})
-	others := co.otherControllers()
+	co.enqueue(co.otherControllers(), no)
+}
+
+// enqueue adds a notice to the outboxes of other controllers.
+func (co *Controller) enqueue(addresses []string, no registry.Notice) {
 	co.relay.mu.Lock()
 	defer co.relay.mu.Unlock()
 	isUrgent := false
-	for _, a := range others {
+	for _, a := range addresses {
 		ob := co.relay.outboxes[a]
 		if ob == nil {
 			ob = &relayOutbox{Outbox: registry.NewOutbox()}
