--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -246,17 +246,24 @@
 	}
 	defer rs.Body.Close()
 
+	return rs.StatusCode, DecodeJSON(what, rs, out)
+}
+
+// DecodeJSON decodes the body of an answer with a success status into out, if it is not nil. The
+// caller closes the body.
+func DecodeJSON(what string, rs *http.Response, out any) error {
 	if rs.StatusCode >= http.StatusMultipleChoices {
-		return rs.StatusCode, Refusal(what, rs)
+		return Refusal(what, rs)
 	}
+	body := io.LimitReader(rs.Body, maxAnswerBytes)
 	if out == nil {
-		_, _ = io.Copy(io.Discard, io.LimitReader(rs.Body, maxAnswerBytes))
+		_, _ = io.Copy(io.Discard, body) // so that the connection can be reused
 
-		return rs.StatusCode, nil
+		return nil
 	}
-	if err := json.NewDecoder(io.LimitReader(rs.Body, maxAnswerBytes)).Decode(out); err != nil {
-		return rs.StatusCode, result.New(result.BackendAnswerBroken, "%s: %v", what, err).WithExecution(result.ExecutionUnknown)
+	if err := json.NewDecoder(body).Decode(out); err != nil {
+		return result.New(result.BackendAnswerBroken, "%s: %v", what, err).WithExecution(result.ExecutionUnknown)
 	}
 
-	return rs.StatusCode, nil
+	return nil
 }
