Take the age from which a gateway may lack a configuration from its settings

Cause, found in the read-through: had 2 s as a constant, the figure of the known deployments, although the settings name it.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -203,15 +203,14 @@
 	return nil
 }
 
-// applyWithin is the time within which a gateway obeys an acknowledged configuration in all known
-// deployments. A view that was confirmed later than that ago may lack one.
-const applyWithin = 2 * time.Second
-
-// current returns an error if a configuration that was acknowledged applyWithin ago may not have
-// arrived here.
+// current returns an error if a configuration that must be in force by now may not have arrived.
 func (ed *Edge) current() error {
-	if age, ok := ed.follower.Age(); !ok || age > applyWithin {
-		return result.New(result.StaleProcess, "edge: no confirmation of the configuration for %v, a newer one may be in force", age.Round(time.Millisecond))
+	bound := ed.cfg.Settings.ApplyBound
+	if bound <= 0 {
+		return nil
+	}
+	if age, ok := ed.follower.Age(); !ok || age > bound {
+		return result.New(result.StaleProcess, "edge: no confirmation of the configuration for %v, a newer one must be in force after %v", age.Round(time.Millisecond), bound)
 	}
 
 	return nil
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -43,6 +43,7 @@
 
 	HeartbeatPeriod time.Duration // period of the heartbeats of backend servers
 	FreshnessBound  time.Duration // maximum age of the replicated state at which requests are accepted; 0 for no limit
+	ApplyBound      time.Duration // time within which an acknowledged configuration must be in force everywhere; 0 for no limit
 	StopGrace       time.Duration // from the stop signal until the process is killed
 	UsageWindow     time.Duration // length of a usage window
 	ReacquireDelay  time.Duration // how long a former lease holder must wait before it takes the lease over from its successor
