Split the play of acknowledged changes, and name it in usual terms

Change: changes_test.go has a type with one method for each part; the test also requires that requests were judged; failures of processes in the background fail the test.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -76,8 +76,8 @@
 	jobProxy    *jobproxy.Proxy
 	tally       *usage.Tally
 	headroom    headroom.Gate
-	isClosing   atomic.Bool
-	isClosed    atomic.Bool // nothing new is admitted
+	isClosing   atomic.Bool // not ready, clients should reconnect elsewhere
+	isClosed    atomic.Bool // new requests are refused
 }
 
 // New returns an edge without a configuration. Run fetches it from the controllers.
--- /dev/null
+++ b/soak/changes_test.go
@@ -0,0 +1,400 @@
+package soak_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"path/filepath"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarackbay/tamarackbay/internal/program"
+	"github.com/tamarackbay/tamarackbay/platform/standin"
+)
+
+const (
+	// applyWithin limits the time from the acknowledgement of a configuration until each connected
+	// gateway handles requests by it: config_apply_ms of the deployments.
+	applyWithin = standin.ApplyBound
+	// routesKept is how many of the added routes a configuration has. Each version adds one and
+	// takes the oldest away.
+	routesKept = 10
+	// inFlightVersions is how many later versions may come into force before a request is answered.
+	inFlightVersions = 2
+
+	changePeriod    = 500 * time.Millisecond
+	probePeriod     = 40 * time.Millisecond
+	departurePeriod = 3500 * time.Millisecond
+	servesOnFor     = drainWithin + time.Second // after the leave notice was acknowledged
+	callerTimeout   = time.Second               // after which a caller of the controllers turns to the next one
+	callerPause     = 50 * time.Millisecond
+
+	maxFaultGap  = 700 * time.Millisecond
+	minFaultTime = 100 * time.Millisecond
+	maxFaultTime = 6 * time.Second
+	linkDelay    = 700 * time.Millisecond
+	calmTime     = contactWithin + 2*time.Second
+
+	changesGateways = 4
+	changesServers  = 8
+)
+
+// Guards against a connected gateway that handles requests as an older configuration says, or sends
+// them to a backend server that has left, after faults of links and processes that overlap.
+var _ = ginkgo.Describe("acknowledged changes", func() {
+	ginkgo.It("are in force at each connected gateway within their bounds, seed 1", func() {
+		pl := playChanges(Config{Seed: 1, Length: 30 * time.Second, Subnet: 66, Folder: filepath.Join(folder, "changes")})
+		Expect(pl.broken).To(BeEmpty())
+		Expect(pl.judged.Load()).To(BeNumerically(">", 0))
+	})
+})
+
+// changesPlay changes configurations and lets backend servers leave, while faults are injected, and
+// judges the gateways.
+type changesPlay struct {
+	de     *deployment
+	faults *faultLog
+	judged atomic.Int64 // requests
+	wg     sync.WaitGroup
+
+	mu     sync.Mutex
+	sent   int               // newest version of the configuration that was sent
+	acked  map[int]time.Time // by version
+	broken []string          // promises
+}
+
+// playChanges plays the faults of a seed.
+func playChanges(cfg Config) *changesPlay {
+	ctx, cancel := context.WithCancel(context.Background())
+	pl := &changesPlay{faults: &faultLog{spans: map[string][]span{}}, sent: 1, acked: map[int]time.Time{}}
+	cfg.Gateways, cfg.PlainServers, cfg.Engines, cfg.Stores, cfg.Heartbeat = changesGateways, changesServers, 1, 3, deployedHeartbeat
+	pl.de = startLoaded(ctx, &pl.wg, cfg)
+	pl.wg.Go(func() { pl.changeConfigurations(ctx) })
+	pl.wg.Go(func() { pl.replaceServers(ctx) })
+	for _, gw := range pl.de.gateways() {
+		pl.wg.Go(func() { pl.probe(ctx, gw) })
+	}
+	pl.injectFaults(rand.New(rand.NewPCG(cfg.Seed, 0)), cfg.Length)
+	cancel()
+	pl.wg.Wait()
+	Expect(pl.de.close()).To(Succeed())
+
+	if len(pl.broken) > 0 {
+		ginkgo.GinkgoWriter.Println(pl.faults)
+	}
+	ginkgo.GinkgoWriter.Printf("seed %d: %d versions acknowledged, %d requests judged, %d promises broken\n", cfg.Seed, len(pl.acked), pl.judged.Load(), len(pl.broken))
+
+	return pl
+}
+
+func (pl *changesPlay) report(format string, args ...any) {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	pl.broken = append(pl.broken, time.Now().Format(eventTime)+fmt.Sprintf(format, args...))
+}
+
+// callControllers calls controllers at random until one has accepted, and returns when that was and
+// its IP number, "" if ctx has ended.
+func (pl *changesPlay) callControllers(ctx context.Context, call func(ctx context.Context, control string) error) (time.Time, string) {
+	for ctx.Err() == nil {
+		ip := pl.de.caller.ControllerIPs[rand.IntN(len(pl.de.caller.ControllerIPs))]
+		cctx, stop := context.WithTimeout(ctx, callerTimeout)
+		err := call(cctx, fmt.Sprintf("%s:%d", ip, pl.de.caller.Ports.Control))
+		stop()
+		if err == nil {
+			return time.Now(), ip
+		}
+		time.Sleep(callerPause)
+	}
+
+	return time.Time{}, ""
+}
+
+// changeConfigurations sends one version after another.
+func (pl *changesPlay) changeConfigurations(ctx context.Context) {
+	for ; ctx.Err() == nil; time.Sleep(changePeriod) {
+		pl.mu.Lock()
+		pl.sent++
+		version := pl.sent
+		pl.mu.Unlock()
+		at, ip := pl.callControllers(ctx, func(ctx context.Context, control string) error {
+			an, err := pl.de.caller.Call(ctx, http.MethodPut, control, "/config", nil, changedConfiguration(version))
+			if err == nil && an.Status != http.StatusOK {
+				err = fmt.Errorf("status %d", an.Status)
+			}
+
+			return err
+		})
+		if ip == "" {
+			return
+		}
+		pl.mu.Lock()
+		pl.acked[version] = at
+		pl.mu.Unlock()
+		pl.faults.add(fmt.Sprintf("version %d acknowledged by %s", version, ip))
+	}
+}
+
+// changedConfiguration returns a configuration with the routes that the last versions added.
+func changedConfiguration(version int) map[string]any {
+	cfg := standin.Configuration(version)
+	routes := cfg["routes"].([]map[string]any)
+	for v := max(version-routesKept+1, 1); v <= version; v++ {
+		routes = append(routes, map[string]any{
+			"name": fmt.Sprintf("added-%d", v), "host": standin.Host, "path_prefix": fmt.Sprintf("/added%d/", v), "type": "idempotent",
+			"timeout_ms": 2000, "slo_ms": 500, "service": servicePlain, "max_attempts": 4,
+		})
+	}
+	cfg["routes"] = routes
+
+	return cfg
+}
+
+// dueRoutes returns the version whose route must be served by connected gateways at a time, and the
+// last one whose route must not be; below 1 for none.
+func (pl *changesPlay) dueRoutes(at time.Time) (served, removed int) {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	newest := 0
+	for v, t := range pl.acked {
+		if t.Add(applyWithin).Before(at) {
+			newest = max(newest, v)
+		}
+	}
+	// Later versions, which may be in force too, remove the same routes, and have the newest one.
+	if newest > pl.sent+inFlightVersions-routesKept {
+		served = newest
+	}
+
+	return served, newest - routesKept
+}
+
+// probe asks one gateway for routes that were added and removed.
+func (pl *changesPlay) probe(ctx context.Context, gateway string) {
+	for i := 0; ctx.Err() == nil; i++ {
+		time.Sleep(probePeriod)
+		sent := time.Now()
+		version, removed := pl.dueRoutes(sent)
+		mustServe := i%2 == 0
+		if !mustServe {
+			version = removed
+		}
+		if version < 2 || !pl.faults.isConnected(gateway, sent) {
+			continue
+		}
+		pl.judged.Add(1)
+		pl.wg.Go(func() {
+			an, err := pl.de.caller.Client(ctx, gateway, http.MethodPost, fmt.Sprintf("/added%d/x", version), map[string]string{"Attempt-Id": fmt.Sprintf("o%s-%d", gateway, i)}, "x")
+			if err != nil {
+				return
+			}
+			isDenied := an.Status == http.StatusNotFound || an.Status == http.StatusUnauthorized || an.Status == http.StatusForbidden
+			if (mustServe && isDenied) || (!mustServe && an.Status == http.StatusOK) {
+				pl.report("older configuration: %s answered %d on the route of version %d, sent at %s", gateway, an.Status, version, sent.Format(eventTime))
+			}
+		})
+	}
+}
+
+// replaceServers lets two backend servers of the plain service leave at a time, judges what they get
+// and starts their next incarnations.
+func (pl *changesPlay) replaceServers(ctx context.Context) {
+	for n := 0; ctx.Err() == nil; n++ {
+		time.Sleep(departurePeriod)
+		for _, bs := range []*standin.BackendServer{pl.de.servers[(2*n)%changesServers], pl.de.servers[(2*n+1)%changesServers]} {
+			acknowledged, ip := pl.callControllers(ctx, bs.SendLeave)
+			if ip == "" {
+				return
+			}
+			pl.wg.Go(func() {
+				defer ginkgo.GinkgoRecover()
+				time.Sleep(servesOnFor)
+				for _, gw := range pl.de.gateways() {
+					for _, at := range bs.ArrivalsFrom(gw) {
+						if at.After(acknowledged.Add(drainWithin)) && pl.faults.isConnected(gw, at) {
+							pl.report("departed server: %s got a request from %s at %s, %v after %s acknowledged that it leaves", bs.ID, gw, at.Format(eventTime), at.Sub(acknowledged), ip)
+						}
+					}
+				}
+				bs.Stop()
+				bs.Mute(0)
+				Expect(bs.Start(pl.de.listenAddresses[bs])).To(Succeed())
+			})
+		}
+	}
+}
+
+// injectFaults injects faults that overlap, with calm times in which gateways are connected.
+func (pl *changesPlay) injectFaults(rnd *rand.Rand, length time.Duration) {
+	var running sync.WaitGroup
+	for end := time.Now().Add(length); time.Now().Before(end); {
+		time.Sleep(time.Duration(rnd.Int64N(int64(maxFaultGap))))
+		running.Go(pl.drawFault(rnd))
+		if rnd.IntN(4) == 0 {
+			running.Wait()
+			time.Sleep(calmTime)
+		}
+	}
+	running.Wait()
+	time.Sleep(calmTime)
+}
+
+// drawFault draws a fault of links or processes and returns the function that injects it.
+func (pl *changesPlay) drawFault(rnd *rand.Rand) func() {
+	duration := minFaultTime + time.Duration(rnd.Int64N(int64(maxFaultTime)))
+	control, gateways := pl.de.caller.ControllerIPs, pl.de.gateways()
+	gw, co := gateways[rnd.IntN(len(gateways))], control[rnd.IntN(len(control))]
+	li := []linkFault{{isCut: true, isMuted: true}, {isCut: true}, {isMuted: true}, {delay: linkDelay}}[rnd.IntN(4)]
+	between := func(ip string) (ps []pair) {
+		for _, other := range control {
+			if other != ip {
+				ps = append(ps, pair{ip, other}, pair{other, ip})
+			}
+		}
+
+		return ps
+	}
+	// Of two faults of one link the end of the first one ends both.
+	inject := func(what, affected string, ps []pair) func() {
+		return func() {
+			end := pl.faults.begin(fmt.Sprintf("%s %+v", what, li), affected)
+			defer end()
+			pl.de.network.setFault(li, ps...)
+			time.Sleep(duration)
+			pl.de.network.setFault(linkFault{}, ps...)
+		}
+	}
+	switch rnd.IntN(7) {
+	case 0:
+		return inject(gw+" to "+co, gw, []pair{{gw, co}, {co, gw}})
+	case 1, 2:
+		return inject(gw+" to all controllers", gw, between(gw))
+	case 3:
+		return inject(co+" to the other controllers", allGateways, between(co))
+	case 4:
+		return func() {
+			defer pl.faults.begin("reset of "+gw, gw)()
+			pl.de.network.reset(between(gw)...)
+		}
+	}
+
+	return pl.drawProcessFault(rnd, duration)
+}
+
+// drawProcessFault draws one controller, all of them or a gateway, which are suspended, or killed and
+// started again.
+func (pl *changesPlay) drawProcessFault(rnd *rand.Rand, duration time.Duration) func() {
+	isAll, isKilled, role := rnd.IntN(2) == 0, rnd.IntN(2) == 0, program.RoleController
+	if rnd.IntN(3) == 0 {
+		role = program.RoleGateway
+	}
+	var targets []*process
+	for _, pr := range pl.de.processes {
+		if pr.role == role {
+			targets = append(targets, pr)
+		}
+	}
+	affected := allGateways
+	if !isAll || role == program.RoleGateway {
+		n := rnd.IntN(len(targets))
+		targets = targets[n : n+1]
+	}
+	if role == program.RoleGateway {
+		affected = targets[0].ip
+	}
+	begin := func(pr *process) error { return pr.signal(syscall.SIGSTOP) }
+	end := func(pr *process) error { return pr.signal(syscall.SIGCONT) }
+	if isKilled {
+		begin = func(pr *process) error { return pr.stop(syscall.SIGKILL) }
+		end = func(pr *process) error { return pr.start() }
+	}
+
+	return func() {
+		defer ginkgo.GinkgoRecover()
+		for _, pr := range targets {
+			if !pr.harmMu.TryLock() {
+				return // by another fault
+			}
+			defer pr.harmMu.Unlock()
+		}
+		defer pl.faults.begin(fmt.Sprintf("harm of %d from %s on, killed %v", len(targets), targets[0].ip, isKilled), affected)()
+		for _, pr := range targets {
+			Expect(begin(pr)).To(Succeed())
+		}
+		time.Sleep(duration)
+		for _, pr := range targets {
+			Expect(end(pr)).To(Succeed())
+		}
+	}
+}
+
+// faultLog records when faults affected gateways.
+type faultLog struct {
+	mu     sync.Mutex
+	spans  map[string][]span // by the IP number of the gateway, or allGateways
+	events []string
+}
+
+// span is the time of a fault; to is zero until it ends.
+type span struct{ from, to time.Time }
+
+const (
+	// allGateways is the key of faults that affect all gateways: those of controllers.
+	allGateways = ""
+	// eventTime is the format of times in reports: seconds.
+	eventTime = "05.000 "
+)
+
+// begin records the begin of a fault and returns the function that records its end.
+func (fl *faultLog) begin(what, affected string) (end func()) {
+	fl.add(what)
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	n := len(fl.spans[affected])
+	fl.spans[affected] = append(fl.spans[affected], span{from: time.Now()})
+
+	return func() {
+		fl.add("end of " + what)
+		fl.mu.Lock()
+		defer fl.mu.Unlock()
+		fl.spans[affected][n].to = time.Now()
+	}
+}
+
+// add records an event.
+func (fl *faultLog) add(what string) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.events = append(fl.events, time.Now().Format(eventTime)+what)
+}
+
+// isConnected reports whether no fault affected a gateway from contactWithin before a time on.
+func (fl *faultLog) isConnected(gateway string, at time.Time) bool {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	for _, sp := range slices.Concat(fl.spans[gateway], fl.spans[allGateways]) {
+		if sp.from.Before(at) && (sp.to.IsZero() || sp.to.Add(contactWithin).After(at)) {
+			return false
+		}
+	}
+
+	return true
+}
+
+func (fl *faultLog) String() string {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	out := ""
+	for _, ev := range fl.events {
+		out += ev + "\n"
+	}
+
+	return out
+}
--- a/soak/departure_test.go
+++ b/soak/departure_test.go
@@ -82,7 +82,7 @@
 		})
 	}
 
-	// Guards against an acknowledgement that outruns what it acknowledges.
+	// Guards against a change that is acknowledged before the gateways were sent it.
 	ginkgo.It("is known to each gateway, as a configuration is, when all controllers are lost right after the acknowledgement", func() {
 		const rounds = 6
 		var controllers []*process
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -25,7 +25,7 @@
 	peerListen string // address on which it listens for other processes, to which network forwards
 	settings   standin.NodeSettings
 
-	harmed sync.Mutex // held by the fault that has stopped or killed it
+	harmMu sync.Mutex // held while a fault has suspended or killed it
 
 	mu         sync.Mutex
 	starts     int
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -48,7 +48,7 @@
 	seeds   uint64
 	verbose bool
 	measure bool
-	obey    bool
+	changes bool
 }
 
 func parseArguments(args []string) (*runArguments, error) {
@@ -66,7 +66,7 @@
 	app.Flag("engines", "Number of engines.").IntVar(&ra.Engines)
 	app.Flag("verbose", "Print each fault.").BoolVar(&ra.verbose)
 	app.Flag("measure", "Print the resource use of each role during start, idle time, lookups and jobs.").BoolVar(&ra.measure)
-	app.Flag("obey", "Play the seeds of obey_test.go: configurations and leave notices at gateways.").BoolVar(&ra.obey)
+	app.Flag("changes", "Play the seeds of changes_test.go: configurations and leave notices at gateways.").BoolVar(&ra.changes)
 	_, err := app.Parse(args)
 
 	return ra, err
@@ -90,9 +90,9 @@
 		cfg.Seed += i
 		ginkgo.It(fmt.Sprintf("keep every promise: seed %d", cfg.Seed), func() {
 			cfg.Folder, cfg.Binary = filepath.Join(cfg.Folder, fmt.Sprintf("soak-%d-%d", os.Getpid(), cfg.Seed)), binary
-			if ra.obey {
-				broken := playObedience(cfg.Seed, cfg.Length, cfg.Subnet)
-				Expect(broken).To(BeEmpty())
+			if ra.changes {
+				Expect(playChanges(cfg).broken).To(BeEmpty(), "data and logs are in %s", cfg.Folder)
+				Expect(os.RemoveAll(cfg.Folder)).To(Succeed())
 
 				return
 			}
