Reset connections to backend servers when they are closed

Cause: a request is given up by closing its connection, and the kernel goes on to send what was written and not acknowledged.

Change: SO_LINGER 0 on connections to backend servers, which drops what waits.

--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -20,6 +20,9 @@
 	Bind       string        // local IP number to dial from, "" for any
 	Timeout    time.Duration // for opening a connection
 	AckTimeout time.Duration // a connection is cut if the peer acknowledges nothing for this long; 0 for the kernel's limit
+	// ResetOnClose resets connections when they are closed, and drops what the peer has not
+	// acknowledged. Otherwise the kernel goes on to send it, also after a partition has healed.
+	ResetOnClose bool
 }
 
 // New returns a dialer of TCP connections.
@@ -30,9 +33,18 @@
 	}
 	if cfg.AckTimeout > 0 {
 		nd.KeepAliveConfig = keepAlive()
-		nd.ControlContext = func(_ context.Context, _, _ string, rc syscall.RawConn) error {
+	}
+	nd.ControlContext = func(_ context.Context, _, _ string, rc syscall.RawConn) error {
+		if cfg.ResetOnClose {
+			if err := setResetOnClose(rc); err != nil {
+				return err
+			}
+		}
+		if cfg.AckTimeout > 0 {
 			return setUserTimeout(rc, cfg.AckTimeout)
 		}
+
+		return nil
 	}
 
 	return nd
@@ -53,13 +65,24 @@
 	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveIdle, Count: 2}
 }
 
+// setResetOnClose makes the kernel reset a connection when it is closed.
+func setResetOnClose(rc syscall.RawConn) error {
+	return control(rc, func(fd int) error {
+		return unix.SetsockoptLinger(fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+	})
+}
+
 // setUserTimeout sets how long sent data and keep-alive probes may stay unacknowledged
 // before the kernel cuts the connection.
 func setUserTimeout(rc syscall.RawConn, d time.Duration) error {
+	return control(rc, func(fd int) error {
+		return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+	})
+}
+
+func control(rc syscall.RawConn, set func(fd int) error) error {
 	var err error
-	if cerr := rc.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
-	}); cerr != nil {
+	if cerr := rc.Control(func(fd uintptr) { err = set(int(fd)) }); cerr != nil {
 		return cerr
 	}
 
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -39,6 +39,9 @@
 	Idle        time.Duration // how long an idle connection is kept open
 	DialTimeout time.Duration
 	AckTimeout  time.Duration // a connection is cut if the peer acknowledges nothing for this long; 0 for the kernel's limit
+	// ResetOnClose drops what was sent and not acknowledged when a request is given up: a server
+	// that is cut off at that time does not get the request later.
+	ResetOnClose bool
 }
 
 // Defaults sets the default values of Idle and DialTimeout where they are zero.
@@ -54,7 +57,7 @@
 // New returns a client that follows no redirects.
 func New(cfg Config) *http.Client {
 	cfg.Defaults()
-	nd := dialer.New(dialer.Config{Bind: cfg.Bind, Timeout: cfg.DialTimeout, AckTimeout: cfg.AckTimeout})
+	nd := dialer.New(dialer.Config{Bind: cfg.Bind, Timeout: cfg.DialTimeout, AckTimeout: cfg.AckTimeout, ResetOnClose: cfg.ResetOnClose})
 
 	return &http.Client{
 		Transport: &http.Transport{
--- a/internal/httpcall/httpcall_test.go
+++ b/internal/httpcall/httpcall_test.go
@@ -1,10 +1,16 @@
 package httpcall_test
 
 import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -66,3 +72,39 @@
 		Expect(opened.Load()).To(Equal(int64(3)), "a longer time that a server announces later changes nothing")
 	})
 })
+
+// Guards against a request that was given up during a partition and reaches its server when the
+// partition heals: the bytes of a connection that is closed in the usual way stay queued.
+var _ = ginkgo.Describe("a request that is given up", func() {
+	for _, tc := range []struct {
+		name    string
+		isReset bool
+		want    error
+	}{
+		{"resets its connection, so that nothing of it is sent any more", true, syscall.ECONNRESET},
+		{"is sent to its end otherwise", false, io.ErrUnexpectedEOF},
+	} {
+		ginkgo.It(tc.name, func() {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			defer ln.Close()
+			ctx, cancel := context.WithCancel(context.Background())
+			sent := make(chan struct{})
+			go func() {
+				defer close(sent)
+				cl := httpcall.New(httpcall.Config{KeepAlive: true, ResetOnClose: tc.isReset})
+				_, _ = httpcall.JSON(ctx, cl, http.MethodPost, "http://"+ln.Addr().String(), strings.Repeat("x", 32<<20), nil) // it is given up
+			}()
+			co, err := ln.Accept()
+			Expect(err).NotTo(HaveOccurred())
+			defer co.Close()
+			time.Sleep(50 * time.Millisecond) // more is written than the server has room for
+			cancel()
+			<-sent
+			rq, err := http.ReadRequest(bufio.NewReader(co))
+			Expect(err).NotTo(HaveOccurred())
+			_, err = io.Copy(io.Discard, rq.Body)
+			Expect(errors.Is(err, tc.want)).To(BeTrue(), "%v", err)
+		})
+	}
+})
--- a/internal/program/node.go
+++ b/internal/program/node.go
@@ -214,6 +214,7 @@
 func (nd *Node) httpClient() *http.Client {
 	return httpcall.NewAdaptive(httpcall.Config{
 		Bind: nd.settings.BindIP, KeepAlive: true, AckTimeout: ackTimeout, Idle: backendIdleTimeout, DialTimeout: backendDialTimeout,
+		ResetOnClose: true,
 	})
 }
 
