--- a/soak/departure_test.go
+++ b/soak/departure_test.go
@@ -28,10 +28,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	ginkgo.BeforeAll(func() {
-		de = startLoaded(ctx, &wg, Config{Folder: filepath.Join(folder, "departure"), Subnet: 65, PlainServers: 6, Heartbeat: deployedHeartbeat})
-		for _, bs := range de.servers {
-			bs.Work = 50 * time.Millisecond // so that each gets its share
-		}
+		de = startLoaded(ctx, &wg, Config{Folder: filepath.Join(folder, "departure"), Subnet: 65, PlainServers: 6, Work: shareWork, Heartbeat: deployedHeartbeat})
 	})
 	ginkgo.AfterAll(func() {
 		cancel()
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -127,6 +127,7 @@
 func (de *deployment) addServers(ctx context.Context, cfg *Config, port, internalPort int) error {
 	for i := range cfg.PlainServers + cfg.Engines {
 		bs := standin.NewBackendServer(fmt.Sprintf("p%d", i), servicePlain)
+		bs.Work = cfg.Work
 		bs.CrashOn(func(target string) bool { return target == crashTarget }, crashDuration)
 		if i >= cfg.PlainServers {
 			bs = standin.NewBackendServer(fmt.Sprintf("e%d", i), serviceEngines, standin.Model)
--- a/soak/leaving_test.go
+++ b/soak/leaving_test.go
@@ -19,6 +19,9 @@
 // nothing new arrives there: drain_ms of the deployments.
 const drainWithin = 2 * time.Second
 
+// shareWork is how long plain requests run so that a new incarnation, without connections, gets its share.
+const shareWork = 50 * time.Millisecond
+
 // Guards against new work at a backend server whose answers say that it leaves while its
 // heartbeats say that it is ready, when a process that must learn of it is frozen or cut off.
 var _ = ginkgo.Describe("a backend server whose answers say that it leaves, with real processes", ginkgo.Ordered, func() {
@@ -27,11 +30,8 @@
 	var wg sync.WaitGroup
 	var plain, engine *standin.BackendServer
 	ginkgo.BeforeAll(func() {
-		de = startLoaded(ctx, &wg, Config{Folder: filepath.Join(folder, "leaving"), Subnet: 64, PlainServers: 3, Engines: 3})
+		de = startLoaded(ctx, &wg, Config{Folder: filepath.Join(folder, "leaving"), Subnet: 64, PlainServers: 3, Engines: 3, Work: shareWork})
 		plain, engine = de.servers[0], de.servers[3]
-		for _, bs := range de.servers[:3] {
-			bs.Work = 50 * time.Millisecond // so that a new incarnation, without connections, gets its share
-		}
 		randomGateway := func() string { return de.gateways()[rand.IntN(len(de.gateways()))] }
 		wg.Go(func() {
 			for i := 0; ctx.Err() == nil; i++ {
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -54,6 +54,7 @@
 	PlainServers int // backend servers of the plain service
 	Engines      int
 	Zones        int                              // failure domains of the backend servers
+	Work         time.Duration                    // of plain requests at backend servers
 	Heartbeat    time.Duration                    // of backend servers in the settings, 300 ms if it is 0
 	Logf         func(format string, args ...any) // logs progress, one line per fault
 }
