Ask a backend server which incarnation it is before a stream goes on there

Cause: the gateway picked by its own records, and asked nobody. A controller may be out of step too.

Change: before a stream goes on, in a resume or within an answer, the gateway asks the backend server when it started, as stores did. One that names another time than its record, or none in 300 ms, is passed over.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -31,6 +31,8 @@
 	// sameSoftwareRetryAfter is sent where no backend server of the software version that began
 	// a stream is ready. A crashed one is back after about that time.
 	sameSoftwareRetryAfter = time.Second
+	// confirmTimeout bounds the call that asks a backend server which incarnation it is.
+	confirmTimeout = 300 * time.Millisecond
 	// resumeQueueSlots is how many streams that continue a backend server may get beyond its
 	// slots: fewer backend servers can serve them than a new stream.
 	resumeQueueSlots = 4
@@ -191,7 +193,7 @@
 	fingerprint   string          // "" until it is needed
 	slotKey       fairshare.Key   // service and workspace of the slot in use
 	origin        *origin.Origin  // what began the stream, nil before its first event
-	otherSoftware map[string]bool // IDs of backend servers that run other software than origin
+	otherSoftware map[string]bool // IDs of backend servers that run, or may run, other software than origin
 }
 
 // completeAnswer is an answer whose body was read to its end.
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -79,6 +79,7 @@
 	ended bool // broken connections mean that the backend server has ended
 	// returns is set if a backend server is known as a later incarnation after each run.
 	returns bool
+	born    map[string]int64 // what backend servers say about their start, by address
 	status  int
 	body    string
 	work    *workload.Estimator
@@ -118,7 +119,9 @@
 			},
 			Now: time.Now, Meter: meter.New(), Log: logging.Discard(),
 		}),
-		Client: &backend.Client{NewEventReader: readEvents, Send: func(ctx context.Context, address string, ca *backend.Call) (*backend.Answer, error) {
+		Client: &backend.Client{NewEventReader: readEvents, Report: func(_ context.Context, address string) (backend.Report, error) {
+			return backend.Report{BornMs: fi.born[address]}, nil
+		}, Send: func(ctx context.Context, address string, ca *backend.Call) (*backend.Answer, error) {
 			fi.mu.Lock()
 			n := len(fi.sent)
 			fi.sent = append(fi.sent, address)
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -3,13 +3,17 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/tamarackbay/tamarackbay/internal/backend"
 	"github.com/tamarackbay/tamarackbay/internal/balance"
 	"github.com/tamarackbay/tamarackbay/internal/crashguard"
 	"github.com/tamarackbay/tamarackbay/internal/origin"
+	"github.com/tamarackbay/tamarackbay/internal/registry"
 	"github.com/tamarackbay/tamarackbay/internal/result"
 )
 
@@ -63,10 +67,8 @@
 		return err
 	}
 	or := fi.Origin
-	rs.origin, rs.otherSoftware = &or, make(map[string]bool, len(fi.OtherSoftware))
-	for _, id := range fi.OtherSoftware {
-		rs.otherSoftware[id] = true
-	}
+	rs.origin = &or
+	rs.avoid(fi.OtherSoftware...)
 	rs.in.cfg.Origins.Begin(origin.Record{Key: key, Origin: or}) // this gateway may be the only one left that knows it
 	if rs.rq.ID != "" && rs.rq.ID != rs.rq.Resumes {
 		// A later resume may name this attempt instead of the first one.
@@ -76,6 +78,41 @@
 	return nil
 }
 
+// avoid keeps a stream that goes on from backend servers.
+func (rs *requestState) avoid(ids ...string) {
+	if rs.otherSoftware == nil {
+		rs.otherSoftware = make(map[string]bool, len(ids))
+	}
+	for _, id := range ids {
+		rs.otherSoftware[id] = true
+	}
+}
+
+// confirmIncarnation asks the backend server at which a stream is to go on which incarnation it is. A
+// later one than its record names may have other software under the same ID and address, of which a
+// gateway that was cut off or frozen does not know yet.
+func (rs *requestState) confirmIncarnation(ctx context.Context, re registry.Record) error {
+	if rs.in.cfg.Client.Report == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	rep, err := rs.in.cfg.Client.Report(ctx, re.Address)
+	if err == nil && (rep.BornMs == 0 || rep.BornMs == re.BornMs) {
+		return nil
+	}
+	rs.avoid(re.ID)
+	rs.tried = append(rs.tried, re.ID)
+	rs.in.cfg.Meter.Count("origins.notConfirmed")
+	if err == nil {
+		err = fmt.Errorf("it started at %d, not at %d", rep.BornMs, re.BornMs)
+	}
+	rs.in.cfg.Log.WithError(err).WithFields(log.Fields{"request": rs.rq.ID, "server": re.ID}).Info("no stream goes on at the backend server: it may be a later incarnation than its record names")
+
+	return result.New(result.NoSameSoftware, "ingress: backend server %s may be a later incarnation than its record names: %v", re.ID, err).
+		WithRetryAfter(sameSoftwareRetryAfter)
+}
+
 // beginOrigin records what begins a stream, before its first event is forwarded. A stream
 // without an ID is not recorded: others of the workspace would have the same key.
 func (rs *requestState) beginOrigin(ctx context.Context, gr *balance.Grant) {
@@ -97,6 +134,14 @@
 	outcome, load := balance.Failed, (*backend.Load)(nil)
 	defer func() { rs.release(gr, outcome, load) }()
 
+	if rs.origin != nil {
+		if err := rs.confirmIncarnation(ctx, gr.Record()); err != nil {
+			outcome = balance.Unused
+			rs.in.cfg.Guard.RecordNotRun(pa, rs.fingerprint)
+
+			return err
+		}
+	}
 	ca := rs.newCall(gr)
 	ca.ResumeAfter = *last
 	sent := time.Now()
--- a/internal/ingress/stream_test.go
+++ b/internal/ingress/stream_test.go
@@ -127,3 +127,32 @@
 		})
 	}
 })
+
+// Guards against a stream that goes on at a backend server that has returned, with other software,
+// since this gateway learned of it.
+var _ = ginkgo.Describe("a stream that breaks while the gateway does not know of later incarnations", func() {
+	for _, tc := range []struct {
+		name string
+		born map[string]int64 // 1 in all records
+		sent []string
+		code result.Code // of the error, if the stream is not complete
+	}{
+		{"goes on at an incarnation that confirms its record", map[string]int64{"a": 2, "b": 1, "c": 1}, []string{"a", "b"}, 0},
+		{"goes on at no later incarnation", map[string]int64{"a": 2, "b": 2, "c": 1}, []string{"a", "c"}, 0},
+		{"ends if all are later incarnations", map[string]int64{"a": 2, "b": 2, "c": 2}, []string{"a"}, result.QueueFull},
+	} {
+		ginkgo.It(tc.name, func() {
+			fi := newFixture(routing.Route{Kind: routing.AtMostOnce, IsStreaming: true, IsResumable: true, MaxAttempts: 3}, streamUntil(3), streamUntil(0))
+			fi.born = tc.born
+			err := fi.in.Serve(context.Background(), &ingress.Request{ID: "1", Host: "h", Path: "/p/x", Key: "k", Arrived: time.Now()}, &ingress.Sink{
+				Begin: func(*backend.Answer) {}, Event: func(backend.Event) error { return nil }, End: func() {},
+			})
+			Expect(fi.sent).To(Equal(tc.sent))
+			if tc.code == 0 {
+				Expect(err).NotTo(HaveOccurred())
+			} else {
+				Expect(result.Is(err, tc.code)).To(BeTrue(), "%v", err)
+			}
+		})
+	}
+})
--- a/soak/outofstep_test.go
+++ b/soak/outofstep_test.go
@@ -92,4 +92,53 @@
 			Expect(counts["complete"]).To(BeNumerically(">=", streams/2), "%v", counts)
 		})
 	}
+
+	// Guards against an answer that such a gateway goes on with at another version, without asking.
+	for _, tc := range []struct {
+		ha     harm
+		subnet int
+	}{{freeze(program.RoleGateway), 69}, {cutOff(program.RoleGateway), 70}} {
+		ginkgo.It("goes on with no answer that broke at another version: "+tc.ha.name, func() {
+			const answers, answerEvents = 24, 40
+			ctx, cancel := context.WithCancel(context.Background())
+			var wg sync.WaitGroup
+			de := startLoaded(ctx, &wg, Config{Folder: filepath.Join(folder, "outofstep-within-"+tc.ha.name[:3]), Subnet: tc.subnet, Gateways: 2, PlainServers: 2, Engines: 6, Stores: 3, Heartbeat: deployedHeartbeat})
+			defer func() {
+				cancel()
+				wg.Wait()
+				Expect(de.close()).To(Succeed())
+			}()
+			engines := de.servers[2:]
+			for _, bs := range engines {
+				Expect(bs.Replace("v1")).To(Succeed())
+			}
+			time.Sleep(2 * deployedHeartbeat)
+			out := tc.ha.targets(de)[0]
+			taken := make([]*standin.Stream, answers)
+			var each sync.WaitGroup
+			for i := range taken {
+				taken[i] = &standin.Stream{}
+				each.Go(func() {
+					_, _ = de.caller.Take(ctx, out.ip, taken[i], fmt.Sprintf("within%d", i), answerEvents, 0)
+				})
+			}
+			time.Sleep(200 * time.Millisecond)
+			tc.ha.begin(de, out)
+			for _, bs := range engines[:3] {
+				Expect(bs.Replace("v2")).To(Succeed())
+			}
+			time.Sleep(time.Second) // each controller knows them
+			tc.ha.end(de, out)
+			each.Wait()
+			complete := 0
+			for _, st := range taken {
+				Expect(standin.SoftwareOf(st.Events)).To(HaveLen(1), "stream %s: %v", st.ID, st.Events)
+				if len(st.Events) == answerEvents {
+					complete++
+				}
+			}
+			ginkgo.GinkgoWriter.Printf("complete: %d of %d\n", complete, answers)
+			Expect(complete).To(BeNumerically(">=", answers/2))
+		})
+	}
 })
