Refuse with 503 where no backend server confirms its incarnation

A stream whose backend servers had ended was refused with 429: the report that did not come took the server out, and the other one had no slot. shutdown_test.go got 504 while it waited for the deployment: Work was long from the start.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -417,6 +417,25 @@
 	return out
 }
 
+// HasSoftware reports whether a backend server of a service is ready that runs a version of software and
+// whose ID is not in except.
+func (ba *Balancer) HasSoftware(service, software string, except map[string]bool) bool {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+
+	se := ba.services[service]
+	if se == nil {
+		return false
+	}
+	for i, sv := range se.servers {
+		if se.cands[i].IsReady && sv.record.Software == software && !except[sv.record.ID] {
+			return true
+		}
+	}
+
+	return false
+}
+
 // Count returns how many backend servers of a service are ready, and how many of
 // them serve version minVersion of the model or a later one.
 func (ba *Balancer) Count(service, model string, minVersion uint64) (ready, eligible int) {
--- a/internal/ingress/slot.go
+++ b/internal/ingress/slot.go
@@ -20,7 +20,7 @@
 		rq.MinAge = minTrialAge
 	}
 	if rs.origin != nil {
-		if service = rs.origin.Service; !rs.ro.Allows(service) || rs.in.cfg.Balancer.ReadyBySoftware(service)[rs.origin.Software] == 0 {
+		if service = rs.origin.Service; !rs.ro.Allows(service) || !rs.in.cfg.Balancer.HasSoftware(service, rs.origin.Software, rs.otherSoftware) {
 			return nil, result.New(result.NoSameSoftware, "ingress: no backend server of %s with software version %q is ready", service, rs.origin.Software).
 				WithRetryAfter(sameSoftwareRetryAfter)
 		}
