Refuse a stream at once whose backend servers are ejected or have ended

Of the two backend servers of the version one was ejected after three failures and the other suspended, as a stream that broke there had shown that it had ended. Both still counted as ready, so the stream waited for a slot. Ruled out: a full backend server (0 in flight of 12 slots), a late answer of the question for the incarnation, the ejection of both (at most 0.4 of the ready ones). Change: HasSoftware passes over what can't be picked, as docs/design/stream-origins.md says. One row of ingress/stream_test.go expected queueFull of three suspended servers; it encoded the fault and expects noSameSoftware now. The new spec of balance and the changed row fail without the change.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -417,8 +417,8 @@
 	return out
 }
 
-// HasSoftware reports whether a backend server of a service is ready that runs a version of software and
-// whose ID is not in except.
+// HasSoftware reports whether a backend server of a service is ready, neither ejected nor suspended, that
+// runs a version of software and whose ID is not in except.
 func (ba *Balancer) HasSoftware(service, software string, except map[string]bool) bool {
 	ba.mu.Lock()
 	defer ba.mu.Unlock()
@@ -427,8 +427,10 @@
 	if se == nil {
 		return false
 	}
+	now := ba.cfg.Now()
 	for i, sv := range se.servers {
-		if se.cands[i].IsReady && sv.record.Software == software && !except[sv.record.ID] {
+		ca := &se.cands[i]
+		if ca.IsReady && now >= max(ca.EjectedUntil, sv.suspendedUntil) && sv.record.Software == software && !except[sv.record.ID] {
 			return true
 		}
 	}
--- a/internal/balance/confirm_test.go
+++ b/internal/balance/confirm_test.go
@@ -45,4 +45,23 @@
 		Expect(cl.BornMs("other", "s0")).To(BeZero())
 		Expect(cl.BornMs("s", "other")).To(BeZero())
 	})
+	ginkgo.It("does not count for a stream that goes on at its software version, nor does an ejected one", func() {
+		cl := newCluster(3, 2)
+		for i := range cl.records {
+			cl.records[i].Software = []string{"v1", "v1", "v2"}[i]
+		}
+		cl.Sync(cl.records)
+		Expect(cl.Suspend(first, 2*time.Second)).To(BeTrue())
+		for range 3 {
+			Expect(cl.HasSoftware("s", "v1", nil)).To(BeTrue())
+			cl.Acquire(&balance.Request{Service: "s", Only: []string{"s1"}}).Release(balance.Failed, nil)
+		}
+		Expect(cl.HasSoftware("s", "v1", nil)).To(BeFalse())
+		Expect(cl.HasSoftware("s", "v2", nil)).To(BeTrue())
+		cl.now += 2 * time.Second
+		Expect(cl.HasSoftware("s", "v1", nil)).To(BeTrue(), "the suspension is over")
+		cl.now += time.Second
+		Expect(cl.HasSoftware("s", "v1", map[string]bool{"s0": true})).To(BeTrue(), "the ejection is over")
+		Expect(cl.HasSoftware("s", "v1", map[string]bool{"s0": true, "s1": true})).To(BeFalse())
+	})
 })
--- a/internal/ingress/stream_test.go
+++ b/internal/ingress/stream_test.go
@@ -111,7 +111,7 @@
 	}{
 		{"is refused after two runs that ended at the same event", []reply{streamUntil(3), streamUntil(3), streamUntil(0)}, true, false, 2, result.Quarantined},
 		{"is completed if each run gets further than those before", []reply{streamUntil(1), streamUntil(2), streamUntil(3), streamUntil(4), streamUntil(0)}, true, true, 5, 0},
-		{"is not resumed at an incarnation that has ended", []reply{streamUntil(1), streamUntil(2), streamUntil(3), streamUntil(4), streamUntil(0)}, false, false, 3, result.QueueFull},
+		{"is not resumed at an incarnation that has ended", []reply{streamUntil(1), streamUntil(2), streamUntil(3), streamUntil(4), streamUntil(0)}, false, false, 3, result.NoSameSoftware},
 	} {
 		ginkgo.It(tc.name, func() {
 			fi := newFixture(routing.Route{Kind: routing.AtMostOnce, IsStreaming: true, IsResumable: true, MaxAttempts: 5}, tc.replies...)
