Play lost packets, repeated resets and a lost disk against acknowledged changes

Cause: the users' cases of CONFIG are not reproduced, and the soak's links held bytes back and passed them at once. A link that loses packets passes them later than it heals, and ends the sender's connection alone. Change: faults of links in soak/changes_test.go may send again what was lost after timeouts that double, and end the sender's connection after the TCP_USER_TIMEOUT of the programs. New faults: a fifth of the packets lost, connections reset every 600 ms, the disk of a killed controller lost. No check or bound is changed.

--- a/soak/changes_test.go
+++ b/soak/changes_test.go
@@ -40,6 +40,8 @@
 	minFaultTime = 100 * time.Millisecond
 	maxFaultTime = 6 * time.Second
 	linkDelay    = 700 * time.Millisecond
+	linkLoss     = 0.2 // share of packets
+	resetPeriod  = 600 * time.Millisecond
 	calmTime     = contactWithin + 2*time.Second
 
 	changesGateways = 4
@@ -62,7 +64,9 @@
 	de     *deployment
 	faults *faultLog
 	judged atomic.Int64 // requests
-	wg     sync.WaitGroup
+	// isWiped says that a controller has lost its disk. Another one could before the first is repaired.
+	isWiped atomic.Bool
+	wg      sync.WaitGroup
 
 	mu     sync.Mutex
 	sent   int               // newest version of the configuration that was sent
@@ -251,7 +255,8 @@
 	duration := minFaultTime + time.Duration(rnd.Int64N(int64(maxFaultTime)))
 	control, gateways := pl.de.caller.ControllerIPs, pl.de.gateways()
 	gw, co := gateways[rnd.IntN(len(gateways))], control[rnd.IntN(len(control))]
-	li := []linkFault{{isCut: true, isMuted: true}, {isCut: true}, {isMuted: true}, {delay: linkDelay}}[rnd.IntN(4)]
+	li := []linkFault{{isCut: true, isMuted: true}, {isCut: true}, {isMuted: true}, {delay: linkDelay}, {loss: linkLoss}}[rnd.IntN(5)]
+	li.retransmits = rnd.IntN(2) == 0 || li.loss > 0
 	between := func(ip string) (ps []pair) {
 		for _, other := range control {
 			if other != ip {
@@ -271,7 +276,7 @@
 			pl.de.network.setFault(linkFault{}, ps...)
 		}
 	}
-	switch rnd.IntN(7) {
+	switch rnd.IntN(8) {
 	case 0:
 		return inject(gw+" to "+co, gw, []pair{{gw, co}, {co, gw}})
 	case 1, 2:
@@ -283,13 +288,20 @@
 			defer pl.faults.begin("reset of "+gw, gw)()
 			pl.de.network.reset(between(gw)...)
 		}
+	case 5:
+		return func() {
+			defer pl.faults.begin("repeated resets of "+gw, gw)()
+			for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(resetPeriod) {
+				pl.de.network.reset(between(gw)...)
+			}
+		}
 	}
 
 	return pl.drawProcessFault(rnd, duration)
 }
 
 // drawProcessFault draws one controller, all of them or a gateway, which are suspended, or killed and
-// started again.
+// started again. The first controller that is killed alone loses its disk.
 func (pl *changesPlay) drawProcessFault(rnd *rand.Rand, duration time.Duration) func() {
 	isAll, isKilled, role := rnd.IntN(2) == 0, rnd.IntN(2) == 0, program.RoleController
 	if rnd.IntN(3) == 0 {
@@ -328,6 +340,10 @@
 		for _, pr := range targets {
 			Expect(begin(pr)).To(Succeed())
 		}
+		if isKilled && !isAll && role == program.RoleController && pl.isWiped.CompareAndSwap(false, true) {
+			pl.faults.add("disk lost")
+			Expect(targets[0].wipe()).To(Succeed())
+		}
 		time.Sleep(duration)
 		for _, pr := range targets {
 			Expect(end(pr)).To(Succeed())
--- a/soak/network_test.go
+++ b/soak/network_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -17,8 +18,20 @@
 	delay   time.Duration // added to each chunk in both directions
 	isCut   bool          // no bytes pass from the opener to the acceptor
 	isMuted bool          // no bytes pass from the acceptor to the opener
+	loss    float64       // share of the transmissions of a chunk that are lost
+	// retransmits says that what was held back or lost is sent again after timeouts that double, and
+	// that the sender's connection ends after acknowledgementTimeout. Otherwise the bytes pass at once
+	// when the fault ends.
+	retransmits bool
 }
 
+const (
+	// retransmissionTimeout is the first timeout of TCP on a short link: TCP_RTO_MIN of Linux.
+	retransmissionTimeout = 200 * time.Millisecond
+	// acknowledgementTimeout is the TCP_USER_TIMEOUT that the programs set.
+	acknowledgementTimeout = 1500 * time.Millisecond
+)
+
 // network forwards connections over loopback and injects faults into them. Bytes that are
 // held back are forwarded once the fault ends, as TCP would retransmit them.
 type network struct {
@@ -85,7 +98,8 @@
 		ne.mu.Unlock()
 	}()
 
-	done := make(chan struct{}, 2)
+	done, ended := make(chan struct{}, 2), make(chan struct{})
+	var end sync.Once
 	copyTo := func(dst, src net.Conn, isBack bool) {
 		b := make([]byte, 32<<10)
 		for {
@@ -94,7 +108,16 @@
 				if isOwn {
 					ne.bytes.Add(int64(n))
 				}
-				ne.applyFault(pa, isBack)
+				if !ne.applyFault(pa, isBack) || isClosed(ended) {
+					reset(src)
+					isFirst := false
+					end.Do(func() { close(ended); isFirst = true })
+					if isFirst {
+						return // the receiver learns of it when it sends something
+					}
+
+					break
+				}
 				if _, werr := dst.Write(b[:n]); werr != nil {
 					break
 				}
@@ -114,23 +137,41 @@
 	<-done
 }
 
+func isClosed(ch chan struct{}) bool {
+	select {
+	case <-ch:
+		return true
+	default:
+		return false
+	}
+}
+
 // forwardedBytes returns the number of bytes forwarded between the programs so far.
 func (ne *network) forwardedBytes() int64 { return ne.bytes.Load() }
 
-// applyFault blocks while the direction of a chunk is cut, and then delays the chunk.
-func (ne *network) applyFault(pa pair, isBack bool) {
-	for {
+// applyFault blocks while the direction of a chunk is cut, and then delays the chunk. It returns false if
+// the sender's connection ends first, as what was retransmitted is not acknowledged.
+func (ne *network) applyFault(pa pair, isBack bool) bool {
+	began := time.Now()
+	for timeout := retransmissionTimeout; ; timeout *= 2 {
 		ne.mu.Lock()
 		li, changed := ne.faults[pa], ne.changed
 		ne.mu.Unlock()
-		if (isBack && li.isMuted) || (!isBack && li.isCut) {
+		isCut := (isBack && li.isMuted) || (!isBack && li.isCut)
+		switch {
+		case li.retransmits && (isCut || rand.Float64() < li.loss):
+			wait := min(timeout, acknowledgementTimeout-time.Since(began))
+			if wait <= 0 {
+				return false
+			}
+			time.Sleep(wait)
+		case isCut:
 			<-changed
+		default:
+			time.Sleep(li.delay)
 
-			continue
+			return true
 		}
-		time.Sleep(li.delay)
-
-		return
 	}
 }
 
