Confirm the incarnation that began a stream at a gateway out of step

Cause: the origin of a new stream came from the gateway's own record of the backend server. When the answer broke, the gateway went on at one that runs the recorded version.

Change: a gateway whose view was not confirmed within config_apply_ms asks the backend server for its start after the first event. Without that confirmation the origin is not recorded, and the answer is not resumed. Gateways in step send no message more.

The new row of ingress/stream_test.go for an unconfirmed start fails without the change. Open: the first config_apply_ms of a cut.

--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -80,6 +80,7 @@
 	// returns is set if a backend server is known as a later incarnation after each run.
 	returns bool
 	born    map[string]int64 // what backend servers say about their start, by address
+	stale   error            // what Current returns
 	status  int
 	body    string
 	work    *workload.Estimator
@@ -110,7 +111,7 @@
 		ba.Sync(records)
 	}
 	fi.in = ingress.New(ingress.Config{
-		Table: func() *routing.Table { return ta }, Fresh: func() error { return nil }, Balancer: ba, Random: func() float64 { return 0 },
+		Table: func() *routing.Table { return ta }, Fresh: func() error { return nil }, Current: func() error { return fi.stale }, Balancer: ba, Random: func() float64 { return 0 },
 		Workload: fi.work, Now: now, OnStart: func(string, time.Time) { fi.began++ }, Meter: meter.New(), Log: logging.Discard(),
 		Guard: crashguard.New(crashguard.Config{
 			Entries: func() map[string]quarantine.Entry { return nil }, HasEnded: func(context.Context, string) bool { return fi.ended },
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -43,7 +43,7 @@
 			return nil
 		}
 		rs.lastErr = err
-		if ctx.Err() != nil || !rs.canRetry() || (begun && !rs.ro.IsResumable) {
+		if ctx.Err() != nil || !rs.canRetry() || (begun && (!rs.ro.IsResumable || rs.origin == nil)) {
 			break
 		}
 		rs.in.cfg.Meter.CountRetry(result.Lookup(result.From(err).Code).Name, true)
@@ -88,21 +88,35 @@
 	}
 }
 
-// confirmIncarnation asks the backend server at which a stream is to go on which incarnation it is. A
-// later one than its record names may have other software under the same ID and address, of which a
-// gateway that was cut off or frozen does not know yet. outcome is set to that for the backend server.
-func (rs *requestState) confirmIncarnation(ctx context.Context, re registry.Record, outcome *balance.Outcome) error {
+// errLaterIncarnation says that a backend server started at another time than its record names.
+var errLaterIncarnation = errors.New("it is a later incarnation")
+
+// askIncarnation asks a backend server whether it is the incarnation that its record names. A later one
+// may have other software under the same ID and address, of which a gateway that was cut off or frozen
+// does not know yet.
+func (rs *requestState) askIncarnation(ctx context.Context, re registry.Record) error {
 	if rs.in.cfg.Client.Report == nil {
 		return nil
 	}
-	rctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	rep, err := rs.in.cfg.Client.Report(rctx, re.Address)
+	rep, err := rs.in.cfg.Client.Report(ctx, re.Address)
+	if err == nil && rep.BornMs != 0 && rep.BornMs != re.BornMs {
+		err = fmt.Errorf("%w: it started at %d, not at %d", errLaterIncarnation, rep.BornMs, re.BornMs)
+	}
+
+	return err
+}
+
+// confirmIncarnation returns an error if the backend server at which a stream is to go on does not confirm
+// the incarnation that its record names. outcome is set to that for the backend server.
+func (rs *requestState) confirmIncarnation(ctx context.Context, re registry.Record, outcome *balance.Outcome) error {
+	err := rs.askIncarnation(ctx, re)
 	switch {
-	case err == nil && (rep.BornMs == 0 || rep.BornMs == re.BornMs):
-		return nil
 	case err == nil:
-		*outcome, err = balance.Unused, fmt.Errorf("it started at %d, not at %d", rep.BornMs, re.BornMs)
+		return nil
+	case errors.Is(err, errLaterIncarnation):
+		*outcome = balance.Unused
 		rs.avoid(re.ID)
 	case ctx.Err() != nil:
 		*outcome = balance.Unused // the client disconnected
@@ -116,12 +130,22 @@
 }
 
 // beginOrigin records what begins a stream, before its first event is forwarded. A stream
-// without an ID is not recorded: others of the workspace would have the same key.
+// without an ID is not recorded: others of the workspace would have the same key. If this process may lack
+// a later incarnation of the backend server, which does not confirm that there is none, the origin stays
+// unknown and the stream is not resumed.
 func (rs *requestState) beginOrigin(ctx context.Context, gr *balance.Grant) {
 	if rs.origin != nil || !rs.ro.IsResumable {
 		return
 	}
 	re := gr.Record()
+	if rs.in.cfg.Current() != nil {
+		if err := rs.askIncarnation(ctx, re); err != nil {
+			rs.in.cfg.Meter.Count("origins.notConfirmed")
+			rs.in.cfg.Log.WithError(err).WithFields(log.Fields{"request": rs.rq.ID, "server": re.ID}).Info("the stream is not resumed: the backend server may be a later incarnation than its record names")
+
+			return
+		}
+	}
 	rs.origin = &origin.Origin{Service: re.Service, Software: re.Software}
 	if rs.rq.ID != "" {
 		rs.in.cfg.Origins.Begin(origin.Record{
--- a/internal/ingress/stream_test.go
+++ b/internal/ingress/stream_test.go
@@ -131,18 +131,22 @@
 // Guards against a stream that goes on at a backend server that has returned, with other software,
 // since this gateway learned of it.
 var _ = ginkgo.Describe("a stream that breaks while the gateway does not know of later incarnations", func() {
+	isStale := errors.New("no confirmation of the view")
 	for _, tc := range []struct {
-		name string
-		born map[string]int64 // 1 in all records
-		code result.Code      // of the error, if the stream is not complete
+		name  string
+		born  map[string]int64 // 1 in all records
+		stale error            // whether the gateway knows that it may be out of step
+		code  result.Code      // of the error, if the stream is not complete
 	}{
-		{"goes on at an incarnation that confirms its record", map[string]int64{"a": 2, "b": 1, "c": 1}, 0},
-		{"goes on at no later incarnation", map[string]int64{"a": 2, "b": 2, "c": 1}, 0},
-		{"ends if all are later incarnations", map[string]int64{"a": 2, "b": 2, "c": 2}, result.NoSameSoftware},
+		{"goes on at an incarnation that confirms its record", map[string]int64{"a": 2, "b": 1, "c": 1}, nil, 0},
+		{"goes on at no later incarnation", map[string]int64{"a": 2, "b": 2, "c": 1}, nil, 0},
+		{"ends if all are later incarnations", map[string]int64{"a": 2, "b": 2, "c": 2}, nil, result.NoSameSoftware},
+		{"goes on if the one that began it confirms its record to a gateway out of step", map[string]int64{"a": 1, "b": 1, "c": 1}, isStale, 0},
+		{"ends if a later incarnation began it at a gateway out of step", map[string]int64{"a": 2, "b": 2, "c": 2}, isStale, result.StreamCut},
 	} {
 		ginkgo.It(tc.name, func() {
 			fi := newFixture(routing.Route{Kind: routing.AtMostOnce, IsStreaming: true, IsResumable: true, MaxAttempts: 3}, streamUntil(3), streamUntil(0))
-			fi.born = tc.born
+			fi.born, fi.stale = tc.born, tc.stale
 			err := fi.in.Serve(context.Background(), &ingress.Request{ID: "1", Host: "h", Path: "/p/x", Key: "k", Arrived: time.Now()}, &ingress.Sink{
 				Begin: func(*backend.Answer) {}, Event: func(backend.Event) error { return nil }, End: func() {},
 			})
--- a/internal/meter/names.go
+++ b/internal/meter/names.go
@@ -33,7 +33,7 @@
 	{"origins.notRecorded", KindCounter, "streams that began while no controller was connected that could record their software version"},
 	{"origins.ambiguous", KindCounter, "streams that clients took up and of which attempts with the same ID began at several software versions"},
 	{"origins.unknown", KindCounter, "streams that clients took up and whose software version was not known"},
-	{"origins.notConfirmed", KindCounter, "backend servers at which no stream went on, since they did not confirm the incarnation that their record names"},
+	{"origins.notConfirmed", KindCounter, "backend servers at which no stream went on, or which began one that is not resumed, since they did not confirm the incarnation that their record names"},
 	{"origins.known", KindGauge, "streams of which a controller knows the software version that began them"},
 	{"origins.notWritten", KindGauge, "records of such streams that a controller's disk refused since it started; they are in memory only"},
 	{"items.restarted", KindCounter, "texts of items that were begun again, since no backend server of their software version was to be had"},
--- a/soak/outofstep_test.go
+++ b/soak/outofstep_test.go
@@ -141,4 +141,60 @@
 			Expect(complete).To(BeNumerically(">=", answers/2))
 		})
 	}
+
+	// Guards against an answer of a later incarnation that such a gateway records as one of the version before,
+	// and goes on with at that version.
+	for _, tc := range []struct {
+		ha     harm
+		subnet int
+	}{{freeze(program.RoleGateway), 73}, {cutOff(program.RoleGateway), 74}} {
+		ginkgo.It("goes on with no answer that it began at a later incarnation: "+tc.ha.name, func() {
+			const answers, answerEvents, breakAt = 24, 12, 4
+			ctx, cancel := context.WithCancel(context.Background())
+			var wg sync.WaitGroup
+			de := startLoaded(ctx, &wg, Config{Folder: filepath.Join(folder, "outofstep-begun-"+tc.ha.name[:3]), Subnet: tc.subnet, Gateways: 2, PlainServers: 2, Engines: 6, Stores: 3, Heartbeat: deployedHeartbeat})
+			defer func() {
+				cancel()
+				wg.Wait()
+				Expect(de.close()).To(Succeed())
+			}()
+			engines := de.servers[2:]
+			for _, bs := range engines {
+				Expect(bs.Replace("v1")).To(Succeed())
+			}
+			time.Sleep(2 * deployedHeartbeat)
+			out := tc.ha.targets(de)[0]
+			tc.ha.begin(de, out)
+			for _, bs := range engines[:3] {
+				Expect(bs.Replace("v2")).To(Succeed())
+				bs.BreakOff(func(_ string, event int) bool { return event == breakAt })
+			}
+			time.Sleep(applyWithin + deployedHeartbeat)
+			if tc.ha.name == "frozen" {
+				tc.ha.end(de, out) // its first requests meet the view from before
+			}
+			taken := make([]*standin.Stream, answers)
+			var each sync.WaitGroup
+			for i := range taken {
+				taken[i] = &standin.Stream{}
+				each.Go(func() {
+					_, _ = de.caller.Take(ctx, out.ip, taken[i], fmt.Sprintf("later%d", i), answerEvents, 0)
+				})
+			}
+			each.Wait()
+			tc.ha.end(de, out)
+			begun, complete := map[string]int{}, 0
+			for _, st := range taken {
+				if versions := standin.SoftwareOf(st.Events); len(versions) > 0 {
+					Expect(versions).To(HaveLen(1), "stream %s: %v", st.ID, st.Events)
+					begun[versions[0]]++
+				}
+				if len(st.Events) == answerEvents {
+					complete++
+				}
+			}
+			ginkgo.GinkgoWriter.Printf("%s: begun %v, complete %d of %d\n", tc.ha.name, begun, complete, answers)
+			Expect(begun["v1"]).To(BeNumerically(">", 0))
+		})
+	}
 })
