--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -203,7 +203,8 @@
 	return nil
 }
 
-// current returns an error if a configuration that must be in force by now may not have arrived.
+// current returns an error if a configuration that must be in force by now may not have arrived. Changes of
+// backend servers come the same way.
 func (ed *Edge) current() error {
 	bound := ed.cfg.Settings.ApplyBound
 	if bound <= 0 {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -45,8 +45,10 @@
 type Config struct {
 	Table func() *routing.Table // nil before the first configuration
 	Fresh func() error          // an error if this process must refuse new work
-	// Current returns an error if this process may lack a configuration that must be in force by now.
-	// What the known one does not allow may then be retried; nil if no configuration is ever missing.
+	// Current returns an error if this process may lack a configuration that must be in force by now, or
+	// later incarnations of backend servers. What the known configuration does not allow may then be
+	// retried, and the records of backend servers are not relied on for the origins of streams; nil if
+	// nothing is ever missing.
 	Current  func() error
 	Room     func() error // an error if this process is short of memory or descriptors; nil for enough
 	Balancer *balance.Balancer
@@ -192,7 +194,7 @@
 	configVersion uint64          // configuration version at the start of the request
 	fingerprint   string          // "" until it is needed
 	slotKey       fairshare.Key   // service and workspace of the slot in use
-	origin        *origin.Origin  // what began the stream, nil before its first event
+	origin        *origin.Origin  // what began the stream, nil before its first event and if that is not known
 	otherSoftware map[string]bool // IDs of backend servers that run, or may run, other software than origin
 }
 
--- a/internal/ingress/stream_test.go
+++ b/internal/ingress/stream_test.go
@@ -131,7 +131,7 @@
 // Guards against a stream that goes on at a backend server that has returned, with other software,
 // since this gateway learned of it.
 var _ = ginkgo.Describe("a stream that breaks while the gateway does not know of later incarnations", func() {
-	isStale := errors.New("no confirmation of the view")
+	errStale := errors.New("no confirmation of the view")
 	for _, tc := range []struct {
 		name  string
 		born  map[string]int64 // 1 in all records
@@ -141,8 +141,8 @@
 		{"goes on at an incarnation that confirms its record", map[string]int64{"a": 2, "b": 1, "c": 1}, nil, 0},
 		{"goes on at no later incarnation", map[string]int64{"a": 2, "b": 2, "c": 1}, nil, 0},
 		{"ends if all are later incarnations", map[string]int64{"a": 2, "b": 2, "c": 2}, nil, result.NoSameSoftware},
-		{"goes on if the one that began it confirms its record to a gateway out of step", map[string]int64{"a": 1, "b": 1, "c": 1}, isStale, 0},
-		{"ends if a later incarnation began it at a gateway out of step", map[string]int64{"a": 2, "b": 2, "c": 2}, isStale, result.StreamCut},
+		{"goes on if the one that began it confirms its record to a gateway out of step", map[string]int64{"a": 1, "b": 1, "c": 1}, errStale, 0},
+		{"ends if a later incarnation began it at a gateway out of step", map[string]int64{"a": 2, "b": 2, "c": 2}, errStale, result.StreamCut},
 	} {
 		ginkgo.It(tc.name, func() {
 			fi := newFixture(routing.Route{Kind: routing.AtMostOnce, IsStreaming: true, IsResumable: true, MaxAttempts: 3}, streamUntil(3), streamUntil(0))
