Play crowds of clients that don't behave against real processes

Clients that we don't control ended a process: it ran out of memory. These tests start the deployment's own processes on loopback addresses with lowered limits and send a small crowd: bodies of legal size whole, in pieces and in large and small chunks that stop short, bodies over the limit, announced and just sent, heads without an end or with many fields, connections that send nothing, batch jobs of legal size, answers that nobody reads; and a lone body that is slow but moving. They check that the processes live, that their memory, with the bytes that have arrived and are not read, and their file descriptors stay below the limits in their settings, and that an ordinary request is answered while the crowd is there and after it. They run alone, after all others (build tag crowd).

--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -92,6 +92,7 @@
 				settings: standin.NodeSettings{
 					Name: fmt.Sprintf("%s-%d", role, i+1), IP: ip, Ports: ports, Controllers: de.caller.ControllerIPs, UsageAddress: de.usage.Address(),
 					Grace: gracePeriod, Window: 5 * time.Second, Lease: 3 * time.Second, Heartbeat: cfg.Heartbeat,
+					Limits: cfg.Limits[role],
 				},
 			}
 			if role != program.RoleGateway {
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -56,6 +56,7 @@
 	Zones        int                              // failure domains of the backend servers
 	Work         time.Duration                    // of plain requests at backend servers
 	Heartbeat    time.Duration                    // of backend servers in the settings, 300 ms if it is 0
+	Limits       map[string]standin.Limits        // of the processes, by role; the usual ones for the others
 	Logf         func(format string, args ...any) // logs progress, one line per fault
 }
 
