Bound the connections of clients at a gateway

What callers saw: while 400 clients were connected to one gateway and sent nothing, no ordinary request was answered for 20 s, as the process had all of its 200 file descriptors open and accepted nobody else.

Cause: a connection was held for as long as its client liked, and nothing but the limit of the process bounded their number; the kernel let each hold megabytes that had arrived and were not read.

Change: a gateway accepts as many connections as half of its descriptors, and a quarter of its memory at 88 KiB each, allow (1,537 or 409 on the smallest machine of the deployments). If there are more, the one that has been without a request for the longest time is closed; if all serve requests, the new one. The kernel's buffers of a connection are 32 KiB. max_fds of the settings is read. Why this works: the others of the descriptors are left for backend servers and peers, and a client that does send its request is the last to be closed.

--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -50,12 +50,29 @@
 	return nd
 }
 
+// ListenConfig configures Listen.
+type ListenConfig struct {
+	AckTimeout  time.Duration // as in Config
+	SocketBytes int           // size of the kernel's buffers of each accepted connection; 0 leaves that to the kernel
+}
+
 // Listen listens on address. Accepted connections detect a silent peer, too.
-func Listen(address string, silence time.Duration) (net.Listener, error) {
+func Listen(address string, cfg ListenConfig) (net.Listener, error) {
 	lc := net.ListenConfig{}
-	if silence > 0 {
+	if cfg.AckTimeout > 0 {
 		lc.KeepAliveConfig = keepAlive()
-		lc.Control = func(_, _ string, rc syscall.RawConn) error { return setUserTimeout(rc, silence) }
+	}
+	lc.Control = func(_, _ string, rc syscall.RawConn) error {
+		if cfg.SocketBytes > 0 {
+			if err := setSocketBytes(rc, cfg.SocketBytes); err != nil {
+				return err
+			}
+		}
+		if cfg.AckTimeout > 0 {
+			return setUserTimeout(rc, cfg.AckTimeout)
+		}
+
+		return nil
 	}
 
 	return lc.Listen(context.Background(), "tcp", address)
@@ -80,6 +97,18 @@
 	})
 }
 
+// setSocketBytes sets the sizes of the kernel's buffers of what has arrived and of what is to be sent.
+// Accepted connections inherit them.
+func setSocketBytes(rc syscall.RawConn, n int) error {
+	return control(rc, func(fd int) error {
+		if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, n); err != nil {
+			return err
+		}
+
+		return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, n)
+	})
+}
+
 func control(rc syscall.RawConn, set func(fd int) error) error {
 	var err error
 	if cerr := rc.Control(func(fd uintptr) { err = set(int(fd)) }); cerr != nil {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -161,6 +161,19 @@
 	return defaultMaxBodyBytes
 }
 
+// FilesLimit returns how many file descriptors this process may open, 0 if that is not known.
+func (ed *Edge) FilesLimit() int { return ed.use().FilesLimit }
+
+// use returns what this process uses and may use.
+func (ed *Edge) use() headroom.Use {
+	use := headroom.OfProcess(ed.cfg.Settings.MemoryBytes)
+	if n := ed.cfg.Settings.MaxFiles; n > 0 && (use.FilesLimit == 0 || n < use.FilesLimit) {
+		use.FilesLimit = n
+	}
+
+	return use
+}
+
 // IsReady reports whether the load balancer may send new clients to this edge.
 func (ed *Edge) IsReady() bool {
 	return !ed.isClosing.Load() && ed.Table() != nil && ed.fresh() == nil && ed.headroom.IsReady()
@@ -250,7 +263,7 @@
 // observeHeadroom reads the use of memory and descriptors until ctx ends.
 func (ed *Edge) observeHeadroom(ctx context.Context) {
 	for ctx.Err() == nil {
-		use := headroom.OfProcess(ed.cfg.Settings.MemoryBytes)
+		use := ed.use()
 		if ed.headroom.Observe(use) {
 			ed.cfg.Log.WithFields(log.Fields{
 				"memoryBytes": use.Memory, "memoryLimit": use.MemoryLimit, "files": use.Files, "filesLimit": use.FilesLimit,
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -79,7 +79,7 @@
 
 // Listen listens on an address, an IP number with a port.
 func Listen(address string, cfg Config) (*Listener, error) {
-	ln, err := dialer.Listen(address, cfg.AckTimeout)
+	ln, err := dialer.Listen(address, dialer.ListenConfig{AckTimeout: cfg.AckTimeout})
 	if err != nil {
 		return nil, result.New(result.AddressInUse, "peer: listen on %s: %v", address, err)
 	}
--- a/internal/program/node.go
+++ b/internal/program/node.go
@@ -21,6 +21,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/dialer"
 	"github.com/tamarackbay/tamarackbay/internal/edge"
 	"github.com/tamarackbay/tamarackbay/internal/httpcall"
+	"github.com/tamarackbay/tamarackbay/internal/intake"
 	"github.com/tamarackbay/tamarackbay/internal/jobstore"
 	"github.com/tamarackbay/tamarackbay/internal/meter"
 	"github.com/tamarackbay/tamarackbay/internal/peer"
@@ -191,9 +192,14 @@
 	}
 }
 
-// serve starts an HTTP server at address as a component called name.
-func (nd *Node) serve(name, address string, h http.Handler) error {
-	ln, err := dialer.Listen(address, ackTimeout)
+// serve starts an HTTP server at address as a component called name. connections bounds what its
+// clients may open; nil for a server that only the platform and other processes call.
+func (nd *Node) serve(name, address string, h http.Handler, connections *intake.Connections) error {
+	lc := dialer.ListenConfig{AckTimeout: ackTimeout}
+	if connections != nil {
+		lc.SocketBytes = intake.SocketBytes
+	}
+	ln, err := dialer.Listen(address, lc)
 	if err != nil {
 		return result.New(result.AddressInUse, "program: listen on %s: %v", address, err)
 	}
@@ -204,6 +210,10 @@
 		Handler:     h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: clientIdleTimeout,
 		ErrorLog: stdlog.New(io.Discard, "", 0), // failed connections are counted with their requests
 	}
+	if connections != nil {
+		sv.Handler, sv.ConnContext = connections.Handler(h), connections.Context
+		ln = connections.Listen(ln)
+	}
 	nd.servers = append(nd.servers, sv)
 	nd.run(name, func() error { return sv.Serve(ln) })
 
@@ -240,7 +250,7 @@
 			nd.log.WithError(err).Info("metrics could not be written to their reader") // it has disconnected
 		}
 	})
-	if err := nd.serve("metrics", net.JoinHostPort(nd.settings.BindIP, metricsPort), h); err != nil {
+	if err := nd.serve("metrics", net.JoinHostPort(nd.settings.BindIP, metricsPort), h, nil); err != nil {
 		nd.log.WithError(err).Warn("metrics are not served")
 	}
 }
@@ -252,15 +262,21 @@
 		Meter: nd.meter, Log: nd.log,
 	})
 	nd.edge = ed
-	nd.updateGauges = func() { ed.Measure(nd.meter) }
+	connections := intake.NewConnections(intake.ConnectionsConfig{
+		MemoryBytes: nd.settings.MemoryBytes, Files: ed.FilesLimit(), Meter: nd.meter, Log: nd.log,
+	})
+	nd.updateGauges = func() {
+		ed.Measure(nd.meter)
+		connections.Measure()
+	}
 	ch := &platform.ClientHandler{
 		Serve: ed.Ingress().Serve, IsBatch: ed.JobProxy().IsBatch, SubmitJob: ed.JobProxy().Submit, ReadResults: ed.JobProxy().Read, ItemBody: ed.JobProxy().Body,
 		EndJob: ed.JobProxy().End, MaxBodyBytes: ed.MaxBodyBytes, IsReady: ed.IsReady, ShouldCloseConnections: ed.IsClosing,
 	}
-	if err := nd.serve("readiness", nd.settings.ReadinessAddress, http.HandlerFunc(ch.ServeReadiness)); err != nil {
+	if err := nd.serve("readiness", nd.settings.ReadinessAddress, http.HandlerFunc(ch.ServeReadiness), nil); err != nil {
 		return err
 	}
-	if err := nd.serve("clients", nd.settings.ClientAddress, ch); err != nil {
+	if err := nd.serve("clients", nd.settings.ClientAddress, ch, connections); err != nil {
 		return err
 	}
 	nd.run("edge", func() error {
@@ -296,7 +312,7 @@
 		RecordHeartbeat: co.RecordHeartbeat, RecordLeave: co.RecordLeave, PutRouting: co.PutRouting, RoutingDocument: co.Routing, NameVersion: co.NameVersion,
 		Evacuate: co.Evacuate, WithdrawEvacuation: co.WithdrawEvacuation, Retire: co.Retire, Retirement: co.Retirement,
 	}
-	if err := nd.serve("control", nd.settings.ControlAddress, withControlTimeout(ctl.Handler())); err != nil {
+	if err := nd.serve("control", nd.settings.ControlAddress, withControlTimeout(ctl.Handler()), nil); err != nil {
 		return err
 	}
 	nd.handOver, nd.isLeader = co.HandOver, co.Group().IsLeader
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -39,6 +39,7 @@
 	DataFolder        string            // "" if the node has no disk
 	ToleratedFailures int               // number of VMs that may be lost at the same time, with their disks
 	MemoryBytes       int64             // the process is terminated above this limit
+	MaxFiles          int               // file descriptors that the process may open; 0 if that is not known
 	UsageAddress      string            // of the platform's interface for usage reports; "" for none
 
 	HeartbeatPeriod time.Duration // period of the heartbeats of backend servers
