Bound the memory of requests at a gateway by one budget

What callers saw: while 80 clients sent bodies of legal size to a gateway of 112 MiB and stopped short of their end, its memory rose to 504 to 683 MB and ordinary callers got 503 for as long as the clients stayed; on a machine of the platform the process ends. Bodies over the limit took 249 to 312 MB, 172 MB of them unread.

Cause: the gateway read a body whole before it looked at the key, the route or its memory, into a buffer that grew by copies; the announced length was not looked at, nothing ended a body that stood still, and the lack of memory was noticed afterwards, when it refused whoever came next.

Change: a budget of a third of the process's memory owns what requests hold until they are answered (docs/design/intake.md). Heads are checked first: what can be refused without the body is refused before it is read. Bodies are read in chunks that are reserved before they are allocated and never copied. If the budget is full, the incomplete request that is furthest behind 64 KiB/s yields; a part is left to requests up to 16 KiB; a standstill of 10 s ends a body. After a refusal the connection is closed without reading on. Counters, gauges and at most one log line a second name what was refused. Why this works: whatever the crowd sends, the sum is bounded before it is allocated, and a body that stopped gives its memory to others after a second.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/tamarackbay/tamarackbay/internal/payload"
 	"github.com/tamarackbay/tamarackbay/internal/result"
 )
 
@@ -18,7 +19,7 @@
 	Host          string
 	Target        string      // path and query, as the client sent them
 	Header        http.Header // of the client, without hop-by-hop headers
-	Body          []byte
+	Body          payload.Chunks
 	Instance      string        // the only incarnation that may run it, "" for any
 	Workspace     string        // "" for public routes
 	Timeout       time.Duration // the backend server stops work after it, 0 for never
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -19,6 +19,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/feed"
 	"github.com/tamarackbay/tamarackbay/internal/headroom"
 	"github.com/tamarackbay/tamarackbay/internal/ingress"
+	"github.com/tamarackbay/tamarackbay/internal/intake"
 	"github.com/tamarackbay/tamarackbay/internal/jobproxy"
 	"github.com/tamarackbay/tamarackbay/internal/meter"
 	"github.com/tamarackbay/tamarackbay/internal/origin"
@@ -152,13 +153,18 @@
 // first configuration has arrived.
 func (ed *Edge) Table() *routing.Table { return ed.follower.View().Table }
 
-// MaxBodyBytes returns the limit for the body of a client's request.
-func (ed *Edge) MaxBodyBytes() int64 {
-	if ta := ed.Table(); ta != nil && ta.Config().Limits.MaxBodyBytes > 0 {
-		return int64(ta.Config().Limits.MaxBodyBytes)
+// Limits returns the limits of a client's request.
+func (ed *Edge) Limits() intake.Limits {
+	li := intake.Limits{BodyBytes: defaultMaxBodyBytes}
+	if ta := ed.Table(); ta != nil {
+		configured := ta.Config().Limits
+		li.HeadBytes = int64(configured.MaxHeaderBytes)
+		if configured.MaxBodyBytes > 0 {
+			li.BodyBytes = int64(configured.MaxBodyBytes)
+		}
 	}
 
-	return defaultMaxBodyBytes
+	return li
 }
 
 // FilesLimit returns how many file descriptors this process may open, 0 if that is not known.
--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -6,6 +6,8 @@
 	"io"
 
 	"golang.org/x/sync/semaphore"
+
+	"github.com/tamarackbay/tamarackbay/internal/payload"
 )
 
 const (
@@ -25,19 +27,6 @@
 	errBuffersFull    = errors.New("the buffers of this process are full of other answers")
 )
 
-// Body is the body of an answer, in chunks.
-type Body [][]byte
-
-// Len returns the size of the body in bytes.
-func (bo Body) Len() int {
-	n := 0
-	for _, chunk := range bo {
-		n += len(chunk)
-	}
-
-	return n
-}
-
 // answerReader reads answers into memory. What all of them hold beyond their first chunks
 // is bounded, so that answers without end can't exhaust the process's memory.
 type answerReader struct{ reserved *semaphore.Weighted }
@@ -51,11 +40,11 @@
 }
 
 // read reads an answer to its end. The returned function gives its memory back.
-func (ar *answerReader) read(body io.Reader) (Body, func(), error) {
-	var out Body
+func (ar *answerReader) read(body io.Reader) (payload.Chunks, func(), error) {
+	var out payload.Chunks
 	held := int64(0)
 	release := func() { ar.reserved.Release(held) }
-	fail := func(err error) (Body, func(), error) {
+	fail := func(err error) (payload.Chunks, func(), error) {
 		release()
 
 		return nil, nil, err
--- a/internal/ingress/crash.go
+++ b/internal/ingress/crash.go
@@ -28,7 +28,11 @@
 func (rs *requestState) identify() string {
 	if rs.fingerprint == "" {
 		rq := rs.rq
-		body := strconv.FormatUint(xxhash.Sum64(rq.Body), 16) // bodies may be large
+		di := xxhash.New() // bodies may be large
+		for _, c := range rq.Body {
+			_, _ = di.Write(c) // never fails
+		}
+		body := strconv.FormatUint(di.Sum64(), 16)
 		rs.fingerprint = quarantine.Fingerprint(rs.workspace, rq.Method, rq.Host, rq.Target, body)
 	}
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -14,6 +14,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/fairshare"
 	"github.com/tamarackbay/tamarackbay/internal/meter"
 	"github.com/tamarackbay/tamarackbay/internal/origin"
+	"github.com/tamarackbay/tamarackbay/internal/payload"
 	"github.com/tamarackbay/tamarackbay/internal/result"
 	"github.com/tamarackbay/tamarackbay/internal/routing"
 	"github.com/tamarackbay/tamarackbay/internal/workload"
@@ -175,6 +176,16 @@
 	return denied
 }
 
+// CheckHead returns the error of a request that is refused whatever its body holds, and logs it.
+func (in *Ingress) CheckHead(rq *Request) error {
+	_, _, err := in.Admit(rq.Host, rq.Path, rq.Key)
+	if err != nil {
+		in.logOutcome(&requestState{rq: rq}, "refused", err)
+	}
+
+	return err
+}
+
 // requestState is the state of one request across its attempts.
 type requestState struct {
 	in            *Ingress
@@ -201,7 +212,7 @@
 // completeAnswer is an answer whose body was read to its end.
 type completeAnswer struct {
 	answer  *backend.Answer
-	body    Body
+	body    payload.Chunks
 	release func() // gives back the memory of the body
 }
 
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -21,6 +21,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/ingress"
 	"github.com/tamarackbay/tamarackbay/internal/logging"
 	"github.com/tamarackbay/tamarackbay/internal/meter"
+	"github.com/tamarackbay/tamarackbay/internal/payload"
 	"github.com/tamarackbay/tamarackbay/internal/quarantine"
 	"github.com/tamarackbay/tamarackbay/internal/registry"
 	"github.com/tamarackbay/tamarackbay/internal/result"
@@ -145,7 +146,7 @@
 func (fi *fixture) serve() error {
 	return fi.in.Serve(context.Background(), &ingress.Request{
 		ID: "1", Method: "POST", Host: "h", Path: "/p/x", Target: "/p/x", Key: "k", Arrived: time.Now(), ClientTimeout: 400 * time.Millisecond,
-	}, &ingress.Sink{Complete: func(an *backend.Answer, body ingress.Body) {
+	}, &ingress.Sink{Complete: func(an *backend.Answer, body payload.Chunks) {
 		fi.status, fi.body = an.Status, string(bytes.Join(body, nil))
 	}})
 }
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/tamarackbay/tamarackbay/internal/backend"
+	"github.com/tamarackbay/tamarackbay/internal/payload"
 )
 
 // Request is one attempt of a client.
@@ -19,8 +20,8 @@
 	Target        string // path and query, as the client sent them
 	Key           string // "" for none; never sent to a backend server
 	Header        http.Header
-	Body          []byte
-	Arrived       time.Time
+	Body          payload.Chunks
+	Arrived       time.Time     // when its head was received
 	ClientTimeout time.Duration // how long the client waits, 0 if unknown
 	Resumes       string        // ID of the attempt that brought the first event of the stream, "" if unknown
 	ResumeAfter   uint64        // number of the last event that the client received, 0 for none
@@ -31,7 +32,7 @@
 // by any number of Events and an End.
 type Sink struct {
 	// Complete sends a complete answer.
-	Complete func(an *backend.Answer, body Body)
+	Complete func(an *backend.Answer, body payload.Chunks)
 	// Begin sends the head of a stream.
 	Begin func(an *backend.Answer)
 	// Event sends one event of the stream.
--- a/internal/ingress/slot.go
+++ b/internal/ingress/slot.go
@@ -37,7 +37,7 @@
 		return nil, err
 	}
 	gr, err := wr.wait(ctx, &waitRequest{
-		key: ke, urgency: rs.urgency, work: rq.Work.Seconds, hold: rs.hold(), bytes: len(rs.rq.Body),
+		key: ke, urgency: rs.urgency, work: rq.Work.Seconds, hold: rs.hold(), bytes: rs.rq.Body.Len(),
 		isUsual: rs.origin == nil && len(rs.tried) == 0 && !pa.IsSuspect, model: rs.rq.Model, isOver: isOver,
 		acquire: func() *balance.Grant { return rs.acquireAny(rq) },
 	})
--- a/internal/ingress/work.go
+++ b/internal/ingress/work.go
@@ -8,7 +8,7 @@
 // kind describes the request for the estimate of its work at a service.
 func (rs *requestState) kind(service string) *workload.Request {
 	return &workload.Request{
-		Service: service, Route: rs.ro.Name, Model: rs.rq.Model, Workspace: rs.workspace, BodyBytes: len(rs.rq.Body),
+		Service: service, Route: rs.ro.Name, Model: rs.rq.Model, Workspace: rs.workspace, BodyBytes: rs.rq.Body.Len(),
 	}
 }
 
--- a/internal/intake/connections.go
+++ b/internal/intake/connections.go
@@ -1,4 +1,3 @@
-// Package intake bounds what clients make a process hold.
 package intake
 
 import (
@@ -26,8 +25,6 @@
 	connectionBytes       = 2*SocketBytes + 24<<10
 	// SocketBytes is the size of the kernel's buffers of a connection of a client.
 	SocketBytes = 32 << 10
-	// logPeriod is the shortest time between two log lines of one kind.
-	logPeriod = time.Second
 	// minConnections is the least bound of connections.
 	minConnections = 16
 )
@@ -36,12 +33,14 @@
 type ConnectionsConfig struct {
 	MemoryBytes int64 // of the process; 0 if it is not known
 	Files       int   // file descriptors that the process may open; 0 if that is not known
+	Budget      *Budget
 	Meter       *meter.Meter
 	Log         log.Interface
 }
 
 // Connections bounds the connections of clients. If there are too many, the one yields that has been
-// without a request for the longest time. It is safe for concurrent use.
+// without a request for the longest time, or whose request is furthest behind its pace. It is safe for
+// concurrent use.
 type Connections struct {
 	cfg  ConnectionsConfig
 	max  int
@@ -142,6 +141,9 @@
 			oldest = c
 		}
 	}
+	if oldest == nil {
+		oldest = co.slowest()
+	}
 	if oldest == nil {
 		return false
 	}
@@ -153,6 +155,20 @@
 	return true
 }
 
+// slowest returns the connection whose request is furthest behind its pace, nil if none is. The caller
+// holds mu.
+func (co *Connections) slowest() *connection {
+	if co.cfg.Budget == nil {
+		return nil
+	}
+	c, _ := co.cfg.Budget.behind().(*connection)
+	if _, ok := co.open[c]; !ok {
+		return nil
+	}
+
+	return c
+}
+
 // report logs a change, with at most one line each logPeriod. The caller holds mu.
 func (co *Connections) report(what string) {
 	if co.logs.Allow() {
--- a/internal/jobdriver/run.go
+++ b/internal/jobdriver/run.go
@@ -12,6 +12,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/backend"
 	"github.com/tamarackbay/tamarackbay/internal/balance"
 	"github.com/tamarackbay/tamarackbay/internal/job"
+	"github.com/tamarackbay/tamarackbay/internal/payload"
 	"github.com/tamarackbay/tamarackbay/internal/result"
 	"github.com/tamarackbay/tamarackbay/internal/routing"
 )
@@ -123,7 +124,7 @@
 ) (outcome, error) {
 	rec := gr.Record()
 	an, err := dr.cfg.Client.Send(ctx, rec.Address, &backend.Call{
-		ID: t.item.ID, Method: http.MethodPost, Host: t.job.host, Target: t.item.Path, Header: headerOf(&t.item), Body: t.item.Body,
+		ID: t.item.ID, Method: http.MethodPost, Host: t.job.host, Target: t.item.Path, Header: headerOf(&t.item), Body: payload.Of(t.item.Body),
 		Instance: rec.ID, Workspace: t.job.workspace, Timeout: itemTimeLimit, Priority: -1, ResumeAfter: te.lastEvent,
 	})
 	if err != nil {
@@ -402,7 +403,7 @@
 	ctx, cancel := context.WithTimeout(ctx, scoreTimeout)
 	defer cancel()
 	an, err := dr.cfg.Client.Send(ctx, rec.Address, &backend.Call{
-		ID: rw.ID, Method: http.MethodPost, Host: rw.Host, Target: rw.Path, Body: rw.Body, Instance: rec.ID,
+		ID: rw.ID, Method: http.MethodPost, Host: rw.Host, Target: rw.Path, Body: payload.Of(rw.Body), Instance: rec.ID,
 		Timeout: scoreTimeout, Priority: -1,
 	})
 	oc = brokenOff
--- a/internal/jobproxy/jobproxy.go
+++ b/internal/jobproxy/jobproxy.go
@@ -81,6 +81,23 @@
 	return ro != nil && ro.Kind == routing.Batch
 }
 
+// Check returns the error of a job that is refused whatever it holds, and logs it.
+func (pr *Proxy) Check(host, path, key, id string) error {
+	ro, ws, err := pr.cfg.Ingress.Admit(host, path, key)
+	if err == nil {
+		err = pr.checkServers(ro, ro.AllowedRegions(ws))
+	}
+	if err != nil {
+		workspace := ""
+		if ws != nil {
+			workspace = ws.Name
+		}
+		pr.logOutcome("request to submit a job", id, workspace, err, log.Fields{})
+	}
+
+	return err
+}
+
 // Submit submits a batch job. After it has returned nil, the job survives every loss
 // of VMs that the deployment tolerates.
 func (pr *Proxy) Submit(ctx context.Context, path, key string, sp *job.Spec) error {
--- a/internal/program/node.go
+++ b/internal/program/node.go
@@ -262,16 +262,18 @@
 		Meter: nd.meter, Log: nd.log,
 	})
 	nd.edge = ed
+	budget := intake.NewBudget(intake.Config{MemoryBytes: nd.settings.MemoryBytes, Meter: nd.meter, Log: nd.log})
 	connections := intake.NewConnections(intake.ConnectionsConfig{
-		MemoryBytes: nd.settings.MemoryBytes, Files: ed.FilesLimit(), Meter: nd.meter, Log: nd.log,
+		MemoryBytes: nd.settings.MemoryBytes, Files: ed.FilesLimit(), Budget: budget, Meter: nd.meter, Log: nd.log,
 	})
 	nd.updateGauges = func() {
 		ed.Measure(nd.meter)
+		budget.Measure()
 		connections.Measure()
 	}
 	ch := &platform.ClientHandler{
-		Serve: ed.Ingress().Serve, IsBatch: ed.JobProxy().IsBatch, SubmitJob: ed.JobProxy().Submit, ReadResults: ed.JobProxy().Read, ItemBody: ed.JobProxy().Body,
-		EndJob: ed.JobProxy().End, MaxBodyBytes: ed.MaxBodyBytes, IsReady: ed.IsReady, ShouldCloseConnections: ed.IsClosing,
+		CheckHead: ed.Ingress().CheckHead, Serve: ed.Ingress().Serve, IsBatch: ed.JobProxy().IsBatch, CheckJob: ed.JobProxy().Check, SubmitJob: ed.JobProxy().Submit, ReadResults: ed.JobProxy().Read, ItemBody: ed.JobProxy().Body,
+		EndJob: ed.JobProxy().End, Intake: budget, Limits: ed.Limits, IsReady: ed.IsReady, ShouldCloseConnections: ed.IsClosing,
 	}
 	if err := nd.serve("readiness", nd.settings.ReadinessAddress, http.HandlerFunc(ch.ServeReadiness), nil); err != nil {
 		return err
