Don't count the time of a slow body towards the route's time-out

What callers saw: a lone body of 4 MiB that took 6 s to arrive, to a route with a time-out of 2 s, was read to its end and then refused.

Cause: the time-out of the route ran from the receipt of the head, so that a client on a slow line had used it up before its request was complete.

Change: it runs from the receipt of the body. The client's own deadline still runs from the head, so that no backend server gets more time than the client has left. Why this works: the time-out bounds how long a client is kept waiting, and a client that sends does not wait.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -231,11 +231,14 @@
 		rs.workspace = ws.Name
 	}
 	rs.urgency, rs.regions = ro.Urgency(ws), ro.AllowedRegions(ws)
-	wait := ro.Timeout
-	if rq.ClientTimeout > 0 {
-		wait = min(wait, rq.ClientTimeout)
+	received := rq.Received
+	if received.IsZero() {
+		received = rq.Arrived
+	}
+	rs.deadline = received.Add(ro.Timeout) // the time that a client takes to send its body is its own
+	if own := rq.Arrived.Add(rq.ClientTimeout); rq.ClientTimeout > 0 && own.Before(rs.deadline) {
+		rs.deadline = own
 	}
-	rs.deadline = rq.Arrived.Add(wait)
 	ctx, cancel := context.WithDeadline(ctx, rs.deadline.Add(-answerMargin))
 	defer cancel()
 	defer func() {
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -22,6 +22,7 @@
 	Header        http.Header
 	Body          payload.Chunks
 	Arrived       time.Time     // when its head was received
+	Received      time.Time     // when its body was received, zero for Arrived
 	ClientTimeout time.Duration // how long the client waits, 0 if unknown
 	Resumes       string        // ID of the attempt that brought the first event of the stream, "" if unknown
 	ResumeAfter   uint64        // number of the last event that the client received, 0 for none
