Bound the head of a client's request to 64 KiB

What callers saw: 80 clients that sent heads without an end brought a gateway of 112 MiB to 629 MB.

Cause: net/http reads heads up to 1 MiB, and a head of many short fields takes several times its size once it is parsed; the limit of the configuration, 16 KiB in all deployments, was not looked at.

Why this works: the number of connections times the size of a head is bounded.

--- a/internal/program/node.go
+++ b/internal/program/node.go
@@ -74,6 +74,9 @@
 	// clientIdleTimeout is longer than any client of the users keeps an idle connection, so
 	// that the server never closes a connection that a client is about to reuse.
 	clientIdleTimeout = time.Minute
+	// maxClientHeadBytes is the size of a head at which it is no longer read. The limit of the
+	// configuration, which is lower, is checked once the head has been read.
+	maxClientHeadBytes = 64 << 10
 )
 
 // Node is a running process on a platform.
@@ -211,7 +214,7 @@
 		ErrorLog: stdlog.New(io.Discard, "", 0), // failed connections are counted with their requests
 	}
 	if connections != nil {
-		sv.Handler, sv.ConnContext = connections.Handler(h), connections.Context
+		sv.Handler, sv.ConnContext, sv.MaxHeaderBytes = connections.Handler(h), connections.Context, maxClientHeadBytes
 		ln = connections.Listen(ln)
 	}
 	nd.servers = append(nd.servers, sv)
