Bound the memory of batch jobs at gateways and stores

What callers saw: 40 clients sent a batch job of 4 MiB each, all legal. 27 were accepted; the stores, of 160 MiB, rose to 429, 460 and 574 MB and needed 259 to 262 MB when they started again with them: on a machine of the platform they would end again and again. The gateway of 112 MiB rose to 311 MB.

Cause: nothing bounded what stores accept. A store received and handled any number of large jobs at once, each some ten times in memory. A gateway held a job as its body, decoded, encoded and twice as a message.

A lone job may be as large as a body can be. If an earlier store may have accepted a job, a refusal by the next one is no longer taken for the outcome. Stores receive one large request after the other. A gateway gives up the body once it is decoded and the items once they are encoded, sends records without a copy, counts all of it in its budget, and gives large jobs the time of their transfer. Why this works: the acceptance is the only moment at which what must be kept can be bounded, and the bound leaves room for every copy, also at a start.

--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -188,8 +188,77 @@
 	// of a job and an item without their texts and bodies.
 	jobOverhead  = 512
 	itemOverhead = 256
+	// openItemBytes is what an item takes beside its texts and bodies until its result is listed, with
+	// the state of its run; headerBytes what a header or an event takes.
+	openItemBytes = 1024
+	headerBytes   = 48
 )
 
+// Bytes returns an upper estimate of the memory that an item takes until its result is listed.
+func (it *Item) Bytes() int {
+	n := openItemBytes + len(it.ID) + len(it.Path) + len(it.Group) + len(it.Body)
+	for _, he := range it.Headers {
+		n += headerBytes + len(he.Name) + len(he.Value)
+	}
+	if rw := it.Reward; rw != nil {
+		n += itemOverhead + len(rw.ID) + len(rw.Host) + len(rw.Path) + len(rw.Body)
+	}
+
+	return n
+}
+
+// EncodedBytes returns an upper estimate of the encoded size of a job as it was submitted.
+func (sp *Spec) EncodedBytes() int {
+	return EncodedBytes(map[string]*Job{sp.ID: {Spec: *sp}})
+}
+
+// Bytes returns an upper estimate of the memory that a job takes.
+func (sp *Spec) Bytes() int {
+	n := jobOverhead + len(sp.ID) + len(sp.Workspace) + len(sp.Host) + len(sp.Model)
+	for i := range sp.Items {
+		n += sp.Items[i].Bytes()
+	}
+
+	return n
+}
+
+// Bytes returns an upper estimate of the memory that a job takes with its results and progress.
+func (jo *Job) Bytes() int {
+	n := jobOverhead
+	for i := range jo.Spec.Items {
+		it := &jo.Spec.Items[i]
+		if jo.IsOpen() && !jo.Listed[i] {
+			n += it.Bytes()
+		} else {
+			n += it.Bytes() - openItemBytes + itemOverhead
+		}
+	}
+	for i := range jo.Results {
+		n += itemOverhead/2 + len(jo.Results[i].Text)
+	}
+	for _, pa := range jo.Partial {
+		n += itemOverhead
+		for _, ev := range pa.Events {
+			n += headerBytes + len(ev)
+		}
+	}
+
+	return n
+}
+
+// Bytes returns upper estimates of the memory that all jobs take, and those of one workspace.
+func (le *Ledger) Bytes(workspace string) (all, own int) {
+	for _, jo := range le.jobs {
+		n := jo.Bytes()
+		all += n
+		if jo.Spec.Workspace == workspace {
+			own += n
+		}
+	}
+
+	return all, own
+}
+
 // EncodedBytes returns an upper estimate of the encoded size of jobs.
 func EncodedBytes(jobs map[string]*Job) int {
 	n := 0
@@ -197,7 +266,7 @@
 		n += jobOverhead
 		for i := range jo.Spec.Items {
 			it := &jo.Spec.Items[i]
-			n += itemOverhead + len(it.Body)
+			n += itemOverhead + len(it.Body) + len(it.ID) + len(it.Path) + len(it.Group)
 			for _, he := range it.Headers {
 				n += len(he.Name) + len(he.Value) + itemOverhead/16
 			}
--- a/internal/jobproxy/jobproxy.go
+++ b/internal/jobproxy/jobproxy.go
@@ -10,8 +10,10 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/tamarackbay/tamarackbay/internal/balance"
+	"github.com/tamarackbay/tamarackbay/internal/codec"
 	"github.com/tamarackbay/tamarackbay/internal/feed"
 	"github.com/tamarackbay/tamarackbay/internal/ingress"
+	"github.com/tamarackbay/tamarackbay/internal/intake"
 	"github.com/tamarackbay/tamarackbay/internal/job"
 	"github.com/tamarackbay/tamarackbay/internal/meter"
 	"github.com/tamarackbay/tamarackbay/internal/peer"
@@ -36,6 +38,10 @@
 	requestTimeout = 2500 * time.Millisecond
 	// retryPause is the pause between two calls, cut short by a change of the view.
 	retryPause = 60 * time.Millisecond
+	// largeRecordBytes is the size from which the transfer of a record takes time of its own, and
+	// transferPace the bytes a second at which that is expected at least: a third of the slowest link.
+	largeRecordBytes = 256 << 10
+	transferPace     = 2 << 20
 	// retryAfter is the retry delay reported to clients while there is no leader.
 	retryAfter = 500 * time.Millisecond
 )
@@ -98,9 +104,12 @@
 	return err
 }
 
-// Submit submits a batch job. After it has returned nil, the job survives every loss
-// of VMs that the deployment tolerates.
-func (pr *Proxy) Submit(ctx context.Context, path, key string, sp *job.Spec) error {
+// Submit submits a batch job, whose memory le holds. After it has returned nil, the job survives every
+// loss of VMs that the deployment tolerates. The items of the job are gone afterwards.
+func (pr *Proxy) Submit(ctx context.Context, path, key string, sp *job.Spec, le *intake.Lease) error {
+	fl := log.Fields{
+		"items": len(sp.Items), "step": sp.Step, "model": sp.Model, "minVersion": sp.MinVersion, "targetGroups": sp.TargetGroups,
+	}
 	ro, ws, err := pr.cfg.Ingress.Admit(sp.Host, path, key)
 	if err == nil {
 		if ws != nil {
@@ -109,22 +118,40 @@
 		sp.ResultDeadlineMs, sp.MaxQueueMs = ro.ResultDeadline.Milliseconds(), ro.MaxQueueTime.Milliseconds()
 		regions := ro.AllowedRegions(ws)
 		if err = pr.checkServers(ro, regions); err == nil {
-			err = pr.callStores(ctx, MethodSubmit, &job.Submit{Spec: *sp}, nil, regions)
+			var b []byte
+			if b, err = encodeJob(sp, le); err == nil {
+				err = pr.callStores(ctx, MethodSubmit, b, nil, regions)
+			}
 		}
 	}
-	pr.logOutcome("request to submit a job", sp.ID, sp.Workspace, err, log.Fields{
-		"items": len(sp.Items), "step": sp.Step, "model": sp.Model, "minVersion": sp.MinVersion, "targetGroups": sp.TargetGroups,
-	})
+	pr.logOutcome("request to submit a job", sp.ID, sp.Workspace, err, fl)
 
 	return err
 }
 
+// encodeJob encodes a job and gives up its items, so that the job is not held twice while stores are
+// called.
+func encodeJob(sp *job.Spec, le *intake.Lease) ([]byte, error) {
+	size := sp.EncodedBytes()
+	if err := le.Grow(int64(size)); err != nil {
+		return nil, err
+	}
+	b, err := codec.Append(make([]byte, 0, size), &job.Submit{Spec: *sp})
+	if err != nil {
+		return nil, result.New(result.Internal, "jobproxy: encode the job: %v", err)
+	}
+	le.Shrink(int64(sp.Bytes()))
+	sp.Items = nil
+
+	return b, nil
+}
+
 // Read returns a page of the results of a job.
 func (pr *Proxy) Read(ctx context.Context, rd *job.Read) (*job.Page, error) {
 	var pa job.Page
 	err := pr.identify(rd.Key, &rd.Workspace)
 	if err == nil {
-		err = pr.callStores(ctx, MethodRead, rd, &pa, nil)
+		err = pr.call(ctx, MethodRead, rd, &pa)
 	}
 	pr.logOutcome("request to read results of a job", rd.Job, rd.Workspace, err, log.Fields{"from": rd.From, "next": pa.Next, "total": pa.Total})
 
@@ -136,7 +163,7 @@
 	rq, body := BodyRequest{Job: id, Item: item}, []byte(nil)
 	err := pr.identify(key, &rq.Workspace)
 	if err == nil {
-		err = pr.callStores(ctx, MethodBody, &rq, &body, nil)
+		err = pr.call(ctx, MethodBody, &rq, &body)
 	}
 	pr.logOutcome("request to read the body of an item", id, rq.Workspace, err, log.Fields{"item": item, "bytes": len(body)})
 
@@ -148,7 +175,7 @@
 	en := job.End{Job: id}
 	err := pr.identify(key, &en.Workspace)
 	if err == nil {
-		err = pr.callStores(ctx, MethodEnd, &en, nil, nil)
+		err = pr.call(ctx, MethodEnd, &en, nil)
 	}
 	pr.logOutcome("request to end a job", id, en.Workspace, err, log.Fields{})
 
@@ -177,16 +204,31 @@
 	pr.cfg.Log.WithFields(fl).Warn(msg)
 }
 
-// callStores calls the leader of the store group, and the other stores as well if the
-// leader fails or is unknown, until one answers or requestTimeout has passed. If a store may
-// have executed a failed submission, the error says that its outcome is unknown. regions lists
-// those to which the call may be sent beside the client's own, nil for any.
-func (pr *Proxy) callStores(ctx context.Context, method string, in, out any, regions []string) error {
+// call is callStores with a record that is encoded here, for a call that may be sent to any store.
+func (pr *Proxy) call(ctx context.Context, method string, in, out any) error {
 	b, err := cbor.Marshal(in)
 	if err != nil {
 		return result.New(result.Internal, "jobproxy: encode the request: %v", err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+
+	return pr.callStores(ctx, method, b, out, nil)
+}
+
+// transferTime returns how long the transfer of a large record may take beyond the usual time.
+func transferTime(bytes int) time.Duration {
+	if bytes <= largeRecordBytes {
+		return 0
+	}
+
+	return time.Duration(float64(bytes) / transferPace * float64(time.Second))
+}
+
+// callStores calls the leader of the store group, and the other stores as well if the
+// leader fails or is unknown, until one answers or requestTimeout has passed. If a store may
+// have executed a failed submission, the error says that its outcome is unknown. regions lists
+// those to which the call may be sent beside the client's own, nil for any.
+func (pr *Proxy) callStores(ctx context.Context, method string, b []byte, out any, regions []string) error {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout+transferTime(len(b)))
 	defer cancel()
 
 	var last error = result.New(result.NoLeader, "jobproxy: the store group has no known leader").WithRetryAfter(retryAfter)
@@ -200,6 +242,9 @@
 			last = err
 		} else if st, ok := pr.pickStore(try); ok {
 			err := pr.callStore(ctx, st, method, b, out)
+			if err != nil && method == MethodSubmit && mayHaveRun {
+				err = result.From(err).WithExecution(result.ExecutionUnknown) // another store may have accepted the job
+			}
 			if err == nil || !canRetryElsewhere(err) {
 				return err
 			}
@@ -235,7 +280,7 @@
 }
 
 func (pr *Proxy) callStore(ctx context.Context, st feed.Store, method string, b []byte, out any) error {
-	limit := callTimeout
+	limit := callTimeout + transferTime(len(b))
 	if method == MethodRead {
 		limit += maxReadWait
 	}
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -67,6 +67,7 @@
 	shares        *fairshare.Holder
 	controllers   *controller.Client
 	driver        *jobdriver.Driver
+	admission     *admission
 	statusChanged chan struct{} // holds an element after a change of the group's status
 }
 
@@ -75,6 +76,7 @@
 func New(cfg Config) (*Store, error) {
 	no := cfg.Settings
 	st := &Store{cfg: cfg, statusChanged: make(chan struct{}, 1), links: peer.NewLinks(context.Background(), cfg.Peer)}
+	st.admission = newAdmission(no.MemoryBytes, cfg.Meter, cfg.Log)
 	st.follower = feed.NewFollower(feed.Config{Links: st.links, Seeds: cfg.Controllers, OwnAddress: no.PeerAddress, Log: cfg.Log})
 	var err error
 	st.group, err = group.New(group.Config{
@@ -227,14 +229,7 @@
 // Handlers returns the handlers for calls from other processes of this system.
 func (st *Store) Handlers() peer.Mux {
 	mux := st.group.Handlers()
-	mux[jobproxy.MethodSubmit] = handle(st, func(ctx context.Context, su *job.Submit) (any, error) {
-		if err := st.group.ProposeLocal(ctx, statemachine.KindSubmitJob, su, nil); err != nil {
-			return nil, err
-		}
-		st.cfg.Log.WithFields(log.Fields{"job": su.Spec.ID, "items": len(su.Spec.Items)}).Info("job accepted")
-
-		return nil, nil
-	})
+	mux[jobproxy.MethodSubmit] = handle(st, st.submit)
 	mux[jobproxy.MethodEnd] = handle(st, func(ctx context.Context, en *job.End) (any, error) {
 		if err := st.group.ProposeLocal(ctx, statemachine.KindEndJob, en, nil); err != nil {
 			return nil, err
@@ -368,4 +363,8 @@
 	st.follower.Measure(me)
 	st.group.Measure(me)
 	st.driver.Measure(me)
+	all := 0
+	st.group.Read(func(ma *statemachine.Machine) { all, _ = ma.Jobs().Bytes("") })
+	me.Gauge("jobs.bytes", int64(all))
+	me.Gauge("jobs.limitBytes", int64(st.admission.capacity))
 }
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/tamarackbay/tamarackbay/internal/dialer"
 	"github.com/tamarackbay/tamarackbay/internal/result"
@@ -39,7 +40,10 @@
 	// DialTimeout bounds the opening of a session; 0 means dialTimeout. The first packet to
 	// a VM that is just starting is lost, and TCP repeats it only after a second.
 	DialTimeout time.Duration
-	Log         log.Interface // logs opened and lost sessions; may be nil
+	// MaxReceivedBytes bounds the large requests that a listener receives or handles at once; 0 for no
+	// bound. A request that alone exceeds it is handled when no other one is.
+	MaxReceivedBytes int64
+	Log              log.Interface // logs opened and lost sessions; may be nil
 }
 
 const (
@@ -69,8 +73,9 @@
 
 // Listener accepts sessions.
 type Listener struct {
-	cfg Config
-	ln  net.Listener
+	cfg      Config
+	ln       net.Listener
+	received *semaphore.Weighted // nil without Config.MaxReceivedBytes
 
 	mu       sync.Mutex
 	sessions map[*Session]struct{}
@@ -87,7 +92,12 @@
 		ln = tls.NewListener(ln, cfg.ServerTLS)
 	}
 
-	return &Listener{cfg: cfg, ln: ln, sessions: map[*Session]struct{}{}}, nil
+	li := &Listener{cfg: cfg, ln: ln, sessions: map[*Session]struct{}{}}
+	if cfg.MaxReceivedBytes > 0 {
+		li.received = semaphore.NewWeighted(cfg.MaxReceivedBytes)
+	}
+
+	return li, nil
 }
 
 // Address returns the address of the listener.
@@ -140,6 +150,7 @@
 
 		return
 	}
+	se.received, se.receivedBytes = li.received, li.cfg.MaxReceivedBytes
 	se.serve()
 }
 
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -15,6 +15,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/yamux"
+	"golang.org/x/sync/semaphore"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/tamarackbay/tamarackbay/internal/result"
@@ -29,6 +31,9 @@
 	writeTimeout       = 10 * time.Second
 	streamWindowBytes  = 1 << 20
 	readBufferBytes    = 4096
+	// largeMessageBytes is the size from which memory is reserved for a message before it is read, and
+	// from which a record is sent without a copy.
+	largeMessageBytes = 64 << 10
 )
 
 // Message is a request or a message of an answer.
@@ -46,8 +51,12 @@
 	mux          Mux
 	remote       *wire.Hello
 	streamSlots  chan struct{} // bounds the accepted streams that are served at once
-	done         chan struct{}
-	closeOnce    sync.Once
+	// received bounds the large requests that are received or handled at once, to receivedBytes; nil
+	// for no bound.
+	received      *semaphore.Weighted
+	receivedBytes int64
+	done          chan struct{}
+	closeOnce     sync.Once
 
 	mu   sync.Mutex
 	idle []*reusableStream // ready for another call, in the order of their last use
@@ -140,6 +149,21 @@
 // handleCall answers one call and reports whether the stream may carry another.
 func (se *Session) handleCall(rs *reusableStream) bool {
 	st := &Stream{stream: rs, session: se}
+	release := func() {}
+	defer func() { release() }()
+	if se.received != nil {
+		st.reserve = func(bytes int64) error {
+			n := min(bytes, se.receivedBytes)
+			ctx, cancel := context.WithTimeout(context.Background(), defaultCallTimeout)
+			defer cancel()
+			if err := se.received.Acquire(ctx, n); err != nil {
+				return result.New(result.ProcessOverloaded, "peer: no room for a message of %d bytes", bytes)
+			}
+			release = sync.OnceFunc(func() { se.received.Release(n) })
+
+			return nil
+		}
+	}
 	var ca wire.Call
 	if err := st.read(&ca); err != nil {
 		return false
@@ -153,7 +177,7 @@
 	defer cancel()
 	_ = rs.yamuxStream.SetWriteDeadline(time.Now().Add(timeout))
 
-	st.payload = ca.GetPayload()
+	st.payload, st.reserve = ca.GetPayload(), nil
 	h, ok := se.mux[ca.GetMethod()]
 	if !ok {
 		h = func(context.Context, *Stream) error {
@@ -176,7 +200,10 @@
 		}
 		next <- err == nil
 	}()
-	if st.sendEnd(h(ctx, st)) != nil {
+	err := h(ctx, st)
+	st.payload = nil
+	release()
+	if st.sendEnd(err) != nil {
 		return false
 	}
 
@@ -192,6 +219,8 @@
 	writeBuffer []byte
 	payload     []byte
 	lastPayload []byte // is sent with the end mark
+	// reserve is called with the size of a large message before it is read; nil if nothing is reserved.
+	reserve func(bytes int64) error
 
 	mu       sync.Mutex
 	ended    bool // the end mark was received
@@ -295,6 +324,11 @@
 	if n > maxMessageBytes {
 		return result.New(result.BodyTooLarge, "peer: message of %d bytes is longer than the limit", n)
 	}
+	if n > largeMessageBytes && st.reserve != nil {
+		if err := st.reserve(int64(n)); err != nil {
+			return err
+		}
+	}
 	b := make([]byte, n)
 	if _, err := io.ReadFull(st.stream.reader, b); err != nil {
 		return err
@@ -303,6 +337,45 @@
 	return proto.Unmarshal(b, m)
 }
 
+// largeRecord returns the record of a request if it is so large that it should not be copied, nil
+// otherwise.
+func largeRecord(req proto.Message) []byte {
+	if pa, ok := req.(*wire.Payload); ok && len(pa.GetRecord()) > largeMessageBytes {
+		return pa.GetRecord()
+	}
+
+	return nil
+}
+
+// Numbers of the fields that writeRecord encodes.
+var (
+	callPayload   = (*wire.Call)(nil).ProtoReflect().Descriptor().Fields().ByName("payload").Number()
+	payloadRecord = (*wire.Payload)(nil).ProtoReflect().Descriptor().Fields().ByName("record").Number()
+)
+
+// writeRecord writes a wire.Call whose payload is a wire.Payload with a record, without a copy of the
+// record.
+func (st *Stream) writeRecord(method string, timeoutMs uint32, record []byte) error {
+	recordHead := protowire.AppendTag(nil, payloadRecord, protowire.BytesType)
+	recordHead = protowire.AppendVarint(recordHead, uint64(len(record)))
+	head, err := proto.Marshal(&wire.Call{Method: method, TimeoutMs: timeoutMs})
+	if err != nil {
+		return err
+	}
+	head = protowire.AppendTag(head, callPayload, protowire.BytesType)
+	head = protowire.AppendVarint(head, uint64(len(recordHead)+len(record)))
+	head = append(head, recordHead...)
+
+	st.writeMu.Lock()
+	defer st.writeMu.Unlock()
+	if _, err := st.stream.yamuxStream.Write(append(binary.LittleEndian.AppendUint32(nil, uint32(len(head)+len(record))), head...)); err != nil {
+		return err
+	}
+	_, err = st.stream.yamuxStream.Write(record)
+
+	return err
+}
+
 // errStreamCut reports that the stream ended before its end mark.
 var errStreamCut = errors.New("peer: the stream ended before its end mark")
 
@@ -399,9 +472,12 @@
 
 // Open starts a call whose answer is read with Recv. The caller closes the stream.
 func (se *Session) Open(ctx context.Context, method string, req proto.Message) (*Stream, error) {
-	payload, err := proto.Marshal(req)
-	if err != nil {
-		return nil, err
+	record, payload := largeRecord(req), []byte(nil)
+	if record == nil {
+		var err error
+		if payload, err = proto.Marshal(req); err != nil {
+			return nil, err
+		}
 	}
 
 	dl, ok := ctx.Deadline()
@@ -419,7 +495,13 @@
 
 	st := &Stream{stream: rs, session: se, isSingleUse: isRaw(method)}
 	_ = rs.yamuxStream.SetDeadline(dl)
-	if err := st.write(&wire.Call{Method: method, TimeoutMs: uint32(left.Milliseconds()) + 1, Payload: payload}); err != nil {
+	timeoutMs := uint32(left.Milliseconds()) + 1
+	if record != nil {
+		err = st.writeRecord(method, timeoutMs, record)
+	} else {
+		err = st.write(&wire.Call{Method: method, TimeoutMs: timeoutMs, Payload: payload})
+	}
+	if err != nil {
 		st.Close()
 
 		return nil, result.New(result.BackendUnreachable, "peer: %s: %v", method, err).WithExecution(result.ExecutionUnknown)
--- a/internal/program/node.go
+++ b/internal/program/node.go
@@ -77,6 +77,9 @@
 	// maxClientHeadBytes is the size of a head at which it is no longer read. The limit of the
 	// configuration, which is lower, is checked once the head has been read.
 	maxClientHeadBytes = 64 << 10
+	// receivedShare is the divisor of a store's memory that gives the large requests of gateways that it
+	// receives or handles at once: each takes some times its size.
+	receivedShare = 64
 )
 
 // Node is a running process on a platform.
@@ -357,7 +360,9 @@
 		return err
 	}
 	nd.abandon = st.Group().Close
-	if err := nd.servePeers(nd.replicaPeerConfig(string(st.Group().Replica())), st.Handlers()); err != nil {
+	cfg := nd.replicaPeerConfig(string(st.Group().Replica()))
+	cfg.MaxReceivedBytes = nd.settings.MemoryBytes / receivedShare
+	if err := nd.servePeers(cfg, st.Handlers()); err != nil {
 		return err
 	}
 	nd.handOver, nd.isLeader = st.HandOver, st.Group().IsLeader
