Bound what answers that nobody reads make a process hold

What callers saw: 80 clients that asked for the body of an item, 3 MiB, and did not read the answer brought a gateway of 112 MiB to 350 MB and a store of 160 MiB to 380 MB; ordinary callers got 503, also for 20 s after the crowd had left.

Cause: an answer was held until its client had read it, without a limit of time or memory; a store sent any number of large answers at once, each three times in memory, and a gateway received them unbounded.

Change: a gateway reserves the memory of a large answer of a store before it reads it. Stores send large answers one after the other. Why this works: what is held for answers comes from the same budget as what is held for requests, and readers that stopped give it back.

--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -182,3 +182,25 @@
 	// bytes that are not read reset the connection, and the client may lose the answer.
 	_, _ = http.MaxBytesReader(w, io.NopCloser(strings.NewReader("x")), 0).Read(make([]byte, 1))
 }
+
+// Send sends the rest of an answer that the lease holds. A client that reads nothing of it for
+// writeStandstill, or is behind minPace while the budget is full, is disconnected, with an error.
+func (le *Lease) Send(w http.ResponseWriter, r *http.Request, b []byte) error {
+	c, ok := r.Context().Value(connectionKey{}).(*connection)
+	if ok {
+		le.reopen(c, func() { _ = c.TCPConn.Close() })
+	}
+	for len(b) > 0 {
+		n, err := w.Write(b[:min(len(b), writeBytes)])
+		if err != nil {
+			return err
+		}
+		b = b[n:]
+		if !le.arrived(n) {
+			return result.New(result.ProcessOverloaded, "intake: the client reads its answer too slowly")
+		}
+	}
+	le.complete()
+
+	return nil
+}
--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -123,6 +123,16 @@
 	return le
 }
 
+// reopen makes a lease yield again while its answer is sent.
+func (le *Lease) reopen(owner any, interrupt func()) {
+	bu := le.budget
+	bu.mu.Lock()
+	defer bu.mu.Unlock()
+
+	le.owner, le.interrupt, le.paidUntil = owner, interrupt, bu.cfg.Now().Add(paceGrace)
+	bu.incomplete[le] = struct{}{}
+}
+
 // Hold returns the lease of a request that has been read.
 func (bu *Budget) Hold() *Lease { return &Lease{budget: bu} }
 
--- a/internal/intake/connections.go
+++ b/internal/intake/connections.go
@@ -27,6 +27,10 @@
 	SocketBytes = 32 << 10
 	// minConnections is the least bound of connections.
 	minConnections = 16
+	// writeStandstill is how long a client may read nothing of its answer, and writeBytes the part of an
+	// answer for which that is judged.
+	writeStandstill = 10 * time.Second
+	writeBytes      = 64 << 10
 )
 
 // ConnectionsConfig configures Connections.
@@ -215,6 +219,22 @@
 	return c.TCPConn.Close()
 }
 
+// Write implements net.Conn. It fails if the client reads nothing for writeStandstill.
+func (c *connection) Write(b []byte) (int, error) {
+	written := 0
+	for {
+		part := b[written:min(written+writeBytes, len(b))]
+		if err := c.SetWriteDeadline(time.Now().Add(writeStandstill)); err != nil {
+			return written, err
+		}
+		n, err := c.TCPConn.Write(part)
+		written += n
+		if err != nil || written == len(b) {
+			return written, err
+		}
+	}
+}
+
 // Measure sets the gauges of the connections.
 func (co *Connections) Measure() {
 	co.mu.Lock()
--- a/internal/jobproxy/jobproxy.go
+++ b/internal/jobproxy/jobproxy.go
@@ -42,6 +42,8 @@
 	// transferPace the bytes a second at which that is expected at least: a third of the slowest link.
 	largeRecordBytes = 256 << 10
 	transferPace     = 2 << 20
+	// answerCopies is how many times a large answer is in memory while it is decoded.
+	answerCopies = 4
 	// retryAfter is the retry delay reported to clients while there is no leader.
 	retryAfter = 500 * time.Millisecond
 )
@@ -120,7 +122,7 @@
 		if err = pr.checkServers(ro, regions); err == nil {
 			var b []byte
 			if b, err = encodeJob(sp, le); err == nil {
-				err = pr.callStores(ctx, MethodSubmit, b, nil, regions)
+				err = pr.callStores(ctx, MethodSubmit, b, nil, regions, le)
 			}
 		}
 	}
@@ -146,24 +148,24 @@
 	return b, nil
 }
 
-// Read returns a page of the results of a job.
-func (pr *Proxy) Read(ctx context.Context, rd *job.Read) (*job.Page, error) {
+// Read returns a page of the results of a job, whose memory le holds.
+func (pr *Proxy) Read(ctx context.Context, le *intake.Lease, rd *job.Read) (*job.Page, error) {
 	var pa job.Page
 	err := pr.identify(rd.Key, &rd.Workspace)
 	if err == nil {
-		err = pr.call(ctx, MethodRead, rd, &pa)
+		err = pr.call(ctx, MethodRead, rd, &pa, le)
 	}
 	pr.logOutcome("request to read results of a job", rd.Job, rd.Workspace, err, log.Fields{"from": rd.From, "next": pa.Next, "total": pa.Total})
 
 	return &pa, err
 }
 
-// Body returns the body of an item whose result is not listed yet.
-func (pr *Proxy) Body(ctx context.Context, key, id, item string) ([]byte, error) {
+// Body returns the body of an item whose result is not listed yet. Its memory is held by le.
+func (pr *Proxy) Body(ctx context.Context, le *intake.Lease, key, id, item string) ([]byte, error) {
 	rq, body := BodyRequest{Job: id, Item: item}, []byte(nil)
 	err := pr.identify(key, &rq.Workspace)
 	if err == nil {
-		err = pr.call(ctx, MethodBody, &rq, &body)
+		err = pr.call(ctx, MethodBody, &rq, &body, le)
 	}
 	pr.logOutcome("request to read the body of an item", id, rq.Workspace, err, log.Fields{"item": item, "bytes": len(body)})
 
@@ -175,7 +177,7 @@
 	en := job.End{Job: id}
 	err := pr.identify(key, &en.Workspace)
 	if err == nil {
-		err = pr.call(ctx, MethodEnd, &en, nil)
+		err = pr.call(ctx, MethodEnd, &en, nil, nil)
 	}
 	pr.logOutcome("request to end a job", id, en.Workspace, err, log.Fields{})
 
@@ -205,13 +207,13 @@
 }
 
 // call is callStores with a record that is encoded here, for a call that may be sent to any store.
-func (pr *Proxy) call(ctx context.Context, method string, in, out any) error {
+func (pr *Proxy) call(ctx context.Context, method string, in, out any, le *intake.Lease) error {
 	b, err := cbor.Marshal(in)
 	if err != nil {
 		return result.New(result.Internal, "jobproxy: encode the request: %v", err)
 	}
 
-	return pr.callStores(ctx, method, b, out, nil)
+	return pr.callStores(ctx, method, b, out, nil, le)
 }
 
 // transferTime returns how long the transfer of a large record may take beyond the usual time.
@@ -226,8 +228,9 @@
 // callStores calls the leader of the store group, and the other stores as well if the
 // leader fails or is unknown, until one answers or requestTimeout has passed. If a store may
 // have executed a failed submission, the error says that its outcome is unknown. regions lists
-// those to which the call may be sent beside the client's own, nil for any.
-func (pr *Proxy) callStores(ctx context.Context, method string, b []byte, out any, regions []string) error {
+// those to which the call may be sent beside the client's own, nil for any. The lease holds the
+// memory of the answer; nil for an answer that is small.
+func (pr *Proxy) callStores(ctx context.Context, method string, b []byte, out any, regions []string, le *intake.Lease) error {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout+transferTime(len(b)))
 	defer cancel()
 
@@ -241,7 +244,7 @@
 			}
 			last = err
 		} else if st, ok := pr.pickStore(try); ok {
-			err := pr.callStore(ctx, st, method, b, out)
+			err := pr.callStore(ctx, st, method, b, out, le)
 			if err != nil && method == MethodSubmit && mayHaveRun {
 				err = result.From(err).WithExecution(result.ExecutionUnknown) // another store may have accepted the job
 			}
@@ -279,7 +282,7 @@
 	return vi.Stores[(try/2)%len(vi.Stores)], true
 }
 
-func (pr *Proxy) callStore(ctx context.Context, st feed.Store, method string, b []byte, out any) error {
+func (pr *Proxy) callStore(ctx context.Context, st feed.Store, method string, b []byte, out any, le *intake.Lease) error {
 	limit := callTimeout + transferTime(len(b))
 	if method == MethodRead {
 		limit += maxReadWait
@@ -288,9 +291,21 @@
 	defer cancel()
 
 	var rep wire.Payload
-	if err := pr.cfg.Links.Call(ctx, st.Address, method, &wire.Payload{Record: b}, &rep); err != nil {
+	received := int64(0) // memory for the answer
+	reserve := func(bytes int64) error {
+		received += answerCopies * bytes
+
+		return le.Grow(answerCopies * bytes)
+	}
+	if le == nil {
+		reserve = nil
+	}
+	if err := pr.cfg.Links.CallReserving(ctx, st.Address, method, &wire.Payload{Record: b}, &rep, reserve); err != nil {
 		return err
 	}
+	if received > 0 {
+		defer func() { le.Shrink(received - received/answerCopies) }() // only the decoded answer is left
+	}
 	if out == nil {
 		return nil
 	}
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -4,6 +4,7 @@
 package jobstore
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -12,6 +13,7 @@
 
 	"github.com/apex/log"
 	"github.com/fxamacker/cbor/v2"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/tamarackbay/tamarackbay/internal/backend"
 	"github.com/tamarackbay/tamarackbay/internal/balance"
@@ -41,6 +43,10 @@
 	announcePeriod = 500 * time.Millisecond
 	// announceTimeout bounds the calls of one announcement.
 	announceTimeout = 500 * time.Millisecond
+	// answersShare is the divisor of the store's memory that gives the large answers to gateways that are
+	// sent at once: each takes some times its size. Answers above largeAnswerBytes are large.
+	answersShare     = 64
+	largeAnswerBytes = 64 << 10
 )
 
 // Config holds the settings and dependencies of a Store.
@@ -68,6 +74,8 @@
 	controllers   *controller.Client
 	driver        *jobdriver.Driver
 	admission     *admission
+	answers       *semaphore.Weighted // bounds the large answers that are sent at once, to answersBytes
+	answersBytes  int64
 	statusChanged chan struct{} // holds an element after a change of the group's status
 }
 
@@ -77,6 +85,8 @@
 	no := cfg.Settings
 	st := &Store{cfg: cfg, statusChanged: make(chan struct{}, 1), links: peer.NewLinks(context.Background(), cfg.Peer)}
 	st.admission = newAdmission(no.MemoryBytes, cfg.Meter, cfg.Log)
+	st.answersBytes = cmp.Or(no.MemoryBytes/answersShare, largeAnswerBytes)
+	st.answers = semaphore.NewWeighted(st.answersBytes)
 	st.follower = feed.NewFollower(feed.Config{Links: st.links, Seeds: cfg.Controllers, OwnAddress: no.PeerAddress, Log: cfg.Log})
 	var err error
 	st.group, err = group.New(group.Config{
@@ -259,13 +269,51 @@
 		if err != nil {
 			return err
 		}
-		b, err := cbor.Marshal(out)
-		if err != nil {
-			return result.New(result.Internal, "jobstore: encode the answer: %v", err)
+		n := answerBytes(out)
+		if n <= largeAnswerBytes {
+			b, err := cbor.Marshal(out)
+			if err != nil {
+				return result.New(result.Internal, "jobstore: encode the answer: %v", err)
+			}
+
+			return sm.Reply(&wire.Payload{Record: b})
+		}
+
+		return st.sendLarge(ctx, sm, out, n)
+	}
+}
+
+// answerBytes returns the size of the texts and bodies in an answer.
+func answerBytes(out any) int64 {
+	switch v := out.(type) {
+	case []byte:
+		return int64(len(v))
+	case *job.Page:
+		n := int64(0)
+		for i := range v.Results {
+			n += int64(len(v.Results[i].Text))
 		}
 
-		return sm.Reply(&wire.Payload{Record: b})
+		return n
 	}
+
+	return 0
+}
+
+// sendLarge sends a large answer once there is room for its copies. Small ones never wait for it.
+func (st *Store) sendLarge(ctx context.Context, sm *peer.Stream, out any, bytes int64) error {
+	bytes = min(bytes, st.answersBytes)
+	if err := st.answers.Acquire(ctx, bytes); err != nil {
+		return result.New(result.ProcessOverloaded, "jobstore: other large answers are being sent: %v", err).WithRetryAfter(fullRetryAfter)
+	}
+	defer st.answers.Release(bytes)
+
+	b, err := cbor.Marshal(out)
+	if err != nil {
+		return result.New(result.Internal, "jobstore: encode the answer: %v", err)
+	}
+
+	return sm.Send(&wire.Payload{Record: b})
 }
 
 // barrierTimeout bounds the confirmation that this store is still the leader.
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -63,6 +63,17 @@
 	return se.Call(ctx, method, req, rep)
 }
 
+// CallReserving is Call for an answer that may be large: reserve is called with the size of a large
+// message before it is read, and its error ends the call. A nil reserve is not called.
+func (ls *Links) CallReserving(ctx context.Context, address, method string, req, rep Message, reserve func(bytes int64) error) error {
+	se, err := ls.To(address).Wait(ctx)
+	if err != nil {
+		return err
+	}
+
+	return se.call(ctx, method, req, rep, reserve)
+}
+
 // CallRecord is Call with CBOR records in wire.Payloads.
 func (ls *Links) CallRecord(ctx context.Context, address, method string, req, rep any) error {
 	b, err := cbor.Marshal(req)
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -512,11 +512,16 @@
 
 // Call makes a call with one request and one answer.
 func (se *Session) Call(ctx context.Context, method string, req, reply proto.Message) error {
+	return se.call(ctx, method, req, reply, nil)
+}
+
+func (se *Session) call(ctx context.Context, method string, req, reply proto.Message, reserve func(bytes int64) error) error {
 	st, err := se.Open(ctx, method, req)
 	if err != nil {
 		return err
 	}
 	defer st.Close()
+	st.reserve = reserve
 
 	stop := context.AfterFunc(ctx, st.Close)
 	defer stop()
