Bound what callers of the own interface make a gateway hold

What callers saw: nothing was refused, but 80 callers with a valid key whose bodies of 4 MiB stopped short brought a gateway with the settings of examples/start to 602 MB, in large chunks to 503 MB, and with bodies over the limit that were just sent to 411 MB.

Cause: the body of a request was read with a bound of its own size and time, but nothing bounded all of them together, nor the connections; a slow body was cut after bodyMs although it moved.

Change: the same budget and the same bound of connections as on the platform, from the new setting memoryMB (default 1024); the runtime's soft limit follows from it. bodyMs is now how long a body may stand still. A head is read up to twice maxHeaderBytes in place of eight times. Why this works: the owner of the bound is the process, not the request.

--- a/cmd/tamarackbay/gateway.go
+++ b/cmd/tamarackbay/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -31,6 +32,7 @@
 		if err := settings.Load(*path, &se); err != nil {
 			return err
 		}
+		debug.SetMemoryLimit(program.SoftMemoryLimit(int64(se.MemoryMB) << 20))
 		pg, err := program.StartGateway(se, logging.New(os.Stderr, se.LogLevel, "gateway", se.Name))
 		if err != nil {
 			return err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/admission"
 	"github.com/tamarackbay/tamarackbay/internal/agent"
 	"github.com/tamarackbay/tamarackbay/internal/group"
+	"github.com/tamarackbay/tamarackbay/internal/intake"
 	"github.com/tamarackbay/tamarackbay/internal/lease"
 	"github.com/tamarackbay/tamarackbay/internal/meter"
 	"github.com/tamarackbay/tamarackbay/internal/ordering"
@@ -62,6 +63,7 @@
 	pools          map[string]*pool.Pool
 	limiter        *admission.Limiter
 	budget         *retry.Budget
+	intake         *intake.Budget
 	activeRequests map[*activeRequest]struct{}
 	runningCalls   map[string]struct{} // IDs of non-repeatable requests that run on this gateway
 	fleetReasons   map[string]string   // by class, the reason of the last fleet decision
@@ -88,6 +90,9 @@
 		suspects: map[string]chan struct{}{}, completed: newCompletedRuns(),
 		budget:  retry.NewBudget(retry.Config{NoBudget: se.Policy.NoRetryBudget}, rand.Float64),
 		stopped: make(chan struct{}),
+		intake: intake.NewBudget(intake.Config{
+			MemoryBytes: int64(se.MemoryMB) << 20, Standstill: settings.Milliseconds(se.Times.BodyMs), Meter: cfg.Meter, Log: cfg.Log,
+		}),
 	}
 	ga.reportPeriod.Store(int64(minReportPeriod))
 	pc := cfg.PeerConfig
@@ -168,6 +173,9 @@
 // Meter returns the counters.
 func (ga *Gateway) Meter() *meter.Meter { return ga.cfg.Meter }
 
+// Intake bounds what the requests of callers hold.
+func (ga *Gateway) Intake() *intake.Budget { return ga.intake }
+
 // Settings returns the settings.
 func (ga *Gateway) Settings() settings.Gateway { return ga.cfg.Settings }
 
--- a/internal/handlers/caller.go
+++ b/internal/handlers/caller.go
@@ -3,13 +3,11 @@
 import (
 	"net/http"
 	"strings"
-	"time"
 
 	"github.com/go-chi/chi/v5"
 
 	"github.com/tamarackbay/tamarackbay/internal/gateway"
 	"github.com/tamarackbay/tamarackbay/internal/result"
-	"github.com/tamarackbay/tamarackbay/internal/settings"
 )
 
 // Callers serves callers and trainers.
@@ -73,10 +71,6 @@
 	}
 }
 
-func (ca *Callers) bodyTimeout() time.Duration {
-	return settings.Milliseconds(ca.gateway.Settings().Times.BodyMs)
-}
-
 // forward serves plain services under /r/{route}.
 func (ca *Callers) forward(w http.ResponseWriter, r *http.Request) {
 	name := chi.URLParam(r, "route")
@@ -114,7 +108,7 @@
 
 		return
 	}
-	body, err := readBody(w, r, int64(ro.MaxBodyBytes), ca.bodyTimeout())
+	body, err := readBody(ca.gateway.Intake(), w, r, int64(ro.MaxBodyBytes))
 	if err != nil {
 		ca.refuse(w, err)
 
--- a/internal/handlers/completion.go
+++ b/internal/handlers/completion.go
@@ -97,7 +97,7 @@
 func (ca *Callers) parseCompletion(w http.ResponseWriter, r *http.Request, cl gateway.Caller, isChat bool) (completionRequest, gateway.CompletionRequest, error) {
 	var rq completionRequest
 	var co gateway.CompletionRequest
-	b, err := readBody(w, r, maxMediumBodyBytes, ca.bodyTimeout())
+	b, err := readBody(ca.gateway.Intake(), w, r, maxMediumBodyBytes)
 	if err != nil {
 		return rq, co, err
 	}
--- a/internal/handlers/http.go
+++ b/internal/handlers/http.go
@@ -3,16 +3,16 @@
 package handlers
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"io"
-	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/tamarackbay/tamarackbay/internal/intake"
 	"github.com/tamarackbay/tamarackbay/internal/result"
 )
 
@@ -49,30 +49,27 @@
 	_ = json.NewEncoder(w).Encode(v) // fails if the client has disconnected
 }
 
-// readBody reads a complete request body, bounded in size and time.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64, timeout time.Duration) ([]byte, error) {
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(timeout))
-	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	if err == nil {
-		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-	} else {
-		// The read deadline stays set: net/http would otherwise wait for the rest of the
-		// body before it answers.
-		w.Header().Set("Connection", "close")
-	}
+// readBody reads a complete request body. Its memory is held until the request has been answered.
+func readBody(bu *intake.Budget, w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	li := intake.Limits{BodyBytes: limit}
+	err := intake.CheckHead(r, li)
+	if err != nil {
+		intake.CloseAfterAnswer(w)
 
-	var tooLarge *http.MaxBytesError
-	var ne net.Error
-	switch {
-	case err == nil:
-		return b, nil
-	case errors.As(err, &tooLarge):
-		return nil, result.New(result.BodyTooLarge, "the body is over %d bytes", limit)
-	case errors.Is(err, os.ErrDeadlineExceeded) || (errors.As(err, &ne) && ne.Timeout()):
-		return nil, result.New(result.BodyTooSlow, "the body did not arrive within %v", timeout)
+		return nil, err
+	}
+	body, le, err := bu.Read(w, r, li)
+	if err != nil {
+		return nil, err
+	}
+	context.AfterFunc(r.Context(), le.Close) // net/http ends the context with the request
+	if len(body) > 1 {
+		if err := le.Grow(int64(body.Len())); err != nil {
+			return nil, err
+		}
 	}
 
-	return nil, result.New(result.MalformedBody, "body: %v", err)
+	return body.Join(), nil
 }
 
 // decodeJSON reads a body that must be one JSON object without unknown fields.
--- a/internal/handlers/operator.go
+++ b/internal/handlers/operator.go
@@ -132,7 +132,7 @@
 }
 
 func (op *Operators) patch(w http.ResponseWriter, r *http.Request, operator string) {
-	b, err := readBody(w, r, maxMediumBodyBytes, defaultPageWait)
+	b, err := readBody(op.gateway.Intake(), w, r, maxMediumBodyBytes)
 	if err != nil {
 		op.refuse(w, err)
 
@@ -175,7 +175,7 @@
 }
 
 func (op *Operators) issueKey(w http.ResponseWriter, r *http.Request, operator string) {
-	b, err := readBody(w, r, maxSmallBodyBytes, defaultPageWait)
+	b, err := readBody(op.gateway.Intake(), w, r, maxSmallBodyBytes)
 	if err != nil {
 		op.refuse(w, err)
 
--- a/internal/handlers/trainer.go
+++ b/internal/handlers/trainer.go
@@ -49,7 +49,7 @@
 }
 
 func (ca *Callers) openStep(w http.ResponseWriter, r *http.Request, cl gateway.Caller) {
-	b, err := readBody(w, r, maxStepBodyBytes, ca.bodyTimeout())
+	b, err := readBody(ca.gateway.Intake(), w, r, maxStepBodyBytes)
 	if err != nil {
 		ca.refuse(w, err)
 
@@ -209,7 +209,7 @@
 }
 
 func (ca *Callers) pushVersion(w http.ResponseWriter, r *http.Request, cl gateway.Caller) {
-	b, err := readBody(w, r, maxSmallBodyBytes, ca.bodyTimeout())
+	b, err := readBody(ca.gateway.Intake(), w, r, maxSmallBodyBytes)
 	if err != nil {
 		ca.refuse(w, err)
 
--- a/internal/program/node.go
+++ b/internal/program/node.go
@@ -103,6 +103,9 @@
 	droppedLines func() int64
 }
 
+// SoftMemoryLimit returns the soft limit of the Go runtime for a process that may use memory bytes.
+func SoftMemoryLimit(memory int64) int64 { return int64(memoryLimitShare * float64(memory)) }
+
 // timeSinceBoot returns the time since the machine booted, including time spent suspended.
 func timeSinceBoot() time.Duration {
 	var ts unix.Timespec
@@ -147,7 +150,7 @@
 		return nil, err
 	}
 	if no.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(no.MemoryBytes)))
+		debug.SetMemoryLimit(SoftMemoryLimit(no.MemoryBytes))
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	nd := &Node{
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -17,8 +17,11 @@
 	"github.com/gravitational/trace"
 
 	"github.com/tamarackbay/tamarackbay/internal/agent"
+	"github.com/tamarackbay/tamarackbay/internal/dialer"
 	"github.com/tamarackbay/tamarackbay/internal/gateway"
 	"github.com/tamarackbay/tamarackbay/internal/handlers"
+	"github.com/tamarackbay/tamarackbay/internal/headroom"
+	"github.com/tamarackbay/tamarackbay/internal/intake"
 	"github.com/tamarackbay/tamarackbay/internal/meter"
 	"github.com/tamarackbay/tamarackbay/internal/peer"
 	"github.com/tamarackbay/tamarackbay/internal/result"
@@ -34,7 +37,9 @@
 	handOverTimeout = 3 * time.Second
 	// headerLimitFactor is how many times the configured limit of a header net/http accepts, so
 	// that the handlers can answer a header over the limit with a numbered error.
-	headerLimitFactor = 8
+	headerLimitFactor = 2
+	// listenerCount is the number of listeners of a gateway for callers and operators.
+	listenerCount = 2
 )
 
 // Gateway is a running gateway process with its listeners.
@@ -67,16 +72,17 @@
 
 	pg := &Gateway{runGroup: newRunGroup("gateway", lo), settings: se, gateway: ga}
 	pg.terminate = pg.Kill
-	if pg.callerListener, err = listen(se.CallerAddress, callerTLS); err != nil {
+	callers, operators := newConnections(se, ga, lo), newConnections(se, ga, lo)
+	if pg.callerListener, err = listen(se.CallerAddress, callerTLS, callers); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if pg.operatorListener, err = listen(se.OperatorAddress, callerTLS); err != nil {
+	if pg.operatorListener, err = listen(se.OperatorAddress, callerTLS, operators); err != nil {
 		_ = pg.callerListener.Close()
 
 		return nil, trace.Wrap(err)
 	}
-	pg.callerServer = newServer(handlers.NewCallers(ga), se.MaxHeaderBytes)
-	pg.operatorServer = newServer(handlers.NewOperators(ga), se.MaxHeaderBytes)
+	pg.callerServer = newServer(handlers.NewCallers(ga), se.MaxHeaderBytes, callers)
+	pg.operatorServer = newServer(handlers.NewOperators(ga), se.MaxHeaderBytes, operators)
 	pg.start()
 
 	return pg, nil
@@ -94,11 +100,22 @@
 	return h
 }
 
-func listen(address string, tc *tls.Config) (net.Listener, error) {
-	ln, err := net.Listen("tcp", address)
+// newConnections returns the bound of a listener's connections. Callers and operators share the memory
+// and the file descriptors equally.
+func newConnections(se settings.Gateway, ga *gateway.Gateway, lo log.Interface) *intake.Connections {
+	memory := int64(se.MemoryMB) << 20
+
+	return intake.NewConnections(intake.ConnectionsConfig{
+		MemoryBytes: memory / listenerCount, Files: headroom.OfProcess(memory).FilesLimit / listenerCount, Budget: ga.Intake(), Meter: ga.Meter(), Log: lo,
+	})
+}
+
+func listen(address string, tc *tls.Config, connections *intake.Connections) (net.Listener, error) {
+	ln, err := dialer.Listen(address, dialer.ListenConfig{SocketBytes: intake.SocketBytes})
 	if err != nil {
 		return nil, result.New(result.AddressInUse, "program: listen on %s: %v", address, err)
 	}
+	ln = connections.Listen(ln)
 	if tc != nil {
 		ln = tls.NewListener(ln, tc)
 	}
@@ -106,9 +123,9 @@
 	return ln, nil
 }
 
-func newServer(h http.Handler, maxHeader int) *http.Server {
+func newServer(h http.Handler, maxHeader int, connections *intake.Connections) *http.Server {
 	return &http.Server{
-		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		Handler: connections.Handler(h), ConnContext: connections.Context, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: headerLimitFactor * maxHeader,
 		ErrorLog:       stdlog.New(io.Discard, "", 0), // failed connections are counted with their requests
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -70,7 +70,7 @@
 	MaxCallMs      int `json:"maxCallMs" default:"1000" help:"longest outside call under a lease"`
 	BalancerLagMs  int `json:"balancerLagMs" default:"1000" help:"how long new work is still taken after the health check fails"`
 	DrainMs        int `json:"drainMs" default:"60000" help:"how long running requests may take after that"`
-	BodyMs         int `json:"bodyMs" default:"10000" help:"how long a caller may take to send a request"`
+	BodyMs         int `json:"bodyMs" default:"10000" help:"how long the body of a request may stand still"`
 }
 
 // Gateway holds the settings of a gateway.
@@ -89,6 +89,7 @@
 	Times            Times            `json:"times" help:"periods and bounds"`
 	Policy           Policy           `json:"policy" help:"baselines for comparison"`
 	MaxHeaderBytes   int              `json:"maxHeaderBytes" default:"32768" help:"largest header of a request"`
+	MemoryMB         int              `json:"memoryMB" default:"1024" help:"memory of the process in MiB: bodies of requests may take a third, connections of callers a quarter"`
 	LogLevel         string           `json:"logLevel" default:"info" help:"debug, info, warn or error"`
 }
 
