Bound the results in the ledger of jobs apart from what clients send

Cause: the log line 'job refused, the ledger has no room for it' names 23.6 of 30.8 MB in use after 21 jobs. The bound counted results too, which are 10.7 kB each there and are kept for 150 s; they grow with the pace of the backend servers, not with what clients send.

Change: a tenth of the memory bounds the items whose results are not listed; the ledger with its results has a bound of a third.

--- a/internal/handlers/http.go
+++ b/internal/handlers/http.go
@@ -12,7 +12,10 @@
 	"strings"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/tamarackbay/tamarackbay/internal/intake"
+	"github.com/tamarackbay/tamarackbay/internal/payload"
 	"github.com/tamarackbay/tamarackbay/internal/result"
 )
 
@@ -52,24 +55,23 @@
 // readBody reads a complete request body. Its memory is held until the request has been answered.
 func readBody(bu *intake.Budget, w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	li := intake.Limits{BodyBytes: limit}
-	err := intake.CheckHead(r, li)
+	body, le, err := payload.Chunks(nil), (*intake.Lease)(nil), intake.CheckHead(r, li)
 	if err != nil {
 		intake.CloseAfterAnswer(w)
-
-		return nil, err
+	} else {
+		body, le, err = bu.Read(w, r, li)
+	}
+	if err == nil {
+		context.AfterFunc(r.Context(), le.Close) // net/http ends the context with the request
+		err = le.Grow(int64(body.Len()))
 	}
-	body, le, err := bu.Read(w, r, li)
 	if err != nil {
+		bu.Refused(err, log.Fields{"client": r.RemoteAddr, "path": r.URL.Path, "announcedBytes": r.ContentLength})
+
 		return nil, err
 	}
-	context.AfterFunc(r.Context(), le.Close) // net/http ends the context with the request
-	if len(body) > 1 {
-		if err := le.Grow(int64(body.Len())); err != nil {
-			return nil, err
-		}
-	}
 
-	return body.Join(), nil
+	return body.TakeJoined(func(bytes int) { le.Shrink(int64(bytes)) }), nil
 }
 
 // decodeJSON reads a body that must be one JSON object without unknown fields.
--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -294,7 +294,7 @@
 	bu.hold(le, 0)
 }
 
-// Refused counts a refused request and logs it, with at most one line each logPeriod.
+// Refused counts a request that exceeds a limit and logs it, with at most one line each logPeriod.
 func (bu *Budget) Refused(err error, fl log.Fields) {
 	bu.cfg.Meter.Count("intake.refused." + result.Lookup(result.From(err).Code).Name)
 	if !bu.logs.Allow() {
@@ -303,7 +303,7 @@
 		return
 	}
 	bu.cfg.Log.WithFields(fl).WithFields(log.Fields{"error": err.Error(), "heldBytes": bu.Used(), "budgetBytes": bu.capacity}).
-		Warn("request refused before it was read")
+		Warn("request refused, it exceeds a limit")
 }
 
 // Measure sets the gauges of the budget.
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -222,15 +222,26 @@
 	return n
 }
 
-// Bytes returns an upper estimate of the memory that a job takes with its results and progress.
-func (jo *Job) Bytes() int {
+// SubmittedBytes returns an upper estimate of the memory that the items of a job take whose results are
+// not listed.
+func (jo *Job) SubmittedBytes() int {
 	n := jobOverhead
 	for i := range jo.Spec.Items {
-		it := &jo.Spec.Items[i]
-		if jo.IsOpen() && !jo.Listed[i] {
-			n += it.Bytes()
-		} else {
-			n += it.Bytes() - openItemBytes + itemOverhead
+		if !jo.Listed[i] {
+			n += jo.Spec.Items[i].Bytes()
+		}
+	}
+
+	return n
+}
+
+// resultBytes returns an upper estimate of the memory that the listed items, the results and the progress
+// of a job take.
+func (jo *Job) resultBytes() int {
+	n := 0
+	for i := range jo.Spec.Items {
+		if it := &jo.Spec.Items[i]; jo.Listed[i] {
+			n += itemOverhead + len(it.ID) + len(it.Path) + len(it.Group)
 		}
 	}
 	for i := range jo.Results {
@@ -246,17 +257,25 @@
 	return n
 }
 
-// Bytes returns upper estimates of the memory that all jobs take, and those of one workspace.
-func (le *Ledger) Bytes(workspace string) (all, own int) {
+// Use is an upper estimate of the memory that jobs take, in bytes.
+type Use struct {
+	Total     int // with results and progress
+	Submitted int // items whose results are not listed
+	Own       int // those of one workspace
+}
+
+// Use returns what all jobs take, and the part of one workspace.
+func (le *Ledger) Use(workspace string) (us Use) {
 	for _, jo := range le.jobs {
-		n := jo.Bytes()
-		all += n
+		n := jo.SubmittedBytes()
+		us.Submitted += n
+		us.Total += n + jo.resultBytes()
 		if jo.Spec.Workspace == workspace {
-			own += n
+			us.Own += n
 		}
 	}
 
-	return all, own
+	return us
 }
 
 // EncodedBytes returns an upper estimate of the encoded size of jobs.
--- a/internal/jobstore/admission.go
+++ b/internal/jobstore/admission.go
@@ -15,19 +15,23 @@
 )
 
 const (
-	// ledgerShare is the divisor of a store's memory that gives what the ledger of jobs may take. A store
-	// holds it once as the ledger, once as entries of the log, twice while a snapshot is written or read,
-	// and as much again until the garbage collector has run.
-	ledgerShare = 10
-	// defaultLedgerBytes is that bound where the store's memory is not known.
-	defaultLedgerBytes = 32 << 20
-	// smallJobBytes is the size up to which jobs may use all of the ledger; larger ones leave a part of
-	// 1/smallJobsShare to them.
+	// submittedShare is the divisor of a store's memory that gives what items may take whose results are
+	// not listed. Clients decide how much they send at once, and a store holds it once as the ledger, once
+	// as entries of the log, twice while a snapshot is written or read, and as much again until the garbage
+	// collector has run.
+	submittedShare = 10
+	// ledgerShare is the divisor that gives what the ledger may take with its results, which are kept for
+	// job.RetentionPeriod and grow with the pace of the backend servers.
+	ledgerShare = 3
+	// defaultMemoryBytes is the memory of a store where it is not known.
+	defaultMemoryBytes = 300 << 20
+	// smallJobBytes is the size up to which jobs may use all of the room for submitted items; larger ones
+	// leave a part of 1/smallJobsShare to them.
 	smallJobBytes  = 256 << 10
 	smallJobsShare = 4
-	// calmShare is the divisor of the ledger that gives the use up to which a job counts as the only one.
+	// calmShare is the divisor of that room that gives the use up to which a job counts as the only one.
 	calmShare = 8
-	// workspaceShare is the divisor of the ledger that gives what the large jobs of one workspace may take.
+	// workspaceShare is the divisor of it that gives what the large jobs of one workspace may take.
 	workspaceShare = 2
 	// fullRetryAfter is the time after which a refused job may come back: jobs end, and are forgotten some
 	// time later.
@@ -36,34 +40,32 @@
 	refusalLogPeriod = time.Second
 )
 
-// ledgerUse is what the jobs in the ledger take, and the part of one workspace, in bytes.
-type ledgerUse struct{ all, own int }
-
 // admission bounds the memory of the jobs that a store accepts. It is safe for concurrent use.
 type admission struct {
-	capacity int
-	meter    *meter.Meter
-	log      log.Interface
-	logs     *rate.Limiter
+	maxSubmitted int
+	maxTotal     int
+	meter        *meter.Meter
+	log          log.Interface
+	logs         *rate.Limiter
 
 	mu      sync.Mutex
 	pending map[string]int // bytes of jobs that are being committed, by ID
 }
 
 func newAdmission(memory int64, me *meter.Meter, lo log.Interface) *admission {
-	ad := &admission{
-		capacity: int(memory / ledgerShare), meter: me, log: lo, logs: rate.NewLimiter(rate.Every(refusalLogPeriod), 1), pending: map[string]int{},
-	}
-	if ad.capacity <= 0 {
-		ad.capacity = defaultLedgerBytes
+	if memory <= 0 {
+		memory = defaultMemoryBytes
 	}
 
-	return ad
+	return &admission{
+		maxSubmitted: int(memory / submittedShare), maxTotal: int(memory / ledgerShare),
+		meter: me, log: lo, logs: rate.NewLimiter(rate.Every(refusalLogPeriod), 1), pending: map[string]int{},
+	}
 }
 
 // reserve takes room for a job. It returns false if there is none. The caller calls release once the
 // job is in the ledger or was refused.
-func (ad *admission) reserve(sp *job.Spec, use ledgerUse) bool {
+func (ad *admission) reserve(sp *job.Spec, us job.Use) bool {
 	size := sp.Bytes()
 	ad.mu.Lock()
 	defer ad.mu.Unlock()
@@ -72,17 +74,18 @@
 		return true // sent again while it is being committed
 	}
 	for _, n := range ad.pending {
-		use.all += n
+		us.Total += n
+		us.Submitted += n
 	}
-	limit := ad.capacity
+	limit := ad.maxSubmitted
 	// A lone job may be as large as a body can be.
-	if size > smallJobBytes && use.all > ad.capacity/calmShare {
-		limit -= ad.capacity / smallJobsShare
-		if use.own > 0 && use.own+size > ad.capacity/workspaceShare {
+	if size > smallJobBytes && us.Submitted > limit/calmShare {
+		if us.Own > 0 && us.Own+size > limit/workspaceShare {
 			return false
 		}
+		limit -= limit / smallJobsShare
 	}
-	if use.all+size > limit {
+	if us.Submitted+size > limit || us.Total+size > ad.maxTotal {
 		return false
 	}
 	ad.pending[sp.ID] = size
@@ -98,43 +101,45 @@
 }
 
 // refuse counts and logs a refused job and returns its error.
-func (ad *admission) refuse(sp *job.Spec, use ledgerUse) error {
+func (ad *admission) refuse(sp *job.Spec, us job.Use) error {
 	ad.meter.Count("jobs.refused")
 	if ad.logs.Allow() {
 		ad.log.WithFields(log.Fields{
-			"job": sp.ID, "workspace": sp.Workspace, "bytes": sp.Bytes(), "ledgerBytes": use.all, "workspaceBytes": use.own, "limitBytes": ad.capacity,
+			"job": sp.ID, "workspace": sp.Workspace, "bytes": sp.Bytes(), "ledgerBytes": us.Total, "ledgerLimit": ad.maxTotal,
+			"submittedBytes": us.Submitted, "workspaceBytes": us.Own, "submittedLimit": ad.maxSubmitted,
 		}).Warn("job refused, the ledger has no room for it")
 	}
 
-	return result.New(result.ProcessOverloaded, "jobstore: the jobs take %d of %d bytes, %d of them those of the workspace; this one takes %d", use.all, ad.capacity, use.own, sp.Bytes()).
+	return result.New(result.ProcessOverloaded, "jobstore: items without results take %d of %d bytes, %d of them those of the workspace, the ledger %d of %d; this job takes %d",
+		us.Submitted, ad.maxSubmitted, us.Own, us.Total, ad.maxTotal, sp.Bytes()).
 		WithExecution(result.NotRun).WithRetryAfter(fullRetryAfter)
 }
 
 // admit returns an error if there is no room for a job that is not known yet.
 func (st *Store) admit(ctx context.Context, sp *job.Spec) error {
-	use, isKnown := st.ledgerUse(sp)
-	if isKnown || st.admission.reserve(sp, use) {
+	us, isKnown := st.useOfJobs(sp)
+	if isKnown || st.admission.reserve(sp, us) {
 		return nil
 	}
 	// An earlier leader may have accepted the job, which this store applies before the barrier ends.
 	if err := st.barrier(ctx); err != nil {
 		return err
 	}
-	if use, isKnown = st.ledgerUse(sp); isKnown || st.admission.reserve(sp, use) {
+	if us, isKnown = st.useOfJobs(sp); isKnown || st.admission.reserve(sp, us) {
 		return nil
 	}
 
-	return st.admission.refuse(sp, use)
+	return st.admission.refuse(sp, us)
 }
 
-// ledgerUse returns what the ledger holds, and whether a job is in it.
-func (st *Store) ledgerUse(sp *job.Spec) (use ledgerUse, isKnown bool) {
+// useOfJobs returns what the jobs in the ledger take, and whether a job is one of them.
+func (st *Store) useOfJobs(sp *job.Spec) (us job.Use, isKnown bool) {
 	st.group.Read(func(ma *statemachine.Machine) {
-		use.all, use.own = ma.Jobs().Bytes(sp.Workspace)
+		us = ma.Jobs().Use(sp.Workspace)
 		isKnown = ma.Jobs().Jobs()[sp.ID] != nil
 	})
 
-	return use, isKnown
+	return us, isKnown
 }
 
 // submit accepts a job.
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -411,8 +411,10 @@
 	st.follower.Measure(me)
 	st.group.Measure(me)
 	st.driver.Measure(me)
-	all := 0
-	st.group.Read(func(ma *statemachine.Machine) { all, _ = ma.Jobs().Bytes("") })
-	me.Gauge("jobs.bytes", int64(all))
-	me.Gauge("jobs.limitBytes", int64(st.admission.capacity))
+	var us job.Use
+	st.group.Read(func(ma *statemachine.Machine) { us = ma.Jobs().Use("") })
+	me.Gauge("jobs.bytes", int64(us.Total))
+	me.Gauge("jobs.submittedBytes", int64(us.Submitted))
+	me.Gauge("jobs.limitBytes", int64(st.admission.maxTotal))
+	me.Gauge("jobs.submittedLimitBytes", int64(st.admission.maxSubmitted))
 }
--- a/internal/payload/payload.go
+++ b/internal/payload/payload.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"io"
-	"slices"
 )
 
 // Chunks is a body in the order of its bytes. A nil value is an empty body.
@@ -30,18 +29,6 @@
 	return n
 }
 
-// Join returns the body in one piece. It is copied if it has several chunks.
-func (ch Chunks) Join() []byte {
-	switch len(ch) {
-	case 0:
-		return nil
-	case 1:
-		return ch[0]
-	}
-
-	return slices.Concat(ch...)
-}
-
 // Reader returns a reader of the body, which stays unchanged.
 func (ch Chunks) Reader() io.Reader {
 	switch len(ch) {
