--- a/review/deployment/deployment_test.go
+++ b/review/deployment/deployment_test.go
@@ -45,15 +45,15 @@
 
 func TestMain(*testing.M) {
 	if len(os.Args) != 3 || scenarios[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: PROGRAM SCENARIO FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: PROGRAM SCENARIO RECORD")
 		os.Exit(notRun)
 	}
 	os.Exit(play(scenarios[os.Args[1]], os.Args[2]))
 }
 
 // play runs a scenario and returns the exit code of the script.
-func play(sc scenario, folder string) int {
-	de, err := newDeployment(filepath.Join(folder, "record.txt"), os.Getenv("TROUBLE") != "0")
+func play(sc scenario, record string) int {
+	de, err := newDeployment(record, os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 
