httpcall: do not take an answer for whole whose request was never written

Callers saw: a backend server answers a long upload at once with a 200 without a length, sends a part of its body and resets the connection. The caller gets that part as a complete answer, on plain routes that may and may not be repeated; a stream ends as complete after its first event; items of batch jobs are listed as completed with a part of their text, or with the score of an answer that was cut.

Cause: an answer without a length ends with its connection, and its end is whole only if it is a regular one. The kernel reports a reset to one system call alone. While an upload is written that is often the write, and the next read reports a plain end. net/http closes the connection for the failed write, but a reader that was woken at the same time has seen the end by then.

Evidence: soak/broken_test.go, real processes, uploads of 8 MiB (the sockets' buffers of this machine hold 3.9 MB), 64 requests a route, resets after 0, 2, 10 and 30 ms, with and without Connection: close, while the server reads on and while it reads nothing.

Change: connections of all HTTP clients know whether the request has been written. The regular end of the connection is passed on only then: it waits for a write in progress, which a server that has sent its whole answer may still read, and becomes an error if the write fails. The writer records its error before the reader decides, whichever was woken first. The answer then counts as broken off, and the request as one that may have run.

--- /dev/null
+++ b/internal/httpcall/conn.go
@@ -0,0 +1,155 @@
+package httpcall
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+)
+
+// Transport sends requests like an http.Transport, and returns an error in place of answers that the
+// http.Transport takes for whole although they are not.
+type Transport struct {
+	*http.Transport
+}
+
+// NewTransport returns a Transport that uses a copy of tr. Connections with TLS are not checked.
+func NewTransport(tr *http.Transport) *Transport {
+	tr = tr.Clone()
+	dial := tr.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	tr.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		co, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+
+		return newConn(co), nil
+	}
+
+	return &Transport{tr}
+}
+
+// RoundTrip sends a request and returns its answer. Reading the answer's body returns an error if the
+// connection ended before the request was written.
+func (tr *Transport) RoundTrip(rq *http.Request) (*http.Response, error) {
+	var used *conn
+	trace := &httptrace.ClientTrace{
+		GotConn: func(gi httptrace.GotConnInfo) {
+			if co, ok := gi.Conn.(*conn); ok {
+				used = co
+				used.beginRequest()
+			}
+		},
+		WroteRequest: func(wi httptrace.WroteRequestInfo) {
+			if used != nil {
+				used.endRequest(wi.Err)
+			}
+		},
+	}
+
+	return tr.Transport.RoundTrip(rq.WithContext(httptrace.WithClientTrace(rq.Context(), trace)))
+}
+
+// conn is a connection to a server. An answer without a length ends with its connection, so the end must
+// be a regular one. Only one system call gets the error of a connection that was reset. If that is a
+// write of the request, the next read reports a regular end.
+type conn struct {
+	net.Conn
+
+	mu        sync.Mutex
+	changed   *sync.Cond // signals changes of the fields below
+	isSending bool       // the request has not been written in full
+	writes    int        // calls of Write in progress
+	writeErr  error      // why the request could not be written
+	isClosed  bool
+}
+
+func newConn(co net.Conn) *conn {
+	out := &conn{Conn: co}
+	out.changed = sync.NewCond(&out.mu)
+
+	return out
+}
+
+// beginRequest is called before a request is written.
+func (co *conn) beginRequest() {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	co.isSending = true
+}
+
+// endRequest is called when net/http has passed on the last byte of a request, or has failed to. A rest
+// may still be in its buffer.
+func (co *conn) endRequest(err error) {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	co.isSending = false
+	co.recordWrite(err)
+}
+
+// recordWrite records the outcome of a write. The caller must hold co.mu.
+func (co *conn) recordWrite(err error) {
+	if co.writeErr == nil {
+		co.writeErr = err
+	}
+	co.changed.Broadcast()
+}
+
+func (co *conn) Write(b []byte) (int, error) {
+	co.mu.Lock()
+	co.writes++
+	co.mu.Unlock()
+
+	n, err := co.Conn.Write(b)
+
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	co.writes--
+	co.recordWrite(err)
+
+	return n, err
+}
+
+// Read reads what the server has sent. It returns io.EOF only after the request has been written.
+func (co *conn) Read(b []byte) (int, error) {
+	n, err := co.Conn.Read(b)
+	if errors.Is(err, io.EOF) {
+		err = co.awaitRequest()
+	}
+
+	return n, err
+}
+
+// awaitRequest waits until the request has been written, which a server that has ended its answer may
+// still read. It returns io.EOF then, and another error if the request can't be written.
+func (co *conn) awaitRequest() error {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	for (co.isSending || co.writes > 0) && co.writeErr == nil && !co.isClosed {
+		co.changed.Wait()
+	}
+	switch {
+	case co.writeErr != nil:
+		return fmt.Errorf("httpcall: the connection ended before the request was written: %w", co.writeErr)
+	case co.isClosed:
+		return net.ErrClosed
+	}
+
+	return io.EOF
+}
+
+func (co *conn) Close() error {
+	co.mu.Lock()
+	co.isClosed = true
+	co.changed.Broadcast()
+	co.mu.Unlock()
+
+	return co.Conn.Close()
+}
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -60,10 +60,10 @@
 	nd := dialer.New(dialer.Config{Bind: cfg.Bind, Timeout: cfg.DialTimeout, AckTimeout: cfg.AckTimeout, ResetOnClose: cfg.ResetOnClose})
 
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: NewTransport(&http.Transport{
 			DialContext: nd.DialContext, DisableKeepAlives: !cfg.KeepAlive, MaxIdleConnsPerHost: maxIdlePerServer,
 			IdleConnTimeout: cfg.Idle, DisableCompression: true, Proxy: nil, MaxResponseHeaderBytes: maxHeaderBytes,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
@@ -123,7 +123,7 @@
 		rt = at.transport
 		at.mu.Unlock()
 	}
-	tr, ok := rt.(*http.Transport)
+	tr, ok := rt.(*Transport)
 	if !ok {
 		return false
 	}
@@ -173,7 +173,7 @@
 	cfg.Idle = at.idle()
 	old := at.transport
 	at.transport = New(cfg).Transport
-	if tr, ok := old.(*http.Transport); ok {
+	if tr, ok := old.(*Transport); ok {
 		tr.CloseIdleConnections() // requests in flight finish on the old connections
 	}
 }
@@ -193,10 +193,10 @@
 		rt = New(at.cfg).Transport
 	}
 	out := *hc
-	if tr, ok := rt.(*http.Transport); ok {
-		tr = tr.Clone()
-		tr.DisableKeepAlives = true
-		out.Transport = tr
+	if tr, ok := rt.(*Transport); ok {
+		unshared := tr.Clone()
+		unshared.DisableKeepAlives = true
+		out.Transport = &Transport{unshared}
 	}
 
 	return &out
--- /dev/null
+++ b/soak/broken_test.go
@@ -0,0 +1,281 @@
+package soak_test
+
+import (
+	"context"
+	"encoding/base64"
+	"fmt"
+	"net/http"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarackbay/tamarackbay/internal/program"
+	"github.com/tamarackbay/tamarackbay/platform/standin"
+)
+
+const (
+	// longUpload is the size in bytes of a body that the buffers of two sockets do not hold.
+	longUpload = 8 << 20
+	// brokenRuns is how many runs of an item or of its reward call get a broken answer before a sound one.
+	brokenRuns = 3
+	// brokenMemory is the memory in MiB of a process, with room for all large requests at once.
+	brokenMemory = 2000
+	// brokenEvents is the number of events of a stream and of an item's text.
+	brokenEvents = 4
+)
+
+const (
+	signedHead = "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Stamp: broken\r\nWeight-Versions: 1\r\n"
+	firstEvent = "id: 1\ndata: {id}-1\n\n"
+)
+
+// script holds the answers that backend servers give in place of proper ones.
+type script struct {
+	mu      sync.Mutex
+	answers map[string][]*standin.EarlyAnswer // by ID of the request, for each run; the last one for all later runs
+}
+
+// set sets the answers to the runs of a request. The last one is that to all later runs; nil is a proper answer.
+func (sc *script) set(id string, answers ...*standin.EarlyAnswer) {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	sc.answers[id] = answers
+}
+
+func (sc *script) next(r *http.Request) *standin.EarlyAnswer {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	id := r.Header.Get("Attempt-Id")
+	left := sc.answers[id]
+	if len(left) == 0 {
+		return nil
+	}
+	if len(left) > 1 {
+		sc.answers[id] = left[1:]
+	}
+
+	return left[0]
+}
+
+// brokenDeployment is a deployment whose backend servers answer as a script says.
+type brokenDeployment struct {
+	*deployment
+	script *script
+}
+
+func startBroken(ctx context.Context, subnet, cores int) *brokenDeployment {
+	cfg := Config{
+		Folder: filepath.Join(folder, fmt.Sprint("broken", cores)), Subnet: subnet, Binary: binary, Gateways: 1, IsDirect: true, Cores: cores,
+		Limits: map[string]standin.Limits{program.RoleGateway: {MemoryMB: brokenMemory}, program.RoleStore: {MemoryMB: brokenMemory}},
+	}
+	cfg.Defaults()
+	Expect(makeFolders(&cfg)).To(Succeed())
+	de, err := newDeployment(ctx, &cfg)
+	Expect(err).NotTo(HaveOccurred())
+	sc := &script{answers: map[string][]*standin.EarlyAnswer{}}
+	for _, bs := range de.servers {
+		bs.AnswerEarly(sc.next)
+	}
+
+	return &brokenDeployment{de, sc}
+}
+
+// request sends a request whose body has about the given size. Each has a path of its own, so that none is
+// quarantined for what another one did.
+func (bd *brokenDeployment) request(ctx context.Context, path, id string, bytes int) (standin.Answer, error) {
+	h := map[string]string{"Attempt-Id": id}
+	if strings.HasPrefix(path, "/stream/") {
+		h["Model"], h["Token-Counts"] = standin.Model, strconv.Itoa(brokenEvents)
+	}
+
+	return bd.caller.Client(ctx, bd.gateways()[0], http.MethodPost, path+id, h, strings.Repeat("x", bytes))
+}
+
+// brokenOutcome sends a request all of whose answers are broken. It returns "" unless one of them is passed on as a
+// success, or the client is told that the request has not run.
+func (bd *brokenDeployment) brokenOutcome(ctx context.Context, path, id string, bytes int) string {
+	an, err := bd.request(ctx, path, id, bytes)
+	isStream := strings.HasPrefix(path, "/stream/")
+	switch {
+	case err != nil && isStream: // it broke off
+		return ""
+	case err != nil:
+		return fmt.Sprintf("%s: %v", id, err)
+	case an.Status != http.StatusInternalServerError && an.Status != http.StatusBadGateway && an.Status != http.StatusGatewayTimeout:
+		return fmt.Sprintf("%s: status %d: %s", id, an.Status, an.Body)
+	}
+
+	return ""
+}
+
+// checkSound expects that a request is answered with a body as a success.
+func (bd *brokenDeployment) checkSound(ctx context.Context, path, id string, bytes int, body string) {
+	an, err := bd.request(ctx, path, id, bytes)
+	Expect(err).NotTo(HaveOccurred(), id)
+	Expect(an.Status).To(Equal(http.StatusOK), "%s: %s", id, an.Body)
+	Expect(string(an.Body)).To(Equal(body), id)
+}
+
+// breakItem makes the first runs of a job's only item, and of its reward call, get a broken answer.
+func (bd *brokenDeployment) breakItem(job string, ea *standin.EarlyAnswer) {
+	score := &standin.EarlyAnswer{
+		Bytes: "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Stamp: " + standin.Stamp + "\r\nContent-Length: 0\r\n\r\n", End: standin.EndKeep,
+	}
+	bd.script.set(standin.ItemID(job, 0), append(slices.Repeat([]*standin.EarlyAnswer{ea}, brokenRuns), nil)...)
+	bd.script.set(rewardID(job), append(slices.Repeat([]*standin.EarlyAnswer{ea}, brokenRuns), score)...)
+}
+
+// checkItem runs a batch job of one item, whose body and that of its reward call have a given size, and
+// expects the whole text and the score of a sound answer.
+func (bd *brokenDeployment) checkItem(ctx context.Context, job string, bytes int) {
+	id, body := standin.ItemID(job, 0), base64.StdEncoding.EncodeToString(make([]byte, bytes))
+	an, err := bd.caller.Client(ctx, bd.gateways()[0], http.MethodPost, "/jobs/"+job, map[string]string{"Attempt-Id": job}, map[string]any{
+		"step": 1, "model": standin.Model, "min_version": 1, "target_groups": 1, "requests": []map[string]any{{
+			"id": id, "path": "/jobs/" + id, "headers": map[string]string{"Model": standin.Model, "Token-Counts": strconv.Itoa(brokenEvents)},
+			"body": body, "tokens": 10, "group": "g",
+			"scorer": map[string]any{"id": rewardID(job), "host": standin.Host, "path": "/score/" + id, "body": body},
+		}},
+	})
+	Expect(err).NotTo(HaveOccurred(), job)
+	Expect(an.Status).To(Equal(http.StatusAccepted), "%s: %s", job, an.Body)
+	var pa standin.Page
+	Eventually(func() int {
+		pa, _, _ = bd.caller.Read(ctx, bd.gateways()[0], job)
+
+		return len(pa.Results)
+	}, "20s", "50ms").Should(Equal(1), job)
+	Expect(pa.Results[0].Check(brokenEvents)).To(Succeed(), job)
+	_, err = bd.caller.Finish(ctx, bd.gateways()[0], job) // frees the room of its bodies
+	Expect(err).NotTo(HaveOccurred(), job)
+}
+
+func rewardID(job string) string { return "s-" + standin.ItemID(job, 0) }
+
+// outcomes runs f for each of n cases, some at a time, and returns what it returned, without "".
+func outcomes(n, atOnce int, f func(i int) string) []string {
+	var mu sync.Mutex
+	var out []string
+	inTurn(n, atOnce, func(i int) {
+		if s := f(i); s != "" {
+			mu.Lock()
+			defer mu.Unlock()
+			out = append(out, s)
+		}
+	})
+
+	return out
+}
+
+// inTurn runs f for each of n cases, some at a time.
+func inTurn(n, atOnce int, f func(i int)) {
+	var wg sync.WaitGroup
+	limit := make(chan struct{}, atOnce)
+	for i := range n {
+		limit <- struct{}{}
+		wg.Go(func() {
+			defer ginkgo.GinkgoRecover()
+			defer func() { <-limit }()
+			f(i)
+		})
+	}
+	wg.Wait()
+}
+
+// Guards against broken answers of backend servers that reach clients as whole ones. With one core, as on the
+// machines of the deployments, another goroutine learns first that a connection was reset than with several.
+var _ = ginkgo.Describe("a broken answer, with real processes", func() {
+	describeBroken("one core", 66, 1)
+	describeBroken("all cores", 67, 0)
+})
+
+func describeBroken(name string, subnet, cores int) {
+	ginkgo.Context("that use "+name, ginkgo.Ordered, ginkgo.ContinueOnFailure, func() { testBroken(subnet, cores) })
+}
+
+func testBroken(subnet, cores int) {
+	var bd *brokenDeployment
+	ctx, cancel := context.WithCancel(context.Background())
+	ginkgo.BeforeAll(func() { bd = startBroken(ctx, subnet, cores) })
+	ginkgo.AfterAll(func() {
+		cancel()
+		Expect(bd.close()).To(Succeed())
+		for _, pr := range bd.processes {
+			Expect(pr.unexpectedExits()).To(BeEmpty())
+		}
+	})
+
+	// The connection is reset while the request is written. Only the write may learn of it.
+	var resets []standin.EarlyAnswer
+	for _, closes := range []string{"", "Connection: close\r\n"} {
+		for _, readsOn := range []bool{false, true} {
+			for _, delay := range []time.Duration{0, 2 * time.Millisecond, 10 * time.Millisecond, 30 * time.Millisecond} {
+				resets = append(resets, standin.EarlyAnswer{Bytes: signedHead + closes + "\r\n" + firstEvent, Delay: delay, ReadsOn: readsOn, End: standin.EndReset})
+			}
+		}
+	}
+	const (
+		clients    = 4  // for each form of a reset
+		largeAsked = 16 // large requests at a time
+	)
+	for _, path := range []string{"/look/", "/once/", "/stream/"} {
+		ginkgo.It("without a length, cut by a reset during the upload, is none: "+path, func() {
+			Expect(outcomes(clients*len(resets), largeAsked, func(i int) string {
+				id := fmt.Sprintf("reset-%s-%d", strings.Trim(path, "/"), i)
+				bd.script.set(id, &resets[i%len(resets)])
+
+				return bd.brokenOutcome(ctx, path, id, longUpload)
+			})).To(BeEmpty())
+		})
+	}
+	ginkgo.It("without a length, cut by a reset during the upload, is no part of an item or of its score", func() {
+		inTurn(len(resets), 2, func(i int) {
+			job := fmt.Sprintf("reset-job-%d", i)
+			bd.breakItem(job, &resets[i])
+			bd.checkItem(ctx, job, longUpload)
+		})
+	})
+
+	// Guards against checks that refuse more than broken answers.
+	whole := "whole answer of {id}"
+	for n, tc := range []struct {
+		name  string
+		early standin.EarlyAnswer
+		bytes int
+	}{
+		{"without a length", standin.EarlyAnswer{Bytes: signedHead + "\r\n" + whole, End: standin.EndHalfClose}, 1},
+		{"without a length, that says close", standin.EarlyAnswer{Bytes: signedHead + "Connection: close\r\n\r\n" + whole, End: standin.EndHalfClose}, 1},
+		{"without a length, that comes before the upload is in", standin.EarlyAnswer{Bytes: signedHead + "\r\n" + whole, End: standin.EndHalfClose}, longUpload},
+		{"without a length, whose connection ends while the upload is read", standin.EarlyAnswer{
+			Bytes: signedHead + "\r\n" + whole, Delay: 30 * time.Millisecond, ReadsOn: true, End: standin.EndHalfClose,
+		}, longUpload},
+		{"in chunks, that comes before the upload is in", standin.EarlyAnswer{
+			Bytes: signedHead + "Transfer-Encoding: chunked\r\n\r\n6\r\nwhole \r\ne\r\nanswer of abcd\r\n0\r\n\r\n", End: standin.EndKeep,
+		}, longUpload},
+		{"with a length, that comes before the upload is in", standin.EarlyAnswer{
+			Bytes: signedHead + "Content-Length: 20\r\n\r\nwhole answer of abcd", End: standin.EndKeep,
+		}, longUpload},
+		{"with a length, that says close", standin.EarlyAnswer{
+			Bytes: signedHead + "Connection: close\r\nContent-Length: 20\r\n\r\nwhole answer of abcd", End: standin.EndHalfClose,
+		}, 1},
+	} {
+		ginkgo.It("is not one that arrives whole "+tc.name, func() {
+			for _, path := range []string{"/look/", "/once/"} {
+				inTurn(2*clients, largeAsked, func(i int) {
+					id := fmt.Sprintf("sound-%d-%s-%d", n, strings.Trim(path, "/"), i)
+					bd.script.set(id, &tc.early)
+					body := whole
+					if !strings.Contains(tc.early.Bytes, whole) {
+						body = "whole answer of abcd"
+					}
+					bd.checkSound(ctx, path, id, tc.bytes, strings.ReplaceAll(body, "{id}", id))
+				})
+			}
+		})
+	}
+}
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -88,7 +88,7 @@
 		for i := range n {
 			ip := host(cfg.Subnet, kind, i)
 			pr := &process{
-				role: role, ip: ip, binary: cfg.Binary, folder: cfg.Folder, peerListen: fmt.Sprintf("%s:%d", ip, internalPorts.Peers),
+				role: role, ip: ip, binary: cfg.Binary, folder: cfg.Folder, cores: cfg.Cores, peerListen: fmt.Sprintf("%s:%d", ip, internalPorts.Peers),
 				settings: standin.NodeSettings{
 					Name: fmt.Sprintf("%s-%d", role, i+1), IP: ip, Ports: ports, Controllers: de.caller.ControllerIPs, UsageAddress: de.usage.Address(),
 					Grace: gracePeriod, Window: 5 * time.Second, Lease: 3 * time.Second, Heartbeat: cfg.Heartbeat,
@@ -139,7 +139,9 @@
 		ip := host(cfg.Subnet, hostServer, i)
 		bs.Address = fmt.Sprintf("%s:%d", ip, port)
 		de.listenAddresses[bs] = fmt.Sprintf("%s:%d", ip, internalPort)
-		if err := de.network.forward(bs.Address, de.listenAddresses[bs], false); err != nil {
+		if cfg.IsDirect {
+			de.listenAddresses[bs] = bs.Address
+		} else if err := de.network.forward(bs.Address, de.listenAddresses[bs], false); err != nil {
 			return err
 		}
 		if err := bs.Start(de.listenAddresses[bs]); err != nil {
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -24,6 +24,7 @@
 	folder     string // for settings and logs
 	peerListen string // address on which it listens for other processes, to which network forwards
 	settings   standin.NodeSettings
+	cores      int // processor cores that it uses, 0 for all
 
 	harmMu sync.Mutex // held while a fault has suspended or killed it
 
@@ -64,6 +65,9 @@
 	pr.logSize = st.Size()
 	cmd := exec.Command(pr.binary, "node", pr.role, "--peer-listen", pr.peerListen)
 	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+file)
+	if pr.cores > 0 {
+		cmd.Env = append(cmd.Env, fmt.Sprint("GOMAXPROCS=", pr.cores))
+	}
 	// A pipe rather than the file itself: logs must not stop with a file size limit.
 	piped := struct{ io.Writer }{out}
 	cmd.Stdout, cmd.Stderr = piped, piped
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -55,6 +55,8 @@
 	Engines      int
 	Zones        int                              // failure domains of the backend servers
 	Work         time.Duration                    // of plain requests at backend servers
+	IsDirect     bool                             // connections to backend servers are not forwarded
+	Cores        int                              // processor cores that each process uses, 0 for all
 	Heartbeat    time.Duration                    // of backend servers in the settings, 300 ms if it is 0
 	Limits       map[string]standin.Limits        // of the processes, by role; the usual ones for the others
 	Logf         func(format string, args ...any) // logs progress, one line per fault
