httpcall: refuse answers whose head is not one by the protocol's grammar

Callers saw: a backend server sends an answer in whose head the name of a field holds a blank. The caller gets it as a sound answer, with a body that is not the server's: with "Transfer-Encoding : chunked" the sizes of the chunks are in it. Scores of items were taken from such answers, and texts of items where the damaged line had no meaning.

Cause: net/http accepts more than the grammar of RFC 9112. It keeps names of fields that hold blanks under these names, so that the field that frames the body goes unseen; it joins a line that begins with a blank to the one before; it takes a line feed alone for the end of a line, so that one in place of a carriage return ends the head and the rest of it becomes body; it skips further blanks in the status line, takes control bytes in the reason, and any version of the form HTTP/x.y, of which those below 1.1 make it drop Transfer-Encoding.

Evidence: soak/broken_test.go, real processes, 25 damaged heads.

Change: connections check the raw lines of a head, interim ones included, before net/http parses them. A line that is not valid is an error of the read, also of the next read, as net/http drops one; the connection is closed, and the request may have run (backendAnswerBroken, unknown).

Heads that are unusual but valid still pass: no reason, HTTP/1.0, lower case, tabs around values, other alphabets, interim answers.

--- a/internal/httpcall/conn.go
+++ b/internal/httpcall/conn.go
@@ -36,8 +36,8 @@
 	return &Transport{tr}
 }
 
-// RoundTrip sends a request and returns its answer. Reading the answer's body returns an error if the
-// connection ended before the request was written.
+// RoundTrip sends a request and returns its answer. It returns an error in place of an answer whose head is
+// invalid. Reading the answer's body returns an error if the connection ended before the request was written.
 func (tr *Transport) RoundTrip(rq *http.Request) (*http.Response, error) {
 	var used *conn
 	trace := &httptrace.ClientTrace{
@@ -57,13 +57,16 @@
 	return tr.Transport.RoundTrip(rq.WithContext(httptrace.WithClientTrace(rq.Context(), trace)))
 }
 
-// conn is a connection to a server. An answer without a length ends with its connection, so the end must
+// conn is a connection to a server. It checks the heads of answers. An answer without a length ends with its connection, so the end must
 // be a regular one. Only one system call gets the error of a connection that was reset. If that is a
 // write of the request, the next read reports a regular end.
 type conn struct {
 	net.Conn
 
 	mu        sync.Mutex
+	head      headChecker
+	isHeadDue bool       // the head of the answer to the current request has not been read
+	headErr   error      // why that head is invalid
 	changed   *sync.Cond // signals changes of the fields below
 	isSending bool       // the request has not been written in full
 	writes    int        // calls of Write in progress
@@ -83,6 +86,7 @@
 	co.mu.Lock()
 	defer co.mu.Unlock()
 	co.isSending = true
+	co.head, co.isHeadDue = headChecker{}, true
 }
 
 // endRequest is called when net/http has passed on the last byte of a request, or has failed to. A rest
@@ -117,16 +121,36 @@
 	return n, err
 }
 
-// Read reads what the server has sent. It returns io.EOF only after the request has been written.
+// Read reads what the server has sent. It returns a headError in place of an invalid head, and io.EOF only
+// after the request has been written.
 func (co *conn) Read(b []byte) (int, error) {
+	if err := co.checkHead(nil); err != nil {
+		return 0, err
+	}
 	n, err := co.Conn.Read(b)
 	if errors.Is(err, io.EOF) {
 		err = co.awaitRequest()
 	}
+	if herr := co.checkHead(b[:n]); herr != nil {
+		return 0, herr
+	}
 
 	return n, err
 }
 
+// checkHead checks bytes that were read, up to the end of the head of the answer.
+func (co *conn) checkHead(b []byte) error {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	if !co.isHeadDue || co.headErr != nil {
+		return co.headErr // net/http may have dropped the error of the read before
+	}
+	isEnd, err := co.head.check(b)
+	co.isHeadDue, co.headErr = !isEnd, err
+
+	return err
+}
+
 // awaitRequest waits until the request has been written, which a server that has ended its answer may
 // still read. It returns io.EOF then, and another error if the request can't be written.
 func (co *conn) awaitRequest() error {
--- /dev/null
+++ b/internal/httpcall/head.go
@@ -0,0 +1,97 @@
+package httpcall
+
+import (
+	"bytes"
+	"strconv"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// headError says why the head of an answer is not a valid one.
+type headError struct{ reason string }
+
+func (he *headError) Error() string { return "httpcall: invalid head of an answer: " + he.reason }
+
+// headChecker checks the head of an answer by the grammar of RFC 9112. net/http also accepts blanks in
+// names of fields, folded lines, line feeds without carriage returns and further blanks in the status
+// line. One damaged byte can then hide the field that frames the body, or move the end of the head.
+type headChecker struct {
+	line   []byte // start of a line whose end has not been read
+	status int    // 0 before the status line
+}
+
+// check checks the next bytes of an answer. It reports whether the head of the final answer ends in them.
+func (hc *headChecker) check(b []byte) (isEnd bool, err error) {
+	for len(b) > 0 && !isEnd {
+		n := bytes.IndexByte(b, '\n') + 1
+		if n == 0 {
+			hc.line = append(hc.line, b...) // net/http limits the size of a head
+
+			return false, nil
+		}
+		line := b[:n]
+		if len(hc.line) > 0 {
+			line = append(hc.line, line...)
+			hc.line = nil
+		}
+		b = b[n:]
+		if isEnd, err = hc.checkLine(line); err != nil {
+			return false, err
+		}
+	}
+
+	return isEnd, nil
+}
+
+var lineEnd = []byte("\r\n")
+
+// checkLine checks a line with its end and reports whether it ends the head of the final answer.
+func (hc *headChecker) checkLine(line []byte) (isEnd bool, err error) {
+	text, ok := bytes.CutSuffix(line, lineEnd)
+	switch {
+	case !ok:
+		return false, &headError{"a line does not end with CR LF"}
+	case hc.status == 0:
+		return false, hc.checkStatusLine(text)
+	case len(text) > 0:
+		return false, hc.checkField(text)
+	case hc.status < 200: // the head of an interim answer
+		*hc = headChecker{}
+
+		return false, nil
+	}
+
+	return true, nil
+}
+
+// Prefixes of a status line in the versions of the protocol that are spoken.
+var statusLinePrefixes = [][]byte{[]byte("HTTP/1.1 "), []byte("HTTP/1.0 ")}
+
+// statusDigits is the number of digits of a status.
+const statusDigits = 3
+
+func (hc *headChecker) checkStatusLine(text []byte) error {
+	var rest []byte
+	for _, prefix := range statusLinePrefixes {
+		if after, ok := bytes.CutPrefix(text, prefix); ok {
+			rest = after
+		}
+	}
+	code, reason, ok := bytes.Cut(rest, []byte(" "))
+	status, err := strconv.ParseUint(string(code), 10, 16)
+	if !ok || err != nil || len(code) != statusDigits || !httpguts.ValidHeaderFieldValue(string(reason)) {
+		return &headError{"the status line is malformed"}
+	}
+	hc.status = int(status)
+
+	return nil
+}
+
+func (hc *headChecker) checkField(text []byte) error {
+	name, value, ok := bytes.Cut(text, []byte(":"))
+	if !ok || !httpguts.ValidHeaderFieldName(string(name)) || !httpguts.ValidHeaderFieldValue(string(value)) {
+		return &headError{"a field is malformed"}
+	}
+
+	return nil
+}
--- /dev/null
+++ b/internal/httpcall/head_test.go
@@ -0,0 +1,81 @@
+package httpcall_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarackbay/tamarackbay/internal/httpcall"
+	"github.com/tamarackbay/tamarackbay/internal/result"
+)
+
+const soundHead = "HTTP/1.1 200 OK\r\nX-Note: a\r\nContent-Length: 4\r\n\r\n"
+
+// Guards against heads that net/http accepts although they are not ones by the grammar of the protocol.
+var _ = ginkgo.Describe("the head of an answer", func() {
+	for _, tc := range []struct {
+		name, answer string
+		isValid      bool
+	}{
+		{"is valid", soundHead, true},
+		{"is valid after those of interim answers", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + soundHead, true},
+		{"may not be damaged in an interim answer", "HTTP/1.1 103 Early Hints\r\nLink : a\r\n\r\n" + soundHead, false},
+		{"may not be damaged after an interim answer", "HTTP/1.1 103 Early Hints\r\n\r\n" + strings.Replace(soundHead, "X-Note:", "X-Note :", 1), false},
+		{"has no blank in the name of a field", strings.Replace(soundHead, "X-Note", "X Note", 1), false},
+		{"has no folded lines", strings.Replace(soundHead, "X-Note", " X-Note", 1), false},
+		{"has no line feed alone as the end of a line", strings.Replace(soundHead, "a\r\n", "a\n", 1), false},
+		{"has no line feed alone as its end", strings.Replace(soundHead, "\r\n\r\n", "\r\n\n", 1), false},
+		{"has one blank after the version", strings.Replace(soundHead, "1.1 ", "1.1  ", 1), false},
+		{"has a status of digits", strings.Replace(soundHead, "200", "+20", 1), false},
+		{"has a version that is spoken", strings.Replace(soundHead, "1.1", "3.1", 1), false},
+	} {
+		ginkgo.It(tc.name+", also in pieces, and leaves its connection unused otherwise", func() {
+			var opened atomic.Int64
+			ln := serveOnce(func(co *net.TCPConn, br *bufio.Reader, rq *http.Request) {
+				opened.Add(1)
+				for err := error(nil); err == nil; rq, err = http.ReadRequest(br) {
+					pieces := []string{tc.answer + "text"}
+					if rq.URL.Path == "/pieces" {
+						pieces = strings.Split(pieces[0], "")
+					}
+					_, _ = io.Copy(io.Discard, rq.Body)
+					for _, piece := range pieces {
+						_, _ = io.WriteString(co, piece)
+						time.Sleep(time.Duration(len(pieces)-1) * time.Microsecond)
+					}
+				}
+			})
+			defer ln.Close()
+			hc := httpcall.NewClient("", true)
+			for _, path := range []string{"/", "/pieces", "/"} {
+				rq, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+ln.Addr().String()+path, strings.NewReader("x"))
+				Expect(err).NotTo(HaveOccurred())
+				rq.GetBody = nil
+				rs, err := hc.Do(rq)
+				if !tc.isValid {
+					Expect(err).To(HaveOccurred())
+					Expect(httpcall.Failure("call", err).Execution).To(Equal(result.ExecutionUnknown))
+
+					continue
+				}
+				Expect(err).NotTo(HaveOccurred())
+				b, err := io.ReadAll(rs.Body)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(string(b)).To(Equal("text"))
+			}
+			if tc.isValid {
+				Expect(opened.Load()).To(Equal(int64(1)))
+			} else {
+				Expect(opened.Load()).To(Equal(int64(3)))
+			}
+		})
+	}
+})
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -205,7 +205,10 @@
 // Failure returns the numbered error of a call that received no answer.
 func Failure(what string, err error) *result.Error {
 	var op *net.OpError
+	var head *headError
 	switch {
+	case errors.As(err, &head):
+		return result.New(result.BackendAnswerBroken, "%s: %v", what, err).WithExecution(result.ExecutionUnknown)
 	case errors.As(err, &op) && op.Op == "dial":
 		return result.New(result.BackendUnreachable, "%s: %v", what, err)
 	case errors.Is(err, context.DeadlineExceeded):
--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/base64"
+	"errors"
 	"fmt"
 	"net/http"
 	"path/filepath"
@@ -26,6 +27,8 @@
 	brokenRuns = 3
 	// brokenMemory is the memory in MiB of a process, with room for all large requests at once.
 	brokenMemory = 2000
+	// itemWithin limits the time until an item is listed.
+	itemWithin = 20 * time.Second
 	// brokenEvents is the number of events of a stream and of an item's text.
 	brokenEvents = 4
 )
@@ -132,8 +135,8 @@
 }
 
 // checkItem runs a batch job of one item, whose body and that of its reward call have a given size, and
-// expects the whole text and the score of a sound answer.
-func (bd *brokenDeployment) checkItem(ctx context.Context, job string, bytes int) {
+// returns an error unless it is listed with the whole text and the score of a sound answer.
+func (bd *brokenDeployment) checkItem(ctx context.Context, job string, bytes int) error {
 	id, body := standin.ItemID(job, 0), base64.StdEncoding.EncodeToString(make([]byte, bytes))
 	an, err := bd.caller.Client(ctx, bd.gateways()[0], http.MethodPost, "/jobs/"+job, map[string]string{"Attempt-Id": job}, map[string]any{
 		"step": 1, "model": standin.Model, "min_version": 1, "target_groups": 1, "requests": []map[string]any{{
@@ -142,17 +145,23 @@
 			"scorer": map[string]any{"id": rewardID(job), "host": standin.Host, "path": "/score/" + id, "body": body},
 		}},
 	})
-	Expect(err).NotTo(HaveOccurred(), job)
-	Expect(an.Status).To(Equal(http.StatusAccepted), "%s: %s", job, an.Body)
-	var pa standin.Page
-	Eventually(func() int {
-		pa, _, _ = bd.caller.Read(ctx, bd.gateways()[0], job)
-
-		return len(pa.Results)
-	}, "20s", "50ms").Should(Equal(1), job)
-	Expect(pa.Results[0].Check(brokenEvents)).To(Succeed(), job)
-	_, err = bd.caller.Finish(ctx, bd.gateways()[0], job) // frees the room of its bodies
-	Expect(err).NotTo(HaveOccurred(), job)
+	if err != nil {
+		return err
+	}
+	if an.Status != http.StatusAccepted {
+		return fmt.Errorf("%s: status %d: %s", job, an.Status, an.Body)
+	}
+	for began := time.Now(); time.Since(began) < itemWithin; time.Sleep(readPeriod / 5) {
+		pa, _, err := bd.caller.Read(ctx, bd.gateways()[0], job)
+		if err != nil || len(pa.Results) == 0 {
+			continue
+		}
+		_, err = bd.caller.Finish(ctx, bd.gateways()[0], job) // frees the room of its bodies
+
+		return errors.Join(err, pa.Results[0].Check(brokenEvents))
+	}
+
+	return fmt.Errorf("%s has no result after %v", job, itemWithin)
 }
 
 func rewardID(job string) string { return "s-" + standin.ItemID(job, 0) }
@@ -234,13 +243,19 @@
 		})
 	}
 	ginkgo.It("without a length, cut by a reset during the upload, is no part of an item or of its score", func() {
-		inTurn(len(resets), 2, func(i int) {
+		Expect(outcomes(len(resets), 2, func(i int) string {
 			job := fmt.Sprintf("reset-job-%d", i)
 			bd.breakItem(job, &resets[i])
-			bd.checkItem(ctx, job, longUpload)
-		})
+			if err := bd.checkItem(ctx, job, longUpload); err != nil {
+				return err.Error()
+			}
+
+			return ""
+		})).To(BeEmpty())
 	})
 
+	testHeads(ctx, &bd)
+
 	// Guards against checks that refuse more than broken answers.
 	whole := "whole answer of {id}"
 	for n, tc := range []struct {
@@ -279,3 +294,94 @@
 		})
 	}
 }
+
+const (
+	wrongEvent   = "id: 1\ndata: wrong\n\n"
+	wrongChunks  = "13\r\n" + wrongEvent + "\r\n0\r\n\r\n"
+	wrongHead    = signedHead + "Content-Type: text/event-stream\r\n"
+	wrongFramed  = wrongHead + "Content-Length: 19\r\n\r\n" + wrongEvent
+	chunkedField = "Transfer-Encoding: chunked\r\n"
+)
+
+// damagedField returns an answer in chunks in whose head the line that says so is replaced.
+func damagedField(line string) string { return wrongHead + line + "\r\n\r\n" + wrongChunks }
+
+// damagedHeads lists answers whose head is not one by the grammar of the protocol, with the kind of damage.
+var damagedHeads = []struct{ name, bytes string }{
+	{"a blank at the end of the name of a field", damagedField("Transfer-Encoding : chunked")},
+	{"a blank inside of the name of a field", damagedField("Transfer Encoding: chunked")},
+	{"a blank before the name of a field", damagedField(" Transfer-Encoding: chunked")},
+	{"a blank in place of the first byte of a name", damagedField(" ransfer-Encoding: chunked")},
+	{"a tab in place of the first byte of a name", damagedField("\transfer-Encoding: chunked")},
+	{"a blank in the name of a field of no meaning", strings.Replace(wrongFramed, "\r\n\r\n", "\r\nX-Note : 1\r\n\r\n", 1)},
+	{"a control byte in the name of a field", damagedField("Transfer\x01Encoding: chunked")},
+	{"a control byte at the end of the name of a field", damagedField("Transfer-Encoding\x01: chunked")},
+	{"a tab at the end of the name of a field", damagedField("Transfer-Encoding\t: chunked")},
+	{"a delete byte in the name of a field", damagedField("Transfer-\x7fEncoding: chunked")},
+	{"no name of a field", damagedField(":ransfer-Encoding: chunked")},
+	{"no colon", damagedField("Transfer-Encoding; chunked")},
+	{"a control byte in a value", strings.Replace(wrongFramed, "Content-Type: ", "Content-Type: \x01", 1)},
+	{"a line feed in place of a carriage return, which ends the head", strings.Replace(damagedField(chunkedField[:len(chunkedField)-2]), "text/event-stream\r\n", "text/event-stream\n\n", 1)},
+	{"a line feed in place of the first carriage return", strings.Replace(wrongFramed, "200 OK\r\n", "200 OK\n\n", 1)},
+	{"a letter in place of a carriage return", strings.Replace(wrongFramed, "stream\r\n", "streamx\n", 1)},
+	{"a digit in place of the carriage return after a length", strings.Replace(wrongFramed, "Content-Length: 19\r\n", "Content-Length: 1\r9\n", 1)},
+	{"a blank in place of the last carriage return", wrongHead + chunkedField + " \n" + wrongChunks},
+	{"a letter in place of a line feed", strings.Replace(wrongHead, "stream\r\n", "stream\rx", 1) + chunkedField + "\r\n" + wrongChunks},
+	{"a second blank in the status line", strings.Replace(wrongFramed, "HTTP/1.1 200", "HTTP/1.1  200", 1)},
+	{"a control byte in the reason", strings.Replace(wrongFramed, "200 OK", "200 O\x01", 1)},
+	{"no blank after the status", strings.Replace(wrongFramed, "200 OK", "200", 1)},
+	{"another major version", strings.Replace(wrongFramed, "HTTP/1.1", "HTTP/2.1", 1)},
+	{"another minor version", strings.Replace(wrongFramed, "HTTP/1.1", "HTTP/1.2", 1)},
+	{"a version before the first", wrongHead[:5] + "0" + wrongHead[6:] + chunkedField + "\r\n" + wrongChunks},
+}
+
+// unusualHeads lists heads of whole answers, that a check must not refuse.
+var unusualHeads = []struct{ name, head string }{
+	{"no reason", "HTTP/1.1 200 \r\nAttempt-Id: {id}\r\nServer-Stamp: s\r\nContent-Length: 4\r\n\r\n"},
+	{"an older version", "HTTP/1.0 200 OK\r\nAttempt-Id: {id}\r\nServer-Stamp: s\r\nContent-Length: 4\r\n\r\n"},
+	{"names in lower case, and no blanks", "HTTP/1.1 200 OK\r\nattempt-id:{id}\r\nserver-stamp:s\r\ncontent-length:4\r\n\r\n"},
+	{"further blanks around values, and empty ones", "HTTP/1.1 200 OK\r\nAttempt-Id:\t {id} \r\nServer-Stamp: s\t\r\nX:\r\nContent-Length:  4 \r\n\r\n"},
+	{"bytes of other alphabets in values", "HTTP/1.1 200 \xc3\xbc\r\nAttempt-Id: {id}\r\nServer-Stamp: s\r\nX: \xe4:\xff\r\nContent-Length: 4\r\n\r\n"},
+	{"interim answers before it", "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + signedHead + "Content-Length: 4\r\n\r\n"},
+}
+
+// testHeads tests answers with damaged heads, and with unusual ones.
+func testHeads(ctx context.Context, bd **brokenDeployment) {
+	const atOnce = 8
+	answer := func(bytes string) *standin.EarlyAnswer {
+		return &standin.EarlyAnswer{Bytes: bytes, End: standin.EndHalfClose}
+	}
+	for _, path := range []string{"/look/", "/once/", "/stream/"} {
+		ginkgo.It("with a damaged head is none: "+path, func() {
+			Expect(outcomes(len(damagedHeads), atOnce, func(i int) string {
+				id := fmt.Sprintf("head-%s-%d", strings.Trim(path, "/"), i)
+				(*bd).script.set(id, answer(damagedHeads[i].bytes))
+				if out := (*bd).brokenOutcome(ctx, path, id, 1); out != "" {
+					return damagedHeads[i].name + ": " + out
+				}
+
+				return ""
+			})).To(BeEmpty())
+		})
+	}
+	ginkgo.It("with a damaged head is no part of an item or of its score", func() {
+		Expect(outcomes(len(damagedHeads), atOnce, func(i int) string {
+			job := fmt.Sprintf("head-job-%d", i)
+			(*bd).breakItem(job, answer(damagedHeads[i].bytes))
+			if err := (*bd).checkItem(ctx, job, 1); err != nil {
+				return damagedHeads[i].name + ": " + err.Error()
+			}
+
+			return ""
+		})).To(BeEmpty())
+	})
+	ginkgo.It("is not one whose head is unusual", func() {
+		for _, path := range []string{"/look/", "/once/"} {
+			inTurn(len(unusualHeads), atOnce, func(i int) {
+				id := fmt.Sprintf("unusual-%s-%d", strings.Trim(path, "/"), i)
+				(*bd).script.set(id, &standin.EarlyAnswer{Bytes: unusualHeads[i].head + "text", End: standin.EndKeep})
+				(*bd).checkSound(ctx, path, id, 1, "text")
+			})
+		}
+	})
+}
