httpcall: refuse answers with a status that no final answer has

Callers saw: an answer with status 000 is listed as the completed result of an item, with its text, or its signature becomes the item's score. Clients of plain routes get no answer: their connection is closed. Statuses from 600 on, and 101, are passed on to clients as they are.

Cause: net/http takes any three characters that strconv.Atoi parses to 0 or more for a status, also "-00" and "+20", and 101 without a request for it. Code that looks for a success compares with 300 only. The server side of net/http panics on a status below 100, which ended the client's connection.

Evidence: soak/broken_test.go, real processes, 9 statuses.

Change: a head with a status below 100, above 599 or 101 is refused like one that breaks the grammar. 1xx other than 101 is an interim answer, as before.

--- a/internal/httpcall/head.go
+++ b/internal/httpcall/head.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"fmt"
+	"net/http"
 	"strconv"
 
 	"golang.org/x/net/http/httpguts"
@@ -55,7 +57,7 @@
 		return false, hc.checkStatusLine(text)
 	case len(text) > 0:
 		return false, hc.checkField(text)
-	case hc.status < 200: // the head of an interim answer
+	case hc.status < http.StatusOK: // the head of an interim answer
 		*hc = headChecker{}
 
 		return false, nil
@@ -67,8 +69,12 @@
 // Prefixes of a status line in the versions of the protocol that are spoken.
 var statusLinePrefixes = [][]byte{[]byte("HTTP/1.1 "), []byte("HTTP/1.0 ")}
 
-// statusDigits is the number of digits of a status.
-const statusDigits = 3
+const (
+	// statusDigits is the number of digits of a status.
+	statusDigits = 3
+	// maxStatus is the highest status that RFC 9110 allows.
+	maxStatus = 599
+)
 
 func (hc *headChecker) checkStatusLine(text []byte) error {
 	var rest []byte
@@ -83,6 +89,9 @@
 		return &headError{"the status line is malformed"}
 	}
 	hc.status = int(status)
+	if hc.status < http.StatusContinue || hc.status > maxStatus || hc.status == http.StatusSwitchingProtocols {
+		return &headError{fmt.Sprintf("no answer to a request has status %03d", hc.status)}
+	}
 
 	return nil
 }
--- a/internal/httpcall/head_test.go
+++ b/internal/httpcall/head_test.go
@@ -35,6 +35,9 @@
 		{"has no line feed alone as its end", strings.Replace(soundHead, "\r\n\r\n", "\r\n\n", 1), false},
 		{"has one blank after the version", strings.Replace(soundHead, "1.1 ", "1.1  ", 1), false},
 		{"has a status of digits", strings.Replace(soundHead, "200", "+20", 1), false},
+		{"has a status of 100 or more", strings.Replace(soundHead, "200", "000", 1), false},
+		{"has a status below 600", strings.Replace(soundHead, "200", "600", 1), false},
+		{"has a status that ends a request", strings.Replace(soundHead, "200", "101", 1), false},
 		{"has a version that is spoken", strings.Replace(soundHead, "1.1", "3.1", 1), false},
 	} {
 		ginkgo.It(tc.name+", also in pieces, and leaves its connection unused otherwise", func() {
--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -306,8 +306,11 @@
 // damagedField returns an answer in chunks in whose head the line that says so is replaced.
 func damagedField(line string) string { return wrongHead + line + "\r\n\r\n" + wrongChunks }
 
+// brokenHead is an answer whose head is broken, and what is wrong with it.
+type brokenHead struct{ name, bytes string }
+
 // damagedHeads lists answers whose head is not one by the grammar of the protocol, with the kind of damage.
-var damagedHeads = []struct{ name, bytes string }{
+var damagedHeads = []brokenHead{
 	{"a blank at the end of the name of a field", damagedField("Transfer-Encoding : chunked")},
 	{"a blank inside of the name of a field", damagedField("Transfer Encoding: chunked")},
 	{"a blank before the name of a field", damagedField(" Transfer-Encoding: chunked")},
@@ -345,36 +348,48 @@
 	{"interim answers before it", "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + signedHead + "Content-Length: 4\r\n\r\n"},
 }
 
+// impossibleStatuses lists statuses that no answer to these requests has.
+var impossibleStatuses = []string{"000", "001", "099", "101", "600", "700", "999", "-00", "+20"}
+
 // testHeads tests answers with damaged heads, and with unusual ones.
 func testHeads(ctx context.Context, bd **brokenDeployment) {
 	const atOnce = 8
 	answer := func(bytes string) *standin.EarlyAnswer {
 		return &standin.EarlyAnswer{Bytes: bytes, End: standin.EndHalfClose}
 	}
-	for _, path := range []string{"/look/", "/once/", "/stream/"} {
-		ginkgo.It("with a damaged head is none: "+path, func() {
-			Expect(outcomes(len(damagedHeads), atOnce, func(i int) string {
-				id := fmt.Sprintf("head-%s-%d", strings.Trim(path, "/"), i)
-				(*bd).script.set(id, answer(damagedHeads[i].bytes))
-				if out := (*bd).brokenOutcome(ctx, path, id, 1); out != "" {
-					return damagedHeads[i].name + ": " + out
+	var impossible []brokenHead
+	for _, status := range impossibleStatuses {
+		impossible = append(impossible, brokenHead{"status " + status, strings.Replace(wrongFramed, "200", status, 1)})
+	}
+	for _, kind := range []struct {
+		name  string
+		heads []brokenHead
+	}{{"a damaged head", damagedHeads}, {"a status that no answer has", impossible}} {
+		for _, path := range []string{"/look/", "/once/", "/stream/"} {
+			ginkgo.It("with "+kind.name+" is none: "+path, func() {
+				Expect(outcomes(len(kind.heads), atOnce, func(i int) string {
+					id := strings.ReplaceAll(fmt.Sprintf("%s-%s-%d", kind.name, strings.Trim(path, "/"), i), " ", "-")
+					(*bd).script.set(id, answer(kind.heads[i].bytes))
+					if out := (*bd).brokenOutcome(ctx, path, id, 1); out != "" {
+						return kind.heads[i].name + ": " + out
+					}
+
+					return ""
+				})).To(BeEmpty())
+			})
+		}
+		ginkgo.It("with "+kind.name+" is no part of an item or of its score", func() {
+			Expect(outcomes(len(kind.heads), atOnce, func(i int) string {
+				job := strings.ReplaceAll(fmt.Sprintf("%s-job-%d", kind.name, i), " ", "-")
+				(*bd).breakItem(job, answer(kind.heads[i].bytes))
+				if err := (*bd).checkItem(ctx, job, 1); err != nil {
+					return kind.heads[i].name + ": " + err.Error()
 				}
 
 				return ""
 			})).To(BeEmpty())
 		})
 	}
-	ginkgo.It("with a damaged head is no part of an item or of its score", func() {
-		Expect(outcomes(len(damagedHeads), atOnce, func(i int) string {
-			job := fmt.Sprintf("head-job-%d", i)
-			(*bd).breakItem(job, answer(damagedHeads[i].bytes))
-			if err := (*bd).checkItem(ctx, job, 1); err != nil {
-				return damagedHeads[i].name + ": " + err.Error()
-			}
-
-			return ""
-		})).To(BeEmpty())
-	})
 	ginkgo.It("is not one whose head is unusual", func() {
 		for _, path := range []string{"/look/", "/once/"} {
 			inTurn(len(unusualHeads), atOnce, func(i int) {
