httpcall: refuse heads that contradict themselves about the end of the body

Callers saw: one byte turns HTTP/1.1 into HTTP/1.0 in the head of an answer in chunks, and the caller gets a success whose body holds the sizes of the chunks. One byte turns 200 into 204, and the caller gets a success without the body.

Cause: where the parts of a head disagree, net/http drops one of them: Transfer-Encoding in HTTP/1.0, Content-Length beside chunks, both with status 204. RFC 9112 (6.1, 6.3) wants such framing treated as faulty, RFC 9110 (8.6) forbids a length with 204.

Change: the check of heads refuses these combinations at the end of the head, and an answer with status 204 or 304 if bytes of a body follow in the same read. A length of 0 with 204, which some servers send, passes.

--- a/internal/httpcall/head.go
+++ b/internal/httpcall/head.go
@@ -18,8 +18,12 @@
 // names of fields, folded lines, line feeds without carriage returns and further blanks in the status
 // line. One damaged byte can then hide the field that frames the body, or move the end of the head.
 type headChecker struct {
-	line   []byte // start of a line whose end has not been read
-	status int    // 0 before the status line
+	line      []byte // start of a line whose end has not been read
+	status    int    // 0 before the status line
+	isOld     bool   // HTTP/1.0, which has no transfer encodings
+	isEncoded bool   // has a Transfer-Encoding
+	hasLength bool   // has a Content-Length
+	isEmpty   bool   // the Content-Length is 0
 }
 
 // check checks the next bytes of an answer. It reports whether the head of the final answer ends in them.
@@ -41,6 +45,9 @@
 			return false, err
 		}
 	}
+	if isEnd && len(b) > 0 && !hc.mayHaveBody() {
+		return false, &headError{fmt.Sprintf("bytes follow it, and an answer with status %d has no body", hc.status)}
+	}
 
 	return isEnd, nil
 }
@@ -63,11 +70,40 @@
 		return false, nil
 	}
 
-	return true, nil
+	return true, hc.checkFraming()
+}
+
+// checkFraming returns an error if the fields of a head contradict each other, or the status, about where the
+// body ends. net/http drops one of them.
+func (hc *headChecker) checkFraming() error {
+	switch {
+	case hc.isEncoded && hc.isOld:
+		return &headError{"it has a Transfer-Encoding, and HTTP/1.0 has none"}
+	case hc.isEncoded && hc.hasLength:
+		return &headError{"it has both a Transfer-Encoding and a Content-Length"}
+	case hc.status == http.StatusNoContent && (hc.isEncoded || hc.hasLength && !hc.isEmpty):
+		return &headError{"it announces a body, and an answer with status 204 has none"}
+	}
+
+	return nil
+}
+
+// mayHaveBody reports whether an answer with the status may have a body.
+func (hc *headChecker) mayHaveBody() bool {
+	return hc.status != http.StatusNoContent && hc.status != http.StatusNotModified
 }
 
-// Prefixes of a status line in the versions of the protocol that are spoken.
-var statusLinePrefixes = [][]byte{[]byte("HTTP/1.1 "), []byte("HTTP/1.0 ")}
+// Starts of a status line in the versions of the protocol that are spoken.
+var (
+	statusLinePrefix    = []byte("HTTP/1.1 ")
+	oldStatusLinePrefix = []byte("HTTP/1.0 ")
+)
+
+// Fields that say where the body ends.
+var (
+	encodingField = []byte("Transfer-Encoding")
+	lengthField   = []byte("Content-Length")
+)
 
 const (
 	// statusDigits is the number of digits of a status.
@@ -77,11 +113,12 @@
 )
 
 func (hc *headChecker) checkStatusLine(text []byte) error {
-	var rest []byte
-	for _, prefix := range statusLinePrefixes {
-		if after, ok := bytes.CutPrefix(text, prefix); ok {
-			rest = after
-		}
+	rest, ok := bytes.CutPrefix(text, statusLinePrefix)
+	if !ok {
+		rest, hc.isOld = bytes.CutPrefix(text, oldStatusLinePrefix)
+	}
+	if !ok && !hc.isOld {
+		return &headError{"the status line has no version of HTTP/1"}
 	}
 	code, reason, ok := bytes.Cut(rest, []byte(" "))
 	status, err := strconv.ParseUint(string(code), 10, 16)
@@ -101,6 +138,12 @@
 	if !ok || !httpguts.ValidHeaderFieldName(string(name)) || !httpguts.ValidHeaderFieldValue(string(value)) {
 		return &headError{"a field is malformed"}
 	}
+	switch {
+	case bytes.EqualFold(name, encodingField):
+		hc.isEncoded = true
+	case bytes.EqualFold(name, lengthField):
+		hc.hasLength, hc.isEmpty = true, string(bytes.TrimSpace(value)) == "0"
+	}
 
 	return nil
 }
--- a/internal/httpcall/head_test.go
+++ b/internal/httpcall/head_test.go
@@ -38,6 +38,9 @@
 		{"has a status of 100 or more", strings.Replace(soundHead, "200", "000", 1), false},
 		{"has a status below 600", strings.Replace(soundHead, "200", "600", 1), false},
 		{"has a status that ends a request", strings.Replace(soundHead, "200", "101", 1), false},
+		{"has no chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", false},
+		{"has no length beside chunks", "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ncontent-length: 4\r\n\r\n", false},
+		{"announces no body with a status that has none", "HTTP/1.1 204 No Content\r\nContent-Length: 4\r\n\r\n", false},
 		{"has a version that is spoken", strings.Replace(soundHead, "1.1", "3.1", 1), false},
 	} {
 		ginkgo.It(tc.name+", also in pieces, and leaves its connection unused otherwise", func() {
@@ -81,4 +84,15 @@
 			}
 		})
 	}
+
+	ginkgo.It("may have status 204 and no length, or one of 0", func() {
+		for _, field := range []string{"", "Content-Length: 0\r\n"} {
+			ln := serveOnce(func(co *net.TCPConn, _ *bufio.Reader, _ *http.Request) {
+				_, _ = io.WriteString(co, "HTTP/1.1 204 No Content\r\n"+field+"\r\n")
+			})
+			_, err := post(context.Background(), httpcall.NewClient("", true), ln, strings.NewReader("x"))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(ln.Close()).To(Succeed())
+		}
+	})
 })
--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -335,7 +335,17 @@
 	{"no blank after the status", strings.Replace(wrongFramed, "200 OK", "200", 1)},
 	{"another major version", strings.Replace(wrongFramed, "HTTP/1.1", "HTTP/2.1", 1)},
 	{"another minor version", strings.Replace(wrongFramed, "HTTP/1.1", "HTTP/1.2", 1)},
-	{"a version before the first", wrongHead[:5] + "0" + wrongHead[6:] + chunkedField + "\r\n" + wrongChunks},
+	{"a version before the first", strings.Replace(damagedField("Transfer-Encoding: chunked"), "HTTP/1.1", "HTTP/0.1", 1)},
+}
+
+// contradictoryHeads lists answers whose heads say more than one thing about where the body ends.
+var contradictoryHeads = []brokenHead{
+	{"chunks in a version without them", strings.Replace(damagedField("Transfer-Encoding: chunked"), "HTTP/1.1", "HTTP/1.0", 1)},
+	{"chunks and a length in a version without chunks", strings.Replace(damagedField("Transfer-Encoding: chunked\r\nContent-Length: 29"), "HTTP/1.1", "HTTP/1.0", 1)},
+	{"chunks and a length", damagedField("Transfer-Encoding: chunked\r\nContent-Length: 29")},
+	{"a length and a status without a body", strings.Replace(wrongFramed, "200", "204", 1)},
+	{"chunks and a status without a body", strings.Replace(damagedField("Transfer-Encoding: chunked"), "200", "204", 1)},
+	{"a body without a length and a status without a body", strings.Replace(damagedField("Connection: close"), "200", "204", 1)},
 }
 
 // unusualHeads lists heads of whole answers, that a check must not refuse.
@@ -364,7 +374,7 @@
 	for _, kind := range []struct {
 		name  string
 		heads []brokenHead
-	}{{"a damaged head", damagedHeads}, {"a status that no answer has", impossible}} {
+	}{{"a damaged head", damagedHeads}, {"a status that no answer has", impossible}, {"a contradictory head", contradictoryHeads}} {
 		for _, path := range []string{"/look/", "/once/", "/stream/"} {
 			ginkgo.It("with "+kind.name+" is none: "+path, func() {
 				Expect(outcomes(len(kind.heads), atOnce, func(i int) string {
