httpcall: refuse chunks that the head does not announce

Callers saw: another letter in the name of Transfer-Encoding makes a head that is valid, and the caller gets a success whose body holds the sizes of the chunks.

Cause: without the field the answer has no length and ends with its connection, which is allowed. Nothing in the head tells such an answer from a sound one.

Evidence: soak/broken_test.go, real processes, 5 such heads: before, all were passed on as a success on /look/ and /once/, and gave items a wrong score. Streams broke off at the line of the last chunk, after their events.

Change: the body of an answer without a length is an error if its first line is the size of a chunk and it ends with a last chunk; for a stream of events, in which no line is a number, before its first event. Bodies that begin with a number, or end like one in chunks, still pass.

--- a/internal/httpcall/conn.go
+++ b/internal/httpcall/conn.go
@@ -37,7 +37,8 @@
 }
 
 // RoundTrip sends a request and returns its answer. It returns an error in place of an answer whose head is
-// invalid. Reading the answer's body returns an error if the connection ended before the request was written.
+// invalid. Reading the answer's body returns an error if the connection ended before the request was written, or
+// if the body is in chunks although the head does not say so.
 func (tr *Transport) RoundTrip(rq *http.Request) (*http.Response, error) {
 	var used *conn
 	trace := &httptrace.ClientTrace{
@@ -54,7 +55,12 @@
 		},
 	}
 
-	return tr.Transport.RoundTrip(rq.WithContext(httptrace.WithClientTrace(rq.Context(), trace)))
+	rs, err := tr.Transport.RoundTrip(rq.WithContext(httptrace.WithClientTrace(rq.Context(), trace)))
+	if err == nil && used != nil {
+		wrapUnframed(rs)
+	}
+
+	return rs, err
 }
 
 // conn is a connection to a server. It checks the heads of answers. An answer without a length ends with its connection, so the end must
--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -257,38 +257,42 @@
 	testHeads(ctx, &bd)
 
 	// Guards against checks that refuse more than broken answers.
-	whole := "whole answer of {id}"
+	const whole = "whole answer of abcd"
 	for n, tc := range []struct {
 		name  string
 		early standin.EarlyAnswer
 		bytes int
+		want  string
 	}{
-		{"without a length", standin.EarlyAnswer{Bytes: signedHead + "\r\n" + whole, End: standin.EndHalfClose}, 1},
-		{"without a length, that says close", standin.EarlyAnswer{Bytes: signedHead + "Connection: close\r\n\r\n" + whole, End: standin.EndHalfClose}, 1},
-		{"without a length, that comes before the upload is in", standin.EarlyAnswer{Bytes: signedHead + "\r\n" + whole, End: standin.EndHalfClose}, longUpload},
+		{"without a length", standin.EarlyAnswer{Bytes: signedHead + "\r\n" + whole, End: standin.EndHalfClose}, 1, whole},
+		{"without a length, that begins with a number", standin.EarlyAnswer{
+			Bytes: signedHead + "\r\n5\r\n" + whole, End: standin.EndHalfClose,
+		}, 1, "5\r\n" + whole},
+		{"without a length, that says close", standin.EarlyAnswer{
+			Bytes: signedHead + "Connection: close\r\n\r\n" + whole, End: standin.EndHalfClose,
+		}, 1, whole},
+		{"without a length, that comes before the upload is in", standin.EarlyAnswer{
+			Bytes: signedHead + "\r\n" + whole, End: standin.EndHalfClose,
+		}, longUpload, whole},
 		{"without a length, whose connection ends while the upload is read", standin.EarlyAnswer{
 			Bytes: signedHead + "\r\n" + whole, Delay: 30 * time.Millisecond, ReadsOn: true, End: standin.EndHalfClose,
-		}, longUpload},
+		}, longUpload, whole},
 		{"in chunks, that comes before the upload is in", standin.EarlyAnswer{
-			Bytes: signedHead + "Transfer-Encoding: chunked\r\n\r\n6\r\nwhole \r\ne\r\nanswer of abcd\r\n0\r\n\r\n", End: standin.EndKeep,
-		}, longUpload},
+			Bytes: signedHead + chunkedField + "\r\n6\r\nwhole \r\ne\r\nanswer of abcd\r\n0\r\n\r\n", End: standin.EndKeep,
+		}, longUpload, whole},
 		{"with a length, that comes before the upload is in", standin.EarlyAnswer{
-			Bytes: signedHead + "Content-Length: 20\r\n\r\nwhole answer of abcd", End: standin.EndKeep,
-		}, longUpload},
+			Bytes: signedHead + "Content-Length: 20\r\n\r\n" + whole, End: standin.EndKeep,
+		}, longUpload, whole},
 		{"with a length, that says close", standin.EarlyAnswer{
-			Bytes: signedHead + "Connection: close\r\nContent-Length: 20\r\n\r\nwhole answer of abcd", End: standin.EndHalfClose,
-		}, 1},
+			Bytes: signedHead + "Connection: close\r\nContent-Length: 20\r\n\r\n" + whole, End: standin.EndHalfClose,
+		}, 1, whole},
 	} {
 		ginkgo.It("is not one that arrives whole "+tc.name, func() {
 			for _, path := range []string{"/look/", "/once/"} {
 				inTurn(2*clients, largeAsked, func(i int) {
 					id := fmt.Sprintf("sound-%d-%s-%d", n, strings.Trim(path, "/"), i)
 					bd.script.set(id, &tc.early)
-					body := whole
-					if !strings.Contains(tc.early.Bytes, whole) {
-						body = "whole answer of abcd"
-					}
-					bd.checkSound(ctx, path, id, tc.bytes, strings.ReplaceAll(body, "{id}", id))
+					bd.checkSound(ctx, path, id, tc.bytes, tc.want)
 				})
 			}
 		})
@@ -348,6 +352,16 @@
 	{"a body without a length and a status without a body", strings.Replace(damagedField("Connection: close"), "200", "204", 1)},
 }
 
+// hiddenChunks lists answers in chunks in whose heads one byte makes the field that says so a valid one of another name.
+var hiddenChunks = []brokenHead{
+	{"another letter in the name", damagedField("Transfer-Encodinx: chunked")},
+	{"another letter at the beginning of the name", damagedField("Uransfer-Encoding: chunked")},
+	{"a colon in the name", damagedField("Transfer:Encoding: chunked")},
+	{"another byte in the name, and a connection that says close", damagedField("Transfer_Encoding: chunked\r\nConnection: close")},
+	{"another byte in the name, and an event in two chunks", wrongHead + "Transfer~Encoding: chunked\r\n\r\n" +
+		"a\r\n" + wrongEvent[:10] + "\r\n9\r\n" + wrongEvent[10:] + "\r\n0\r\n\r\n"},
+}
+
 // unusualHeads lists heads of whole answers, that a check must not refuse.
 var unusualHeads = []struct{ name, head string }{
 	{"no reason", "HTTP/1.1 200 \r\nAttempt-Id: {id}\r\nServer-Stamp: s\r\nContent-Length: 4\r\n\r\n"},
@@ -374,7 +388,7 @@
 	for _, kind := range []struct {
 		name  string
 		heads []brokenHead
-	}{{"a damaged head", damagedHeads}, {"a status that no answer has", impossible}, {"a contradictory head", contradictoryHeads}} {
+	}{{"a damaged head", damagedHeads}, {"a status that no answer has", impossible}, {"a contradictory head", contradictoryHeads}, {"hidden chunks", hiddenChunks}} {
 		for _, path := range []string{"/look/", "/once/", "/stream/"} {
 			ginkgo.It("with "+kind.name+" is none: "+path, func() {
 				Expect(outcomes(len(kind.heads), atOnce, func(i int) string {
