client, ctl: refuse broken answers of gateways

Callers saw: the client library and the operators' commands used net/http as it is, and took the broken answers that the gateways refuse now for whole ones themselves: a part of an answer that is cut by a reset during the upload, one with a blank in the name of a field, and one with status 000. Something between the caller and the gateway may damage them.

Change: where no HTTP client is given, both use httpcall.Transport.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/tamarackbay/tamarackbay/internal/declaration"
+	"github.com/tamarackbay/tamarackbay/internal/httpcall"
 	"github.com/tamarackbay/tamarackbay/internal/result"
 )
 
@@ -50,7 +51,7 @@
 // New returns a Client. Without an HTTP client in cfg it uses one with a timeout of 30 s.
 func New(cfg Config) *Client {
 	if cfg.HTTP == nil {
-		cfg.HTTP = &http.Client{Timeout: 30 * time.Second}
+		cfg.HTTP = &http.Client{Timeout: 30 * time.Second, Transport: httpcall.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment, ForceAttemptHTTP2: true})}
 	}
 
 	return &Client{cfg: cfg}
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -16,6 +16,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/tamarackbay/tamarackbay/internal/httpcall"
 )
 
 const (
@@ -27,9 +29,9 @@
 
 // Config describes the gateways and the caller.
 type Config struct {
-	Gateways []string // base URLs such as http://192.0.2.1:8080, or only that of the balancer
-	Token    string   // key of the workspace
-	HTTP     *http.Client
+	Gateways []string     // base URLs such as http://192.0.2.1:8080, or only that of the balancer
+	Token    string       // key of the workspace
+	HTTP     *http.Client // nil for one that refuses broken answers
 }
 
 // Client calls the gateways. It is safe for concurrent use.
@@ -41,7 +43,7 @@
 // New returns a client.
 func New(cfg Config) *Client {
 	if cfg.HTTP == nil {
-		cfg.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+		cfg.HTTP = &http.Client{Transport: httpcall.NewTransport(&http.Transport{MaxIdleConnsPerHost: 64, ForceAttemptHTTP2: true})}
 	}
 
 	return &Client{cfg: cfg}
