httpcall: refuse a status whose reason is that of another one

Callers saw: one byte makes a 500 a 200, and the text of an error is passed on as a success; one makes a 500 a 503, and the caller is told that a request that ran has not run.

Cause: only the status was looked at. The reason beside it is still that of the status that was sent.

Evidence: soak/broken_test.go, real processes, 5 such heads: before, all were passed on with the changed status on /look/, /once/ and /stream/, or were taken for a refusal as not run (421).

Change: a head whose reason is the standard one of another status is refused, and the request may have run. Servers that send successes with the reason of another success, with one of their own or with none, are served as before.

--- a/internal/httpcall/head.go
+++ b/internal/httpcall/head.go
@@ -126,6 +126,9 @@
 		return &headError{"the status line is malformed"}
 	}
 	hc.status = int(status)
+	if other, ok := statusByText[string(reason)]; ok && other != hc.status && !(isSuccess(other) && isSuccess(hc.status)) {
+		return &headError{fmt.Sprintf("status %d has the reason of %d", hc.status, other)}
+	}
 	if hc.status < http.StatusContinue || hc.status > maxStatus || hc.status == http.StatusSwitchingProtocols {
 		return &headError{fmt.Sprintf("no answer to a request has status %03d", hc.status)}
 	}
@@ -133,6 +136,23 @@
 	return nil
 }
 
+// statusByText has the statuses by the reasons that the standards name for them.
+var statusByText = func() map[string]int {
+	out := map[string]int{}
+	for status := http.StatusContinue; status <= maxStatus; status++ {
+		if text := http.StatusText(status); text != "" {
+			out[text] = status
+		}
+	}
+
+	return out
+}()
+
+// isSuccess reports whether a status is a success. Servers send some of them with the reason of another one.
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
+
 func (hc *headChecker) checkField(text []byte) error {
 	name, value, ok := bytes.Cut(text, []byte(":"))
 	if !ok || !httpguts.ValidHeaderFieldName(string(name)) || !httpguts.ValidHeaderFieldValue(string(value)) {
--- a/internal/httpcall/head_test.go
+++ b/internal/httpcall/head_test.go
@@ -38,6 +38,7 @@
 		{"has a status of 100 or more", strings.Replace(soundHead, "200", "000", 1), false},
 		{"has a status below 600", strings.Replace(soundHead, "200", "600", 1), false},
 		{"has a status that ends a request", strings.Replace(soundHead, "200", "101", 1), false},
+		{"has no reason of another status", strings.Replace(soundHead, "200 OK", "200 Bad Gateway", 1), false},
 		{"has no chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", false},
 		{"has no length beside chunks", "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ncontent-length: 4\r\n\r\n", false},
 		{"announces no body with a status that has none", "HTTP/1.1 204 No Content\r\nContent-Length: 4\r\n\r\n", false},
--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -352,6 +352,15 @@
 	{"a body without a length and a status without a body", strings.Replace(damagedField("Connection: close"), "200", "204", 1)},
 }
 
+// changedStatuses lists answers in which one digit of the status is another one. The reason tells.
+var changedStatuses = []brokenHead{
+	{"a failure as a success", strings.Replace(wrongFramed, "200 OK", "200 Internal Server Error", 1)},
+	{"a refusal as a success", strings.Replace(wrongFramed, "200 OK", "203 Service Unavailable", 1)},
+	{"a failure as a refusal", strings.Replace(wrongFramed, "200 OK", "503 Internal Server Error", 1)},
+	{"a success as a refusal by the rate", strings.Replace(wrongFramed, "200 OK", "421 Too Many Requests", 1)},
+	{"a success as a fault of the request", strings.Replace(wrongFramed, "200 OK", "400 OK", 1)},
+}
+
 // hiddenChunks lists answers in chunks in whose heads one byte makes the field that says so a valid one of another name.
 var hiddenChunks = []brokenHead{
 	{"another letter in the name", damagedField("Transfer-Encodinx: chunked")},
@@ -364,6 +373,8 @@
 
 // unusualHeads lists heads of whole answers, that a check must not refuse.
 var unusualHeads = []struct{ name, head string }{
+	{"a success with the reason of another", "HTTP/1.1 200 Accepted\r\nAttempt-Id: {id}\r\nServer-Stamp: s\r\nContent-Length: 4\r\n\r\n"},
+	{"a reason of no status", "HTTP/1.1 200 Well Done\r\nAttempt-Id: {id}\r\nServer-Stamp: s\r\nContent-Length: 4\r\n\r\n"},
 	{"no reason", "HTTP/1.1 200 \r\nAttempt-Id: {id}\r\nServer-Stamp: s\r\nContent-Length: 4\r\n\r\n"},
 	{"an older version", "HTTP/1.0 200 OK\r\nAttempt-Id: {id}\r\nServer-Stamp: s\r\nContent-Length: 4\r\n\r\n"},
 	{"names in lower case, and no blanks", "HTTP/1.1 200 OK\r\nattempt-id:{id}\r\nserver-stamp:s\r\ncontent-length:4\r\n\r\n"},
@@ -388,7 +399,7 @@
 	for _, kind := range []struct {
 		name  string
 		heads []brokenHead
-	}{{"a damaged head", damagedHeads}, {"a status that no answer has", impossible}, {"a contradictory head", contradictoryHeads}, {"hidden chunks", hiddenChunks}} {
+	}{{"a damaged head", damagedHeads}, {"a status that no answer has", impossible}, {"a contradictory head", contradictoryHeads}, {"hidden chunks", hiddenChunks}, {"a changed status", changedStatuses}} {
 		for _, path := range []string{"/look/", "/once/", "/stream/"} {
 			ginkgo.It("with "+kind.name+" is none: "+path, func() {
 				Expect(outcomes(len(kind.heads), atOnce, func(i int) string {
