httpcall: refuse answers that go on after the length in their head

Callers saw: another digit, or a blank in place of one, makes the Content-Length of an answer shorter, and the caller gets the first bytes of the body as the whole. Where a backend server sent a second answer behind a whole one, the next request on that connection failed.

Cause: net/http ends the body at its length and looks at what follows only when the connection is idle. It may have another request by then. RFC 9112 (6.3) names both readings of such bytes: the length is wrong, or they belong to no answer.

Evidence: soak/broken_test.go, real processes. 5 short lengths: before, all were passed on as a success on /look/ and /once/, and gave items a wrong score, one ended a stream.

Change: the connection counts the bytes of a body whose length is known. Bytes that follow in the same read and are not the beginning of another answer make the answer an invalid one. A second answer is dropped, and the read reports the end of the connection beside the last bytes of the body, so that net/http does not use it again.

Not seen: a body whose end and surplus come in different reads.

--- a/internal/httpcall/conn.go
+++ b/internal/httpcall/conn.go
@@ -1,6 +1,7 @@
 package httpcall
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -45,7 +46,7 @@
 		GotConn: func(gi httptrace.GotConnInfo) {
 			if co, ok := gi.Conn.(*conn); ok {
 				used = co
-				used.beginRequest()
+				used.beginRequest(rq.Method)
 			}
 		},
 		WroteRequest: func(wi httptrace.WroteRequestInfo) {
@@ -70,9 +71,11 @@
 	net.Conn
 
 	mu        sync.Mutex
+	method    string // of the current request
 	head      headChecker
 	isHeadDue bool       // the head of the answer to the current request has not been read
-	headErr   error      // why that head is invalid
+	bodyLeft  int64      // bytes of the answer's body that have not been read, or unknownLength
+	answerErr error      // why the answer is invalid
 	changed   *sync.Cond // signals changes of the fields below
 	isSending bool       // the request has not been written in full
 	writes    int        // calls of Write in progress
@@ -81,18 +84,18 @@
 }
 
 func newConn(co net.Conn) *conn {
-	out := &conn{Conn: co}
+	out := &conn{Conn: co, bodyLeft: unknownLength}
 	out.changed = sync.NewCond(&out.mu)
 
 	return out
 }
 
 // beginRequest is called before a request is written.
-func (co *conn) beginRequest() {
+func (co *conn) beginRequest(method string) {
 	co.mu.Lock()
 	defer co.mu.Unlock()
 	co.isSending = true
-	co.head, co.isHeadDue = headChecker{}, true
+	co.method, co.head, co.isHeadDue = method, headChecker{}, true
 }
 
 // endRequest is called when net/http has passed on the last byte of a request, or has failed to. A rest
@@ -127,34 +130,66 @@
 	return n, err
 }
 
-// Read reads what the server has sent. It returns a headError in place of an invalid head, and io.EOF only
-// after the request has been written.
+// Read reads what the server has sent. It returns an error in place of an invalid answer, and io.EOF only after
+// the request has been written. Bytes of a further answer are dropped, and end the connection.
 func (co *conn) Read(b []byte) (int, error) {
-	if err := co.checkHead(nil); err != nil {
+	if _, err := co.checkAnswer(nil); err != nil {
 		return 0, err
 	}
 	n, err := co.Conn.Read(b)
 	if errors.Is(err, io.EOF) {
 		err = co.awaitRequest()
 	}
-	if herr := co.checkHead(b[:n]); herr != nil {
-		return 0, herr
+	surplus, aerr := co.checkAnswer(b[:n])
+	if aerr != nil {
+		return 0, aerr
+	}
+	if surplus > 0 {
+		return n - surplus, io.EOF // net/http does not send another request on the connection then
 	}
 
 	return n, err
 }
 
-// checkHead checks bytes that were read, up to the end of the head of the answer.
-func (co *conn) checkHead(b []byte) error {
+// checkAnswer checks bytes that were read. It returns how many of the last ones belong to another answer. An
+// error is returned again by all later calls, as net/http may drop one.
+func (co *conn) checkAnswer(b []byte) (surplus int, err error) {
 	co.mu.Lock()
 	defer co.mu.Unlock()
-	if !co.isHeadDue || co.headErr != nil {
-		return co.headErr // net/http may have dropped the error of the read before
+	if co.answerErr != nil || len(b) == 0 {
+		return 0, co.answerErr
+	}
+	if co.isHeadDue {
+		rest, isEnd, err := co.head.check(b)
+		co.answerErr = err
+		if err != nil || !isEnd {
+			return 0, err
+		}
+		co.isHeadDue, co.bodyLeft, b = false, co.head.bodyLength(co.method), rest
+	}
+	if co.bodyLeft == unknownLength {
+		return 0, nil
+	}
+	n := min(co.bodyLeft, int64(len(b)))
+	co.bodyLeft -= n
+	b = b[n:]
+	co.answerErr = checkSurplus(b)
+
+	return len(b), co.answerErr
+}
+
+// headStart is how a head begins.
+var headStart = []byte("HTTP/1.")
+
+// checkSurplus returns an error if bytes after an answer are not the beginning of another one. They may belong to
+// its body, and the length in its head be wrong (RFC 9112, 6.3).
+func checkSurplus(b []byte) error {
+	n := min(len(b), len(headStart))
+	if !bytes.Equal(b[:n], headStart[:n]) {
+		return &headError{"bytes follow the body that it announces"}
 	}
-	isEnd, err := co.head.check(b)
-	co.isHeadDue, co.headErr = !isEnd, err
 
-	return err
+	return nil
 }
 
 // awaitRequest waits until the request has been written, which a server that has ended its answer may
--- a/internal/httpcall/head.go
+++ b/internal/httpcall/head.go
@@ -23,17 +23,18 @@
 	isOld     bool   // HTTP/1.0, which has no transfer encodings
 	isEncoded bool   // has a Transfer-Encoding
 	hasLength bool   // has a Content-Length
-	isEmpty   bool   // the Content-Length is 0
+	length    int64  // the Content-Length; net/http refuses one that is not a number
 }
 
-// check checks the next bytes of an answer. It reports whether the head of the final answer ends in them.
-func (hc *headChecker) check(b []byte) (isEnd bool, err error) {
+// check checks the next bytes of an answer. It reports whether the head of the final answer ends in them, and
+// returns what comes after it.
+func (hc *headChecker) check(b []byte) (rest []byte, isEnd bool, err error) {
 	for len(b) > 0 && !isEnd {
 		n := bytes.IndexByte(b, '\n') + 1
 		if n == 0 {
 			hc.line = append(hc.line, b...) // net/http limits the size of a head
 
-			return false, nil
+			return nil, false, nil
 		}
 		line := b[:n]
 		if len(hc.line) > 0 {
@@ -42,14 +43,11 @@
 		}
 		b = b[n:]
 		if isEnd, err = hc.checkLine(line); err != nil {
-			return false, err
+			return nil, false, err
 		}
 	}
-	if isEnd && len(b) > 0 && !hc.mayHaveBody() {
-		return false, &headError{fmt.Sprintf("bytes follow it, and an answer with status %d has no body", hc.status)}
-	}
 
-	return isEnd, nil
+	return b, isEnd, nil
 }
 
 var lineEnd = []byte("\r\n")
@@ -81,16 +79,26 @@
 		return &headError{"it has a Transfer-Encoding, and HTTP/1.0 has none"}
 	case hc.isEncoded && hc.hasLength:
 		return &headError{"it has both a Transfer-Encoding and a Content-Length"}
-	case hc.status == http.StatusNoContent && (hc.isEncoded || hc.hasLength && !hc.isEmpty):
+	case hc.status == http.StatusNoContent && (hc.isEncoded || hc.length > 0):
 		return &headError{"it announces a body, and an answer with status 204 has none"}
 	}
 
 	return nil
 }
 
-// mayHaveBody reports whether an answer with the status may have a body.
-func (hc *headChecker) mayHaveBody() bool {
-	return hc.status != http.StatusNoContent && hc.status != http.StatusNotModified
+// unknownLength is the length of a body that the head does not tell.
+const unknownLength = -1
+
+// bodyLength returns the length of the body in bytes after a head that was checked, or unknownLength.
+func (hc *headChecker) bodyLength(method string) int64 {
+	switch {
+	case method == http.MethodHead || hc.status == http.StatusNoContent || hc.status == http.StatusNotModified:
+		return 0
+	case hc.hasLength:
+		return hc.length
+	}
+
+	return unknownLength
 }
 
 // Starts of a status line in the versions of the protocol that are spoken.
@@ -162,7 +170,8 @@
 	case bytes.EqualFold(name, encodingField):
 		hc.isEncoded = true
 	case bytes.EqualFold(name, lengthField):
-		hc.hasLength, hc.isEmpty = true, string(bytes.TrimSpace(value)) == "0"
+		hc.hasLength = true
+		hc.length, _ = strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
 	}
 
 	return nil
--- a/internal/httpcall/head_test.go
+++ b/internal/httpcall/head_test.go
@@ -96,4 +96,35 @@
 			Expect(ln.Close()).To(Succeed())
 		}
 	})
+
+	for _, tc := range []struct {
+		name, surplus string
+		isValid       bool
+	}{
+		{"does not announce less than the body", "x", false},
+		{"is valid if another answer follows", soundHead + "next", true},
+	} {
+		ginkgo.It(tc.name+", and leaves its connection unused then", func() {
+			var opened atomic.Int64
+			ln := serveOnce(func(co *net.TCPConn, br *bufio.Reader, rq *http.Request) {
+				opened.Add(1)
+				for err := error(nil); err == nil; rq, err = http.ReadRequest(br) {
+					_, _ = io.Copy(io.Discard, rq.Body)
+					_, _ = io.WriteString(co, soundHead+"text"+tc.surplus)
+				}
+			})
+			defer ln.Close()
+			hc := httpcall.NewClient("", true)
+			for n := range int64(20) {
+				body, err := post(context.Background(), hc, ln, io.MultiReader(strings.NewReader("x"))) // not repeated by net/http
+				if tc.isValid {
+					Expect(err).NotTo(HaveOccurred())
+					Expect(body).To(Equal("text"))
+				} else {
+					Expect(err).To(HaveOccurred(), "%q", body)
+				}
+				Expect(opened.Load()).To(Equal(n + 1))
+			}
+		})
+	}
 })
--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -283,6 +283,9 @@
 		{"with a length, that comes before the upload is in", standin.EarlyAnswer{
 			Bytes: signedHead + "Content-Length: 20\r\n\r\n" + whole, End: standin.EndKeep,
 		}, longUpload, whole},
+		{"with a length, with a second answer behind it", standin.EarlyAnswer{
+			Bytes: signedHead + "Content-Length: 20\r\n\r\n" + whole + signedHead + "Content-Length: 0\r\n\r\n", End: standin.EndHalfClose,
+		}, 1, whole},
 		{"with a length, that says close", standin.EarlyAnswer{
 			Bytes: signedHead + "Connection: close\r\nContent-Length: 20\r\n\r\n" + whole, End: standin.EndHalfClose,
 		}, 1, whole},
@@ -361,6 +364,15 @@
 	{"a success as a fault of the request", strings.Replace(wrongFramed, "200 OK", "400 OK", 1)},
 }
 
+// shortLengths lists answers whose length is shorter than the body by one byte of the head.
+var shortLengths = []brokenHead{
+	{"another digit", strings.Replace(wrongFramed, "Content-Length: 19", "Content-Length: 18", 1)},
+	{"another first digit", strings.Replace(wrongFramed, "Content-Length: 19", "Content-Length: 09", 1)},
+	{"a blank in place of the first digit", strings.Replace(wrongFramed, "Content-Length: 19", "Content-Length:  9", 1)},
+	{"a blank in place of the last digit", strings.Replace(wrongFramed, "Content-Length: 19", "Content-Length: 1 ", 1)},
+	{"no body", strings.Replace(strings.Replace(wrongFramed, "Content-Length: 19", "Content-Length: 0", 1), wrongEvent, "x", 1)},
+}
+
 // hiddenChunks lists answers in chunks in whose heads one byte makes the field that says so a valid one of another name.
 var hiddenChunks = []brokenHead{
 	{"another letter in the name", damagedField("Transfer-Encodinx: chunked")},
@@ -399,7 +411,7 @@
 	for _, kind := range []struct {
 		name  string
 		heads []brokenHead
-	}{{"a damaged head", damagedHeads}, {"a status that no answer has", impossible}, {"a contradictory head", contradictoryHeads}, {"hidden chunks", hiddenChunks}, {"a changed status", changedStatuses}} {
+	}{{"a damaged head", damagedHeads}, {"a status that no answer has", impossible}, {"a contradictory head", contradictoryHeads}, {"hidden chunks", hiddenChunks}, {"a changed status", changedStatuses}, {"a short length", shortLengths}} {
 		for _, path := range []string{"/look/", "/once/", "/stream/"} {
 			ginkgo.It("with "+kind.name+" is none: "+path, func() {
 				Expect(outcomes(len(kind.heads), atOnce, func(i int) string {
