httpcall: take lengths that are no lengths for 0, and replace each byte of a head in a test

Change: a length that is no decimal number counts as 0; net/http refuses it. A status with the reason "OK" is passed on: some servers send it with each status.

--- a/internal/httpcall/head.go
+++ b/internal/httpcall/head.go
@@ -23,7 +23,7 @@
 	isOld     bool   // HTTP/1.0, which has no transfer encodings
 	isEncoded bool   // has a Transfer-Encoding
 	hasLength bool   // has a Content-Length
-	length    int64  // the Content-Length; net/http refuses one that is not a number
+	length    int64  // the Content-Length, in bytes
 }
 
 // check checks the next bytes of an answer. It reports whether the head of the final answer ends in them, and
@@ -116,6 +116,8 @@
 const (
 	// statusDigits is the number of digits of a status.
 	statusDigits = 3
+	// lengthBits is the size of a length that fits into an int64.
+	lengthBits = 63
 	// maxStatus is the highest status that RFC 9110 allows.
 	maxStatus = 599
 )
@@ -144,11 +146,12 @@
 	return nil
 }
 
-// statusByText has the statuses by the reasons that the standards name for them.
+// statusByText has the statuses by the reasons that the standards name for them, without "OK", which some
+// servers send with each status.
 var statusByText = func() map[string]int {
 	out := map[string]int{}
 	for status := http.StatusContinue; status <= maxStatus; status++ {
-		if text := http.StatusText(status); text != "" {
+		if text := http.StatusText(status); text != "" && status != http.StatusOK {
 			out[text] = status
 		}
 	}
@@ -170,8 +173,8 @@
 	case bytes.EqualFold(name, encodingField):
 		hc.isEncoded = true
 	case bytes.EqualFold(name, lengthField):
-		hc.hasLength = true
-		hc.length, _ = strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+		length, _ := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, lengthBits) // net/http refuses others
+		hc.hasLength, hc.length = true, int64(length)
 	}
 
 	return nil
--- a/internal/httpcall/head_test.go
+++ b/internal/httpcall/head_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -127,4 +128,35 @@
 			}
 		})
 	}
+
+	// Guards against bytes of a head that hide where the body ends, wherever they are.
+	for _, answer := range []string{
+		"HTTP/1.1 200 OK\r\nX-Note: a\r\nContent-Length: 4\r\nConnection: close\r\n\r\ntext",
+		"HTTP/1.1 200 OK\r\nX-Note: a\r\nTransfer-Encoding: chunked\r\nServer-Stamp: a\r\n\r\n4\r\ntext\r\n0\r\n\r\n",
+	} {
+		ginkgo.It(fmt.Sprintf("with one byte replaced brings no other body: %.60q", answer), func() {
+			ln := serveOnce(func(co *net.TCPConn, _ *bufio.Reader, rq *http.Request) {
+				var at, value int
+				_, _ = fmt.Sscanf(rq.URL.Path, "/%d/%d", &at, &value)
+				_, _ = io.Copy(io.Discard, rq.Body)
+				_, _ = io.WriteString(co, answer[:at]+string([]byte{byte(value)})+answer[at+1:])
+			})
+			defer ln.Close()
+			hc := httpcall.New(httpcall.Config{})
+			for at := range strings.Index(answer, "\r\n\r\n") + len("\r\n\r\n") {
+				for _, value := range []byte("\x00\t\n\r !\"+,-./0123456789:;=AZaz~\x7f\x80\xff") {
+					rs, err := hc.Get(fmt.Sprintf("http://%s/%d/%d", ln.Addr(), at, value))
+					if err != nil {
+						continue
+					}
+					b, err := io.ReadAll(rs.Body)
+					_ = rs.Body.Close()
+					if err == nil {
+						Expect(string(b)).To(Equal("text"), "byte %d is %q", at, value)
+						Expect(rs.StatusCode).To(And(BeNumerically(">=", 200), BeNumerically("<", 600)))
+					}
+				}
+			}
+		})
+	}
 })
