--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -100,8 +100,18 @@
 	return bd.caller.Client(ctx, bd.gateways()[0], http.MethodPost, path+id, h, strings.Repeat("x", bytes))
 }
 
+// runs returns how often a request ran.
+func (bd *brokenDeployment) runs(id string) int {
+	n := 0
+	for _, bs := range bd.servers {
+		n += bs.Runs()[id]
+	}
+
+	return n
+}
+
 // brokenOutcome sends a request all of whose answers are broken. It returns "" unless one of them is passed on as a
-// success, or the client is told that the request has not run.
+// success, the client is told that the request has not run, or one that may run once runs again.
 func (bd *brokenDeployment) brokenOutcome(ctx context.Context, path, id string, bytes int) string {
 	an, err := bd.request(ctx, path, id, bytes)
 	isStream := strings.HasPrefix(path, "/stream/")
@@ -112,6 +122,8 @@
 		return fmt.Sprintf("%s: %v", id, err)
 	case an.Status != http.StatusInternalServerError && an.Status != http.StatusBadGateway && an.Status != http.StatusGatewayTimeout:
 		return fmt.Sprintf("%s: status %d: %s", id, an.Status, an.Body)
+	case strings.HasPrefix(path, "/once/") && bd.runs(id) > 1:
+		return fmt.Sprintf("%s ran %d times", id, bd.runs(id))
 	}
 
 	return ""
