group: log the pauses of a replica's loop and what they were spent on

Change: the loop measures each iteration by its steps and the time without the processor. Pauses of 250 ms and more are logged with the collector's work, at most twice a second, and are in the histogram group.loopPause (stores) and the gauge group.longestPauseMs.

--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -64,7 +64,9 @@
 	OnStatus func(st Status)
 	WallMs   func() int64
 	Count    func(counter string)
-	Log      log.Interface
+	// RecordPause is called with the length of each pause of the replica's loop; nil ignores them.
+	RecordPause func(d time.Duration)
+	Log         log.Interface
 }
 
 // Group is a process's part in a replication group.
@@ -86,6 +88,7 @@
 	elections         atomic.Int64 // observed changes of the leader
 	membershipChanges atomic.Int64 // observed changes of the membership
 	droppedTransfers  atomic.Int64 // received snapshots that were not those that the leader sent
+	longestPause      atomic.Int64 // of the replica's loop, a time.Duration
 	freshAt           atomic.Int64 // latest confirmation, a time.Duration since start; 0 before the first one
 
 	mu            sync.Mutex
@@ -96,6 +99,8 @@
 	upstreamIndex int
 	feedSlots     chan struct{} // holds one element for each subscriber that waits
 
+	pauseLoggedAt time.Duration // used only by the loop of the replica
+
 	deltas      []statemachine.Delta // the latest changes; used only without a replica
 	deltasAfter uint64               // every change after this position is in deltas
 }
@@ -135,6 +140,9 @@
 	if c.Count == nil {
 		c.Count = func(string) {}
 	}
+	if c.RecordPause == nil {
+		c.RecordPause = func(time.Duration) {}
+	}
 	if c.CandidateAddresses == nil {
 		c.CandidateAddresses = func() []string {
 			out := make([]string, len(c.Founders))
@@ -316,6 +324,7 @@
 		election: gr.cfg.Election, heartbeat: gr.cfg.Heartbeat, wallMs: gr.cfg.WallMs,
 		send:    func(m consensus.Message) { gr.transport.send(gr.addressOf(m.To), m) },
 		onApply: gr.onApply, onStatus: gr.onStatus, disk: gr.disk, onDroppedTransfer: gr.onDroppedTransfer,
+		log: gr.cfg.Log, reportPause: gr.reportPause,
 	}
 }
 
--- a/internal/group/node.go
+++ b/internal/group/node.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/tamarackbay/tamarackbay/internal/consensus"
 	"github.com/tamarackbay/tamarackbay/internal/result"
 	"github.com/tamarackbay/tamarackbay/internal/statemachine"
@@ -85,6 +87,8 @@
 	snapshotResults chan snapshotResult
 	background      sync.WaitGroup
 
+	pauses      *pauseWatch
+	log         log.Interface
 	disk        *disk
 	unstored    *unstored           // set while the disk refuses writes
 	heardLeader consensus.ReplicaID // leader that sent a message since then
@@ -112,35 +116,43 @@
 	defer n.store.Close()
 	defer n.background.Wait()
 
+	n.pauses.ended = n.now()
 	for {
 		var batch []*proposal
 		select {
 		case ev := <-n.inbox:
+			n.pauses.begin()
 			batch = n.handleEvent(ev, batch)
 		case sv := <-n.snapshotResults:
+			n.pauses.begin()
 			if err := n.finishSnapshot(sv); err != nil {
 				return err
 			}
 		case <-ticker.C:
+			n.pauses.begin()
 		case <-ctx.Done():
 			return nil
 		}
 		batch = n.collectBatch(batch)
+		n.pauses.end(stepReceive)
 		if n.unstored != nil {
 			if err := n.resume(); err != nil {
 				return err
 			}
 			if n.unstored != nil {
 				n.updateStatus()
+				n.pauses.finish()
 
 				continue
 			}
 		}
 		n.propose(batch)
 		n.replica.Tick(n.now())
+		n.pauses.end(stepPropose)
 		if err := n.processReady(); err != nil {
 			return err
 		}
+		n.pauses.finish()
 	}
 }
 
@@ -149,6 +161,7 @@
 	for range maxBatchEvents {
 		select {
 		case ev := <-n.inbox:
+			n.pauses.current.events++
 			batch = n.handleEvent(ev, batch)
 		default:
 			return batch
@@ -224,6 +237,7 @@
 		rd := n.replica.Ready()
 		if rd.Empty() {
 			n.updateStatus()
+			n.pauses.end(stepPublish)
 
 			return nil
 		}
@@ -236,14 +250,17 @@
 				n.onDroppedTransfer(dropped)
 			}
 		}
+		n.pauses.end(stepSend)
 		if rd.MustSync() {
 			if err := n.store.Save(&rd); err != nil {
 				return n.suspend(err, unstored{ready: &rd})
 			}
+			n.pauses.end(stepStore)
 		}
 		if err := n.carryOut(rd); err != nil {
 			return err
 		}
+		n.pauses.end(stepApply)
 		if n.unstored != nil {
 			return nil
 		}
@@ -282,10 +299,13 @@
 
 func (n *node) apply(rd *consensus.Ready) error {
 	if rd.Snapshot != nil {
+		began := n.now()
 		ma, err := statemachine.Restore(rd.Snapshot.Data)
 		if err != nil {
 			return err
 		}
+		n.log.WithFields(log.Fields{"index": rd.Snapshot.Index, "bytes": len(rd.Snapshot.Data), "ms": (n.now() - began).Milliseconds()}).
+			Info("snapshot of the leader installed")
 		n.mu.Lock()
 		n.machine, n.lastSnapshotIndex = ma, rd.Snapshot.Index
 		n.onApply()
--- a/internal/group/opennode.go
+++ b/internal/group/opennode.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/tamarackbay/tamarackbay/internal/consensus"
 	"github.com/tamarackbay/tamarackbay/internal/result"
 	"github.com/tamarackbay/tamarackbay/internal/statemachine"
@@ -23,6 +25,9 @@
 	onApply   func()
 	onStatus  func(old, st Status)
 	disk      *disk
+	log       log.Interface
+	// reportPause is called with each pause of the loop; nil ignores them.
+	reportPause func(p pause)
 
 	onDroppedTransfer func(dropped consensus.DroppedTransfer)
 }
@@ -72,11 +77,18 @@
 		store: st, start: time.Now(), wallMs: cfg.wallMs, send: cfg.send, onApply: cfg.onApply, onStatus: cfg.onStatus,
 		inbox: make(chan event, inboxSize), pendingProposals: map[uint64]pendingProposal{}, pendingReads: map[uint64]*readRequest{},
 		machine: ma, applied: make(chan struct{}), lastSnapshotIndex: re.Snapshot.Index, snapshotResults: make(chan snapshotResult, 1),
-		disk: cfg.disk, onDroppedTransfer: cfg.onDroppedTransfer,
+		disk: cfg.disk, onDroppedTransfer: cfg.onDroppedTransfer, log: cfg.log,
+	}
+	if n.log == nil {
+		n.log = cfg.disk.log
+	}
+	n.pauses = &pauseWatch{now: n.now, report: cfg.reportPause}
+	if n.pauses.report == nil {
+		n.pauses.report = func(pause) {}
 	}
 	n.replica = consensus.New(consensus.Config{
 		ID: cfg.id, Group: cfg.group, ElectionTimeout: cfg.election, HeartbeatPeriod: cfg.heartbeat,
-		Random: rand.Int64N, LatestSnapshot: st.LatestSnapshot,
+		Random: rand.Int64N, LatestSnapshot: n.latestSnapshot,
 		HardState: re.HardState, Snapshot: re.Snapshot, Entries: re.Entries,
 	}, n.now())
 	if err := st.Failure(); err != nil {
--- a/internal/group/report.go
+++ b/internal/group/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/apex/log"
 
@@ -64,4 +65,5 @@
 	me.Gauge("group.moves", gr.membershipChanges.Load())
 	me.Gauge("group.damagedBytes", gr.damagedBytes)
 	me.Gauge("group.droppedSnapshots", gr.droppedTransfers.Load())
+	me.Gauge("group.longestPauseMs", time.Duration(gr.longestPause.Load()).Milliseconds())
 }
--- a/internal/group/snapshot.go
+++ b/internal/group/snapshot.go
@@ -1,6 +1,8 @@
 package group
 
 import (
+	"github.com/apex/log"
+
 	"github.com/tamarackbay/tamarackbay/internal/consensus"
 	"github.com/tamarackbay/tamarackbay/internal/storage"
 )
@@ -22,19 +24,34 @@
 	term, _ := n.replica.TermAt(index)
 	sn := consensus.Snapshot{Index: index, Term: term, Membership: n.replica.MembershipAt(index)}
 	n.isSnapshotting, n.bytesSinceSnapshot = true, 0
+	began := n.now()
 	n.background.Go(func() {
 		data, err := encode()
+		encoded := n.now()
 		if err == nil {
 			complete := sn
 			complete.Data = data
 			err = n.store.WriteSnapshot(complete)
 		}
+		n.log.WithFields(log.Fields{
+			"index": sn.Index, "bytes": len(data), "encodeMs": (encoded - began).Milliseconds(), "writeMs": (n.now() - encoded).Milliseconds(),
+		}).Info("snapshot written")
 		n.snapshotResults <- snapshotResult{snapshot: sn, err: err}
 	})
 
 	return nil
 }
 
+// latestSnapshot reads the stored snapshot for a transfer to a follower.
+func (n *node) latestSnapshot() (consensus.Snapshot, bool) {
+	began := n.now()
+	sn, ok := n.store.LatestSnapshot()
+	n.log.WithFields(log.Fields{"index": sn.Index, "bytes": len(sn.Data), "found": ok, "ms": (n.now() - began).Milliseconds()}).
+		Info("snapshot read for a transfer")
+
+	return sn, ok
+}
+
 // finishSnapshot adopts a written snapshot. One that the disk refused is due again after a pause;
 // until then the log is retained.
 func (n *node) finishSnapshot(sv snapshotResult) error {
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -96,6 +96,7 @@
 		Files: cfg.Files, Election: settings.NodeElection, Heartbeat: settings.NodeHeartbeat, FreshnessBound: time.Hour,
 		ReplaceAfter: settings.NodeReplaceAfter, TargetVoters: no.Voters(), MaxSpares: max(no.ToleratedFailures, 1), CandidateAddresses: st.candidateAddresses, Formation: st.formation, AddressOf: st.addressOf,
 		IsRetiring: st.isRetiring, WallMs: cfg.WallMs, Log: cfg.Log, OnStatus: st.onStatus,
+		RecordPause: func(d time.Duration) { cfg.Meter.RecordDuration("group.loopPause", d) },
 	})
 	if err != nil {
 		return nil, err
--- a/internal/meter/names.go
+++ b/internal/meter/names.go
@@ -115,6 +115,8 @@
 	{"group.moves", KindGauge, "changes of the membership that this replica observed"},
 	{"group.damagedBytes", KindGauge, "size of the damaged files that the data folder keeps for the operator, 0 if there are none"},
 	{"group.droppedSnapshots", KindGauge, "received snapshots that were dropped because they were not those that the leader sent"},
+	{"group.longestPauseMs", KindGauge, "longest pause of the replica's loop since its start, in milliseconds"},
+	{"group.loopPause", KindHistogram, "pauses of the replica's loop, in which it neither received nor sent anything"},
 	{"group.diskRefuses", KindGauge, "1 while the disk refuses the replica's writes, otherwise 0"},
 	{"disk.syncs", KindCounter, "file syncs"},
 	{"log.dropped", KindGauge, "log lines dropped because the buffer was full"},
