peer: retain at most 64 KiB in each buffer of a session

Cause: yamux copies each write into a buffer that it keeps, the queue of a connection keeps two, and a stream keeps what it has read and encoded: up to 1 MiB each, in all sessions of a leader. Change: writes are passed to yamux in parts of 64 KiB, larger buffers are dropped after use, and the buffer of a stream is released when a message was read or a call has ended.

--- a/internal/peer/coalesce.go
+++ b/internal/peer/coalesce.go
@@ -70,7 +70,7 @@
 		co.mu.Unlock()
 		_, err := co.Conn.Write(b)
 		co.mu.Lock()
-		if co.spareBuffer = b; cap(b) > maxPendingBytes {
+		if co.spareBuffer = b; cap(b) > maxRetainedBytes {
 			co.spareBuffer = nil
 		}
 		if err != nil {
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -9,6 +9,7 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -34,6 +35,10 @@
 	// largeMessageBytes is the size from which memory is reserved for a message before it is read, and
 	// from which a record is sent without a copy.
 	largeMessageBytes = 64 << 10
+	// maxWriteBytes bounds what is passed to yamux at once, as a session retains a buffer of the largest
+	// write. maxRetainedBytes bounds the other buffers that are kept for further messages.
+	maxWriteBytes    = 64 << 10
+	maxRetainedBytes = 64 << 10
 )
 
 // Message is a request or a message of an answer.
@@ -211,6 +216,8 @@
 	if st.sendEnd(err) != nil {
 		return false
 	}
+	st.lastPayload, st.writeBuffer = nil, nil
+	rs.yamuxStream.Shrink()
 
 	return <-next
 }
@@ -313,10 +320,22 @@
 		return err
 	}
 	binary.LittleEndian.PutUint32(b, uint32(len(b)-4))
-	st.writeBuffer = b
-	_, err = st.stream.yamuxStream.Write(b)
+	if st.writeBuffer = b; cap(b) > maxRetainedBytes {
+		st.writeBuffer = nil
+	}
 
-	return err
+	return st.stream.write(b)
+}
+
+// write writes b in parts of at most maxWriteBytes.
+func (rs *reusableStream) write(b []byte) error {
+	for part := range slices.Chunk(b, maxWriteBytes) {
+		if _, err := rs.yamuxStream.Write(part); err != nil {
+			return err
+		}
+	}
+
+	return nil
 }
 
 func (st *Stream) read(m proto.Message) error {
@@ -338,6 +357,9 @@
 	if _, err := io.ReadFull(st.stream.reader, b); err != nil {
 		return err
 	}
+	if n > maxRetainedBytes {
+		st.stream.yamuxStream.Shrink()
+	}
 
 	return proto.Unmarshal(b, m)
 }
@@ -373,12 +395,11 @@
 
 	st.writeMu.Lock()
 	defer st.writeMu.Unlock()
-	if _, err := st.stream.yamuxStream.Write(append(binary.LittleEndian.AppendUint32(nil, uint32(len(head)+len(record))), head...)); err != nil {
+	if err := st.stream.write(append(binary.LittleEndian.AppendUint32(nil, uint32(len(head)+len(record))), head...)); err != nil {
 		return err
 	}
-	_, err = st.stream.yamuxStream.Write(record)
 
-	return err
+	return st.stream.write(record)
 }
 
 // errStreamCut reports that the stream ended before its end mark.
