feed: encode a state for followers without the lock that publishing needs

A controller publishes while it holds the lock that heartbeats of backend servers need, and waited there while the whole state was encoded for a follower that has just connected, once for each state: 6.7 ms at 4,000 routes, 300 backend servers and 300 limits.

The first follower that needs a delta encodes it without the lock; the others that need the same wait for it.

--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -17,9 +17,10 @@
 type Server struct {
 	mu      sync.Mutex
 	state   *State
-	changed chan struct{}     // closed and replaced with each new state
-	encoded map[*State][]byte // deltas that lead from a former state to this one
-	latest  *State            // to which the deltas of encoded lead
+	changed chan struct{}        // closed and replaced with each new state
+	encoded map[*State]*encoding // deltas that lead from a former state to this one
+	latest  *State               // to which the deltas of encoded lead
+	encode  func(de *stateDelta) ([]byte, error)
 
 	serversGap      time.Duration // minServersGap
 	followerTimeout time.Duration // followerTimeout
@@ -28,6 +29,15 @@
 	waits           map[*sentWait]bool  // one for each call of AwaitSent
 }
 
+// encoding is a delta that the first follower that needs it encodes, while the others wait.
+type encoding struct {
+	once  sync.Once
+	bytes []byte
+	err   error
+}
+
+func encodeDelta(de *stateDelta) ([]byte, error) { return cbor.Marshal(de) }
+
 // sentState is what a follower was sent last.
 type sentState struct {
 	state   *State
@@ -68,7 +78,7 @@
 
 // NewServer returns a server without a confirmed state.
 func NewServer() *Server {
-	return &Server{state: noState, changed: make(chan struct{}), serversGap: minServersGap, followerTimeout: followerTimeout, sent: map[*sentState]bool{}, waits: map[*sentWait]bool{}}
+	return &Server{state: noState, changed: make(chan struct{}), encode: encodeDelta, serversGap: minServersGap, followerTimeout: followerTimeout, sent: map[*sentState]bool{}, waits: map[*sentWait]bool{}}
 }
 
 // Publish replaces the state and notifies followers if it has changed.
@@ -91,25 +101,40 @@
 
 // next returns the current state, the encoded delta that leads to it from one that was sent,
 // and a channel that is closed with the next change. Followers that have the same state share
-// one encoding, which must not be changed.
+// one encoding, which must not be changed. A large state is encoded without the lock, which those that
+// publish need.
 func (sv *Server) next(sent *State) (now *State, b []byte, changed <-chan struct{}, err error) {
+	now, en, changed := sv.encodingFrom(sent)
+	en.once.Do(func() {
+		de := diff(sent, now)
+		de.Followers = sv.Followers()
+		if en.bytes, en.err = sv.encode(de); en.err != nil {
+			en.err = result.New(result.Internal, "feed: encoding a state delta: %v", en.err)
+		}
+	})
+	if en.err != nil {
+		return nil, nil, nil, en.err
+	}
+
+	return now, en.bytes, changed, nil
+}
+
+// encodingFrom returns the current state, the encoding of the delta that leads to it, and a channel that is
+// closed with the next change.
+func (sv *Server) encodingFrom(sent *State) (now *State, en *encoding, changed <-chan struct{}) {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
 
 	if sv.latest != sv.state {
-		sv.encoded, sv.latest = map[*State][]byte{}, sv.state
+		sv.encoded, sv.latest = map[*State]*encoding{}, sv.state
 	}
-	b, ok := sv.encoded[sent]
-	if !ok {
-		de := diff(sent, sv.state)
-		de.Followers = sv.Followers()
-		if b, err = cbor.Marshal(de); err != nil {
-			return nil, nil, nil, result.New(result.Internal, "feed: encoding a state delta: %v", err)
-		}
-		sv.encoded[sent] = b
+	en = sv.encoded[sent]
+	if en == nil {
+		en = &encoding{}
+		sv.encoded[sent] = en
 	}
 
-	return sv.state, b, sv.changed, nil
+	return sv.state, en, sv.changed
 }
 
 // Followers returns the number of processes that follow this controller.
