registry: look for later incarnations at an address only among those there

Each heartbeat looked through all known backend servers, under the lock of the controller that all heartbeats, the broker's view and publishing need. The time for one heartbeat of each grew with their square.

The registry keeps the IDs by address.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -120,6 +120,7 @@
 // concurrent use.
 type Registry struct {
 	entries    map[string]*entry
+	byAddress  map[string]map[string]bool // IDs of the entries that name an address
 	revision   uint64
 	lapseAfter time.Duration
 	withdrawn  map[string]uint64 // position of the last withdrawal of an evacuation, by failure domain
@@ -139,7 +140,36 @@
 
 // New returns a registry in which a backend server lapses after a silence of lapse.
 func New(lapse time.Duration) *Registry {
-	return &Registry{entries: map[string]*entry{}, lapseAfter: lapse, withdrawn: map[string]uint64{}, departed: map[Incarnation]departed{}}
+	return &Registry{
+		entries: map[string]*entry{}, byAddress: map[string]map[string]bool{}, lapseAfter: lapse,
+		withdrawn: map[string]uint64{}, departed: map[Incarnation]departed{},
+	}
+}
+
+// put adds an entry or replaces that of the same backend server.
+func (rg *Registry) put(en *entry) {
+	id, address := en.record.ID, en.record.Address
+	if old, ok := rg.entries[id]; !ok || old.record.Address != address {
+		rg.remove(id)
+		if rg.byAddress[address] == nil {
+			rg.byAddress[address] = map[string]bool{}
+		}
+		rg.byAddress[address][id] = true
+	}
+	rg.entries[id] = en
+}
+
+// remove removes the entry of a backend server if there is one.
+func (rg *Registry) remove(id string) {
+	en, ok := rg.entries[id]
+	if !ok {
+		return
+	}
+	delete(rg.entries, id)
+	ids := rg.byAddress[en.record.Address]
+	if delete(ids, id); len(ids) == 0 {
+		delete(rg.byAddress, en.record.Address)
+	}
 }
 
 // Revision returns a number that rises with each change of anything but sequence numbers.
@@ -178,7 +208,7 @@
 	next.record = re
 	next.confirmWarm()
 	changed := !ok || old.isLapsed || !next.record.hasSameContent(&old.record)
-	rg.entries[re.ID] = next
+	rg.put(next)
 	if changed {
 		rg.revision++
 	}
@@ -229,8 +259,8 @@
 
 // isSuperseded reports whether a later incarnation has taken the address.
 func (rg *Registry) isSuperseded(re *Record) bool {
-	for id, en := range rg.entries {
-		if id != re.ID && en.record.Address == re.Address && en.record.State != Left && en.record.BornMs > re.BornMs {
+	for id := range rg.byAddress[re.Address] {
+		if en := rg.entries[id]; id != re.ID && en.record.State != Left && en.record.BornMs > re.BornMs {
 			return true
 		}
 	}
@@ -261,7 +291,7 @@
 func (rg *Registry) Leave(now time.Duration, id string, bornMs int64) bool {
 	en, ok := rg.entries[id]
 	if !ok {
-		rg.entries[id] = &entry{record: Record{ID: id, BornMs: bornMs, State: Left}, lastHeard: now}
+		rg.put(&entry{record: Record{ID: id, BornMs: bornMs, State: Left}, lastHeard: now})
 		rg.revision++
 
 		return true
@@ -344,7 +374,7 @@
 		silent := now - en.lastHeard
 		switch {
 		case silent > retentionPeriod && !rg.hasDeparted(en.record.Incarnation()):
-			delete(rg.entries, id)
+			rg.remove(id)
 			rg.revision++
 		case silent > rg.lapseAfter && !en.isLapsed && en.record.State != Left:
 			en.isLapsed = true
