--- a/internal/controller/weights.go
+++ b/internal/controller/weights.go
@@ -311,11 +311,7 @@
 	co.mu.Lock()
 	defer co.mu.Unlock()
 
-	for _, st := range co.registry.All() {
-		if st.Record.ID == re.ID && st.Record.BornMs == re.BornMs {
-			return st.Record.Version(we.Model) >= we.Version
-		}
-	}
+	last, ok := co.registry.Record(re.ID)
 
-	return false
+	return ok && last.BornMs == re.BornMs && last.Version(we.Model) >= we.Version
 }
