jobstore, jobproxy: any store serves the results of an ended job

Cause: each read asked the leader, and waited for a majority to confirm it, though an ended job never changes and each store holds it. A gateway spent up to 1.9 s of its 2.5 s on a leader that was gone, and then asked the other stores in a fixed order. Change: a store answers reads of results and bodies of a job that has ended in its own state without the leader. Open jobs and unknown ones are answered by the leader, as before. A gateway waits 300 ms for a session and asks connected stores first.

--- a/internal/jobproxy/jobproxy.go
+++ b/internal/jobproxy/jobproxy.go
@@ -36,6 +36,9 @@
 	// requestTimeout bounds all calls for one request of a client. It is longer than
 	// the election of a new leader, which takes about two seconds.
 	requestTimeout = 2500 * time.Millisecond
+	// sessionTimeout bounds the wait for the session to a store. It takes milliseconds unless the store is
+	// lost.
+	sessionTimeout = 300 * time.Millisecond
 	// retryPause is the pause between two calls, cut short by a change of the view.
 	retryPause = 60 * time.Millisecond
 	// largeRecordBytes is the size from which the transfer of a record takes time of its own, and
@@ -269,7 +272,8 @@
 }
 
 // pickStore returns the store for a try, counted from 0: the last known leader on even
-// tries, and the stores one after another on odd ones or if no leader is known.
+// tries, and the stores one after another on odd ones or if no leader is known, those first that
+// this process is connected to.
 func (pr *Proxy) pickStore(try int) (feed.Store, bool) {
 	vi := pr.cfg.View()
 	if st, ok := vi.Leader(); ok && try%2 == 0 {
@@ -278,8 +282,16 @@
 	if len(vi.Stores) == 0 {
 		return feed.Store{}, false
 	}
+	var connected, others []feed.Store
+	for _, st := range vi.Stores {
+		if pr.cfg.Links.To(st.Address).Session() != nil {
+			connected = append(connected, st)
+		} else {
+			others = append(others, st)
+		}
+	}
 
-	return vi.Stores[(try/2)%len(vi.Stores)], true
+	return append(connected, others...)[(try/2)%len(vi.Stores)], true
 }
 
 func (pr *Proxy) callStore(ctx context.Context, st feed.Store, method string, b []byte, out any, le *intake.Lease) error {
@@ -290,6 +302,12 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 
+	wctx, wcancel := context.WithTimeout(ctx, sessionTimeout)
+	_, err := pr.cfg.Links.To(st.Address).Wait(wctx)
+	wcancel()
+	if err != nil {
+		return err
+	}
 	var rep wire.Payload
 	received := int64(0) // memory for the answer
 	reserve := func(bytes int64) error {
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -265,8 +265,8 @@
 
 		return nil, nil
 	})
-	mux[jobproxy.MethodRead] = handle(st, st.read)
-	mux[jobproxy.MethodBody] = handle(st, st.body)
+	mux[jobproxy.MethodRead] = handleLocally(st, st.readEnded, st.read)
+	mux[jobproxy.MethodBody] = handleLocally(st, st.bodyOfEnded, st.body)
 
 	return mux
 }
@@ -274,17 +274,26 @@
 // handle returns a handler that decodes the record of a call, calls f if this store is
 // the leader, and encodes the answer.
 func handle[T any](st *Store, f func(ctx context.Context, in *T) (any, error)) peer.Handler {
+	return handleLocally(st, func(*T) (any, bool) { return nil, false }, f)
+}
+
+// handleLocally is handle, where answer is asked first, on any store. It returns false if the state of this
+// store alone does not decide the answer.
+func handleLocally[T any](st *Store, answer func(in *T) (any, bool), f func(ctx context.Context, in *T) (any, error)) peer.Handler {
 	return func(ctx context.Context, sm *peer.Stream) error {
 		var in T
 		if err := sm.RequestRecord(&in); err != nil {
 			return err
 		}
-		if !st.group.IsLeader() {
-			return result.New(result.NotLeader, "jobstore: this store is not the leader of the store group")
-		}
-		out, err := f(ctx, &in)
-		if err != nil {
-			return err
+		out, ok := answer(&in)
+		if !ok {
+			if !st.group.IsLeader() {
+				return result.New(result.NotLeader, "jobstore: this store is not the leader of the store group")
+			}
+			var err error
+			if out, err = f(ctx, &in); err != nil {
+				return err
+			}
 		}
 		n := answerBytes(out)
 		if n <= largeAnswerBytes {
@@ -343,6 +352,44 @@
 	return st.group.Barrier(ctx)
 }
 
+// ended returns a job that has ended, nil if this store does not hold it as such. An ended job never
+// changes, so that any store may answer without the leader.
+func ended(ma *statemachine.Machine, id, workspace string) *job.Job {
+	jo, err := ma.Jobs().Get(id, workspace)
+	if err != nil || jo.IsOpen() {
+		return nil
+	}
+
+	return jo
+}
+
+// readEnded returns results of a job that has ended here.
+func (st *Store) readEnded(rd *job.Read) (any, bool) {
+	var pa *job.Page
+	st.group.Read(func(ma *statemachine.Machine) {
+		if jo := ended(ma, rd.Job, rd.Workspace); jo != nil {
+			pa = jo.Page(rd.From)
+		}
+	})
+
+	return pa, pa != nil
+}
+
+// bodyOfEnded returns the body of an item of a job that has ended here without its result.
+func (st *Store) bodyOfEnded(rq *jobproxy.BodyRequest) (any, bool) {
+	var b []byte
+	found := false
+	st.group.Read(func(ma *statemachine.Machine) {
+		if jo := ended(ma, rq.Job, rq.Workspace); jo != nil {
+			var err error
+			b, err = jo.Body(rq.Item)
+			found = err == nil
+		}
+	})
+
+	return b, found
+}
+
 // read returns results of a job. If there are none yet, it waits up to rd.Wait for the
 // first one.
 func (st *Store) read(ctx context.Context, rd *job.Read) (any, error) {
