job, jobdriver: read the ledger in steps that do not grow with it

Cause: the driver read the whole ledger under the lock of the state. On taking over it built the states of all open jobs in one hold, and for each of them walked all ended jobs that are alike. After each listed result it walked all jobs and all results of the open ones again. The replica's loop takes the same lock.

Change: the ledger keeps the IDs of the last changes, its open jobs by due time and its ended ones by likeness. The driver reads the changes since its last read, at most 64 in a hold, and takes up one open job in a hold, the one that is due first at the front, with a pass in between that places what was taken up. Under the lock it copies the job; its state is built after, without the lock of the state or that of the driver.

--- a/internal/job/earlier.go
+++ b/internal/job/earlier.go
@@ -1,10 +1,5 @@
 package job
 
-import (
-	"cmp"
-	"slices"
-)
-
 // EarlierText is what an ended job holds of an item that a later job has too.
 type EarlierText struct {
 	IsWhole bool
@@ -15,13 +10,16 @@
 // Earlier returns what ended jobs hold of the items of a job, by item ID: the groups that a
 // trainer did not get complete may come again in a later job, with the same IDs. An item of
 // which nothing was generated has an empty entry.
-func (le *Ledger) Earlier(sp *Spec) map[string]EarlierText {
+func (le *Ledger) Earlier(sp *Spec) map[string]EarlierText { return Earlier(le.EndedLike(sp), sp) }
+
+// Earlier returns what the jobs of Ledger.EndedLike hold of the items of a job.
+func Earlier(ended []*Job, sp *Spec) map[string]EarlierText {
 	items := make(map[string]*Item, len(sp.Items))
 	for i := range sp.Items {
 		items[sp.Items[i].ID] = &sp.Items[i]
 	}
 	out := map[string]EarlierText{}
-	for _, jo := range le.endedLike(sp) {
+	for _, jo := range ended {
 		// same returns the item of the new job that asks for the same text as an item of jo.
 		same := func(i int) *Item {
 			old := &jo.Spec.Items[i]
@@ -52,22 +50,6 @@
 	return out
 }
 
-// endedLike returns the ended jobs that may hold texts of a job's items, in the order in which
-// they ended.
-func (le *Ledger) endedLike(sp *Spec) []*Job {
-	var out []*Job
-	for _, jo := range le.jobs {
-		if !jo.IsOpen() && jo.Spec.Workspace == sp.Workspace && jo.Spec.Host == sp.Host && jo.Spec.Model == sp.Model {
-			out = append(out, jo)
-		}
-	}
-	slices.SortFunc(out, func(a, b *Job) int {
-		return cmp.Or(cmp.Compare(a.EndedMs, b.EndedMs), cmp.Compare(a.Spec.ID, b.Spec.ID))
-	})
-
-	return out
-}
-
 // isSame reports whether two items with one ID ask for the same text. The headers and the body
 // of a listed item are not stored any more.
 func (it *Item) isSame(old *Item) bool {
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -4,7 +4,6 @@
 package job
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -143,8 +142,9 @@
 
 // Ledger holds all jobs of a group.
 type Ledger struct {
-	jobs     map[string]*Job
-	revision uint64 // increases with each change except progress
+	jobs    map[string]*Job
+	index   index
+	changes changes // all except progress
 }
 
 // RetentionPeriod is how long an ended job stays readable at least, counted from its
@@ -158,7 +158,7 @@
 		jobs = map[string]*Job{}
 	}
 
-	return &Ledger{jobs: jobs}
+	return &Ledger{jobs: jobs, index: newIndex(jobs)}
 }
 
 // Jobs returns all jobs by ID. The caller must not change them.
@@ -169,15 +169,7 @@
 func (le *Ledger) Freeze() map[string]*Job {
 	out := make(map[string]*Job, len(le.jobs))
 	for id, jo := range le.jobs {
-		if !jo.IsOpen() {
-			out[id] = jo // an ended job never changes
-
-			continue
-		}
-		c := *jo
-		c.Spec.Items, c.Listed = slices.Clone(jo.Spec.Items), slices.Clone(jo.Listed)
-		c.Results, c.Partial = slices.Clip(jo.Results), maps.Clone(jo.Partial)
-		out[id] = &c
+		out[id] = jo.Copy()
 	}
 
 	return out
@@ -308,7 +300,7 @@
 }
 
 // Revision returns a number that increases with each change except progress.
-func (le *Ledger) Revision() uint64 { return le.revision }
+func (le *Ledger) Revision() uint64 { return le.changes.revision }
 
 // Submit adds a job unless a job with its ID exists. It is idempotent within a
 // workspace.
@@ -321,8 +313,10 @@
 
 		return nil
 	}
-	le.jobs[su.Spec.ID] = &Job{Spec: su.Spec, SubmittedMs: atMs, Listed: make([]bool, len(su.Spec.Items))}
-	le.revision++
+	jo := &Job{Spec: su.Spec, SubmittedMs: atMs, Listed: make([]bool, len(su.Spec.Items))}
+	le.jobs[su.Spec.ID] = jo
+	le.index.open = inserted(le.index.open, jo, compareDue)
+	le.changes.add(su.Spec.ID)
 
 	return nil
 }
@@ -357,7 +351,7 @@
 		added++
 	}
 	if added > 0 {
-		le.revision++
+		le.changes.add(li.Job)
 	}
 
 	return added
@@ -394,7 +388,8 @@
 	}
 	if jo.IsOpen() {
 		jo.EndedMs = max(atMs, 1)
-		le.revision++
+		le.index.end(jo)
+		le.changes.add(en.Job)
 	}
 	le.expire(atMs)
 
@@ -407,7 +402,8 @@
 	for id, jo := range le.jobs {
 		if !jo.IsOpen() && atMs-jo.SubmittedMs > RetentionPeriod.Milliseconds() && atMs-jo.EndedMs > RetentionPeriod.Milliseconds()/2 {
 			delete(le.jobs, id)
-			le.revision++
+			le.index.remove(jo)
+			le.changes.add(id)
 		}
 	}
 }
--- a/internal/jobdriver/driver.go
+++ b/internal/jobdriver/driver.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -60,13 +61,13 @@
 type Driver struct {
 	cfg       Config
 	wake      chan struct{}
+	intake    intake
 	placement placement
 
 	mu       sync.Mutex
 	ctx      context.Context // context of Run, nil before Run is called
 	term     uint64          // term in which this process is the driver, 0 while it isn't
 	jobs     map[string]*jobState
-	revision uint64 // ledger revision at the last read, 0 to force a read
 	running  map[string]int
 	paces    *paceTracker
 	classes  paceClasses
@@ -92,12 +93,17 @@
 		cfg.Shares, cfg.Now = fairshare.NewHolder("", 0), func() time.Duration { return time.Since(start) }
 	}
 
-	return &Driver{
+	dr := &Driver{
 		cfg: cfg, wake: make(chan struct{}, 1), jobs: map[string]*jobState{}, running: map[string]int{}, paces: newPaceTracker(),
 		services: map[string]string{}, demand: map[string]float64{}, obtaining: map[string]bool{}, shortage: newShortage(), commit: func(ctx context.Context, pr job.Progress) error {
 			return cfg.Group.ProposeLocal(ctx, statemachine.KindRecordProgress, pr, nil)
 		},
 	}
+	dr.intake.read = func(f func(le *job.Ledger)) {
+		cfg.Group.Read(func(ma *statemachine.Machine) { f(ma.Jobs()) })
+	}
+
+	return dr
 }
 
 // Wake triggers a pass of the driver without waiting for reconcilePeriod.
@@ -133,7 +139,10 @@
 	dr.mu.Unlock()
 	for ctx.Err() == nil {
 		applied := dr.cfg.Group.Applied()
-		dr.reconcile()
+		if dr.reconcile() {
+			runtime.Gosched() // the replica's loop goes first
+			dr.Wake()
+		}
 		select {
 		case <-applied:
 		case <-dr.wake:
@@ -143,28 +152,50 @@
 	}
 }
 
-// reconcile reads the changes of the ledger and starts the tasks that can run now.
-func (dr *Driver) reconcile() {
+// reconcile reads changes of the ledger and starts the tasks that can run now. It reports whether a further
+// pass is due at once.
+func (dr *Driver) reconcile() bool {
 	st := dr.cfg.Group.Status()
 	if !st.IsSettled {
 		// The ledger may not yet contain all commits of the last leader.
 		dr.stop()
 
-		return
+		return false
 	}
+	dr.begin(st.Term)
+
+	return dr.pass()
+}
 
+// begin begins to execute the items in a term, unless this process does so already.
+func (dr *Driver) begin(term uint64) {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
-	if dr.term != st.Term {
-		dr.stopLocked()
-		dr.term, dr.revision = st.Term, 0
-		dr.cfg.Log.WithField("term", st.Term).Info("items are executed by this store")
+
+	if dr.term == term {
+		return
 	}
-	dr.syncLedger()
+	dr.stopLocked()
+	dr.intake.reset()
+	dr.term = term
+	dr.cfg.Log.WithField("term", term).Info("items are executed by this store")
+}
+
+// pass reads what is next of the ledger and starts the tasks that can run now. It reports whether the ledger
+// holds more that is known.
+func (dr *Driver) pass() bool {
+	ch, hasMore := dr.intake.next() // without dr.mu, for which runs would wait
+	taken := takeUp(ch.taken)
+
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	dr.applyChanges(&ch, taken)
 	dr.classifyServers()
 	dr.place()
 	dr.moveRuns()
 	dr.flushProgress()
+
+	return hasMore
 }
 
 func (dr *Driver) stop() {
@@ -195,47 +226,6 @@
 	}
 }
 
-// syncLedger takes over the changes of the ledger: new jobs, ended jobs, listed items.
-func (dr *Driver) syncLedger() {
-	dr.cfg.Group.Read(func(ma *statemachine.Machine) {
-		le := ma.Jobs()
-		if le.Revision() == dr.revision && dr.revision != 0 {
-			return
-		}
-		dr.revision = le.Revision()
-		for id, jo := range le.Jobs() {
-			js := dr.jobs[id]
-			switch {
-			case !jo.IsOpen() && js != nil:
-				dr.cfg.Log.WithFields(js.timeline.fields()).WithFields(log.Fields{
-					"job": id, "model": js.model, "unlisted": len(js.tasks), "requiredGroups": js.required,
-					"minVersion": js.minVersion,
-				}).
-					Info("timeline of an ended job")
-				js.cancelAll()
-				delete(dr.jobs, id)
-			case jo.IsOpen() && js == nil:
-				js = newJobState(jo, le.Earlier(&jo.Spec))
-				js.excess = dr.excessOf(js)
-				dr.jobs[id] = js
-			case jo.IsOpen():
-				for _, re := range jo.Results {
-					if t := js.tasks[re.Item]; t != nil {
-						js.timeline.addListed(t, time.Now())
-						delete(js.tasks, re.Item)
-					}
-				}
-			}
-		}
-		for id, js := range dr.jobs {
-			if le.Jobs()[id] == nil {
-				js.cancelAll()
-				delete(dr.jobs, id)
-			}
-		}
-	})
-}
-
 // newJobState returns the state of an open job. earlier holds texts of its items from ended
 // jobs.
 func newJobState(jo *job.Job, earlier map[string]job.EarlierText) *jobState {
