job: count what jobs take as the ledger changes

Cause: each submission walked all items, results and progress of all jobs under the lock of the state, twice if the first walk found no room, and so did each measurement.

Change: the totals of Ledger.Use are kept by each command and counted anew when a ledger is restored.

--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -145,6 +145,7 @@
 	jobs    map[string]*Job
 	index   index
 	changes changes // all except progress
+	uses    uses
 }
 
 // RetentionPeriod is how long an ended job stays readable at least, counted from its
@@ -158,7 +159,7 @@
 		jobs = map[string]*Job{}
 	}
 
-	return &Ledger{jobs: jobs, index: newIndex(jobs)}
+	return &Ledger{jobs: jobs, index: newIndex(jobs), uses: newUses(jobs)}
 }
 
 // Jobs returns all jobs by ID. The caller must not change them.
@@ -214,62 +215,6 @@
 	return n
 }
 
-// SubmittedBytes returns an upper estimate of the memory that the items of a job take whose results are
-// not listed.
-func (jo *Job) SubmittedBytes() int {
-	n := jobOverhead
-	for i := range jo.Spec.Items {
-		if !jo.Listed[i] {
-			n += jo.Spec.Items[i].Bytes()
-		}
-	}
-
-	return n
-}
-
-// resultBytes returns an upper estimate of the memory that the listed items, the results and the progress
-// of a job take.
-func (jo *Job) resultBytes() int {
-	n := 0
-	for i := range jo.Spec.Items {
-		if it := &jo.Spec.Items[i]; jo.Listed[i] {
-			n += itemOverhead + len(it.ID) + len(it.Path) + len(it.Group)
-		}
-	}
-	for i := range jo.Results {
-		n += itemOverhead/2 + len(jo.Results[i].Text)
-	}
-	for _, pa := range jo.Partial {
-		n += itemOverhead
-		for _, ev := range pa.Events {
-			n += headerBytes + len(ev)
-		}
-	}
-
-	return n
-}
-
-// Use is an upper estimate of the memory that jobs take, in bytes.
-type Use struct {
-	Total     int // with results and progress
-	Submitted int // items whose results are not listed
-	Own       int // those of one workspace
-}
-
-// Use returns what all jobs take, and the part of one workspace.
-func (le *Ledger) Use(workspace string) (us Use) {
-	for _, jo := range le.jobs {
-		n := jo.SubmittedBytes()
-		us.Submitted += n
-		us.Total += n + jo.resultBytes()
-		if jo.Spec.Workspace == workspace {
-			us.Own += n
-		}
-	}
-
-	return us
-}
-
 // EncodedBytes returns an upper estimate of the encoded size of jobs.
 func EncodedBytes(jobs map[string]*Job) int {
 	n := 0
@@ -317,6 +262,7 @@
 	le.jobs[su.Spec.ID] = jo
 	le.index.open = inserted(le.index.open, jo, compareDue)
 	le.changes.add(su.Spec.ID)
+	le.uses.add(jo, +1)
 
 	return nil
 }
@@ -342,9 +288,15 @@
 		if re.Item < 0 || re.Item >= len(jo.Listed) || jo.Listed[re.Item] {
 			continue
 		}
+		it := &jo.Spec.Items[re.Item]
+		le.uses.addSubmitted(jo, -it.Bytes())
+		if pa, isBegun := jo.Partial[re.Item]; isBegun {
+			le.uses.total -= pa.bytes()
+		}
+		le.uses.total += it.listedBytes() + re.bytes()
+
 		jo.Listed[re.Item] = true
 		// Only the ID and group of a listed item are still needed.
-		it := &jo.Spec.Items[re.Item]
 		it.Headers, it.Body, it.Reward = nil, nil, nil
 		delete(jo.Partial, re.Item)
 		jo.Results = append(jo.Results, re)
@@ -365,7 +317,7 @@
 		if !ok || !jo.IsOpen() || pa.Item < 0 || pa.Item >= len(jo.Listed) || jo.Listed[pa.Item] {
 			continue
 		}
-		old := jo.Partial[pa.Item]
+		old, isBegun := jo.Partial[pa.Item]
 		if !pa.follows(&old) {
 			continue
 		}
@@ -377,6 +329,10 @@
 			next.Events = slices.Concat(old.Events, next.Events)
 		}
 		jo.Partial[pa.Item] = next
+		le.uses.total += next.bytes()
+		if isBegun {
+			le.uses.total -= old.bytes()
+		}
 	}
 }
 
@@ -404,6 +360,7 @@
 			delete(le.jobs, id)
 			le.index.remove(jo)
 			le.changes.add(id)
+			le.uses.add(jo, -1)
 		}
 	}
 }
