--- a/internal/consensus/transfer.go
+++ b/internal/consensus/transfer.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"hash"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -64,9 +65,9 @@
 	}
 }
 
-// snapshotDigest returns the xxHash64 of the index, term, membership and data of sn. It detects
-// damage by accident; replicas trust each other otherwise.
-func snapshotDigest(sn *Snapshot) uint64 {
+// NewSnapshotDigest returns the xxHash64 of the index, term and membership of sn, to which its data is
+// still to be written. It detects damage by accident; replicas trust each other otherwise.
+func NewSnapshotDigest(sn *Snapshot) hash.Hash64 {
 	b := binary.LittleEndian.AppendUint64(nil, sn.Index)
 	b = binary.LittleEndian.AppendUint64(b, sn.Term)
 	for _, ids := range [][]ReplicaID{sn.Membership.Voters, sn.Membership.Learners} {
@@ -78,7 +79,14 @@
 	}
 	di := xxhash.New()
 	_, _ = di.Write(b) // never fails
-	_, _ = di.Write(sn.Data)
+
+	return di
+}
+
+// snapshotDigest returns the digest of a snapshot and its data.
+func snapshotDigest(sn *Snapshot) uint64 {
+	di := NewSnapshotDigest(sn)
+	_, _ = di.Write(sn.Data) // never fails
 
 	return di.Sum64()
 }
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -100,6 +100,11 @@
 	Term       uint64     `cbor:"2,keyasint"`
 	Membership Membership `cbor:"3,keyasint"`
 	Data       []byte     `cbor:"4,keyasint"`
+
+	// Size and Digest are those of a stored snapshot: the bytes of its data, and the sum of its
+	// NewSnapshotDigest.
+	Size   uint64 `cbor:"-"`
+	Digest uint64 `cbor:"-"`
 }
 
 // MessageKind determines which protocol step a Message belongs to.
--- a/internal/group/snapshot.go
+++ b/internal/group/snapshot.go
@@ -1,6 +1,8 @@
 package group
 
 import (
+	"io"
+
 	"github.com/apex/log"
 
 	"github.com/tamarackbay/tamarackbay/internal/consensus"
@@ -26,17 +28,21 @@
 	n.isSnapshotting, n.bytesSinceSnapshot = true, 0
 	began := n.now()
 	n.background.Go(func() {
-		data, err := encode()
-		encoded := n.now()
-		if err == nil {
-			complete := sn
-			complete.Data = data
-			err = n.store.WriteSnapshot(complete)
+		stored, err := n.store.WriteSnapshot(sn, func(w io.Writer) error {
+			data, err := encode()
+			if err != nil {
+				return err
+			}
+			_, err = w.Write(data)
+
+			return err
+		})
+		if err != nil {
+			stored = sn
+		} else {
+			n.log.WithFields(log.Fields{"index": sn.Index, "bytes": stored.Size, "ms": (n.now() - began).Milliseconds()}).Info("snapshot written")
 		}
-		n.log.WithFields(log.Fields{
-			"index": sn.Index, "bytes": len(data), "encodeMs": (encoded - began).Milliseconds(), "writeMs": (n.now() - encoded).Milliseconds(),
-		}).Info("snapshot written")
-		n.snapshotResults <- snapshotResult{snapshot: sn, err: err}
+		n.snapshotResults <- snapshotResult{snapshot: stored, err: err}
 	})
 
 	return nil
--- a/internal/storage/files.go
+++ b/internal/storage/files.go
@@ -3,7 +3,6 @@
 package storage
 
 import (
-	"io"
 	"os"
 	"path/filepath"
 	"sort"
@@ -111,8 +110,21 @@
 // holds either the old or the new file. After a failed write, the space of the new file is
 // free again.
 func (fi Files) WriteAtomic(path string, parts ...[]byte) error {
+	return fi.writeAtomic(path, func(f File) error {
+		for _, b := range parts {
+			if err := writeAll(f, b); err != nil {
+				return err
+			}
+		}
+
+		return nil
+	})
+}
+
+// writeAtomic replaces the file at path as WriteAtomic does, with what write writes.
+func (fi Files) writeAtomic(path string, write func(f File) error) error {
 	tmp := path + ".tmp"
-	err := fi.write(tmp, parts)
+	err := fi.create(tmp, write)
 	if err == nil {
 		err = fi.Rename(tmp, path)
 	}
@@ -125,25 +137,18 @@
 	return fi.SyncDir(filepath.Dir(path))
 }
 
-// write creates a file that holds the concatenated parts, and syncs it.
-func (fi Files) write(path string, parts [][]byte) error {
+// create creates a file that holds what write writes, and syncs it.
+func (fi Files) create(path string, write func(f File) error) error {
 	f, err := fi.Create(path)
 	if err != nil {
 		return err
 	}
-	for _, b := range parts {
-		n, err := f.Write(b)
-		if err == nil && n < len(b) {
-			err = io.ErrShortWrite
-		}
-		if err != nil {
-			_ = f.Close()
-
-			return err
-		}
+	err = write(f)
+	if err == nil {
+		err = f.Sync()
 	}
-	if err := f.Sync(); err != nil {
-		_ = f.Close()
+	if err != nil {
+		_ = f.Close() // the write's own error is reported
 
 		return err
 	}
--- a/internal/storage/record.go
+++ b/internal/storage/record.go
@@ -9,8 +9,6 @@
 	recordHeaderBytes = 8        // length and CRC32C, 4 bytes each
 	maxRecordBytes    = 64 << 20 // readRecord rejects a larger length as damage
 	maxTailScanBytes  = 1 << 20  // how far hasRecordAfter searches
-	// maxDataRecordBytes limits the snapshot data in one record.
-	maxDataRecordBytes = 16 << 20
 )
 
 // Kinds of records in log segments and snapshot files. The values are stored.
@@ -18,8 +16,9 @@
 	recordHeader byte = iota + 1
 	recordEntry       // a log entry, or the metadata of a snapshot
 	recordHardState
-	recordSnapshotData // part of a snapshot's data
-	recordSnapshotEnd  // total number of bytes of a snapshot's data
+	recordSnapshotData   // part of a snapshot's data
+	recordSnapshotEnd    // total number of bytes of a snapshot's data
+	recordSnapshotDigest // digest of a snapshot, after its end; files of earlier versions have none
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -41,16 +40,6 @@
 	return append(append(dst, h[:]...), kind)
 }
 
-// recordPrefix returns the header and kind of a record with the given body. The caller writes
-// the body after it, which avoids a copy.
-func recordPrefix(kind byte, body []byte) []byte {
-	b := beginRecord(nil, kind)
-	binary.LittleEndian.PutUint32(b, uint32(len(body)+1))
-	binary.LittleEndian.PutUint32(b[4:], crc32.Update(crc32.Checksum([]byte{kind}, castagnoli), castagnoli, body))
-
-	return b
-}
-
 // finishRecord sets the length and the checksum in the header of the record b.
 func finishRecord(b []byte) {
 	body := b[recordHeaderBytes:]
--- a/internal/storage/refusal_test.go
+++ b/internal/storage/refusal_test.go
@@ -43,7 +43,7 @@
 
 var _ = Describe("a disk that refuses writes for a time", func() {
 	// script is what a replica writes: entries, entries that replace others, a snapshot of its
-	// own, one from the leader, and entries after each.
+	// own in many pieces, one from the leader, and entries after each.
 	script := func(write func(f func(st *storage.Store) error)) {
 		saveEntries := func(es []consensus.Entry, hs *consensus.HardState) {
 			write(func(st *storage.Store) error { return save(st, es, hs) })
@@ -51,7 +51,7 @@
 		saveEntries(entries(1, 4, 1), &consensus.HardState{Term: 1, Vote: "a"})
 		saveEntries(entries(3, 3, 2), &consensus.HardState{Term: 2})
 		write(func(st *storage.Store) error {
-			return st.SaveSnapshot(consensus.Snapshot{Index: 2, Term: 1, Data: []byte("own")}, false)
+			return st.SaveSnapshot(consensus.Snapshot{Index: 2, Term: 1, Data: make([]byte, 3<<20)}, false)
 		})
 		saveEntries(entries(6, 2, 2), nil)
 		write(func(st *storage.Store) error {
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -3,9 +3,11 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"io"
 	"path/filepath"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -89,36 +91,55 @@
 	if st.failure != nil {
 		return st.failure
 	}
-	if err := st.WriteSnapshot(sn); err != nil {
+	stored, err := st.writeSnapshot(sn, nil, func(w io.Writer) error {
+		_, err := w.Write(sn.Data)
+
+		return err
+	})
+	if err != nil {
 		st.failure = err
 
 		return err
 	}
 
-	return st.AdoptSnapshot(sn, received)
+	return st.AdoptSnapshot(stored, received)
 }
 
-// WriteSnapshot writes sn next to the stored snapshot. It may run concurrently with all other
-// calls. The caller must then call AdoptSnapshot or DropSnapshot.
-func (st *Store) WriteSnapshot(sn consensus.Snapshot) error {
-	h, err := cbor.Marshal(fileHeader{Format: FormatVersion, Group: st.group})
-	if err != nil {
-		return fileError(st.dir, err)
-	}
-	b, err := appendCBOR(appendRecord(nil, recordHeader, h), recordEntry, withoutData(sn))
-	if err != nil {
-		return fileError(st.dir, err)
-	}
-	parts := [][]byte{b}
-	for part := range slices.Chunk(sn.Data, maxDataRecordBytes) {
-		parts = append(parts, recordPrefix(recordSnapshotData, part), part)
-	}
-	parts = append(parts, appendRecord(nil, recordSnapshotEnd, binary.LittleEndian.AppendUint64(nil, uint64(len(sn.Data)))))
-	if err := st.files.WriteAtomic(st.snapshotPath(sn.Index), parts...); err != nil {
-		return fileError(st.dir, err)
+// WriteSnapshot writes a snapshot with the metadata sn next to the stored snapshot, and returns the
+// metadata with the size and the digest. The data is what encode writes; only a piece of it is held in
+// memory. WriteSnapshot may run concurrently with all other calls, and leaves half of the disk to them.
+// The caller must then call AdoptSnapshot or DropSnapshot. An error of encode is returned as it is.
+func (st *Store) WriteSnapshot(sn consensus.Snapshot, encode func(w io.Writer) error) (consensus.Snapshot, error) {
+	return st.writeSnapshot(sn, st.pause, encode)
+}
+
+func (st *Store) writeSnapshot(sn consensus.Snapshot, pause func(d time.Duration), encode func(w io.Writer) error) (consensus.Snapshot, error) {
+	var encodeErr error
+	err := st.files.writeAtomic(st.snapshotPath(sn.Index), func(f File) error {
+		pw, err := newPieceWriter(f, pause, st.group, sn)
+		if err != nil {
+			return err
+		}
+		if err := encode(pw); err != nil {
+			if pw.err == nil {
+				encodeErr = err
+			}
+
+			return err
+		}
+		err = pw.finish()
+		sn.Size, sn.Digest = pw.size, pw.digest.Sum64()
+
+		return err
+	})
+	switch {
+	case encodeErr != nil:
+		return consensus.Snapshot{}, encodeErr
+	case err != nil:
+		return consensus.Snapshot{}, fileError(st.dir, err)
 	}
 
-	return nil
+	return withoutData(sn), nil
 }
 
 // DropSnapshot removes a written snapshot that is not adopted because a newer one is stored.
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -3,10 +3,10 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"io/fs"
 	"path/filepath"
 	"strings"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -17,7 +17,9 @@
 
 // FormatVersion is the version of the files that this package writes.
 //
-// Version 2 stores the data of a snapshot in separate records. Version 1 can still be read.
+// Version 2 stores the data of a snapshot in separate records: first the metadata, then the data in
+// records of any size, its total size and the digest of the snapshot, which was added later and which
+// earlier programs ignore. Version 1 can still be read.
 const FormatVersion = 2
 
 // maxSegmentBytes is the size of a log segment above which a new one is started.
@@ -54,6 +56,7 @@
 	snapshot     consensus.Snapshot
 	encodeBuffer []byte
 	failure      error
+	pause        func(d time.Duration) // between the pieces of a snapshot
 }
 
 // recoveredTail is the newest segment that Open read, until it is cut and synced.
@@ -78,7 +81,7 @@
 		return nil, nil, fileError(dir, err)
 	}
 
-	st := &Store{files: files, dir: dir, group: group}
+	st := &Store{files: files, dir: dir, group: group, pause: time.Sleep}
 	names, err := files.List(dir)
 	if err != nil {
 		return nil, nil, fileError(dir, err)
@@ -359,17 +362,13 @@
 }
 
 func (st *Store) writeSynced(b []byte) error {
-	n, err := st.currentFile.Write(b)
-	if err == nil && n < len(b) {
-		err = io.ErrShortWrite
-	}
-	if err != nil {
+	if err := writeAll(st.currentFile, b); err != nil {
 		return st.failWith(err)
 	}
 	if err := st.currentFile.Sync(); err != nil {
 		return st.failWith(err)
 	}
-	st.currentBytes += n
+	st.currentBytes += len(b)
 
 	return nil
 }
