--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -93,7 +93,7 @@
 				settings: standin.NodeSettings{
 					Name: fmt.Sprintf("%s-%d", role, i+1), IP: ip, Ports: ports, Controllers: de.caller.ControllerIPs, UsageAddress: de.usage.Address(),
 					Grace: gracePeriod, Window: 5 * time.Second, Lease: 3 * time.Second, Heartbeat: cfg.Heartbeat,
-					Limits: cfg.Limits[role],
+					Limits: cfg.Limits[role], Tolerated: cfg.Tolerated,
 				},
 			}
 			if role != program.RoleGateway {
@@ -137,7 +137,7 @@
 		bs.CrashOn(func(target string) bool { return target == crashTarget }, crashDuration)
 		if i >= cfg.PlainServers {
 			bs = standin.NewBackendServer(fmt.Sprintf("e%d", i), serviceEngines, standin.Model)
-			bs.Pace, bs.TagsEvents = 15*time.Millisecond, true
+			bs.Pace, bs.TagsEvents, bs.Padding = 15*time.Millisecond, true, cfg.Padding
 			bs.Software = []string{"v1", "v1.1"}[i%2]
 		}
 		bs.Zone = string(rune('a' + i%cfg.Zones))
--- a/soak/powerloss_test.go
+++ b/soak/powerloss_test.go
@@ -154,6 +154,15 @@
 
 	ch.make(ctx, pl, pl.control(controllers[0]))
 	pl.acked = time.Now()
+	pl.loseAllPower(pl.lost)
+	ch.check(ctx, pl)
+	for _, pr := range pl.de.processes {
+		Expect(pr.unexpectedExits()).To(BeEmpty())
+	}
+}
+
+// loseAllPower kills all processes, empties the disks of some, and starts all after powerOffTime.
+func (pl *powerLoss) loseAllPower(lost ...*process) {
 	// A page that was written and not synced survives SIGKILL, unlike a real loss of power.
 	for _, pr := range pl.de.processes {
 		Expect(pr.signal(syscall.SIGKILL)).To(Succeed())
@@ -162,18 +171,18 @@
 	for _, pr := range pl.de.processes {
 		Expect(pr.stop(syscall.SIGKILL)).To(Succeed())
 	}
-	Expect(pl.lost.wipe()).To(Succeed())
+	var names []string
+	for _, pr := range lost {
+		Expect(pr.wipe()).To(Succeed())
+		names = append(names, pr.settings.Name)
+	}
 	pl.de.network.clearFaults()
 	time.Sleep(powerOffTime)
 	for _, pr := range pl.de.processes {
 		Expect(pr.start()).To(Succeed())
 	}
 	pl.started = time.Now()
-	ginkgo.GinkgoWriter.Printf("all processes were killed within %v after the acknowledgement; the disk of %s was lost\n", took, pl.lost.settings.Name)
-	ch.check(ctx, pl)
-	for _, pr := range pl.de.processes {
-		Expect(pr.unexpectedExits()).To(BeEmpty())
-	}
+	ginkgo.GinkgoWriter.Printf("all processes were killed within %v after the acknowledgement; the disks of %v were lost\n", took, names)
 }
 
 func (pl *powerLoss) processes(role string) []*process {
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -59,6 +59,8 @@
 	IsDirect     bool                             // connections to backend servers are not forwarded
 	Cores        int                              // processor cores that each process uses, 0 for all
 	Heartbeat    time.Duration                    // of backend servers in the settings, 300 ms if it is 0
+	Tolerated    int                              // machines that may be lost with their disks, 1 if it is 0
+	Padding      string                           // follows each event of an engine
 	Limits       map[string]standin.Limits        // of the processes, by role; the usual ones for the others
 	Logf         func(format string, args ...any) // logs progress, one line per fault
 }
