group: entries are applied beside the loop of the replica

A reader that held the lock for long, or a large batch, kept it from heartbeats and votes.

What its queue has no room for is held back in the loop, which never waits. The status is an atomic pointer; what is applied is published by the applier, after the view. A committed command is answered with its reply even if the lead is lost before it is applied. The names of the replicas that a join needs are read before it runs on the loop.

--- a/internal/group/disk.go
+++ b/internal/group/disk.go
@@ -128,9 +128,7 @@
 		if err := n.store.Save(un.ready); err != nil {
 			return n.suspend(err, unstored{ready: un.ready})
 		}
-		if err := n.carryOut(*un.ready); err != nil {
-			return err
-		}
+		n.carryOut(*un.ready)
 	}
 	n.disk.recordSuccess(time.Now())
 
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -336,7 +336,7 @@
 	gr.refreshView(n.machine)
 }
 
-// onApply runs on the node's loop, with the machine locked, after entries were applied.
+// onApply runs on the node's applier, with the machine locked, after entries were applied.
 func (gr *Group) onApply() {
 	n := gr.node.Load()
 	if n == nil {
@@ -461,10 +461,7 @@
 		return nil
 	}
 
-	n.mu.RLock()
-	defer n.mu.RUnlock()
-
-	return n.applied
+	return n.applier.next()
 }
 
 // TransferLeadership passes leadership to another voter before the process stops.
--- a/internal/group/membership.go
+++ b/internal/group/membership.go
@@ -120,12 +120,14 @@
 		return err
 	}
 
+	names := gr.replicaNames()
+
 	return n.runOnLoop(ctx, func(now time.Duration, re *consensus.Replica) error {
 		m := re.Membership()
 		if m.IsVoter(id) || m.IsLearner(id) {
 			return nil
 		}
-		if ce := gr.census(now, re, gr.replicaNames()); ce.vacancies() <= 0 {
+		if ce := gr.census(now, re, names); ce.vacancies() <= 0 {
 			return result.New(result.GroupComplete, "group: %d of %d voters and %d spare replicas are alive, replica %s is not needed", ce.voters, ce.targetVoters, len(ce.spares), id)
 		}
 		if _, err := re.ProposeMembership(now, m.WithLearner(id)); err != nil {
--- a/internal/group/node.go
+++ b/internal/group/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -65,8 +66,8 @@
 	proposal *proposal
 }
 
-// node runs one replica: it passes events to the consensus core, stores and sends what
-// the core returns, and applies committed entries.
+// node runs one replica: its loop passes events to the consensus core, stores and sends what
+// the core returns, and passes committed entries to the applier.
 type node struct {
 	replica *consensus.Replica
 	store   *storage.Store
@@ -77,13 +78,10 @@
 	// onStatus is called with the previous and the current status.
 	onStatus func(old, st Status)
 	// onDroppedTransfer is called with each received snapshot that was dropped; nil ignores them.
-	onDroppedTransfer  func(dropped consensus.DroppedTransfer)
-	bytesSinceSnapshot int // bytes of commands applied since the last snapshot was begun
+	onDroppedTransfer func(dropped consensus.DroppedTransfer)
 
-	// A snapshot is encoded and written in the background, at most one at a time.
-	isSnapshotting  bool
-	isSnapshotDue   bool          // the last one could not be written
-	snapshotRetryAt time.Duration // earliest time of the next one
+	// A snapshot is encoded and written in the background.
+	snapshots       snapshotSchedule
 	snapshotResults chan snapshotResult
 	background      sync.WaitGroup
 
@@ -98,11 +96,11 @@
 	pendingReads     map[uint64]*readRequest
 	lastReadID       uint64
 
-	mu                sync.RWMutex // guards machine and status
-	machine           *statemachine.Machine
-	status            Status
-	applied           chan struct{} // closed and replaced after each batch applied
-	lastSnapshotIndex uint64
+	applier *applier
+	status  atomic.Pointer[Status] // without what the applier publishes
+
+	mu      sync.RWMutex // guards machine, which only the applier changes; the loop never waits for it
+	machine *statemachine.Machine
 }
 
 func (n *node) now() time.Duration { return time.Since(n.start) }
@@ -112,9 +110,11 @@
 func (n *node) run(ctx context.Context) error {
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
-	defer n.failPending(result.New(result.ShuttingDown, "group: the replica stops").WithExecution(result.ExecutionUnknown))
+	defer n.failPending(errStopping())
 	defer n.store.Close()
 	defer n.background.Wait()
+	n.applier.done.Go(n.applyTasks)
+	defer n.applier.stop(errStopping())
 
 	n.pauses.ended = n.now()
 	for {
@@ -128,12 +128,17 @@
 			if err := n.finishSnapshot(sv); err != nil {
 				return err
 			}
+		case err := <-n.applier.failed:
+			return err
+		case <-n.applier.room:
+			n.pauses.begin()
 		case <-ticker.C:
 			n.pauses.begin()
 		case <-ctx.Done():
 			return nil
 		}
 		batch = n.collectBatch(batch)
+		n.applier.feed()
 		n.pauses.end(stepReceive)
 		if n.unstored != nil {
 			if err := n.resume(); err != nil {
@@ -257,30 +262,24 @@
 			}
 			n.pauses.end(stepStore)
 		}
-		if err := n.carryOut(rd); err != nil {
-			return err
-		}
+		n.carryOut(rd)
 		n.pauses.end(stepApply)
-		if n.unstored != nil {
-			return nil
-		}
 	}
 }
 
 // carryOut does what may follow only once rd is stored.
-func (n *node) carryOut(rd consensus.Ready) error {
+func (n *node) carryOut(rd consensus.Ready) {
 	for _, m := range rd.Messages {
 		n.send(m)
 	}
 	n.replica.Advance(n.now(), rd)
-	if err := n.apply(&rd); err != nil {
-		return err
+	if rd.Snapshot != nil {
+		n.snapshots.store(rd.Snapshot.Index)
 	}
+	n.queueCommitted(&rd)
 	for _, rs := range rd.Reads {
 		n.finishRead(rs)
 	}
-
-	return nil
 }
 
 func (n *node) finishRead(rs consensus.ReadState) {
@@ -297,72 +296,6 @@
 	rr.answer <- an
 }
 
-func (n *node) apply(rd *consensus.Ready) error {
-	if rd.Snapshot != nil {
-		began := n.now()
-		ma, err := statemachine.Restore(rd.Snapshot.Data)
-		if err != nil {
-			return err
-		}
-		n.log.WithFields(log.Fields{"index": rd.Snapshot.Index, "bytes": len(rd.Snapshot.Data), "ms": (n.now() - began).Milliseconds()}).
-			Info("snapshot of the leader installed")
-		n.mu.Lock()
-		n.machine, n.lastSnapshotIndex = ma, rd.Snapshot.Index
-		n.onApply()
-		n.signalApplied()
-		n.mu.Unlock()
-	}
-	if len(rd.Committed) == 0 {
-		return nil
-	}
-
-	n.mu.Lock()
-	for _, en := range rd.Committed {
-		var rep []byte
-		if en.Kind == consensus.EntryCommand {
-			rep = n.machine.Apply(en.Index, en.Data)
-			n.bytesSinceSnapshot += len(en.Data)
-		} else {
-			n.machine.Skip(en.Index)
-		}
-		n.answerProposal(en, rep)
-	}
-	// The view is updated before the lock is released and waiters are notified: a read
-	// that waited for these entries is answered from the view.
-	n.onApply()
-	n.signalApplied()
-	last := rd.Committed[len(rd.Committed)-1].Index
-	n.mu.Unlock()
-
-	isDue := n.isSnapshotDue || last >= n.lastSnapshotIndex+snapshotEntries || n.bytesSinceSnapshot > snapshotBytes
-	if isDue && !n.isSnapshotting && n.now() >= n.snapshotRetryAt {
-		return n.snapshot(last)
-	}
-
-	return nil
-}
-
-// signalApplied notifies those that wait for entries to be applied; n.mu is held.
-func (n *node) signalApplied() {
-	close(n.applied)
-	n.applied = make(chan struct{})
-}
-
-func (n *node) answerProposal(en consensus.Entry, rep []byte) {
-	w, ok := n.pendingProposals[en.Index]
-	if !ok {
-		return
-	}
-
-	delete(n.pendingProposals, en.Index)
-	if w.term != en.Term {
-		w.proposal.answer <- proposalAnswer{err: result.New(result.NotLeader, "group: this replica lost leadership, the command was not committed")}
-
-		return
-	}
-	w.proposal.answer <- proposalAnswer{reply: rep}
-}
-
 // failPending answers all pending proposals and reads with err.
 func (n *node) failPending(err error) {
 	for i, w := range n.pendingProposals {
@@ -432,10 +365,8 @@
 // waitApplied waits until the entry at index is applied here.
 func (n *node) waitApplied(ctx context.Context, index uint64) error {
 	for {
-		n.mu.RLock()
-		at, changed := n.machine.Applied(), n.applied
-		n.mu.RUnlock()
-		if at >= index {
+		changed := n.applier.next()
+		if n.applier.position.Load().index >= index {
 			return nil
 		}
 
--- a/internal/group/node_test.go
+++ b/internal/group/node_test.go
@@ -30,12 +30,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done = make(chan error, 1)
 	go func() { done <- n.run(ctx) }()
-	Eventually(func() bool {
-		n.mu.RLock()
-		defer n.mu.RUnlock()
-
-		return n.status.IsSettled
-	}, "5s").Should(BeTrue())
+	Eventually(func() bool { return n.getStatus().IsSettled }, "5s").Should(BeTrue())
 
 	return n, cancel, done
 }
@@ -99,7 +94,7 @@
 		n.mu.RLock()
 		defer n.mu.RUnlock()
 		Expect(n.machine.Jobs().Jobs()).To(HaveLen(snapshotBytes/commandBytes + 4))
-		Expect(n.lastSnapshotIndex).To(BeNumerically(">", 0), "the state comes from a snapshot and the log after it")
+		Expect(n.snapshots.stored()).To(BeNumerically(">", 0), "the state comes from a snapshot and the log after it")
 	})
 
 	ginkgo.It("terminates the replica if it cannot be written", func() {
--- a/internal/group/opennode.go
+++ b/internal/group/opennode.go
@@ -76,9 +76,11 @@
 	n := &node{
 		store: st, start: time.Now(), wallMs: cfg.wallMs, send: cfg.send, onApply: cfg.onApply, onStatus: cfg.onStatus,
 		inbox: make(chan event, inboxSize), pendingProposals: map[uint64]pendingProposal{}, pendingReads: map[uint64]*readRequest{},
-		machine: ma, applied: make(chan struct{}), lastSnapshotIndex: re.Snapshot.Index, snapshotResults: make(chan snapshotResult, 1),
+		machine: ma, applier: newApplier(position{re.Snapshot.Index, re.Snapshot.Term}), snapshotResults: make(chan snapshotResult, 1),
 		disk: cfg.disk, onDroppedTransfer: cfg.onDroppedTransfer, log: cfg.log,
 	}
+	n.snapshots.store(re.Snapshot.Index)
+	n.status.Store(&Status{})
 	if n.log == nil {
 		n.log = cfg.disk.log
 	}
--- a/internal/group/snapshot.go
+++ b/internal/group/snapshot.go
@@ -13,17 +13,14 @@
 	err      error
 }
 
-// snapshot starts to store the state after index. Entries are applied meanwhile: encoding
-// a large state can take longer than the followers' election timeout.
-func (n *node) snapshot(index uint64) error {
+// snapshot starts to store the state after the entry that sn names, which was applied last. Entries
+// are applied meanwhile: encoding a large state takes long.
+func (n *node) snapshot(sn consensus.Snapshot) error {
 	encode, err := n.machine.Freeze()
 	if err != nil {
 		return err
 	}
 
-	term, _ := n.replica.TermAt(index)
-	sn := consensus.Snapshot{Index: index, Term: term, Membership: n.replica.MembershipAt(index)}
-	n.isSnapshotting, n.bytesSinceSnapshot = true, 0
 	began := n.now()
 	n.background.Go(func() {
 		data, err := encode()
@@ -55,7 +52,7 @@
 // finishSnapshot adopts a written snapshot. One that the disk refused is due again after a pause;
 // until then the log is retained.
 func (n *node) finishSnapshot(sv snapshotResult) error {
-	n.isSnapshotting = false
+	n.snapshots.end()
 	switch {
 	case sv.err == nil && n.unstored != nil:
 		n.unstored.snapshot = &sv
@@ -66,7 +63,7 @@
 	case !storage.IsTransient(sv.err):
 		return sv.err
 	}
-	n.isSnapshotDue, n.snapshotRetryAt = true, n.now()+snapshotRetryPause
+	n.snapshots.retry(n.now() + snapshotRetryPause)
 	n.disk.log.WithError(sv.err).WithField("index", sv.snapshot.Index).Warn("the disk refuses a snapshot, it will be retried")
 
 	return nil
@@ -76,7 +73,7 @@
 // covers, except for the entries that are retained for slow followers.
 func (n *node) adoptSnapshot(sv snapshotResult) error {
 	sn := sv.snapshot
-	if sn.Index <= n.lastSnapshotIndex {
+	if sn.Index <= n.snapshots.stored() {
 		// The leader has sent a newer one meanwhile.
 		if err := n.store.DropSnapshot(sn.Index); err != nil {
 			return n.suspend(err, unstored{snapshot: &sv})
@@ -87,7 +84,7 @@
 	if err := n.store.AdoptSnapshot(sn, false); err != nil {
 		return n.suspend(err, unstored{snapshot: &sv})
 	}
-	n.lastSnapshotIndex, n.isSnapshotDue = sn.Index, false
+	n.snapshots.store(sn.Index)
 	dropTo := max(n.replica.TailFrom(retainedBytes), 1) - 1
 	if sn.Index > retainedEntries {
 		dropTo = max(dropTo, sn.Index-retainedEntries)
--- a/internal/group/status.go
+++ b/internal/group/status.go
@@ -27,19 +27,13 @@
 		Replica: re.ID(), Role: re.Role().String(), Leader: re.Leader(), Term: re.Term(),
 		Commit: re.Commit(), Membership: re.Membership(),
 	}
-	n.mu.Lock()
-	st.Applied = n.machine.Applied()
-	if t, ok := re.TermAt(st.Applied); ok && re.Role() == consensus.RoleLeader {
-		st.IsSettled = t == re.Term()
-	}
 	if n.unstored != nil {
 		st.Leader = n.heardLeader
 	}
-	old := n.status
-	n.status = st
-	n.mu.Unlock()
+	old := n.getStatus()
+	n.status.Store(&st)
 	if n.onStatus != nil {
-		n.onStatus(old, st)
+		n.onStatus(old, n.getStatus())
 	}
 
 	if re.Role() != consensus.RoleLeader && len(n.pendingProposals) > 0 {
@@ -47,9 +41,11 @@
 	}
 }
 
+// getStatus returns the published state with what is applied. It waits for nothing.
 func (n *node) getStatus() Status {
-	n.mu.RLock()
-	defer n.mu.RUnlock()
+	st, at := *n.status.Load(), n.applier.position.Load()
+	st.Applied, st.Commit = at.index, max(st.Commit, at.index)
+	st.IsSettled = st.Role == consensus.RoleLeader.String() && at.term == st.Term
 
-	return n.status
+	return st
 }
