--- a/internal/capacity/recovery.go
+++ b/internal/capacity/recovery.go
@@ -33,6 +33,7 @@
 	// recoveryWait bounds each wait for the group; what takes longer is reported as such.
 	recoveryWait  = 60 * time.Second
 	settledPeriod = 20 * time.Second // in which changes of the leader are counted
+	quietPeriod   = 3 * time.Second  // without a new snapshot, after which none is being written
 	pollPeriod    = 10 * time.Millisecond
 
 	steadyPeriod   = 10 * time.Millisecond // between two small progress commits
@@ -62,7 +63,7 @@
 	VotersS         *float64 `json:"votersS"`         // from the return of power to the full number of living voters
 	CaughtUpS       *float64 `json:"caughtUpS"`       // until all replicas are members and have applied what is committed
 	RecoveryPauseMs float64  `json:"recoveryPauseMs"` // longest pause of a loop after the return of power
-	IdleHeapMB      float64  `json:"idleHeapMB"`      // live heap of all replicas before the loss of power
+	IdleHeapMB      float64  `json:"idleHeapMB"`      // live heap of all replicas with the filled ledger
 	SteadyPeakMB    float64  `json:"steadyPeakMB"`    // peak of the heap above the idle one while snapshots are written
 	RecoveryPeakMB  float64  `json:"recoveryPeakMB"`  // the same after the return of power
 	Failure         string   `json:"failure,omitempty"`
@@ -109,6 +110,10 @@
 
 		return p, nil
 	}
+	if err := rg.awaitQuiet(); err != nil {
+		return p, err
+	}
+	p.IdleHeapMB = float64(heapBytes()) / 1e6
 	stopSteady := rg.runSteady()
 	rg.measureSnapshots(&p)
 	stopSteady()
@@ -136,9 +141,24 @@
 	stop()
 	p.SteadyPauseMs = ms(time.Duration(rg.longestPause.Load()))
 	p.SteadyLeaders = rg.leaders() - leaders
-	top := peak()
-	p.IdleHeapMB = float64(heapBytes()) / 1e6
-	p.SteadyPeakMB = top - p.IdleHeapMB
+	p.SteadyPeakMB = peak() - p.IdleHeapMB
+}
+
+// awaitQuiet waits until the snapshots that became due while the ledger was filled are written.
+func (rg *recoveryGroup) awaitQuiet() error {
+	last, since := rg.newestSnapshots(), time.Now()
+	_, ok := waitFor(func() bool {
+		if now := rg.newestSnapshots(); !slices.Equal(now, last) {
+			last, since = now, time.Now()
+		}
+
+		return time.Since(since) > quietPeriod
+	})
+	if !ok {
+		return fmt.Errorf("capacity: snapshots were written for %v after the ledger was filled", recoveryWait)
+	}
+
+	return nil
 }
 
 // measurePowerLoss measures the recovery after all replicas and the disks of two voters are lost.
