jobdriver: keep the waiting items in order from pass to pass

Cause: each pass collected all waiting items in the random order of maps and sorted them anew, with a comparison that always compared the IDs of the jobs; it joined a key for each item, and counted the ready backend servers by software for each begun text. What a pass allocated grew with the items.

Change: a pass begins with the order of the last one, which hardly changes, and sorts only if it did. Keys are structs, and counts are taken once in a pass.

--- a/internal/jobdriver/driver.go
+++ b/internal/jobdriver/driver.go
@@ -71,6 +71,7 @@
 	running  map[string]int
 	paces    *paceTracker
 	classes  paceClasses
+	waits    waitQueue
 	progress []job.Part // parts queued for the next commit
 	commit   func(ctx context.Context, pr job.Progress) error
 	// isFlushing is set while a commit of progress is in flight. The next commit waits
@@ -213,7 +214,7 @@
 	for _, js := range dr.jobs {
 		js.cancelAll()
 	}
-	dr.jobs, dr.progress = map[string]*jobState{}, nil
+	dr.jobs, dr.progress, dr.waits = map[string]*jobState{}, nil, waitQueue{}
 	dr.cfg.Shares.SetWaiting(dr.cfg.Now(), nil)
 	dr.resetPlacement()
 }
--- a/internal/jobdriver/place.go
+++ b/internal/jobdriver/place.go
@@ -17,32 +17,114 @@
 // waitingTask is a task that is due for a backend server.
 type waitingTask struct {
 	*task
+	isBegun     bool
 	remaining   float64 // tokens that its text is expected to need
 	latestStart time.Time
 }
 
+// waitQueue holds the waiting tasks of the last pass in their order, which hardly changes from one pass to the
+// next. Its memory is used again.
+type waitQueue struct {
+	found   []*task       // tasks that wait, in no order
+	sorted  []waitingTask // in order of placement
+	ordered []waitingTask // a copy that the plan for a shortage may put in another order
+}
+
+// sort puts the tasks that were found in order. add returns the entry of a task.
+func (wq *waitQueue) sort(add func(t *task) waitingTask) {
+	for _, t := range wq.found {
+		t.isFound = true
+	}
+	out := wq.sorted[:0]
+	for i := range wq.sorted {
+		if t := wq.sorted[i].task; t.isFound {
+			t.isFound = false
+			out = append(out, add(t))
+		}
+	}
+	for _, t := range wq.found {
+		if t.isFound { // in none of the last pass
+			t.isFound = false
+			out = append(out, add(t))
+		}
+	}
+	if !slices.IsSortedFunc(out, compareWaiting) {
+		slices.SortFunc(out, compareWaiting)
+	}
+	clear(wq.found)
+	clear(wq.sorted[min(len(out), len(wq.sorted)):]) // holds no tasks that wait no more
+	wq.found, wq.sorted = wq.found[:0], out
+}
+
 // waitingTasks returns the tasks that are due for a backend server, in order of placement:
 // begun texts first, since they may continue at some backend servers only, then the one that
-// must start first to be complete when it is due, across all jobs.
+// must start first to be complete when it is due, across all jobs. The slice is valid until the next call.
 func (dr *Driver) waitingTasks(now time.Time) []waitingTask {
 	pa := dr.tokenPaces()
-	var out []waitingTask
+	wq := &dr.waits
 	for _, js := range dr.jobs {
 		for _, t := range js.tasks {
 			if t.phase == waiting && !now.Before(t.notBefore) {
-				remaining := dr.remaining(t)
-				out = append(out, waitingTask{task: t, remaining: remaining, latestStart: stepplan.LatestStart(js.due, remaining, pa.Fast)})
+				wq.found = append(wq.found, t)
 			}
 		}
 	}
-	slices.SortFunc(out, func(a, b waitingTask) int {
-		return cmp.Or(
-			cmp.Compare(min(b.generated.lastEvent, 1), min(a.generated.lastEvent, 1)),
-			a.latestStart.Compare(b.latestStart), cmp.Compare(a.job.id, b.job.id), cmp.Compare(a.index, b.index),
-		)
+	wq.sort(func(t *task) waitingTask {
+		remaining := dr.remaining(t)
+
+		return waitingTask{
+			task: t, isBegun: t.generated.lastEvent > 0, remaining: remaining, latestStart: stepplan.LatestStart(t.job.due, remaining, pa.Fast),
+		}
 	})
+	clear(wq.ordered)
+	wq.ordered = append(wq.ordered[:0], wq.sorted...)
 
-	return out
+	return wq.ordered
+}
+
+// compareWaiting orders waiting tasks for placement. Most differ by their latest start, so that the rest is
+// rarely compared.
+func compareWaiting(a, b waitingTask) int {
+	if a.isBegun != b.isBegun {
+		if a.isBegun {
+			return -1
+		}
+
+		return 1
+	}
+	if c := a.latestStart.Compare(b.latestStart); c != 0 {
+		return c
+	}
+
+	return cmp.Or(cmp.Compare(a.job.id, b.job.id), cmp.Compare(a.index, b.index))
+}
+
+// slotKey is what decides whether a service has a free slot for a text, but for the backend servers of its
+// failed runs.
+type slotKey struct {
+	service, job, software, regions string
+	isFastOnly                      bool
+}
+
+// passState is what a pass has found so far.
+type passState struct {
+	full  map[slotKey]bool          // without a free slot
+	short map[string]bool           // services without a free slot
+	ready map[string]map[string]int // ready backend servers by service and software
+}
+
+func newPassState() *passState {
+	return &passState{full: map[slotKey]bool{}, short: map[string]bool{}, ready: map[string]map[string]int{}}
+}
+
+// readyBySoftware returns the number of ready backend servers of a service by their software, as of the first
+// time that the pass asked.
+func (dr *Driver) readyBySoftware(ps *passState, service string) map[string]int {
+	if ps.ready[service] == nil {
+		ps.ready[service] = dr.cfg.Balancer.ReadyBySoftware(service)
+	}
+
+	return ps.ready[service]
 }
 
 // place starts waiting tasks while backend servers have free slots.
@@ -52,7 +134,6 @@
 		return
 	}
 	now := time.Now()
-	full := map[string]bool{} // service and job pairs without a free slot in this pass
 	waits := dr.waitingTasks(now)
 	if !dr.mayPlace() {
 		dr.hold(waits, now)
@@ -60,7 +141,7 @@
 		return
 	}
 	dr.orderForShortage(waits, ta, now)
-	short := map[string]bool{} // services without a free slot in this pass
+	ps := newPassState()
 	for i, wt := range waits {
 		t := wt.task
 		if dr.endOverdue(t, now) {
@@ -78,7 +159,7 @@
 			}
 			t.generated, t.isWhole = generatedText{}, false
 		}
-		dr.discardUnusable(t, ro, now)
+		dr.discardUnusable(ps, t, ro, now)
 		ws := ta.Workspace(t.job.workspace)
 		t.regions = ro.AllowedRegions(ws)
 		service := dr.cfg.Balancer.PickService(ro, t.regions, dr.cfg.Random())
@@ -86,26 +167,23 @@
 			service = t.generated.service
 		}
 		preferred := dr.preference(&wt, now)
-		key := service + "@" + t.job.id + "@" + t.generated.software
-		if preferred == stepplan.RequireFast {
-			key += "@fast"
-		}
+		key := slotKey{service: service, job: t.job.id, software: t.generated.software, isFastOnly: preferred == stepplan.RequireFast}
 		if t.regions != nil {
-			key += "@" + strings.Join(t.regions, ",")
+			key.regions = "@" + strings.Join(t.regions, ",")
 		}
-		if full[key] {
+		if ps.full[key] {
 			continue
 		} else if gr := dr.acquire(service, t, preferred); gr == nil {
-			full[key] = true
+			ps.full[key] = true
 			if preferred != stepplan.RequireFast && dr.isEligible(service, t) {
-				short[service] = true
+				ps.short[service] = true
 			}
 			dr.obtainPermits(service, t, ro.Urgency(ws), len(waits)-i)
 		} else {
 			dr.start(t, ro, gr)
 		}
 	}
-	dr.shortage.setShort(short)
+	dr.shortage.setShort(ps.short)
 	dr.countWaiting(ta)
 }
 
@@ -176,12 +254,12 @@
 // discardUnusable discards the text of a waiting task that can't be continued: its weight
 // versions don't allow it, or no backend server of its software version is to be had. The
 // caller holds dr.mu.
-func (dr *Driver) discardUnusable(t *task, ro *routing.Route, now time.Time) {
+func (dr *Driver) discardUnusable(ps *passState, t *task, ro *routing.Route, now time.Time) {
 	te := &t.generated
 	if te.lastEvent == 0 {
 		return
 	}
-	ready := dr.cfg.Balancer.ReadyBySoftware(te.service)
+	ready := dr.readyBySoftware(ps, te.service)
 	hasOthers := len(ready) > 1
 	why := ""
 	switch {
--- a/internal/jobdriver/shortage.go
+++ b/internal/jobdriver/shortage.go
@@ -90,8 +90,11 @@
 func (dr *Driver) countWaiting(ta *routing.Table) {
 	counts := map[fairshare.Key]int{}
 	for _, js := range dr.jobs {
+		if len(dr.shortage.isShort) == 0 {
+			break
+		}
 		for _, t := range js.tasks {
-			if t.phase != waiting || len(dr.shortage.isShort) == 0 {
+			if t.phase != waiting {
 				continue
 			}
 			if service := t.serviceOf(ta); dr.shortage.isShort[service] {
@@ -196,10 +199,12 @@
 	pa := dr.tokenPaces()
 	tokenSeconds := (pa.Fast + pa.Lagging) / 2
 	out := map[string][]stepplan.Step{}
+	groups := map[string]int{} // positions in the groups of a step
 	for _, js := range dr.jobs {
 		st := stepplan.Step{ID: js.id, Excess: js.excess, Due: js.due, LatestStart: js.due, PlacedAt: js.placedAt, Total: js.groups}
 		service, hasWaiting := "", false
-		groups := map[string]*stepplan.Group{}
+		clear(groups)
+		st.Groups = make([]stepplan.Group, 0, js.groups)
 		for _, t := range js.tasks {
 			if t.phase != waiting && t.phase != running {
 				continue // its text is complete
@@ -210,11 +215,12 @@
 				}
 				st.Urgency = ta.Match(js.host, t.item.Path).Urgency(ta.Workspace(js.workspace))
 			}
-			gr := groups[t.item.Group]
-			if gr == nil {
-				gr = &stepplan.Group{}
-				groups[t.item.Group] = gr
+			i, isKnown := groups[t.item.Group]
+			if !isKnown {
+				i = len(st.Groups)
+				groups[t.item.Group], st.Groups = i, append(st.Groups, stepplan.Group{})
 			}
+			gr := &st.Groups[i]
 			remaining := dr.remaining(t)
 			work := remaining * tokenSeconds
 			gr.Longest = max(gr.Longest, work)
@@ -232,9 +238,6 @@
 		if _, eligible := dr.cfg.Balancer.Count(service, js.model, js.minVersion); eligible == 0 {
 			continue // it waits for weights and needs no turn
 		}
-		for _, gr := range groups {
-			st.Groups = append(st.Groups, *gr)
-		}
 		if !hasWaiting {
 			st.PlacedAt = now // it waits for nothing
 		}
--- a/internal/jobdriver/software_test.go
+++ b/internal/jobdriver/software_test.go
@@ -62,7 +62,7 @@
 			t := &task{job: js, item: job.Item{ID: "i"}, waitingSince: now.Add(-tc.waited), brokenRuns: tc.broken, generated: generatedText{
 				events: []string{"x"}, lastEvent: 1, versions: []uint64{1}, service: "s", software: tc.software, took: tc.took,
 			}}
-			dr.discardUnusable(t, ro, now)
+			dr.discardUnusable(newPassState(), t, ro, now)
 			Expect(t.generated.lastEvent == 1).To(Equal(tc.isKept))
 
 			dr.mu.Lock()
--- a/internal/jobdriver/task.go
+++ b/internal/jobdriver/task.go
@@ -33,6 +33,8 @@
 	item  job.Item // its slices are read-only
 	phase phase
 
+	isFound bool // used by waitQueue.sort
+
 	generated         generatedText
 	isWhole           bool         // the text is that of an earlier job, complete
 	earlierEvents     int          // events that an earlier job had of the text at least
