jobdriver: at most one pass of the driver for the commits of 10 ms

Cause: each commit (a result, a part of a text) caused a pass over all items, though only few commits change what can run.

Change: a commit or queued progress causes a pass 10 ms after the last one at the soonest; a run that ended, a new view or a permit 2 ms after it. A leader that reads further jobs passes again at once, after other goroutines had the processor.

Measured: the test of the pauses passes; it has a commit at hand always, which caused passes without a pause before. What this saves under load was not measured by itself.

--- a/internal/jobdriver/driver.go
+++ b/internal/jobdriver/driver.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -28,13 +27,9 @@
 	"github.com/tamarackbay/tamarackbay/internal/workload"
 )
 
-const (
-	// reconcilePeriod is how often the driver checks for due work when no event wakes it.
-	reconcilePeriod = 100 * time.Millisecond
-	// maxFailedServers is how many of the last failed backend servers an item, and the
-	// request for its score, avoid.
-	maxFailedServers = 2
-)
+// maxFailedServers is how many of the last failed backend servers an item, and the
+// request for its score, avoid.
+const maxFailedServers = 2
 
 // Config holds the dependencies of a Driver.
 type Config struct {
@@ -61,6 +56,7 @@
 type Driver struct {
 	cfg       Config
 	wake      chan struct{}
+	soon      chan struct{}
 	intake    intake
 	placement placement
 
@@ -95,7 +91,7 @@
 	}
 
 	dr := &Driver{
-		cfg: cfg, wake: make(chan struct{}, 1), jobs: map[string]*jobState{}, running: map[string]int{}, paces: newPaceTracker(),
+		cfg: cfg, wake: make(chan struct{}, 1), soon: make(chan struct{}, 1), jobs: map[string]*jobState{}, running: map[string]int{}, paces: newPaceTracker(),
 		services: map[string]string{}, demand: map[string]float64{}, obtaining: map[string]bool{}, shortage: newShortage(), commit: func(ctx context.Context, pr job.Progress) error {
 			return cfg.Group.ProposeLocal(ctx, statemachine.KindRecordProgress, pr, nil)
 		},
@@ -107,14 +103,6 @@
 	return dr
 }
 
-// Wake triggers a pass of the driver without waiting for reconcilePeriod.
-func (dr *Driver) Wake() {
-	select {
-	case dr.wake <- struct{}{}:
-	default:
-	}
-}
-
 // Running returns the number of items running at each backend server, by its ID.
 func (dr *Driver) Running() map[string]int {
 	dr.mu.Lock()
@@ -130,44 +118,6 @@
 	return out
 }
 
-// Run executes items whenever this process is the leader, until ctx ends.
-func (dr *Driver) Run(ctx context.Context) {
-	defer dr.wg.Wait()
-	defer dr.stop()
-
-	dr.mu.Lock()
-	dr.ctx = ctx
-	dr.mu.Unlock()
-	for ctx.Err() == nil {
-		applied := dr.cfg.Group.Applied()
-		if dr.reconcile() {
-			runtime.Gosched() // the replica's loop goes first
-			dr.Wake()
-		}
-		select {
-		case <-applied:
-		case <-dr.wake:
-		case <-time.After(reconcilePeriod):
-		case <-ctx.Done():
-		}
-	}
-}
-
-// reconcile reads changes of the ledger and starts the tasks that can run now. It reports whether a further
-// pass is due at once.
-func (dr *Driver) reconcile() bool {
-	st := dr.cfg.Group.Status()
-	if !st.IsSettled {
-		// The ledger may not yet contain all commits of the last leader.
-		dr.stop()
-
-		return false
-	}
-	dr.begin(st.Term)
-
-	return dr.pass()
-}
-
 // begin begins to execute the items in a term, unless this process does so already.
 func (dr *Driver) begin(term uint64) {
 	dr.mu.Lock()
@@ -325,7 +275,7 @@
 			dr.stopProgress(parts)
 		}
 		dr.mu.Unlock()
-		dr.Wake()
+		dr.wakeSoon()
 	}()
 }
 
--- /dev/null
+++ b/internal/jobdriver/loop_test.go
@@ -0,0 +1,77 @@
+package jobdriver
+
+import (
+	"context"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarackbay/tamarackbay/internal/logging"
+)
+
+var _ = ginkgo.Describe("the time of the next pass", func() {
+	// Guards against a pass over all items for each commit, which takes the processor of the leader.
+	ginkgo.It("is after a short pause if a slot became free, and after a longer one if there was a commit", func() {
+		committed := make(chan struct{})
+		close(committed)
+		for _, tc := range []struct {
+			name     string
+			applied  <-chan struct{}
+			wake     func(dr *Driver)
+			min, max time.Duration
+		}{
+			{"commit", committed, func(*Driver) {}, commitPause, reconcilePeriod},
+			{"progress", nil, (*Driver).wakeSoon, commitPause, reconcilePeriod},
+			{"free slot", nil, (*Driver).Wake, wakePause, commitPause},
+			{"free slot beside commits", committed, (*Driver).Wake, wakePause, commitPause},
+			{"nothing", nil, func(*Driver) {}, reconcilePeriod, time.Second},
+		} {
+			// The shortest of some waits: each may be held up by other work of the machine.
+			shortest := time.Hour
+			for range 5 {
+				dr := New(Config{Log: logging.Discard()})
+				tc.wake(dr)
+				start := time.Now()
+				dr.awaitPass(context.Background(), tc.applied)
+				shortest = min(shortest, time.Since(start))
+			}
+			Expect(shortest).To(BeNumerically(">=", tc.min), tc.name)
+			Expect(shortest).To(BeNumerically("<", tc.max), tc.name)
+		}
+	})
+
+	ginkgo.It("is not put off when a slot becomes free during the pause after a commit", func() {
+		committed := make(chan struct{})
+		close(committed)
+		dr := New(Config{Log: logging.Discard()})
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			for range 1000 {
+				dr.awaitPass(context.Background(), committed)
+			}
+		}()
+		start := time.Now()
+		for isDone := false; !isDone; {
+			dr.Wake()
+			select {
+			case <-done:
+				isDone = true
+			case <-time.After(10 * time.Microsecond):
+			}
+		}
+		Expect(time.Since(start)).To(BeNumerically("<", 1000*commitPause))
+	})
+
+	ginkgo.It("is at once when the driver ends", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		dr := New(Config{Log: logging.Discard()})
+		start := time.Now()
+		for range 20 {
+			dr.awaitPass(ctx, nil)
+		}
+		Expect(time.Since(start)).To(BeNumerically("<", reconcilePeriod))
+	})
+})
