jobdriver: start at most 16 items in a pass

Cause: the first pass of a new leader started as many items as there are free slots, each in a goroutine that sends a request at once. The replica's loop waited for the processor behind all of them.

Change: a pass starts, scores or ends 16 items at most and is followed by the next one after other goroutines had the processor. The items of all passes and their order are those of one pass: the plan for a shortage stays until a pass has gone through all items.

Measured: with 6 open jobs of 160 items and 39 backend servers of 6 free slots, the first pass starts 16 items instead of 234; the test fails with the bound set to 100,000.

--- a/internal/jobdriver/driver.go
+++ b/internal/jobdriver/driver.go
@@ -132,8 +132,8 @@
 	dr.cfg.Log.WithField("term", term).Info("items are executed by this store")
 }
 
-// pass reads what is next of the ledger and starts the tasks that can run now. It reports whether the ledger
-// holds more that is known.
+// pass reads what is next of the ledger and starts the tasks that can run now. It reports whether a further
+// pass is due at once, as one does a bounded part of both.
 func (dr *Driver) pass() bool {
 	ch, hasMore := dr.intake.next() // without dr.mu, for which runs would wait
 	taken := takeUp(ch.taken)
@@ -142,11 +142,11 @@
 	defer dr.mu.Unlock()
 	dr.applyChanges(&ch, taken)
 	dr.classifyServers()
-	dr.place()
+	isCut := dr.place()
 	dr.moveRuns()
 	dr.flushProgress()
 
-	return hasMore
+	return hasMore || isCut
 }
 
 func (dr *Driver) stop() {
--- a/internal/jobdriver/pass_test.go
+++ b/internal/jobdriver/pass_test.go
@@ -1,6 +1,7 @@
 package jobdriver
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -28,9 +29,9 @@
 	benchSlots   = 6
 )
 
-// newBusyDriver returns a driver that has taken up all open jobs of a ledger, before backend servers of which all
-// slots are in use. isPaced makes these report their pace.
-func newBusyDriver(le *job.Ledger, isPaced bool) *Driver {
+// newLedgerDriver returns a driver of the open jobs of a ledger, and its backend servers. isPaced makes these report
+// their pace.
+func newLedgerDriver(le *job.Ledger, isPaced bool) *Driver {
 	start := time.Now().Add(-time.Hour)
 	clock := func() time.Duration { return time.Since(start) }
 	ba := balance.New(balance.Config{
@@ -62,7 +63,15 @@
 	dr.tokensPerEvent = 40
 	dr.intake.read = func(f func(le *job.Ledger)) { f(le) }
 	dr.intake.reset()
-	for ba.Acquire(&balance.Request{Service: "s", ExtraSlots: resumeQueueSlots}) != nil {
+
+	return dr
+}
+
+// newBusyDriver returns a driver that has taken up all open jobs of a ledger, before backend servers of which all
+// slots are in use.
+func newBusyDriver(le *job.Ledger, isPaced bool) *Driver {
+	dr := newLedgerDriver(le, isPaced)
+	for dr.cfg.Balancer.Acquire(&balance.Request{Service: "s", ExtraSlots: resumeQueueSlots}) != nil {
 	}
 	for dr.pass() {
 	}
@@ -92,6 +101,53 @@
 	})
 })
 
+// Guards against a new leader whose first pass starts all items at once, so that it sends no heartbeat.
+var _ = ginkgo.Describe("the items of a new leader", func() {
+	ginkgo.It("are started in several passes, in the order in which one would start them", func() {
+		le := newLedger(ledgerSize{open: 6, items: 160})
+		all := newBusyDriver(le, false)
+		for _, js := range all.jobs {
+			for _, t := range js.tasks {
+				t.phase = waiting
+			}
+		}
+		want := ids(all.waitingTasks(time.Now()))[:benchServers*benchSlots]
+
+		dr := newLedgerDriver(le, false)
+		var end context.CancelFunc
+		dr.ctx, end = context.WithCancel(context.Background())
+		defer dr.wg.Wait()
+		defer end()
+		dr.cfg.Client = &backend.Client{Send: func(ctx context.Context, _ string, _ *backend.Call) (*backend.Answer, error) {
+			<-ctx.Done()
+
+			return nil, ctx.Err()
+		}}
+		runs := func() (out []string) {
+			for _, js := range dr.jobs {
+				for _, t := range js.tasks {
+					if t.phase == running {
+						out = append(out, t.item.ID)
+					}
+				}
+			}
+
+			return out
+		}
+		for len(dr.jobs) < 6 { // the jobs are taken up before the first backend server is known
+			ch, _ := dr.intake.next()
+			dr.applyChanges(&ch, takeUp(ch.taken))
+		}
+		for hasMore, before := true, 0; hasMore; {
+			hasMore = dr.pass()
+			n := len(runs())
+			Expect(n - before).To(BeNumerically("<=", maxStartsPerPass))
+			before = n
+		}
+		Expect(runs()).To(ConsistOf(want))
+	})
+})
+
 // Compares with a queue that holds nothing of former passes.
 var _ = ginkgo.Describe("the order of waiting items", func() {
 	ginkgo.It("does not depend on former passes", func() {
--- a/internal/jobdriver/place.go
+++ b/internal/jobdriver/place.go
@@ -127,24 +127,33 @@
 	return ps.ready[service]
 }
 
-// place starts waiting tasks while backend servers have free slots.
-func (dr *Driver) place() {
+// maxStartsPerPass bounds how many items a pass starts, asks the score of or ends: each does so in a goroutine
+// of its own, and other work of the process goes on between two passes.
+const maxStartsPerPass = 16
+
+// place starts waiting tasks while backend servers have free slots. It reports whether it stopped at
+// maxStartsPerPass, so that a further pass is due at once.
+func (dr *Driver) place() bool {
 	ta := dr.cfg.View().Table
 	if ta == nil {
-		return
+		return false
 	}
 	now := time.Now()
 	waits := dr.waitingTasks(now)
 	if !dr.mayPlace() {
-		dr.hold(waits, now)
-
-		return
+		return dr.hold(waits, now)
 	}
 	dr.orderForShortage(waits, ta, now)
 	ps := newPassState()
+	starts := 0
 	for i, wt := range waits {
+		if starts == maxStartsPerPass {
+			return true // the next pass goes by the same shortage
+		}
 		t := wt.task
 		if dr.endOverdue(t, now) {
+			starts++
+
 			continue
 		}
 		ro := ta.Match(t.job.host, t.item.Path)
@@ -154,6 +163,7 @@
 		if t.isWhole {
 			if t.generated.meetsVersionRules(t.job.minVersion, ro.IsSingleVersion) {
 				dr.completeText(t)
+				starts++
 
 				continue
 			}
@@ -181,10 +191,13 @@
 			dr.obtainPermits(service, t, ro.Urgency(ws), len(waits)-i)
 		} else {
 			dr.start(t, ro, gr)
+			starts++
 		}
 	}
 	dr.shortage.setShort(ps.short)
 	dr.countWaiting(ta)
+
+	return false
 }
 
 // maxFastWait is how long a text waits for a slot at a fast backend server, although others
--- a/internal/jobdriver/standing.go
+++ b/internal/jobdriver/standing.go
@@ -113,14 +113,18 @@
 	pl.checked, pl.heldSince, pl.resumed = time.Time{}, time.Time{}, nil
 }
 
-// hold lets waiting tasks wait on. Their wait for a slot begins when they may be placed again. The caller holds
-// dr.mu.
-func (dr *Driver) hold(waits []waitingTask, now time.Time) {
+// hold lets waiting tasks wait on. Their wait for a slot begins when they may be placed again. It reports whether
+// more of them than maxStartsPerPass are overdue. The caller holds dr.mu.
+func (dr *Driver) hold(waits []waitingTask, now time.Time) bool {
+	ended := 0
 	for _, wt := range waits {
-		if !dr.endOverdue(wt.task, now) {
-			wt.waitingSince = now
+		wt.waitingSince = now
+		if ended < maxStartsPerPass && dr.endOverdue(wt.task, now) {
+			ended++
 		}
 	}
+
+	return ended == maxStartsPerPass
 }
 
 // endOverdue ends a waiting task if its queue deadline has passed, and reports whether it did. The caller
