--- a/internal/jobdriver/progress_test.go
+++ b/internal/jobdriver/progress_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"time"
 
@@ -75,6 +76,32 @@
 		Expect(proposals()[1].Parts[0].After).To(Equal(uint64(1)))
 	})
 
+	// Guards against a new leader that commits all texts which it took over in one log entry.
+	ginkgo.It("of much text is proposed in several proposals, in order", func() {
+		const events = 5
+		text := strings.Repeat("x", maxProgressBytes/2)
+		te := &generatedText{}
+		for i := range events {
+			te.add(uint64(i+1), text, 1)
+			dr.recordProgress(js.tasks[0], te)
+		}
+		want := []int{2, 4, events} // events after each proposal
+		after := uint64(0)
+		for i, last := range want {
+			flush()
+			answer <- nil
+			Eventually(flushed).Should(BeTrue())
+			Expect(proposals()).To(HaveLen(i + 1))
+			for _, pa := range proposals()[i].Parts {
+				Expect(pa.After).To(Equal(after))
+				after = pa.Text.LastEvent
+			}
+			Expect(after).To(BeEquivalentTo(last))
+		}
+		flush()
+		Expect(proposals()).To(HaveLen(len(want)))
+	})
+
 	ginkgo.It("stops for an item after a lost part and continues for the others", func() {
 		lost, other := &generatedText{}, &generatedText{}
 		lost.add(1, "a", 1)
