jobdriver: share the events of a text instead of copying their list

Cause: the list of events was copied when a driver took up a text, for each run and for each part of its progress, though events are only appended.

Change: they share one list, which none of them appends to in place.

--- a/internal/jobdriver/driver.go
+++ b/internal/jobdriver/driver.go
@@ -279,7 +279,7 @@
 	dr.cfg.Shares.Begin(dr.cfg.Now(), ke)
 	dr.services[t.job.model] = rec.Service
 	te := t.generated
-	te.events, te.versions = slices.Clone(te.events), slices.Clone(te.versions)
+	te.events, te.versions = slices.Clip(te.events), slices.Clip(te.versions) // shared, but not appended to in place
 	began := len(te.events)
 	dr.wg.Add(1)
 	go func() {
--- a/internal/jobdriver/pass_test.go
+++ b/internal/jobdriver/pass_test.go
@@ -207,3 +207,28 @@
 		})
 	}
 }
+
+// BenchmarkTakeUp takes up the open jobs of a ledger, as a new leader does.
+func BenchmarkTakeUp(b *testing.B) {
+	le := newLedger(ledgerSize{open: 6, ended: 90, items: 160, textBytes: 9000})
+	for id, jo := range le.Jobs() {
+		if !jo.IsOpen() {
+			continue
+		}
+		for i := range jo.Listed {
+			le.RecordProgress(job.Progress{Parts: []job.Part{{Job: id, Item: i, IsFirst: true, Text: job.Partial{
+				Events: make([]string, 30), LastEvent: 30, Versions: []uint64{3}, Term: 2, Service: "s", Software: "v",
+			}}}})
+		}
+	}
+	in, _ := newIntake(le)
+	b.ReportAllocs()
+	for b.Loop() {
+		in.reset()
+		for hasMore := true; hasMore; {
+			var ch jobChanges
+			ch, hasMore = in.next()
+			takeUp(ch.taken)
+		}
+	}
+}
--- a/internal/jobdriver/progress.go
+++ b/internal/jobdriver/progress.go
@@ -20,7 +20,7 @@
 		return
 	}
 	dr.progress = append(dr.progress, job.Part{Job: t.job.id, Item: t.index, After: te.proposed, IsFirst: !te.hasProposed, Text: job.Partial{
-		Events: slices.Clone(te.events[te.proposedEvents:]), LastEvent: te.lastEvent, Versions: slices.Clone(te.versions), Term: dr.term,
+		Events: slices.Clip(te.events[te.proposedEvents:]), LastEvent: te.lastEvent, Versions: slices.Clone(te.versions), Term: dr.term,
 		Service: te.service, Software: te.software,
 	}})
 	te.proposed, te.proposedEvents, te.hasProposed = te.lastEvent, len(te.events), true
--- a/internal/jobdriver/task.go
+++ b/internal/jobdriver/task.go
@@ -96,7 +96,7 @@
 
 // generatedText is the text generated for an item so far.
 type generatedText struct {
-	events     []string      // data of each event
+	events     []string      // data of each event; appended to only, so that parts of it may be shared
 	bytes      int           // size of all data with their line ends
 	lastEvent  uint64        // number of the last event, 0 for none
 	versions   []uint64      // weight versions that wrote it, ascending
@@ -112,7 +112,7 @@
 	hasProposed    bool   // this driver has queued a part of it
 }
 
-// newGeneratedText returns the text that a former driver committed.
+// newGeneratedText returns the text that a former driver committed. Its events are shared with the ledger.
 func newGeneratedText(pa *job.Partial) generatedText {
 	bytes := 0
 	for _, ev := range pa.Events {
@@ -120,13 +120,13 @@
 	}
 
 	return generatedText{
-		events: slices.Clone(pa.Events), bytes: bytes, lastEvent: pa.LastEvent, versions: slices.Clone(pa.Versions), service: pa.Service, software: pa.Software, proposed: pa.LastEvent, proposedEvents: len(pa.Events),
+		events: slices.Clip(pa.Events), bytes: bytes, lastEvent: pa.LastEvent, versions: slices.Clip(pa.Versions), service: pa.Service, software: pa.Software, proposed: pa.LastEvent, proposedEvents: len(pa.Events),
 	}
 }
 
 // newWholeText returns the complete text that an earlier job listed.
 func newWholeText(et *job.EarlierText) generatedText {
-	return generatedText{events: []string{et.Text}, bytes: len(et.Text) + 1, lastEvent: 1, versions: slices.Clone(et.Partial.Versions)}
+	return generatedText{events: []string{et.Text}, bytes: len(et.Text) + 1, lastEvent: 1, versions: slices.Clip(et.Partial.Versions)}
 }
 
 // add appends an event that a weight version wrote.
