--- a/internal/jobdriver/driver.go
+++ b/internal/jobdriver/driver.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -28,13 +27,9 @@
 	"github.com/tamarackbay/tamarackbay/internal/workload"
 )
 
-const (
-	// reconcilePeriod is how often the driver checks for due work when no event wakes it.
-	reconcilePeriod = 100 * time.Millisecond
-	// maxFailedServers is how many of the last failed backend servers an item, and the
-	// request for its score, avoid.
-	maxFailedServers = 2
-)
+// maxFailedServers is how many of the last failed backend servers an item, and the
+// request for its score, avoid.
+const maxFailedServers = 2
 
 // Config holds the dependencies of a Driver.
 type Config struct {
@@ -61,6 +56,7 @@
 type Driver struct {
 	cfg       Config
 	wake      chan struct{}
+	soon      chan struct{}
 	intake    intake
 	placement placement
 
@@ -71,6 +67,7 @@
 	running  map[string]int
 	paces    *paceTracker
 	classes  paceClasses
+	waits    waitQueue
 	progress []job.Part // parts queued for the next commit
 	commit   func(ctx context.Context, pr job.Progress) error
 	// isFlushing is set while a commit of progress is in flight. The next commit waits
@@ -94,7 +91,7 @@
 	}
 
 	dr := &Driver{
-		cfg: cfg, wake: make(chan struct{}, 1), jobs: map[string]*jobState{}, running: map[string]int{}, paces: newPaceTracker(),
+		cfg: cfg, wake: make(chan struct{}, 1), soon: make(chan struct{}, 1), jobs: map[string]*jobState{}, running: map[string]int{}, paces: newPaceTracker(),
 		services: map[string]string{}, demand: map[string]float64{}, obtaining: map[string]bool{}, shortage: newShortage(), commit: func(ctx context.Context, pr job.Progress) error {
 			return cfg.Group.ProposeLocal(ctx, statemachine.KindRecordProgress, pr, nil)
 		},
@@ -106,14 +103,6 @@
 	return dr
 }
 
-// Wake triggers a pass of the driver without waiting for reconcilePeriod.
-func (dr *Driver) Wake() {
-	select {
-	case dr.wake <- struct{}{}:
-	default:
-	}
-}
-
 // Running returns the number of items running at each backend server, by its ID.
 func (dr *Driver) Running() map[string]int {
 	dr.mu.Lock()
@@ -129,44 +118,6 @@
 	return out
 }
 
-// Run executes items whenever this process is the leader, until ctx ends.
-func (dr *Driver) Run(ctx context.Context) {
-	defer dr.wg.Wait()
-	defer dr.stop()
-
-	dr.mu.Lock()
-	dr.ctx = ctx
-	dr.mu.Unlock()
-	for ctx.Err() == nil {
-		applied := dr.cfg.Group.Applied()
-		if dr.reconcile() {
-			runtime.Gosched() // the replica's loop goes first
-			dr.Wake()
-		}
-		select {
-		case <-applied:
-		case <-dr.wake:
-		case <-time.After(reconcilePeriod):
-		case <-ctx.Done():
-		}
-	}
-}
-
-// reconcile reads changes of the ledger and starts the tasks that can run now. It reports whether a further
-// pass is due at once.
-func (dr *Driver) reconcile() bool {
-	st := dr.cfg.Group.Status()
-	if !st.IsSettled {
-		// The ledger may not yet contain all commits of the last leader.
-		dr.stop()
-
-		return false
-	}
-	dr.begin(st.Term)
-
-	return dr.pass()
-}
-
 // begin begins to execute the items in a term, unless this process does so already.
 func (dr *Driver) begin(term uint64) {
 	dr.mu.Lock()
@@ -181,8 +132,8 @@
 	dr.cfg.Log.WithField("term", term).Info("items are executed by this store")
 }
 
-// pass reads what is next of the ledger and starts the tasks that can run now. It reports whether the ledger
-// holds more that is known.
+// pass reads what is next of the ledger and starts the tasks that can run now. It reports whether a further
+// pass is due at once, as one does a bounded part of both.
 func (dr *Driver) pass() bool {
 	ch, hasMore := dr.intake.next() // without dr.mu, for which runs would wait
 	taken := takeUp(ch.taken)
@@ -191,11 +142,11 @@
 	defer dr.mu.Unlock()
 	dr.applyChanges(&ch, taken)
 	dr.classifyServers()
-	dr.place()
+	isCut := dr.place()
 	dr.moveRuns()
 	dr.flushProgress()
 
-	return hasMore
+	return hasMore || isCut
 }
 
 func (dr *Driver) stop() {
@@ -213,7 +164,7 @@
 	for _, js := range dr.jobs {
 		js.cancelAll()
 	}
-	dr.jobs, dr.progress = map[string]*jobState{}, nil
+	dr.jobs, dr.progress, dr.waits = map[string]*jobState{}, nil, waitQueue{}
 	dr.cfg.Shares.SetWaiting(dr.cfg.Now(), nil)
 	dr.resetPlacement()
 }
@@ -285,64 +236,6 @@
 	}
 }
 
-// progressPeriod is how often the progress of an item is committed. It bounds the
-// work that an item loses with its driver.
-const progressPeriod = 400 * time.Millisecond
-
-// recordProgress queues the events that a run generated since its last call.
-func (dr *Driver) recordProgress(t *task, te *generatedText) {
-	dr.mu.Lock()
-	defer dr.mu.Unlock()
-
-	if dr.jobs[t.job.id] != t.job || t.phase != running || t.isProgressStopped {
-		return
-	}
-	dr.progress = append(dr.progress, job.Part{Job: t.job.id, Item: t.index, After: te.proposed, IsFirst: !te.hasProposed, Text: job.Partial{
-		Events: slices.Clone(te.events[te.proposedEvents:]), LastEvent: te.lastEvent, Versions: slices.Clone(te.versions), Term: dr.term,
-		Service: te.service, Software: te.software,
-	}})
-	te.proposed, te.proposedEvents, te.hasProposed = te.lastEvent, len(te.events), true
-}
-
-// flushProgress commits all queued progress in one log entry.
-func (dr *Driver) flushProgress() {
-	if len(dr.progress) == 0 || dr.isFlushing {
-		return
-	}
-	parts, term := dr.progress, dr.term
-	dr.progress, dr.isFlushing = nil, true
-	dr.wg.Add(1)
-	go func() {
-		defer dr.wg.Done()
-		err := dr.commit(dr.ctx, job.Progress{Parts: parts})
-		if err != nil {
-			dr.cfg.Log.WithError(err).WithField("parts", len(parts)).Warn("progress of running items not committed")
-		}
-		dr.mu.Lock()
-		dr.isFlushing = false
-		if err != nil && dr.term == term {
-			dr.stopProgress(parts)
-		}
-		dr.mu.Unlock()
-		dr.Wake()
-	}()
-}
-
-// stopProgress stops committing progress of items of which a part may be lost: a later
-// part could be appended to events that it doesn't belong to. If this driver is lost,
-// these items resume from an earlier event.
-func (dr *Driver) stopProgress(lost []job.Part) {
-	isLost := func(pa job.Part) bool {
-		return slices.ContainsFunc(lost, func(lo job.Part) bool { return lo.Job == pa.Job && lo.Item == pa.Item })
-	}
-	dr.progress = slices.DeleteFunc(dr.progress, isLost)
-	for _, pa := range lost {
-		if js := dr.jobs[pa.Job]; js != nil && js.tasks[pa.Item] != nil {
-			js.tasks[pa.Item].isProgressStopped = true
-		}
-	}
-}
-
 // classifyServers updates which backend servers are slow or lagging.
 func (dr *Driver) classifyServers() {
 	pc := dr.paces.classify(time.Now())
@@ -386,7 +279,7 @@
 	dr.cfg.Shares.Begin(dr.cfg.Now(), ke)
 	dr.services[t.job.model] = rec.Service
 	te := t.generated
-	te.events, te.versions = slices.Clone(te.events), slices.Clone(te.versions)
+	te.events, te.versions = slices.Clip(te.events), slices.Clip(te.versions) // shared, but not appended to in place
 	began := len(te.events)
 	dr.wg.Add(1)
 	go func() {
