statemachine: encode and restore the state as a stream, to equal bytes

Freeze returns a function that writes to an io.Writer: the small fields first, then the jobs one by one in the order of their IDs. RestoreFrom decodes the jobs one by one from an io.Reader. The keys of maps are sorted.

--- a/internal/codec/codec.go
+++ b/internal/codec/codec.go
@@ -8,17 +8,28 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
-var encoder = func() cbor.UserBufferEncMode {
-	em, err := cbor.EncOptions{}.UserBufferEncMode()
+var (
+	unsorted = newEncoder(cbor.EncOptions{})
+	sorted   = newEncoder(cbor.EncOptions{Sort: cbor.SortBytewiseLexical})
+)
+
+func newEncoder(options cbor.EncOptions) cbor.UserBufferEncMode {
+	em, err := options.UserBufferEncMode()
 	if err != nil {
 		panic(err) // the options are constant
 	}
 
 	return em
-}()
+}
 
 // Append appends the CBOR encoding of v to dst.
-func Append(dst []byte, v any) ([]byte, error) {
+func Append(dst []byte, v any) ([]byte, error) { return appendWith(unsorted, dst, v) }
+
+// AppendSorted is Append with the keys of maps in their order, so that equal values are encoded to equal
+// bytes.
+func AppendSorted(dst []byte, v any) ([]byte, error) { return appendWith(sorted, dst, v) }
+
+func appendWith(encoder cbor.UserBufferEncMode, dst []byte, v any) ([]byte, error) {
 	buf := bytes.NewBuffer(dst)
 	if err := encoder.MarshalToBuffer(v, buf); err != nil {
 		return nil, err
--- a/internal/group/snapshot.go
+++ b/internal/group/snapshot.go
@@ -1,8 +1,6 @@
 package group
 
 import (
-	"io"
-
 	"github.com/apex/log"
 
 	"github.com/tamarackbay/tamarackbay/internal/consensus"
@@ -28,15 +26,7 @@
 	n.isSnapshotting, n.bytesSinceSnapshot = true, 0
 	began := n.now()
 	n.background.Go(func() {
-		stored, err := n.store.WriteSnapshot(sn, func(w io.Writer) error {
-			data, err := encode()
-			if err != nil {
-				return err
-			}
-			_, err = w.Write(data)
-
-			return err
-		})
+		stored, err := n.store.WriteSnapshot(sn, encode)
 		if err != nil {
 			stored = sn
 		} else {
--- a/internal/statemachine/statemachine.go
+++ b/internal/statemachine/statemachine.go
@@ -8,7 +8,6 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/tamarackbay/tamarackbay/internal/codec"
 	"github.com/tamarackbay/tamarackbay/internal/consensus"
 	"github.com/tamarackbay/tamarackbay/internal/declaration"
 	"github.com/tamarackbay/tamarackbay/internal/departure"
@@ -81,104 +80,6 @@
 	return ma
 }
 
-// snapshot is the encoded form of a Machine.
-type snapshot struct {
-	Applied       uint64                               `cbor:"1,keyasint"`
-	AtMs          int64                                `cbor:"2,keyasint"`
-	Configuration declaration.Snapshot                 `cbor:"3,keyasint"`
-	Leases        map[string]lease.Lease               `cbor:"4,keyasint"`
-	Intents       intent.Snapshot                      `cbor:"5,keyasint"`
-	Steps         map[string]*step.Step                `cbor:"6,keyasint"`
-	Calls         idempotency.Snapshot                 `cbor:"7,keyasint"`
-	Usage         usage.Snapshot                       `cbor:"8,keyasint"`
-	Quarantine    map[string]quarantine.Entry          `cbor:"9,keyasint"`
-	Replicas      map[consensus.ReplicaID]Registration `cbor:"10,keyasint"`
-	Revision      uint64                               `cbor:"11,keyasint"`
-	Routing       routing.Snapshot                     `cbor:"12,keyasint"`
-	Versions      map[string]uint64                    `cbor:"13,keyasint"`
-	Roster        roster.Snapshot                      `cbor:"14,keyasint"`
-	Jobs          map[string]*job.Job                  `cbor:"15,keyasint"`
-	Evacuations   evacuation.Snapshot                  `cbor:"16,keyasint"`
-	Crashed       quarantine.Snapshot                  `cbor:"17,keyasint,omitempty"`
-	Departures    departure.Snapshot                   `cbor:"18,keyasint,omitempty"`
-}
-
-// Snapshot returns the encoded state.
-func (ma *Machine) Snapshot() ([]byte, error) {
-	encode, err := ma.Freeze()
-	if err != nil {
-		return nil, err
-	}
-
-	return encode()
-}
-
-// Freeze returns a function that encodes the current state and may run concurrently
-// with further commands. Only the ledger of jobs grows large: Freeze takes a snapshot
-// of it and encodes the rest immediately.
-func (ma *Machine) Freeze() (encode func() ([]byte, error), err error) {
-	cs, err := ma.configuration.Snapshot()
-	if err != nil {
-		return nil, err
-	}
-	rest, err := codec.Append(nil, snapshot{
-		Applied: ma.applied, AtMs: ma.atMs, Configuration: cs, Leases: ma.leases.Leases(), Intents: ma.intents.Snapshot(),
-		Steps: ma.steps.Steps(), Calls: ma.calls.Snapshot(), Usage: ma.usage.Snapshot(),
-		Quarantine: ma.quarantine.Entries(), Crashed: ma.quarantine.Crashed(), Replicas: ma.replicas, Revision: ma.revision,
-		Routing: ma.routing.Snapshot(), Versions: ma.versions.All(), Roster: ma.roster.Snapshot(), Evacuations: ma.evacuations.Snapshot(),
-		Departures: ma.departures.Snapshot(),
-	})
-	if err != nil {
-		return nil, err
-	}
-
-	jobs := ma.jobs.Freeze()
-	if len(jobs) == 0 {
-		return func() ([]byte, error) { return rest, nil }, nil
-	}
-
-	return func() ([]byte, error) {
-		var sn snapshot
-		if err := cbor.Unmarshal(rest, &sn); err != nil {
-			return nil, result.New(result.Internal, "statemachine: decode state while encoding a snapshot: %v", err)
-		}
-		sn.Jobs = jobs
-
-		// Allocated at full size, as a growing buffer would take twice the memory.
-		return codec.Append(make([]byte, 0, len(rest)+job.EncodedBytes(jobs)), sn)
-	}, nil
-}
-
-// Restore returns the state that a snapshot holds.
-func Restore(data []byte) (*Machine, error) {
-	var sn snapshot
-	if err := cbor.Unmarshal(data, &sn); err != nil {
-		return nil, result.New(result.DataFolderDamaged, "statemachine: decode snapshot: %v", err)
-	}
-
-	return restore(sn)
-}
-
-func restore(sn snapshot) (*Machine, error) {
-	cs, err := declaration.NewConfigurationFrom(sn.Configuration)
-	if err != nil {
-		return nil, err
-	}
-	if sn.Replicas == nil {
-		sn.Replicas = map[consensus.ReplicaID]Registration{}
-	}
-
-	return &Machine{
-		applied: sn.Applied, atMs: sn.AtMs, configuration: cs, leases: lease.NewTable(sn.Leases),
-		intents: intent.NewLog(sn.Intents), steps: step.NewLedger(sn.Steps), calls: idempotency.NewLedger(sn.Calls),
-		usage: usage.NewLedger(sn.Usage), quarantine: quarantine.NewState(sn.Quarantine, sn.Crashed), replicas: sn.Replicas,
-		deltasAfter: sn.Applied, revision: sn.Revision,
-		routing: routing.NewState(sn.Routing), versions: weights.NewVersionTable(sn.Versions),
-		roster: roster.NewRoster(sn.Roster), jobs: job.NewLedger(sn.Jobs), evacuations: evacuation.NewState(sn.Evacuations),
-		departures: departure.NewState(sn.Departures),
-	}, nil
-}
-
 // Applied returns the position of the last entry applied.
 func (ma *Machine) Applied() uint64 { return ma.applied }
 
