--- a/internal/group/opennode.go
+++ b/internal/group/opennode.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"io"
 	"math/rand/v2"
 	"time"
 
@@ -41,26 +42,32 @@
 
 // openState reads the folder of a replica.
 func openState(cfg nodeConfig) (*openedState, error) {
-	st, re, err := storage.Open(cfg.files, cfg.dir, cfg.group)
+	ma := statemachine.New()
+	st, re, err := storage.OpenWith(cfg.files, cfg.dir, cfg.group, func(sn consensus.Snapshot, data io.Reader) (err error) {
+		ma, err = restoreState(cfg.dir, sn, data)
+
+		return err
+	})
 	if err != nil {
 		return nil, err
 	}
-
-	ma := statemachine.New()
-	if re.Snapshot.Index > 0 {
-		if ma, err = statemachine.Restore(re.Snapshot.Data); err != nil {
-			_ = st.Close() // the state can't be used
-
-			return nil, result.New(result.DataFolderDamaged, "group: %s: the snapshot at index %d holds no valid state: %v", cfg.dir, re.Snapshot.Index, err).WithCause(err)
-		}
-		re.Snapshot.Data = nil
-	} else {
+	if re.Snapshot.Index == 0 {
 		re.Snapshot.Membership = cfg.bootstrap
 	}
 
 	return &openedState{store: st, recovered: re, machine: ma}, nil
 }
 
+// restoreState restores the state from the data of a snapshot in the folder dir.
+func restoreState(dir string, sn consensus.Snapshot, data io.Reader) (*statemachine.Machine, error) {
+	ma, err := statemachine.RestoreFrom(data)
+	if err != nil && !result.Is(err, result.DataFolderWrite) {
+		err = result.New(result.DataFolderDamaged, "group: %s: the snapshot at index %d holds no valid state: %v", dir, sn.Index, err).WithCause(err)
+	}
+
+	return ma, err
+}
+
 func openNode(cfg nodeConfig) (*node, error) {
 	op, err := openState(cfg)
 	if err != nil {
--- a/internal/group/recovery_test.go
+++ b/internal/group/recovery_test.go
@@ -72,6 +72,18 @@
 
 		return b, err
 	}
+	openToRead := fi.Open
+	fi.Open = func(path string) (storage.ReadFile, error) {
+		fl, err := openToRead(path)
+		readAt := fl.ReadAt
+		fl.ReadAt = func(b []byte, offset int64) (int, error) {
+			sd.transfer(len(b))
+
+			return readAt(b, offset)
+		}
+
+		return fl, err
+	}
 
 	return fi
 }
--- a/internal/storage/files.go
+++ b/internal/storage/files.go
@@ -15,13 +15,20 @@
 	Close func() error
 }
 
+// ReadFile is a file that is open for reading. ReadAt reads as io.ReaderAt does.
+type ReadFile struct {
+	ReadAt func(b []byte, offset int64) (int, error)
+	Close  func() error
+}
+
 // Files holds the file operations that the package uses. Tests inject faults by replacing them.
 type Files struct {
 	MkdirAll func(dir string) error
 	Append   func(path string) (File, error)
 	Create   func(path string) (File, error)
 	Read     func(path string) ([]byte, error)
-	Size     func(path string) (int64, error) // in bytes
+	Open     func(path string) (ReadFile, error) // removing the file does not end the reading
+	Size     func(path string) (int64, error)    // in bytes
 	Rename   func(from, to string) error
 	Remove   func(path string) error
 	Truncate func(path string, size int64) error
@@ -40,6 +47,7 @@
 			return openFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC)
 		},
 		Read:     os.ReadFile,
+		Open:     openToRead,
 		Size:     size,
 		Rename:   os.Rename,
 		Remove:   os.Remove,
@@ -58,6 +66,15 @@
 	return File{Write: f.Write, Sync: f.Sync, Close: f.Close}, nil
 }
 
+func openToRead(path string) (ReadFile, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return ReadFile{}, err
+	}
+
+	return ReadFile{ReadAt: f.ReadAt, Close: f.Close}, nil
+}
+
 func size(path string) (int64, error) {
 	fi, err := os.Stat(path)
 	if err != nil {
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -1,89 +1,63 @@
 package storage
 
 import (
-	"encoding/binary"
 	"fmt"
 	"io"
 	"path/filepath"
-	"slices"
 	"strings"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/tamarackbay/tamarackbay/internal/consensus"
 )
 
-func (st *Store) readSnapshots(names []string, re *Recovered) error {
+// IsUnfinished reports whether a file of a folder is a snapshot that was not completely written.
+func IsUnfinished(name string) bool { return strings.HasSuffix(name, ".tmp") }
+
+// readSnapshots reads all snapshots, and passes the newest to restore.
+func (st *Store) readSnapshots(names []string, re *Recovered, restore restoreFunc) error {
+	var paths []string // oldest first
 	for _, name := range names {
-		if !strings.HasPrefix(name, "snapshot-") || strings.HasSuffix(name, ".tmp") {
-			continue
+		if strings.HasPrefix(name, "snapshot-") && !IsUnfinished(name) {
+			paths = append(paths, filepath.Join(st.dir, name))
 		}
+	}
+	for i, path := range paths {
+		if i < len(paths)-1 {
+			if _, err := st.readSnapshot(path, nil); err != nil {
+				return err
+			}
 
-		path := filepath.Join(st.dir, name)
-		b, err := st.files.Read(path)
-		if err != nil {
-			return fileError(path, err)
+			continue
 		}
-		sn, err := decodeSnapshot(path, b)
+		sn, err := st.readSnapshot(path, restore)
 		if err != nil {
 			return err
 		}
-		if sn.Index >= re.Snapshot.Index {
-			re.Snapshot = sn
-		}
+		re.Snapshot = sn
 	}
 
 	return nil
 }
 
-func decodeSnapshot(path string, b []byte) (consensus.Snapshot, error) {
-	var sn consensus.Snapshot
-	kind, body, size, ok := readRecord(b)
-	if !ok || kind != recordHeader {
-		return sn, damagedError(path, 0, "the snapshot has no valid header")
-	}
-	if _, err := checkHeader(path, body); err != nil {
-		return sn, err
+// readSnapshot reads a snapshot to its end, passes its data to restore, unless that is nil, and returns
+// its metadata.
+func (st *Store) readSnapshot(path string, restore restoreFunc) (consensus.Snapshot, error) {
+	sr, err := openSnapshot(st.files, path)
+	if err != nil {
+		return consensus.Snapshot{}, err
 	}
+	defer func() { _ = sr.Close() }() // it was only read
 
-	kind, body, n, ok := readRecord(b[size:])
-	if !ok || kind != recordEntry {
-		return sn, damagedError(path, size, "the snapshot is incomplete or damaged")
-	}
-	if err := cbor.Unmarshal(body, &sn); err != nil {
-		return sn, damagedError(path, size, err.Error())
+	if restore != nil {
+		if err := restore(sr.Snapshot(), sr); err != nil {
+			return consensus.Snapshot{}, err
+		}
 	}
-	if sn.Data == nil {
-		return sn, readSnapshotData(path, b, size+n, &sn)
+	if _, err := io.Copy(io.Discard, sr); err != nil {
+		return consensus.Snapshot{}, err
 	}
 
-	return sn, nil
-}
-
-// readSnapshotData reads the records of a snapshot's data, from an offset to the end.
-func readSnapshotData(path string, b []byte, offset int, sn *consensus.Snapshot) error {
-	var parts [][]byte
-	total := 0
-	for {
-		kind, body, n, ok := readRecord(b[offset:])
-		switch {
-		case ok && kind == recordSnapshotData:
-			parts = append(parts, body)
-			total += len(body)
-			offset += n
-		case ok && kind == recordSnapshotEnd && len(body) == 8 && binary.LittleEndian.Uint64(body) == uint64(total):
-			if len(parts) == 1 {
-				sn.Data = parts[0]
-			} else {
-				sn.Data = slices.Concat(parts...)
-			}
-
-			return nil
-		default:
-			return damagedError(path, offset, "the snapshot is incomplete or damaged")
-		}
-	}
+	return sr.Snapshot(), nil
 }
 
 // SaveSnapshot stores sn. A snapshot received from the leader replaces the entire log.
@@ -213,19 +187,18 @@
 	if st.snapshot.Index == 0 || st.failure != nil {
 		return consensus.Snapshot{}, false
 	}
-	path := st.snapshotPath(st.snapshot.Index)
-	b, err := st.files.Read(path)
-	if err != nil {
-		_ = st.failWith(err) // the next write returns the error
+	var data []byte
+	sn, err := st.readSnapshot(st.snapshotPath(st.snapshot.Index), func(_ consensus.Snapshot, r io.Reader) (err error) {
+		data, err = io.ReadAll(r)
 
-		return consensus.Snapshot{}, false
-	}
-	sn, err := decodeSnapshot(path, b)
+		return err
+	})
 	if err != nil {
-		st.failure = err
+		st.failure = err // the next write returns the error
 
 		return consensus.Snapshot{}, false
 	}
+	sn.Data = data
 
 	return sn, true
 }
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"io/fs"
 	"path/filepath"
 	"strings"
@@ -74,9 +75,30 @@
 	TornBytes int // size of the incomplete record that Open cut off the end of the log
 }
 
-// Open recovers the state stored in the folder dir and starts a new segment. If only the disk
-// refuses to be written, the store is returned all the same, and Failure reports the error.
+// restoreFunc takes the data of a snapshot, of which it need not read the end.
+type restoreFunc func(sn consensus.Snapshot, data io.Reader) error
+
+// Open recovers the state stored in the folder dir as OpenWith does, and returns the data of the snapshot
+// in Recovered.
 func Open(files Files, dir string, group consensus.GroupID) (*Store, *Recovered, error) {
+	var data []byte
+	st, re, err := OpenWith(files, dir, group, func(_ consensus.Snapshot, r io.Reader) (err error) {
+		data, err = io.ReadAll(r)
+
+		return err
+	})
+	if err != nil {
+		return nil, nil, err
+	}
+	re.Snapshot.Data = data
+
+	return st, re, nil
+}
+
+// OpenWith recovers the state stored in the folder dir and starts a new segment. It passes the data of the
+// stored snapshot, if there is one, to restore, whose error it returns. If only the disk refuses to be
+// written, the store is returned all the same, and Failure reports the error.
+func OpenWith(files Files, dir string, group consensus.GroupID, restore restoreFunc) (*Store, *Recovered, error) {
 	if err := files.MkdirAll(dir); err != nil {
 		return nil, nil, fileError(dir, err)
 	}
@@ -88,7 +110,7 @@
 	}
 
 	re := &Recovered{}
-	if err := st.readSnapshots(names, re); err != nil {
+	if err := st.readSnapshots(names, re, restore); err != nil {
 		return nil, nil, err
 	}
 	if err := st.readSegments(names, re); err != nil {
