group: store the addresses of other replicas without the lock that sending needs

What callers saw: leaders lost after changes of the membership on a slow disk. Cause: storePeers held gr.mu over a synced write, and the loop takes gr.mu for the address of each message. Change: a lock of its own orders these writes; gr.mu is held for the fields alone.

--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -91,6 +91,8 @@
 	longestPause      atomic.Int64 // of the replica's loop, a time.Duration
 	freshAt           atomic.Int64 // latest confirmation, a time.Duration since start; 0 before the first one
 
+	peersMu sync.Mutex // held while storedPeers is written to the disk, for which mu is not held
+
 	mu            sync.Mutex
 	changed       chan struct{} // closed and replaced with each new view
 	confirmed     chan struct{} // closed and replaced with each confirmation
--- a/internal/group/membership.go
+++ b/internal/group/membership.go
@@ -172,20 +172,24 @@
 // storePeers saves addresses with the identity. gr.identity itself does not change:
 // other goroutines read it without a lock.
 func (gr *Group) storePeers(peers map[consensus.ReplicaID]string) {
-	gr.mu.Lock()
-	defer gr.mu.Unlock()
+	gr.peersMu.Lock()
+	defer gr.peersMu.Unlock()
 
-	if len(peers) == 0 || maps.Equal(peers, gr.storedPeers) || gr.disk.isRefusing() {
+	gr.mu.Lock()
+	id, isStored := gr.identity, maps.Equal(peers, gr.storedPeers)
+	gr.mu.Unlock()
+	if len(peers) == 0 || isStored || gr.disk.isRefusing() {
 		return
 	}
-	id := gr.identity
 	id.Peers = peers
 	if err := id.save(gr.cfg.Files, gr.cfg.DataFolder); err != nil {
 		gr.cfg.Log.WithError(err).Warn("addresses of the other replicas could not be stored")
 
 		return
 	}
+	gr.mu.Lock()
 	gr.storedPeers = peers
+	gr.mu.Unlock()
 }
 
 // membershipLoop repairs the membership while this replica is the leader.
--- a/internal/group/peers_test.go
+++ b/internal/group/peers_test.go
@@ -44,4 +44,31 @@
 		Expect(again.addressOf("b-1")).To(Equal("19"))
 		Expect(again.identity.Replica).To(Equal(gr.identity.Replica))
 	})
+
+	// Guards against heartbeats that wait until addresses are on the disk.
+	ginkgo.It("can be read while they are stored on a disk that hangs", func() {
+		files := storage.OSFiles()
+		create, hangs, goOn := files.Create, make(chan struct{}), make(chan struct{})
+		cfg := Config{Name: "a", Address: "x", DataFolder: ginkgo.GinkgoT().TempDir(), Files: files, Log: logging.Discard()}
+		cfg.Peer.Hello = &wire.Hello{}
+		gr, err := New(cfg)
+		Expect(err).NotTo(HaveOccurred())
+		gr.cfg.Files.Create = func(path string) (storage.File, error) {
+			close(hangs)
+			<-goOn
+
+			return create(path)
+		}
+		var wg sync.WaitGroup
+		wg.Go(func() { gr.storePeers(map[consensus.ReplicaID]string{"b-1": "y"}) })
+		<-hangs
+		read := make(chan struct{})
+		go func() {
+			gr.addressOf("b-1")
+			close(read)
+		}()
+		Eventually(read, "2s").Should(BeClosed())
+		close(goOn)
+		wg.Wait()
+	})
 })
