--- a/internal/statemachine/snapshot_test.go
+++ b/internal/statemachine/snapshot_test.go
@@ -165,6 +165,22 @@
 		}
 	})
 
+	// Guards against a state that a replica stores and can't read again.
+	ginkgo.It("is restored with more jobs than the decoder of whole items takes", func() {
+		const jobs = 131_073                       // the limit of pairs is 131,072
+		data := []byte{0xa1, 15, 0xba, 0, 2, 0, 1} // one field, the jobs
+		encoded, err := cbor.Marshal(job.Job{Spec: job.Spec{Workspace: "w"}})
+		Expect(err).NotTo(HaveOccurred())
+		for i := range jobs {
+			id, err := cbor.Marshal(fmt.Sprint(i))
+			Expect(err).NotTo(HaveOccurred())
+			data = append(append(data, id...), encoded...)
+		}
+		restored, err := statemachine.Restore(data)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(restored.Jobs().Jobs()).To(HaveLen(jobs))
+	})
+
 	ginkgo.It("is refused when it is cut off, or when more follows", func() {
 		ma := statemachine.New()
 		applyAll(ma, 0, commandsOf(0))
