--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -23,6 +23,9 @@
 // earlier programs ignore. Version 1 can still be read.
 const FormatVersion = 2
 
+// maxRetainedBytes bounds the buffer that is kept for the next write.
+const maxRetainedBytes = 1 << 20
+
 // maxSegmentBytes is the size of a log segment above which a new one is started.
 const maxSegmentBytes = 16 << 20
 
@@ -425,7 +428,9 @@
 		}
 		sg.lastIndex = max(sg.lastIndex, rd.Entries[i].Index)
 	}
-	st.encodeBuffer = b
+	if st.encodeBuffer = b; cap(b) > maxRetainedBytes {
+		st.encodeBuffer = nil
+	}
 	if err := st.writeSynced(b); err != nil {
 		return err
 	}
