consensus: a replica goes on while its log is written

Cause: between Ready and Advance the driver could do nothing, so that a disk that syncs slowly kept a replica from heartbeats and their answers.

Change: ReadyUnsynced returns what needs no write while one is in flight. - A follower answers appends that add nothing at once, for what is stored (min of the last entry and the persisted one). New entries are acknowledged after their write; until then the leader gets one answer per heartbeat period. A leader that needs no other vote sent entries of such a term to its learners, and could send others of the same term after a crash. - Only entries that are emitted count as persisted, so that a write whose entries the next leader replaces meanwhile does not count for those.

Tests: the simulation lets writes finish later, up to 1.5 s on a disk that is slow for a time, lets replicas crash in between with a part stored, and checks each sent promise against the disk; all former checks stay. As runs hold fewer transfers and writes so, chunks are damaged at 1 of 8 instead of 1 of 20, and a tail is lost at 1 of 150 writes instead of 1 of 400. Three tests that took Ready and never called Advance now call it: the replica sent messages of a term that their disks did not hold.

--- a/internal/consensus/follower.go
+++ b/internal/consensus/follower.go
@@ -22,12 +22,12 @@
 		reply.Reject = true
 		reply.Index = m.Index
 		reply.Hint = r.conflictHint(m.Index)
-		r.send(reply)
+		r.sendUnsynced(reply)
 
 		return
 	}
 
-	last := m.Index
+	last, isNew := m.Index, false
 	for i, en := range m.Entries {
 		last = en.Index
 		t, ok := r.log.term(en.Index)
@@ -38,14 +38,31 @@
 			r.log.truncateFrom(en.Index)
 		}
 		r.log.append(m.Entries[i:])
-		last = m.Entries[len(m.Entries)-1].Index
+		last, isNew = m.Entries[len(m.Entries)-1].Index, true
 
 		break
 	}
 
 	r.log.commit = max(r.log.commit, min(m.Commit, last))
-	reply.Index = last
-	r.send(reply)
+	r.acknowledge(now, reply, last, isNew)
+}
+
+// acknowledge replies to an append of a leader whose log is the same up to last. New entries are
+// acknowledged once they are stored; what is stored is acknowledged at once, so that the leader
+// hears from a follower whose disk is slow.
+func (r *Replica) acknowledge(now time.Duration, reply Message, last uint64, isNew bool) {
+	isStored := r.hardState == r.storedHardState && r.unstoredInstall == 0
+	if isNew || !isStored {
+		late := reply
+		late.Index = last
+		r.send(late)
+	}
+	if !isStored || (isNew && now < r.contactReplyDue) {
+		return
+	}
+	r.contactReplyDue = now + r.cfg.HeartbeatPeriod
+	reply.Index = min(last, r.log.persisted)
+	r.sendUnsynced(reply)
 }
 
 // skipCompacted removes the entries of m that this replica's snapshot covers.
@@ -129,6 +146,6 @@
 }
 
 func (r *Replica) installSnapshot(sn Snapshot) {
-	r.pendingInstall = &sn
+	r.pendingInstall, r.unstoredInstall = &sn, sn.Index
 	r.log.reset(sn)
 }
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -78,6 +78,9 @@
 	r.heartbeatDue = now + r.cfg.HeartbeatPeriod
 	for _, id := range r.peers() {
 		r.sendAppend(now, id, true)
+		if pr := r.progress[id]; pr.outgoing == nil && pr.next <= r.log.snapIndex {
+			r.sendEmptyAppend(id, r.log.snapIndex) // the snapshot that it needs can't be read yet
+		}
 	}
 }
 
@@ -143,7 +146,14 @@
 	r.sendUnsynced(Message{Kind: MessageAppend, To: id, Index: index, LogTerm: t, Round: r.round})
 }
 
+// sendUnsynced sends a message that holds whatever is stored later, but waits for the term and the
+// vote to be stored.
 func (r *Replica) sendUnsynced(m Message) {
+	if r.hardState != r.storedHardState {
+		r.send(m)
+
+		return
+	}
 	m.From, m.Group, m.Term = r.cfg.ID, r.cfg.Group, r.hardState.Term
 	r.unsyncedMessages = append(r.unsyncedMessages, m)
 }
--- a/internal/consensus/log.go
+++ b/internal/consensus/log.go
@@ -76,9 +76,19 @@
 	}
 }
 
-// truncateFrom removes the entries from index on.
+// recordStored records that the entries that were emitted last are stored. Those that were replaced
+// since then don't count: what replaced them is not emitted yet.
+func (lo *raftLog) recordStored(entries []Entry) {
+	if n := len(entries); n > 0 {
+		lo.persisted = max(lo.persisted, min(entries[n-1].Index, lo.emitted))
+	}
+}
+
+// truncateFrom removes the entries from index on. They stay in the array, which slices that are
+// being stored or sent share.
 func (lo *raftLog) truncateFrom(index uint64) {
-	lo.entries = lo.entries[:index-lo.snapIndex-1]
+	end := index - lo.snapIndex - 1
+	lo.entries = lo.entries[:end:end]
 	lo.persisted = min(lo.persisted, index-1)
 	lo.emitted = min(lo.emitted, index-1)
 
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -25,6 +25,7 @@
 	cfg              Config
 	hardState        HardState
 	emittedHardState HardState // the one that Ready returned last
+	storedHardState  HardState // the one that Advance confirmed last
 	role             Role
 	leader           ReplicaID
 	log              raftLog
@@ -33,6 +34,7 @@
 	heartbeatDue      time.Duration
 	lastLeaderContact time.Duration
 	hasLeaderContact  bool
+	contactReplyDue   time.Duration
 	preVoting         bool
 	forcedElection    bool
 	votes             map[ReplicaID]bool
@@ -45,6 +47,7 @@
 
 	incoming         *incomingSnapshot // being received in chunks
 	pendingInstall   *Snapshot         // received completely; the next Ready returns it
+	unstoredInstall  uint64            // index of the received snapshot that Advance has not confirmed, 0 if there is none
 	droppedTransfers []DroppedTransfer // for Ready.DroppedTransfers
 	lastTransfer     uint64            // number of the latest transfer of a snapshot as leader
 
@@ -62,7 +65,8 @@
 // New returns a follower with the recovered state of cfg.
 func New(cfg Config, now time.Duration) *Replica {
 	cfg.Defaults()
-	r := &Replica{cfg: cfg, hardState: cfg.HardState, emittedHardState: cfg.HardState, log: newRaftLog(cfg.Snapshot, cfg.Entries)}
+	r := &Replica{cfg: cfg, hardState: cfg.HardState, emittedHardState: cfg.HardState, storedHardState: cfg.HardState}
+	r.log = newRaftLog(cfg.Snapshot, cfg.Entries)
 	r.cfg.Snapshot, r.cfg.Entries = Snapshot{}, nil // free the memory
 	// The first election timeout is shorter, so that a restarted group soon elects a
 	// leader. This is safe because a pre-vote does not disrupt a live leader.
@@ -196,13 +200,12 @@
 	}
 }
 
-// Ready returns the pending work. The driver calls Advance once it is stored.
+// Ready returns the pending work. The driver calls Advance once it is stored, and Ready only then
+// again.
 func (r *Replica) Ready() Ready {
-	rd := Ready{
-		Unsynced: r.unsyncedMessages, Messages: r.messages, Reads: r.readStates, Snapshot: r.pendingInstall,
-		DroppedTransfers: r.droppedTransfers,
-	}
-	r.unsyncedMessages, r.messages, r.readStates, r.pendingInstall, r.droppedTransfers = nil, nil, nil, nil, nil
+	rd := r.ReadyUnsynced()
+	rd.Messages, rd.Snapshot = r.messages, r.pendingInstall
+	r.messages, r.pendingInstall = nil, nil
 
 	if r.hardState != r.emittedHardState {
 		hs := r.hardState
@@ -213,7 +216,16 @@
 		rd.Entries = tail[:len(tail):len(tail)]
 		r.log.emitted = r.log.lastIndex()
 	}
-	if end := min(r.log.commit, r.log.emitted); end > r.log.applied {
+
+	return rd
+}
+
+// ReadyUnsynced returns the pending work that needs no write. The driver may call it while it
+// stores what Ready returned.
+func (r *Replica) ReadyUnsynced() Ready {
+	rd := Ready{Unsynced: r.unsyncedMessages, Reads: r.readStates, DroppedTransfers: r.droppedTransfers}
+	r.unsyncedMessages, r.readStates, r.droppedTransfers = nil, nil, nil
+	if end := min(r.log.commit, r.log.persisted); end > r.log.applied {
 		rd.Committed = append([]Entry(nil), r.log.entries[r.log.applied-r.log.snapIndex:end-r.log.snapIndex]...)
 		r.log.applied = end
 	}
@@ -221,15 +233,15 @@
 	return rd
 }
 
-// Advance records that everything in rd is stored.
+// Advance records that everything in rd is stored. What has replaced parts of it meanwhile is not.
 func (r *Replica) Advance(now time.Duration, rd Ready) {
-	if n := len(rd.Entries); n > 0 {
-		last := rd.Entries[n-1]
-		if t, ok := r.log.term(last.Index); ok && t == last.Term {
-			r.log.persisted = max(r.log.persisted, last.Index)
-		}
+	if rd.HardState != nil {
+		r.storedHardState = *rd.HardState
 	}
-
+	if rd.Snapshot != nil && rd.Snapshot.Index == r.unstoredInstall {
+		r.unstoredInstall = 0
+	}
+	r.log.recordStored(rd.Entries)
 	if r.role == RoleLeader {
 		r.advanceCommit(now)
 	}
--- a/internal/consensus/scenario_test.go
+++ b/internal/consensus/scenario_test.go
@@ -126,6 +126,7 @@
 	// takeSentBytes takes the pending messages and returns the number of entry bytes sent to "b".
 	takeSentBytes := func(re *consensus.Replica) int {
 		rd, n := re.Ready(), 0
+		re.Advance(time.Second, rd)
 		for _, m := range rd.Unsynced {
 			for _, en := range m.Entries {
 				if m.To == "b" {
@@ -196,7 +197,7 @@
 			}
 		}
 		Expect(re.Role()).To(Equal(consensus.RoleLeader))
-		re.Ready()
+		re.Advance(time.Second, re.Ready())
 		for _, from := range []consensus.ReplicaID{"d", "e"} {
 			re.Step(time.Second, consensus.Message{Kind: consensus.MessageAppendReply, Group: 1, From: from, To: "a", Term: 2, Reject: true, Index: 50})
 		}
--- a/internal/consensus/simulation_snapshot_test.go
+++ b/internal/consensus/simulation_snapshot_test.go
@@ -85,7 +85,7 @@
 // sendChunk sends a chunk of a snapshot: chunks are damaged, duplicated and reordered more often
 // than other messages.
 func (s *simulation) sendChunk(m consensus.Message) {
-	if !s.faultsDisabled && len(m.Chunk) > 0 && s.rnd.IntN(20) == 0 {
+	if !s.faultsDisabled && len(m.Chunk) > 0 && s.rnd.IntN(8) == 0 {
 		m.Chunk = append([]byte(nil), m.Chunk...)
 		m.Chunk[s.rnd.IntN(len(m.Chunk))] ^= 1 << s.rnd.IntN(8)
 		s.damaged[keyOf(&m)] = true
--- a/internal/consensus/simulation_test.go
+++ b/internal/consensus/simulation_test.go
@@ -41,18 +41,22 @@
 
 // simNode is a replica and its disk.
 type simNode struct {
-	id          consensus.ReplicaID
-	replica     *consensus.Replica
-	hs          consensus.HardState
-	snapshot    consensus.Snapshot
-	entries     []consensus.Entry
-	bootstrap   consensus.Membership
-	applied     uint64
-	state       string // state machine: a hash chain over all applied commands
-	clockRate   float64
-	down        bool
-	diskLost    bool // the replica never restarts
-	pausedUntil time.Duration
+	id        consensus.ReplicaID
+	replica   *consensus.Replica
+	hs        consensus.HardState
+	snapshot  consensus.Snapshot
+	entries   []consensus.Entry
+	bootstrap consensus.Membership
+	applied   uint64
+	writing   *simWrite
+	slowUntil time.Duration
+
+	fixedWriteTime time.Duration // of each write; random if 0
+	state          string        // state machine: a hash chain over all applied commands
+	clockRate      float64
+	down           bool
+	diskLost       bool // the replica never restarts
+	pausedUntil    time.Duration
 }
 
 func newSimulation(seed uint64, founders int) *simulation {
@@ -99,34 +103,6 @@
 	}, n.clock(s.now))
 }
 
-// flush processes Ready as a driver does. The replica may crash before anything is stored.
-func (s *simulation) flush(n *simNode) {
-	for {
-		rd := n.replica.Ready()
-		if rd.Empty() {
-			return
-		}
-		s.sendAll(rd.Unsynced)
-		s.checkDropped(&rd)
-		if rd.MustSync() && !s.faultsDisabled && s.rnd.IntN(400) == 0 {
-			s.crash(n) // loses the unsynced tail
-			s.events["lostTail"]++
-
-			return
-		}
-		s.persist(n, &rd)
-		s.sendAll(rd.Messages)
-		n.replica.Advance(n.clock(s.now), rd)
-		s.apply(n, &rd)
-		for _, r := range rd.Reads {
-			if r.OK {
-				s.events["read"]++
-				Expect(r.Index).To(BeNumerically(">=", s.commitAtRead[r.Context]), "the read index is below what was committed before the read")
-			}
-		}
-	}
-}
-
 func (s *simulation) persist(n *simNode, rd *consensus.Ready) {
 	if rd.HardState != nil {
 		n.hs = *rd.HardState
@@ -147,9 +123,6 @@
 }
 
 func (s *simulation) apply(n *simNode, rd *consensus.Ready) {
-	if rd.Snapshot != nil {
-		s.install(n, rd.Snapshot)
-	}
 	for _, en := range rd.Committed {
 		Expect(en.Index).To(Equal(n.applied+1), "%s applies entries out of order", n.id)
 		n.applied = en.Index
@@ -217,6 +190,7 @@
 
 func (s *simulation) crash(n *simNode) {
 	n.down, n.replica = true, nil
+	s.tearWrite(n)
 	s.events["crash"]++
 }
 
@@ -286,6 +260,8 @@
 		}
 	case r < 300:
 		s.disturbTransfer()
+	case r < 301:
+		s.slowDownOneDisk()
 	}
 	s.checkLeaders()
 }
@@ -431,7 +407,7 @@
 			}
 			s.healAndVerify()
 			GinkgoWriter.Println("seed", seed, s.events, "leaders", len(s.leaderByTerm))
-			for _, what := range []string{"propose", "applied", "crash", "restart", "snapshot", "compact", "emptied", "member", "partition", "read", "lostTail", "brokenTransfer", "damagedChunk"} {
+			for _, what := range []string{"propose", "applied", "crash", "restart", "snapshot", "compact", "emptied", "member", "partition", "read", "lostTail", "brokenTransfer", "damagedChunk", "slowWrite", "tornWrite", "slowDisk"} {
 				Expect(s.events[what]).To(BeNumerically(">", 0), "the run had no %s event", what)
 			}
 		})
--- a/internal/consensus/snapshot_test.go
+++ b/internal/consensus/snapshot_test.go
@@ -35,7 +35,7 @@
 	}
 	Expect(re.Role()).To(Equal(consensus.RoleLeader))
 	Expect(re.Term()).To(Equal(term))
-	re.Ready()
+	re.Advance(time.Second, re.Ready())
 	re.Step(time.Second, consensus.Message{Kind: consensus.MessageAppendReply, Group: 1, From: "b", To: id, Term: term, Reject: true, Index: sn.Index})
 
 	return re
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -166,15 +166,17 @@
 	OK      bool
 }
 
-// Ready lists the driver's pending work, in this order: send Unsynced, store HardState,
-// Snapshot and Entries with one sync, send Messages, call Advance, apply Committed.
+// Ready lists the driver's pending work. The driver sends Unsynced and applies Committed at once, and
+// stores HardState, Snapshot and Entries with one sync. Once they are stored it sends Messages,
+// applies Snapshot and calls Advance. Until then it may go on to call Step, Tick and Propose, and
+// take further work that needs no write from ReadyUnsynced; it calls Ready again after Advance.
 type Ready struct {
-	Unsynced  []Message // a leader's appends and snapshots, which need no sync first
+	Unsynced  []Message // need no sync: a leader's appends and snapshots, and replies about what is stored
 	HardState *HardState
 	Snapshot  *Snapshot
 	Entries   []Entry
 	Messages  []Message // sent only once everything above is stored
-	Committed []Entry
+	Committed []Entry   // stored here and on a quorum
 	Reads     []ReadState
 
 	DroppedTransfers []DroppedTransfer // only reported; nothing has to be stored or sent for them
