group: the log is stored beside the loop of the replica

A disk that synced for longer than the election timeout cost the lead.

The loop goes on with what needs no write.

Ruled out: messages of one replica that don't wait behind a large append. A heartbeat that overtakes one is rejected and makes the leader probe.

--- a/internal/group/applier.go
+++ b/internal/group/applier.go
@@ -135,14 +135,17 @@
 	}
 }
 
-// queueCommitted passes what rd commits to the applier, with the proposals that wait for it.
-func (n *node) queueCommitted(rd *consensus.Ready) {
+// queueSnapshot passes a received snapshot to the applier.
+func (n *node) queueSnapshot(sn *consensus.Snapshot) {
+	n.applier.held = append(n.applier.held, &applyTask{snapshot: sn})
+	n.applier.feed()
+}
+
+// queueCommitted passes committed entries to the applier, with the proposals that wait for them.
+func (n *node) queueCommitted(entries []consensus.Entry) {
 	ap := n.applier
-	if rd.Snapshot != nil {
-		ap.held = append(ap.held, &applyTask{snapshot: rd.Snapshot})
-	}
 	var ta *applyTask
-	for _, en := range rd.Committed {
+	for _, en := range entries {
 		if ta == nil || en.Kind == consensus.EntryMembership || ta.bytes+len(en.Data) > maxApplyTaskBytes {
 			ta = &applyTask{membership: n.replica.MembershipAt(en.Index), proposals: map[uint64]*proposal{}}
 			ap.held = append(ap.held, ta)
--- a/internal/group/disk.go
+++ b/internal/group/disk.go
@@ -74,21 +74,19 @@
 	return !now.Before(di.retryAt)
 }
 
-// unstored is work of a replica that waits for a disk that refuses writes.
-type unstored struct {
-	ready    *consensus.Ready // not stored yet, nil if there is none
-	snapshot *snapshotResult  // written but not adopted yet, nil if there is none
-}
-
 // suspend stops the replica until the disk accepts writes: it gives up leadership, and from
-// now on drops messages and refuses proposals and reads. Errors that the disk won't recover
-// from are returned.
-func (n *node) suspend(err error, un unstored) error {
+// now on drops messages and refuses proposals and reads. The task that was refused is tried again.
+// Errors that the disk won't recover from are returned.
+func (n *node) suspend(err error, refused *storeTask) error {
 	if !storage.IsTransient(err) {
 		return err
 	}
 	n.disk.recordRefusal(time.Now(), err)
-	n.unstored = &un
+	if n.unstored != nil {
+		return nil
+	}
+	refused.isRetry = true
+	n.unstored = refused
 	n.heardLeader = ""
 	for _, m := range n.replica.Resign(n.now()) {
 		n.send(m)
@@ -99,40 +97,11 @@
 	return nil
 }
 
-// resume tries the disk again if that is due, and takes up the work where it stopped.
-func (n *node) resume() error {
-	if !n.disk.isRetryDue(time.Now()) {
-		return nil
-	}
-	if err := n.store.Resume(); err != nil {
-		n.disk.recordRefusal(time.Now(), err)
-		if !storage.IsTransient(err) {
-			return err
-		}
-
-		return nil
-	}
-	un := n.unstored
-	n.unstored = nil
-	if un.snapshot != nil {
-		if err := n.adoptSnapshot(*un.snapshot); err != nil {
-			return err
-		}
-		if n.unstored != nil {
-			n.unstored.ready = un.ready
-
-			return nil
-		}
-	}
-	if un.ready != nil {
-		if err := n.store.Save(un.ready); err != nil {
-			return n.suspend(err, unstored{ready: un.ready})
-		}
-		n.carryOut(*un.ready)
+// resume tries the disk again if that is due, to take up the work where it stopped.
+func (n *node) resume() {
+	if !n.writer.isBusy && n.disk.isRetryDue(time.Now()) {
+		n.startTask(n.unstored)
 	}
-	n.disk.recordSuccess(time.Now())
-
-	return nil
 }
 
 // handleSuspended handles an event while the disk refuses writes. Of a message only the leader
--- a/internal/group/disk_test.go
+++ b/internal/group/disk_test.go
@@ -26,6 +26,7 @@
 type refusingFiles struct {
 	refuses          atomic.Bool
 	refusesSnapshots atomic.Bool
+	syncTime         atomic.Int64 // a time.Duration
 }
 
 func (rf *refusingFiles) isRefused(path string) bool {
@@ -51,6 +52,7 @@
 				return write(b)
 			}
 			fl.Sync = func() error {
+				time.Sleep(time.Duration(rf.syncTime.Load()))
 				if rf.isRefused(path) {
 					return errNoSpace
 				}
--- a/internal/group/node.go
+++ b/internal/group/node.go
@@ -83,13 +83,18 @@
 	// A snapshot is encoded and written in the background.
 	snapshots       snapshotSchedule
 	snapshotResults chan snapshotResult
+	written         *consensus.Snapshot // not adopted yet
+	isTransferDue   bool                // a follower needs the stored snapshot
+	transfer        *consensus.Snapshot // read for that
 	background      sync.WaitGroup
 
-	pauses      *pauseWatch
-	log         log.Interface
-	disk        *disk
-	unstored    *unstored           // set while the disk refuses writes
-	heardLeader consensus.ReplicaID // leader that sent a message since then
+	pauses        *pauseWatch
+	log           log.Interface
+	disk          *disk
+	writer        *storeWriter
+	writeLoggedAt time.Duration
+	unstored      *storeTask          // set while the disk refuses writes
+	heardLeader   consensus.ReplicaID // leader that sent a message since then
 
 	inbox            chan event
 	pendingProposals map[uint64]pendingProposal
@@ -112,6 +117,8 @@
 	defer ticker.Stop()
 	defer n.failPending(errStopping())
 	defer n.store.Close()
+	n.writer.done.Go(func() { n.writer.run(n.store) })
+	defer n.writer.stop()
 	defer n.background.Wait()
 	n.applier.done.Go(n.applyTasks)
 	defer n.applier.stop(errStopping())
@@ -128,6 +135,11 @@
 			if err := n.finishSnapshot(sv); err != nil {
 				return err
 			}
+		case ta := <-n.writer.results:
+			n.pauses.begin()
+			if err := n.finishTask(ta); err != nil {
+				return err
+			}
 		case err := <-n.applier.failed:
 			return err
 		case <-n.applier.room:
@@ -141,22 +153,16 @@
 		n.applier.feed()
 		n.pauses.end(stepReceive)
 		if n.unstored != nil {
-			if err := n.resume(); err != nil {
-				return err
-			}
-			if n.unstored != nil {
-				n.updateStatus()
-				n.pauses.finish()
+			n.resume()
+			n.updateStatus()
+			n.pauses.finish()
 
-				continue
-			}
+			continue
 		}
 		n.propose(batch)
 		n.replica.Tick(n.now())
 		n.pauses.end(stepPropose)
-		if err := n.processReady(); err != nil {
-			return err
-		}
+		n.processReady()
 		n.pauses.finish()
 	}
 }
@@ -236,15 +242,17 @@
 	n.pendingReads[n.lastReadID] = rr
 }
 
-// processReady carries out what the consensus core requests, until nothing is left.
-func (n *node) processReady() error {
+// processReady carries out what the consensus core requests, until nothing is left but what waits
+// for the store.
+func (n *node) processReady() {
 	for {
-		rd := n.replica.Ready()
+		n.startSnapshotTask()
+		rd := n.takeReady()
 		if rd.Empty() {
 			n.updateStatus()
 			n.pauses.end(stepPublish)
 
-			return nil
+			return
 		}
 
 		for _, m := range rd.Unsynced {
@@ -256,30 +264,29 @@
 			}
 		}
 		n.pauses.end(stepSend)
-		if rd.MustSync() {
-			if err := n.store.Save(&rd); err != nil {
-				return n.suspend(err, unstored{ready: &rd})
-			}
-			n.pauses.end(stepStore)
+		n.queueCommitted(rd.Committed)
+		for _, rs := range rd.Reads {
+			n.finishRead(rs)
 		}
-		n.carryOut(rd)
 		n.pauses.end(stepApply)
+		switch {
+		case n.writer.isBusy:
+		case rd.MustSync():
+			n.startTask(&storeTask{ready: &rd})
+		default:
+			n.carryOut(&rd)
+		}
+		n.pauses.end(stepStore)
 	}
 }
 
-// carryOut does what may follow only once rd is stored.
-func (n *node) carryOut(rd consensus.Ready) {
-	for _, m := range rd.Messages {
-		n.send(m)
-	}
-	n.replica.Advance(n.now(), rd)
-	if rd.Snapshot != nil {
-		n.snapshots.store(rd.Snapshot.Index)
-	}
-	n.queueCommitted(&rd)
-	for _, rs := range rd.Reads {
-		n.finishRead(rs)
+// takeReady returns the pending work: while the store is busy, that which needs no write.
+func (n *node) takeReady() consensus.Ready {
+	if n.writer.isBusy {
+		return n.replica.ReadyUnsynced()
 	}
+
+	return n.replica.Ready()
 }
 
 func (n *node) finishRead(rs consensus.ReadState) {
--- a/internal/group/opennode.go
+++ b/internal/group/opennode.go
@@ -76,7 +76,7 @@
 	n := &node{
 		store: st, start: time.Now(), wallMs: cfg.wallMs, send: cfg.send, onApply: cfg.onApply, onStatus: cfg.onStatus,
 		inbox: make(chan event, inboxSize), pendingProposals: map[uint64]pendingProposal{}, pendingReads: map[uint64]*readRequest{},
-		machine: ma, applier: newApplier(position{re.Snapshot.Index, re.Snapshot.Term}), snapshotResults: make(chan snapshotResult, 1),
+		machine: ma, applier: newApplier(position{re.Snapshot.Index, re.Snapshot.Term}), snapshotResults: make(chan snapshotResult, 1), writer: newStoreWriter(),
 		disk: cfg.disk, onDroppedTransfer: cfg.onDroppedTransfer, log: cfg.log,
 	}
 	n.snapshots.store(re.Snapshot.Index)
@@ -94,7 +94,7 @@
 		HardState: re.HardState, Snapshot: re.Snapshot, Entries: re.Entries,
 	}, n.now())
 	if err := st.Failure(); err != nil {
-		return n, n.suspend(err, unstored{})
+		return n, n.suspend(err, &storeTask{})
 	}
 	n.updateStatus()
 
--- a/internal/group/snapshot.go
+++ b/internal/group/snapshot.go
@@ -39,28 +39,16 @@
 	return nil
 }
 
-// latestSnapshot reads the stored snapshot for a transfer to a follower.
-func (n *node) latestSnapshot() (consensus.Snapshot, bool) {
-	began := n.now()
-	sn, ok := n.store.LatestSnapshot()
-	n.log.WithFields(log.Fields{"index": sn.Index, "bytes": len(sn.Data), "found": ok, "ms": (n.now() - began).Milliseconds()}).
-		Info("snapshot read for a transfer")
-
-	return sn, ok
-}
-
-// finishSnapshot adopts a written snapshot. One that the disk refused is due again after a pause;
-// until then the log is retained.
+// finishSnapshot takes a written snapshot, to adopt it. One that the disk refused is due again after
+// a pause; until then the log is retained.
 func (n *node) finishSnapshot(sv snapshotResult) error {
-	n.snapshots.end()
-	switch {
-	case sv.err == nil && n.unstored != nil:
-		n.unstored.snapshot = &sv
+	if sv.err == nil {
+		n.written = &sv.snapshot
 
 		return nil
-	case sv.err == nil:
-		return n.adoptSnapshot(sv)
-	case !storage.IsTransient(sv.err):
+	}
+	n.snapshots.end()
+	if !storage.IsTransient(sv.err) {
 		return sv.err
 	}
 	n.snapshots.retry(n.now() + snapshotRetryPause)
@@ -69,27 +57,18 @@
 	return nil
 }
 
-// adoptSnapshot makes a written snapshot the current one and drops the log that it
-// covers, except for the entries that are retained for slow followers.
-func (n *node) adoptSnapshot(sv snapshotResult) error {
-	sn := sv.snapshot
-	if sn.Index <= n.snapshots.stored() {
-		// The leader has sent a newer one meanwhile.
-		if err := n.store.DropSnapshot(sn.Index); err != nil {
-			return n.suspend(err, unstored{snapshot: &sv})
-		}
-
-		return nil
-	}
-	if err := n.store.AdoptSnapshot(sn, false); err != nil {
-		return n.suspend(err, unstored{snapshot: &sv})
+// finishAdoption drops the log that an adopted snapshot covers, except for the entries that are
+// retained for slow followers.
+func (n *node) finishAdoption(ta *storeTask) {
+	n.snapshots.end()
+	if ta.isStale {
+		return
 	}
+	sn := ta.adopt
 	n.snapshots.store(sn.Index)
 	dropTo := max(n.replica.TailFrom(retainedBytes), 1) - 1
 	if sn.Index > retainedEntries {
 		dropTo = max(dropTo, sn.Index-retainedEntries)
 	}
 	n.replica.Compact(min(dropTo, sn.Index))
-
-	return nil
 }
