group: reads that wait at the same time share a round of heartbeats

Cause: each read sent a heartbeat to each other replica.

Change: the loop begins all reads of an iteration with one ReadIndex, after all of them have arrived: its index and its round are as new as each read needs. The limit of waiting reads counts queued ones too.

--- a/internal/group/node.go
+++ b/internal/group/node.go
@@ -98,7 +98,9 @@
 
 	inbox            chan event
 	pendingProposals map[uint64]pendingProposal
-	pendingReads     map[uint64]*readRequest
+	queuedReads      []*readRequest
+	pendingReads     map[uint64][]*readRequest // by the ID of their round
+	readWaiters      int                       // queued and pending reads
 	lastReadID       uint64
 
 	applier *applier
@@ -160,6 +162,7 @@
 			continue
 		}
 		n.propose(batch)
+		n.startReads()
 		n.replica.Tick(n.now())
 		n.pauses.end(stepPropose)
 		n.processReady()
@@ -195,7 +198,7 @@
 	case ev.proposal != nil:
 		return append(batch, ev.proposal)
 	case ev.read != nil:
-		n.startRead(ev.read)
+		n.queueRead(ev.read)
 	case ev.call != nil:
 		ev.call(n.now(), n.replica)
 	}
@@ -225,21 +228,40 @@
 	}
 }
 
-// startRead begins a read; its answer follows once the leader is confirmed by a quorum.
-func (n *node) startRead(rr *readRequest) {
-	if len(n.pendingReads) >= maxReadWaiters {
-		rr.answer <- readAnswer{err: result.New(result.QueueFull, "group: %d reads are pending, the limit", len(n.pendingReads))}
+// queueRead takes a read for the next round of heartbeats.
+func (n *node) queueRead(rr *readRequest) {
+	if n.readWaiters >= maxReadWaiters {
+		rr.answer <- readAnswer{err: result.New(result.QueueFull, "group: %d reads are pending, the limit", n.readWaiters)}
 
 		return
 	}
+	n.readWaiters++
+	n.queuedReads = append(n.queuedReads, rr)
+}
 
+// startReads begins the queued reads with one round of heartbeats; their answer follows once a
+// quorum has confirmed the leader.
+func (n *node) startReads() {
+	if len(n.queuedReads) == 0 {
+		return
+	}
+
+	reads := n.queuedReads
+	n.queuedReads = nil
 	n.lastReadID++
 	if err := n.replica.ReadIndex(n.now(), n.lastReadID); err != nil {
-		rr.answer <- readAnswer{err: result.New(result.NotLeader, "group: %v", err)}
+		n.answerReads(reads, readAnswer{err: result.New(result.NotLeader, "group: %v", err)})
 
 		return
 	}
-	n.pendingReads[n.lastReadID] = rr
+	n.pendingReads[n.lastReadID] = reads
+}
+
+func (n *node) answerReads(reads []*readRequest, an readAnswer) {
+	n.readWaiters -= len(reads)
+	for _, rr := range reads {
+		rr.answer <- an
+	}
 }
 
 // processReady carries out what the consensus core requests, until nothing is left but what waits
@@ -290,17 +312,13 @@
 }
 
 func (n *node) finishRead(rs consensus.ReadState) {
-	rr, ok := n.pendingReads[rs.Context]
-	if !ok {
-		return
-	}
-
+	reads := n.pendingReads[rs.Context]
 	delete(n.pendingReads, rs.Context)
 	an := readAnswer{index: rs.Index}
 	if !rs.OK {
 		an.err = result.New(result.NotLeader, "group: this replica lost leadership before it could confirm the read")
 	}
-	rr.answer <- an
+	n.answerReads(reads, an)
 }
 
 // failPending answers all pending proposals and reads with err.
@@ -309,10 +327,12 @@
 		w.proposal.answer <- proposalAnswer{err: err}
 		delete(n.pendingProposals, i)
 	}
-	for i, rr := range n.pendingReads {
-		rr.answer <- readAnswer{err: err}
+	for i, reads := range n.pendingReads {
+		n.answerReads(reads, readAnswer{err: err})
 		delete(n.pendingReads, i)
 	}
+	n.answerReads(n.queuedReads, readAnswer{err: err})
+	n.queuedReads = nil
 }
 
 // enqueue puts an event into the inbox.
