--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -44,6 +44,7 @@
 			delete(r.progress, id)
 		}
 	}
+	r.releaseSource()
 }
 
 func (r *Replica) tickLeader(now time.Duration) {
@@ -94,17 +95,17 @@
 func (r *Replica) sendAppend(now time.Duration, id ReplicaID, heartbeat bool) {
 	pr := r.progress[id]
 	if pr.outgoing != nil {
-		if heartbeat && now > pr.snapshotSent+r.cfg.ElectionTimeout {
-			r.sendChunk(now, id, pr)
-		}
 		if heartbeat {
+			r.continueTransfer(now, id, pr)
 			r.sendEmptyAppend(id, r.log.snapIndex)
 		}
 
 		return
 	}
 	if pr.next <= r.log.snapIndex {
-		r.startSnapshot(now, id, pr)
+		if !r.startSnapshot(now, id, pr) && heartbeat {
+			r.sendEmptyAppend(id, r.log.snapIndex)
+		}
 
 		return
 	}
@@ -166,7 +167,8 @@
 		}
 		pr.next = max(pr.match+1, min(m.Hint+1, r.log.lastIndex()+1))
 		pr.probing = true
-		r.sendAppend(now, m.From, true)
+		// A follower that waits for a snapshot rejects the next heartbeat too.
+		r.sendAppend(now, m.From, pr.next > r.log.snapIndex)
 
 		return
 	}
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -44,6 +44,8 @@
 	transferStart  time.Duration
 
 	incoming         *incomingSnapshot // being received in chunks
+	chunks           []SnapshotChunk   // for Ready.Chunks
+	source           *SnapshotSource   // being sent as leader, nil if there is no transfer
 	pendingInstall   *Snapshot         // received completely; the next Ready returns it
 	droppedTransfers []DroppedTransfer // for Ready.DroppedTransfers
 	lastTransfer     uint64            // number of the latest transfer of a snapshot as leader
@@ -200,8 +202,9 @@
 func (r *Replica) Ready() Ready {
 	rd := Ready{
 		Unsynced: r.unsyncedMessages, Messages: r.messages, Reads: r.readStates, Snapshot: r.pendingInstall,
-		DroppedTransfers: r.droppedTransfers,
+		Chunks: r.chunks, DroppedTransfers: r.droppedTransfers,
 	}
+	r.chunks = nil
 	r.unsyncedMessages, r.messages, r.readStates, r.pendingInstall, r.droppedTransfers = nil, nil, nil, nil, nil
 
 	if r.hardState != r.emittedHardState {
@@ -256,6 +259,7 @@
 
 	r.role, r.leader, r.preVoting = RoleFollower, leader, false
 	r.progress, r.transferTarget = nil, ""
+	r.releaseSource()
 	r.resetElectionTimer(now)
 }
 
--- a/internal/consensus/scenario_test.go
+++ b/internal/consensus/scenario_test.go
@@ -109,7 +109,7 @@
 	newLeader := func() *consensus.Replica {
 		re := consensus.New(consensus.Config{
 			ID: "a", Group: 1, ElectionTimeout: 300 * time.Millisecond, HeartbeatPeriod: 60 * time.Millisecond,
-			Random: func(int64) int64 { return 0 }, LatestSnapshot: func() (consensus.Snapshot, bool) { return consensus.Snapshot{}, false },
+			Random: func(int64) int64 { return 0 }, OpenSnapshot: func() *consensus.SnapshotSource { return nil },
 			Snapshot: consensus.Snapshot{Membership: consensus.Membership{Voters: []consensus.ReplicaID{"a", "b", "c"}}},
 		}, 0)
 		re.Tick(time.Second)
@@ -177,14 +177,16 @@
 })
 
 var _ = Describe("two followers that need a snapshot", func() {
-	It("share one copy of its data", func() {
-		snapshotReads := 0
+	It("share one open file of its data, which is closed after both", func() {
+		opened, closed := 0, 0
 		re := consensus.New(consensus.Config{
 			ID: "a", Group: 1, ElectionTimeout: 300 * time.Millisecond, HeartbeatPeriod: 60 * time.Millisecond,
-			Random: func(int64) int64 { return 0 }, LatestSnapshot: func() (consensus.Snapshot, bool) {
-				snapshotReads++
+			Random: func(int64) int64 { return 0 }, OpenSnapshot: func() *consensus.SnapshotSource {
+				opened++
+				so := sourceOf(consensus.Snapshot{Index: 50, Term: 1, Data: make([]byte, 1<<20)})
+				so.Close = func() { closed++ }
 
-				return consensus.Snapshot{Index: 50, Term: 1, Data: make([]byte, 1<<20)}, true
+				return so
 			},
 			HardState: consensus.HardState{Term: 1},
 			Snapshot:  consensus.Snapshot{Index: 50, Term: 1, Membership: consensus.Membership{Voters: []consensus.ReplicaID{"a", "b", "c", "d", "e"}}},
@@ -207,7 +209,14 @@
 			}
 		}
 		Expect(chunks).To(Equal(map[consensus.ReplicaID]int{"d": 1, "e": 1}))
-		Expect(snapshotReads).To(Equal(1))
+		Expect(opened).To(Equal(1))
+		Expect(closed).To(Equal(0))
+		for i, from := range []consensus.ReplicaID{"d", "e"} {
+			re.Step(time.Second, consensus.Message{
+				Kind: consensus.MessageSnapshotReply, Group: 1, From: from, To: "a", Term: 2, Index: 50, SnapshotDone: true,
+			})
+			Expect(closed).To(Equal(i))
+		}
 	})
 })
 
--- a/internal/consensus/simulation_snapshot_test.go
+++ b/internal/consensus/simulation_snapshot_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -28,15 +29,31 @@
 	return transferKey{m.From, m.Term, m.SnapshotTransfer}
 }
 
-// encodeState returns an encoding of state that differs between calls in order and length, as
-// those of maps do. A part of one encoding joined with a part of another is mostly no encoding of
-// the state any more, but can often be decoded.
-func (s *simulation) encodeState(state string) []byte {
+// snapshotKey identifies the bytes of a snapshot.
+type snapshotKey struct {
+	index, digest uint64
+}
+
+func keyOfSnapshot(sn *consensus.Snapshot) snapshotKey { return snapshotKey{sn.Index, sn.Digest} }
+
+func chunkText(key snapshotKey, offset uint64, data []byte) string {
+	return fmt.Sprintf("%d/%d/%d/%x", key.index, key.digest, offset, data)
+}
+
+// encodeState returns an encoding of the state after index. At every fourth index of a snapshot it differs between calls in
+// order and length, as those of maps do: then a part of one encoding joined with a part of another is mostly
+// no encoding of the state any more, but can often be decoded. At the others it is always the same, so that
+// transfers go on under the next leader.
+func (s *simulation) encodeState(index uint64, state string) []byte {
+	rnd := s.rnd
+	if index/snapshotPeriod%4 != 0 {
+		rnd = rand.New(rand.NewPCG(index, 5))
+	}
 	var sb strings.Builder
 	padded := state + strings.Repeat("_", stateRunes-len(state))
-	for _, i := range s.rnd.Perm(stateRunes) {
+	for _, i := range rnd.Perm(stateRunes) {
 		fmt.Fprintf(&sb, "%x%c", i, padded[i])
-		if s.rnd.IntN(4) == 0 {
+		if rnd.IntN(4) == 0 {
 			sb.WriteString("..")
 		}
 	}
@@ -44,6 +61,43 @@
 	return []byte(sb.String())
 }
 
+// recordEncoding records the bytes of a snapshot that was taken.
+func (s *simulation) recordEncoding(sn consensus.Snapshot) {
+	so := sourceOf(sn)
+	s.encodings[keyOfSnapshot(&so.Snapshot)] = sn.Data
+}
+
+// openSnapshot opens the stored snapshot of a replica. Only one may be open at a time.
+func (n *simNode) openSnapshot() *consensus.SnapshotSource {
+	if n.snapshot.Index == 0 {
+		return nil
+	}
+	n.opened++
+	Expect(n.opened).To(Equal(1), "%s sends two snapshots at once", n.id)
+	so := sourceOf(n.snapshot)
+	so.Close = func() { n.opened-- }
+
+	return so
+}
+
+// storeChunks stores received chunks. Each must be a part of the snapshot that it is stored for, unless it
+// was damaged on its way.
+func (s *simulation) storeChunks(n *simNode, rd *consensus.Ready) {
+	for _, ch := range rd.Chunks {
+		if ch.Offset == 0 {
+			n.partIsDamaged = false
+		}
+		n.part.add(ch)
+		key := keyOfSnapshot(&ch.Snapshot)
+		whole, end := s.encodings[key], ch.Offset+uint64(len(ch.Data))
+		if end <= uint64(len(whole)) && string(whole[ch.Offset:end]) == string(ch.Data) {
+			continue
+		}
+		Expect(s.damaged).To(HaveKey(chunkText(key, ch.Offset, ch.Data)), "a snapshot is joined from chunks that do not belong together")
+		n.partIsDamaged = true
+	}
+}
+
 // decodeState returns the state in an encoding; parts that the encoding lacks are spaces.
 func decodeState(data []byte) string {
 	out := []byte(strings.Repeat(" ", stateRunes))
@@ -64,20 +118,21 @@
 	s.states[index] = state
 }
 
-// install checks a received snapshot, which must hold the state at its index.
-func (s *simulation) install(n *simNode, sn *consensus.Snapshot) {
+// install checks the received snapshot that was stored, which must hold the state at its index.
+func (s *simulation) install(n *simNode) {
+	sn := &n.snapshot
 	Expect(sn.Index).To(BeNumerically(">=", n.applied), "the snapshot is older than the applied state")
+	Expect(n.partIsDamaged).To(BeFalse(), "%s installs a damaged snapshot", n.id)
 	n.applied, n.state = sn.Index, decodeState(sn.Data)
 	if want, ok := s.states[sn.Index]; ok {
 		Expect(n.state).To(Equal(want), "%s installs a snapshot that does not hold the state at index %d", n.id, sn.Index)
 	}
 }
 
-// checkDropped checks that a receiver drops only transfers of which a chunk was damaged.
-func (s *simulation) checkDropped(rd *consensus.Ready) {
-	for _, dropped := range rd.DroppedTransfers {
-		key := transferKey{dropped.From, dropped.Term, dropped.Transfer}
-		Expect(s.damaged).To(HaveKey(key), "a snapshot was joined from chunks that do not belong together")
+// checkDropped checks that a receiver drops only snapshots of which it stored a damaged chunk.
+func (s *simulation) checkDropped(n *simNode, rd *consensus.Ready) {
+	for range rd.DroppedTransfers {
+		Expect(n.partIsDamaged).To(BeTrue(), "a snapshot was joined from chunks that do not belong together")
 		s.events["dropped"]++
 	}
 }
@@ -85,10 +140,14 @@
 // sendChunk sends a chunk of a snapshot: chunks are damaged, duplicated and reordered more often
 // than other messages.
 func (s *simulation) sendChunk(m consensus.Message) {
+	if sentTo := s.sentTo[keyOf(&m)]; m.SnapshotOffset > sentTo {
+		s.events["continued"]++ // where another leader stopped
+	}
+	s.sentTo[keyOf(&m)] = max(s.sentTo[keyOf(&m)], m.SnapshotOffset+uint64(len(m.Chunk)))
 	if !s.faultsDisabled && len(m.Chunk) > 0 && s.rnd.IntN(20) == 0 {
 		m.Chunk = append([]byte(nil), m.Chunk...)
 		m.Chunk[s.rnd.IntN(len(m.Chunk))] ^= 1 << s.rnd.IntN(8)
-		s.damaged[keyOf(&m)] = true
+		s.damaged[chunkText(snapshotKey{m.Index, m.SnapshotDigest}, m.SnapshotOffset, m.Chunk)] = true
 		s.events["damagedChunk"]++
 	}
 	for range 1 + s.rnd.IntN(10)/8 {
--- a/internal/consensus/simulation_test.go
+++ b/internal/consensus/simulation_test.go
@@ -30,8 +30,10 @@
 	events         map[string]int    // counts of events, to check that the run covered them
 	faultsDisabled bool              // no further random faults
 
-	states  map[uint64]string    // state after each index
-	damaged map[transferKey]bool // transfers of which a chunk was damaged
+	states    map[uint64]string      // state after each index
+	encodings map[snapshotKey][]byte // data of each snapshot that was taken
+	damaged   map[string]bool        // chunks that were damaged on their way, as described by chunkText
+	sentTo    map[transferKey]uint64 // end of the furthest chunk of each transfer
 }
 
 type delayedMessage struct {
@@ -53,13 +55,17 @@
 	down        bool
 	diskLost    bool // the replica never restarts
 	pausedUntil time.Duration
+
+	part          storedPart // of a snapshot that is being received
+	partIsDamaged bool       // a damaged chunk was stored in it
+	opened        int        // snapshots that are open to be sent
 }
 
 func newSimulation(seed uint64, founders int) *simulation {
 	s := &simulation{
 		rnd: rand.New(rand.NewPCG(seed, 7)), blockedLinks: map[[2]consensus.ReplicaID]bool{}, leaderByTerm: map[uint64]consensus.ReplicaID{},
 		committed: map[uint64]string{}, commitAtRead: map[uint64]uint64{}, events: map[string]int{},
-		states: map[uint64]string{}, damaged: map[transferKey]bool{},
+		states: map[uint64]string{}, encodings: map[snapshotKey][]byte{}, damaged: map[string]bool{}, sentTo: map[transferKey]uint64{},
 	}
 	var m consensus.Membership
 	for i := range founders {
@@ -87,6 +93,7 @@
 
 func (s *simulation) boot(n *simNode) {
 	n.down = false
+	n.part, n.partIsDamaged, n.opened = storedPart{}, false, 0
 	n.applied, n.state = n.snapshot.Index, decodeState(n.snapshot.Data)
 	if n.snapshot.Index == 0 {
 		n.state = ""
@@ -94,8 +101,8 @@
 	n.replica = consensus.New(consensus.Config{
 		ID: n.id, Group: 1, ElectionTimeout: 300 * time.Millisecond, HeartbeatPeriod: 60 * time.Millisecond,
 		MaxAppendBytes: 400, MaxInFlight: 40, ChunkBytes: 8, Random: s.rnd.Int64N,
-		LatestSnapshot: func() (consensus.Snapshot, bool) { return n.snapshot, n.snapshot.Index > 0 },
-		HardState:      n.hs, Snapshot: n.snapshot, Entries: slices.Clone(n.entries),
+		OpenSnapshot: n.openSnapshot,
+		HardState:    n.hs, Snapshot: n.snapshot, Entries: slices.Clone(n.entries),
 	}, n.clock(s.now))
 }
 
@@ -107,7 +114,8 @@
 			return
 		}
 		s.sendAll(rd.Unsynced)
-		s.checkDropped(&rd)
+		s.storeChunks(n, &rd)
+		s.checkDropped(n, &rd)
 		if rd.MustSync() && !s.faultsDisabled && s.rnd.IntN(400) == 0 {
 			s.crash(n) // loses the unsynced tail
 			s.events["lostTail"]++
@@ -132,7 +140,7 @@
 		n.hs = *rd.HardState
 	}
 	if rd.Snapshot != nil {
-		n.snapshot, n.entries = *rd.Snapshot, nil
+		n.snapshot, n.entries = n.part.complete(*rd.Snapshot), nil
 		s.events["snapshot"]++
 	}
 	for _, en := range rd.Entries {
@@ -148,7 +156,7 @@
 
 func (s *simulation) apply(n *simNode, rd *consensus.Ready) {
 	if rd.Snapshot != nil {
-		s.install(n, rd.Snapshot)
+		s.install(n)
 	}
 	for _, en := range rd.Committed {
 		Expect(en.Index).To(Equal(n.applied+1), "%s applies entries out of order", n.id)
@@ -182,7 +190,8 @@
 func (s *simulation) compact(n *simNode) {
 	term, ok := n.replica.TermAt(n.applied)
 	Expect(ok).To(BeTrue())
-	n.snapshot = consensus.Snapshot{Index: n.applied, Term: term, Membership: n.replica.MembershipAt(n.applied), Data: s.encodeState(n.state)}
+	n.snapshot = consensus.Snapshot{Index: n.applied, Term: term, Membership: n.replica.MembershipAt(n.applied), Data: s.encodeState(n.applied, n.state)}
+	s.recordEncoding(n.snapshot)
 	n.replica.Compact(n.applied - 5)
 	kept := n.entries[:0:0]
 	for _, en := range n.entries {
@@ -422,7 +431,11 @@
 
 const simulationSteps = 100_000
 
-var _ = Describe("replicas with seeded random faults", func() {
+var _ = Describe("replicas with seeded random faults", Ordered, ContinueOnFailure, func() {
+	continued := 0
+	AfterAll(func() {
+		Expect(continued).To(BeNumerically(">", 0), "no run had a transfer that went on under the next leader")
+	})
 	for _, seed := range seeds(6) {
 		It(fmt.Sprintf("keep their invariants with seed %d", seed), func() {
 			s := newSimulation(seed, 3)
@@ -430,6 +443,7 @@
 				s.randomStep()
 			}
 			s.healAndVerify()
+			continued += s.events["continued"]
 			GinkgoWriter.Println("seed", seed, s.events, "leaders", len(s.leaderByTerm))
 			for _, what := range []string{"propose", "applied", "crash", "restart", "snapshot", "compact", "emptied", "member", "partition", "read", "lostTail", "brokenTransfer", "damagedChunk"} {
 				Expect(s.events[what]).To(BeNumerically(">", 0), "the run had no %s event", what)
--- a/internal/consensus/snapshot_test.go
+++ b/internal/consensus/snapshot_test.go
@@ -10,13 +10,65 @@
 	"github.com/tamarackbay/tamarackbay/internal/consensus"
 )
 
+// receiver is a follower with what its driver stores of a snapshot.
+type receiver struct {
+	*consensus.Replica
+	part storedPart
+}
+
 // newReceiver returns the follower "b" of the voters a, b and c, with an empty log.
-func newReceiver() *consensus.Replica {
-	return consensus.New(consensus.Config{
+func newReceiver() *receiver {
+	return &receiver{Replica: consensus.New(consensus.Config{
 		ID: "b", Group: 1, ElectionTimeout: 300 * time.Millisecond, HeartbeatPeriod: 60 * time.Millisecond,
-		Random: rand.New(rand.NewPCG(1, 1)).Int64N, LatestSnapshot: func() (consensus.Snapshot, bool) { return consensus.Snapshot{}, false },
+		Random: rand.New(rand.NewPCG(1, 1)).Int64N, OpenSnapshot: func() *consensus.SnapshotSource { return nil },
 		Snapshot: consensus.Snapshot{Membership: consensus.Membership{Voters: []consensus.ReplicaID{"a", "b", "c"}}},
-	}, 0)
+	}, 0)}
+}
+
+// storedPart is what a driver has stored of a snapshot that is being received.
+type storedPart struct {
+	snapshot consensus.Snapshot
+	data     []byte
+}
+
+// add stores a chunk, which must follow the ones before it.
+func (pa *storedPart) add(ch consensus.SnapshotChunk) {
+	if ch.Offset == 0 {
+		pa.snapshot, pa.data = ch.Snapshot, nil
+	}
+	Expect(ch.Offset).To(BeEquivalentTo(len(pa.data)), "a chunk does not follow the one before it")
+	Expect(ch.Snapshot).To(Equal(pa.snapshot), "a chunk of another snapshot")
+	pa.data = append(pa.data, ch.Data...)
+}
+
+// complete returns the snapshot whose chunks were stored, with its data.
+func (pa *storedPart) complete(sn consensus.Snapshot) consensus.Snapshot {
+	Expect(sn.Data).To(BeNil())
+	Expect(sn.Size).To(BeEquivalentTo(len(pa.data)), "the snapshot is not the one whose chunks were stored")
+	sn.Data = pa.data
+	digest := consensus.NewSnapshotDigest(&sn)
+	_, _ = digest.Write(sn.Data)
+	Expect(sn.Digest).To(Equal(digest.Sum64()), "the snapshot is not the one whose chunks were stored")
+
+	return sn
+}
+
+// sourceOf returns a stored snapshot.
+func sourceOf(sn consensus.Snapshot) *consensus.SnapshotSource {
+	data := sn.Data
+	digest := consensus.NewSnapshotDigest(&sn)
+	_, _ = digest.Write(data)
+	sn.Data, sn.Size, sn.Digest = nil, uint64(len(data)), digest.Sum64()
+
+	return &consensus.SnapshotSource{
+		Snapshot: sn,
+		ReadAt: func(b []byte, offset uint64) error {
+			Expect(copy(b, data[offset:])).To(Equal(len(b)))
+
+			return nil
+		},
+		Close: func() {},
+	}
 }
 
 // newSender returns the replica id as the leader of a term that holds only the snapshot sn and sends it
@@ -24,7 +76,7 @@
 func newSender(id consensus.ReplicaID, term uint64, sn consensus.Snapshot, chunkBytes int) *consensus.Replica {
 	re := consensus.New(consensus.Config{
 		ID: id, Group: 1, ElectionTimeout: 300 * time.Millisecond, HeartbeatPeriod: 60 * time.Millisecond, ChunkBytes: chunkBytes,
-		Random: func(int64) int64 { return 0 }, LatestSnapshot: func() (consensus.Snapshot, bool) { return sn, true },
+		Random: func(int64) int64 { return 0 }, OpenSnapshot: func() *consensus.SnapshotSource { return sourceOf(sn) },
 		HardState: consensus.HardState{Term: term - 1}, Snapshot: sn,
 	}, 0)
 	re.Tick(time.Second)
@@ -53,10 +105,18 @@
 	return consensus.Message{}
 }
 
-// receive passes a chunk to the follower and returns its reply and what it installs.
-func receive(re *consensus.Replica, m consensus.Message) (consensus.Message, consensus.Ready) {
+// receive passes a chunk to the follower and returns its reply and what it installs, with the data.
+func receive(re *receiver, m consensus.Message) (consensus.Message, consensus.Ready) {
 	re.Step(time.Second, m)
 	rd := re.Ready()
+	for _, ch := range rd.Chunks {
+		Expect(rd.MustSync()).To(BeTrue(), "the reply must follow the storing of the chunk")
+		re.part.add(ch)
+	}
+	if rd.Snapshot != nil {
+		sn := re.part.complete(*rd.Snapshot)
+		rd.Snapshot = &sn
+	}
 	for _, rep := range rd.Messages {
 		if rep.Kind == consensus.MessageSnapshotReply {
 			return rep, rd
@@ -165,22 +225,31 @@
 
 var _ = Describe("a leader that sends a snapshot", func() {
 	It("takes no offset from replies that belong to another transfer, or beyond what it sent", func() {
+		none := func(uint64) uint64 { return 0 }
+		same := func(sent uint64) uint64 { return sent }
+		other := func(sent uint64) uint64 { return sent + 7 }
 		for _, tc := range []struct {
 			name     string
 			transfer func(sent uint64) uint64
+			digest   func(sent uint64) uint64
 			offset   uint64
 			isTaken  bool
 		}{
-			{"its own transfer", func(sent uint64) uint64 { return sent }, 4, true},
-			{"another transfer", func(sent uint64) uint64 { return sent + 7 }, 4, false},
-			{"its own transfer, beyond what was sent", func(sent uint64) uint64 { return sent }, 6, false},
-			{"a follower that does not number transfers", func(uint64) uint64 { return 0 }, 4, true},
-			{"a follower that does not number transfers, with bytes of another leader", func(uint64) uint64 { return 0 }, 6, false},
+			{"its own transfer", same, none, 4, true},
+			{"another transfer", other, none, 4, false},
+			{"another transfer of the same bytes", other, same, 4, false},
+			{"its own transfer, beyond what was sent", same, none, 6, false},
+			{"its own transfer, with the same bytes of another leader", same, same, 6, true},
+			{"its own transfer, with other bytes of another leader", same, other, 6, false},
+			{"its own transfer, beyond the end", same, same, 9, false},
+			{"a follower that does not number transfers", none, none, 4, true},
+			{"a follower that does not number transfers, with bytes of another leader", none, none, 6, false},
 		} {
 			leader := newSender("a", 2, snapshotOf("AAAAaaaa"), 4)
 			sent := takeChunk(leader)
 			leader.Step(time.Second, consensus.Message{
-				Kind: consensus.MessageSnapshotReply, Group: 1, From: "b", To: "a", Term: 2, Index: 50, SnapshotOffset: tc.offset, SnapshotTransfer: tc.transfer(sent.SnapshotTransfer),
+				Kind: consensus.MessageSnapshotReply, Group: 1, From: "b", To: "a", Term: 2, Index: 50, SnapshotOffset: tc.offset,
+				SnapshotTransfer: tc.transfer(sent.SnapshotTransfer), SnapshotDigest: tc.digest(sent.SnapshotDigest),
 			})
 			chunks := 0
 			for _, m := range leader.Ready().Unsynced {
--- a/internal/consensus/transfer.go
+++ b/internal/consensus/transfer.go
@@ -8,62 +8,14 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// DroppedTransfer describes a received snapshot whose digest is not that of the sent one.
-type DroppedTransfer struct {
-	From     ReplicaID
-	Term     uint64
-	Transfer uint64
-	Index    uint64
-	Bytes    int
-	Sent     uint64 // digest that the leader sent
-	Received uint64 // digest of what was received
-}
-
-// incomingSnapshot is a snapshot that is being received in chunks. Two leaders encode the same
-// state differently, so that the chunks of two transfers are never joined: a transfer is
-// identified by its leader, the leader's term, and its number among the transfers of that term.
-type incomingSnapshot struct {
-	from     ReplicaID
-	term     uint64
-	transfer uint64 // 0 if the leader's version does not number transfers and sends no digest
-	digest   uint64
-	snapshot Snapshot
-}
-
-func newIncomingSnapshot(m Message) *incomingSnapshot {
-	return &incomingSnapshot{
-		from: m.From, term: m.Term, transfer: m.SnapshotTransfer, digest: m.SnapshotDigest,
-		snapshot: Snapshot{Index: m.Index, Term: m.LogTerm, Membership: m.Membership},
-	}
-}
-
-// holds reports whether the chunk in m belongs to the transfer.
-func (in *incomingSnapshot) holds(m Message) bool {
-	return in.from == m.From && in.term == m.Term && in.transfer == m.SnapshotTransfer && in.digest == m.SnapshotDigest &&
-		in.snapshot.Index == m.Index && in.snapshot.Term == m.LogTerm
-}
-
-// follows reports whether the transfer began after that of the chunk in m, which has the same
-// leader and term and was delayed.
-func (in *incomingSnapshot) follows(m Message) bool {
-	return in.from == m.From && in.term == m.Term && m.SnapshotTransfer < in.transfer
-}
-
-// verify returns a description of the transfer if what was received differs from what was sent.
-func (in *incomingSnapshot) verify() *DroppedTransfer {
-	if in.transfer == 0 {
-		return nil
-	}
-	received := snapshotDigest(&in.snapshot)
-	if received == in.digest {
-		return nil
-	}
-
-	return &DroppedTransfer{
-		From: in.from, Term: in.term, Transfer: in.transfer, Index: in.snapshot.Index, Bytes: len(in.snapshot.Data),
-		Sent: in.digest, Received: received,
-	}
-}
+const (
+	// maxTransfers bounds the followers that are sent a snapshot at once; others wait.
+	maxTransfers = 2
+	// contactTimeouts and stallTimeouts are election timeouts: a transfer begins only if the follower replied
+	// within the first, and ends if it takes nothing within the second.
+	contactTimeouts = 2
+	stallTimeouts   = 10
+)
 
 // NewSnapshotDigest returns the xxHash64 of the index, term and membership of sn, to which its data is
 // still to be written. It detects damage by accident; replicas trust each other otherwise.
@@ -83,76 +35,102 @@
 	return di
 }
 
-// snapshotDigest returns the digest of a snapshot and its data.
-func snapshotDigest(sn *Snapshot) uint64 {
-	di := NewSnapshotDigest(sn)
-	_, _ = di.Write(sn.Data) // never fails
-
-	return di.Sum64()
-}
-
 // outgoingSnapshot is a snapshot that the leader sends to a follower in chunks.
 type outgoingSnapshot struct {
 	transfer uint64
-	digest   uint64 // computed once per transfer
 	snapshot Snapshot
-	offset   uint64 // of the chunk that the follower lacks next
+	offset   uint64 // what the follower has
+	sent     uint64 // offset of the last chunk sent
 	sentTo   uint64 // end of the furthest chunk sent
+	advanced time.Duration
 }
 
 // accepts reports whether the reply m belongs to the transfer. The reply of a follower whose
 // version does not number transfers is recognized by its index. An offset beyond what was sent
-// counts bytes of another leader.
+// counts bytes of another leader, which are the same if the reply names their digest.
 func (ou *outgoingSnapshot) accepts(m Message) bool {
-	return m.Index == ou.snapshot.Index && (m.SnapshotTransfer == 0 || m.SnapshotTransfer == ou.transfer) && m.SnapshotOffset <= ou.sentTo
+	if m.Index != ou.snapshot.Index || (m.SnapshotTransfer != 0 && m.SnapshotTransfer != ou.transfer) || m.SnapshotOffset > ou.snapshot.Size {
+		return false
+	}
+
+	return m.SnapshotOffset <= ou.sentTo || (m.SnapshotTransfer != 0 && m.SnapshotDigest == ou.snapshot.Digest)
 }
 
-func (r *Replica) startSnapshot(now time.Duration, id ReplicaID, pr *progress) {
-	ou := &outgoingSnapshot{}
-	if sent := r.snapshotInTransit(); sent != nil {
-		ou.snapshot, ou.digest = sent.snapshot, sent.digest
-	} else {
-		sn, ok := r.cfg.LatestSnapshot()
-		if !ok || sn.Index < r.log.snapIndex {
-			return
-		}
-		ou.snapshot, ou.digest = sn, snapshotDigest(&sn)
+// startSnapshot starts a transfer and reports whether it did. All transfers at a time are of one stored
+// snapshot, which is read in chunks. A follower for which it is too old waits until they have ended.
+func (r *Replica) startSnapshot(now time.Duration, id ReplicaID, pr *progress) bool {
+	if now > pr.lastContact+contactTimeouts*r.cfg.ElectionTimeout || r.transfers() >= maxTransfers {
+		return false
+	}
+	if r.source == nil {
+		r.source = r.cfg.OpenSnapshot()
+	}
+	if r.source == nil || r.source.Snapshot.Index < r.log.snapIndex {
+		r.releaseSource()
+
+		return false
 	}
 
 	r.lastTransfer++
-	ou.transfer = r.lastTransfer
-	pr.outgoing = ou
+	pr.outgoing = &outgoingSnapshot{transfer: r.lastTransfer, snapshot: r.source.Snapshot, advanced: now}
 	r.sendChunk(now, id, pr)
+
+	return true
 }
 
-// snapshotInTransit returns a transfer of the newest snapshot that another follower is
-// receiving, if the log still holds all entries after it. Followers then share one copy of its
-// data.
-func (r *Replica) snapshotInTransit() *outgoingSnapshot {
-	var newest *outgoingSnapshot
+// transfers returns the number of followers that are being sent a snapshot.
+func (r *Replica) transfers() int {
+	n := 0
 	for _, pr := range r.progress {
-		if pr.outgoing != nil && (newest == nil || pr.outgoing.snapshot.Index > newest.snapshot.Index) {
-			newest = pr.outgoing
+		if pr.outgoing != nil {
+			n++
 		}
 	}
-	if newest == nil || newest.snapshot.Index < r.log.snapIndex {
-		return nil
+
+	return n
+}
+
+func (r *Replica) endTransfer(pr *progress) {
+	pr.outgoing = nil
+	r.releaseSource()
+}
+
+// releaseSource closes the stored snapshot unless a transfer needs it.
+func (r *Replica) releaseSource() {
+	if r.source == nil || r.transfers() > 0 {
+		return
 	}
+	r.source.Close()
+	r.source = nil
+}
 
-	return newest
+// continueTransfer repeats a chunk that may be lost, and ends a transfer that makes no progress.
+func (r *Replica) continueTransfer(now time.Duration, id ReplicaID, pr *progress) {
+	switch {
+	case now > pr.outgoing.advanced+stallTimeouts*r.cfg.ElectionTimeout:
+		r.endTransfer(pr)
+	case now > pr.snapshotSent+r.cfg.ElectionTimeout:
+		r.sendChunk(now, id, pr)
+	}
 }
 
+// sendChunk reads and sends the chunk that the follower lacks next. The transfer ends if it can't be read.
 func (r *Replica) sendChunk(now time.Duration, id ReplicaID, pr *progress) {
 	pr.snapshotSent = now
 	ou := pr.outgoing
-	size := uint64(len(ou.snapshot.Data))
-	from := min(ou.offset, size)
-	end := min(from+uint64(r.cfg.ChunkBytes), size)
-	ou.sentTo = max(ou.sentTo, end)
+	from := min(ou.offset, ou.snapshot.Size)
+	end := min(from+uint64(r.cfg.ChunkBytes), ou.snapshot.Size)
+	chunk := make([]byte, end-from)
+	if err := r.source.ReadAt(chunk, from); err != nil {
+		r.endTransfer(pr) // the driver knows the error
+
+		return
+	}
+	ou.sent, ou.sentTo = from, max(ou.sentTo, end)
 	r.sendUnsynced(Message{
 		Kind: MessageSnapshot, To: id, Index: ou.snapshot.Index, LogTerm: ou.snapshot.Term,
-		Membership: ou.snapshot.Membership, SnapshotOffset: from, Chunk: ou.snapshot.Data[from:end],
-		SnapshotDone: end == size, SnapshotTransfer: ou.transfer, SnapshotDigest: ou.digest, Round: r.round,
+		Membership: ou.snapshot.Membership, SnapshotOffset: from, Chunk: chunk,
+		SnapshotDone: end == ou.snapshot.Size, SnapshotTransfer: ou.transfer, SnapshotDigest: ou.snapshot.Digest, Round: r.round,
 	})
 }
 
@@ -163,19 +141,25 @@
 	}
 
 	pr.lastContact = now
-	if pr.outgoing == nil || !pr.outgoing.accepts(m) {
+	ou := pr.outgoing
+	if ou == nil || !ou.accepts(m) {
 		return
 	}
 	switch {
 	case m.Reject:
-		pr.outgoing = nil // the next heartbeat starts a new transfer
+		r.endTransfer(pr) // the next heartbeat starts a new transfer
 	case m.SnapshotDone:
-		pr.outgoing = nil
+		r.endTransfer(pr)
 		pr.match = max(pr.match, m.Index)
 		pr.next = pr.match + 1
 		r.sendAppend(now, m.From, true)
+	case m.SnapshotOffset == ou.sent && now <= pr.snapshotSent+r.cfg.ElectionTimeout:
+		// The chunk is under way; this is a late or repeated reply.
 	default:
-		pr.outgoing.offset = m.SnapshotOffset
+		if m.SnapshotOffset > ou.offset {
+			ou.advanced = now
+		}
+		ou.offset = m.SnapshotOffset
 		r.sendChunk(now, m.From, pr)
 	}
 }
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -94,7 +94,8 @@
 	}
 }
 
-// Snapshot is the state of the group's state machine after the entry at Index is applied.
+// Snapshot is the state of the group's state machine after the entry at Index is applied. Data is nil where
+// only the metadata is needed: the data stays in a file of the driver.
 type Snapshot struct {
 	Index      uint64     `cbor:"1,keyasint"`
 	Term       uint64     `cbor:"2,keyasint"`
@@ -107,6 +108,22 @@
 	Digest uint64 `cbor:"-"`
 }
 
+// SnapshotSource is a stored snapshot that a leader sends. It stays readable until Close, though a newer one
+// is stored meanwhile.
+type SnapshotSource struct {
+	Snapshot Snapshot // with its size and digest
+	ReadAt   func(b []byte, offset uint64) error
+	Close    func()
+}
+
+// SnapshotChunk is a received part of a snapshot's data, which the driver stores after the parts before it.
+// One at offset 0 begins anew: the driver drops what it has stored of any snapshot in transfer.
+type SnapshotChunk struct {
+	Snapshot Snapshot // metadata; its size is not known yet
+	Offset   uint64
+	Data     []byte
+}
+
 // MessageKind determines which protocol step a Message belongs to.
 type MessageKind uint8
 
@@ -171,12 +188,13 @@
 	OK      bool
 }
 
-// Ready lists the driver's pending work, in this order: send Unsynced, store HardState,
-// Snapshot and Entries with one sync, send Messages, call Advance, apply Committed.
+// Ready lists the driver's pending work, in this order: send Unsynced, store Chunks, which need no
+// sync, then HardState, Snapshot and Entries with one sync, send Messages, call Advance, apply Committed.
 type Ready struct {
 	Unsynced  []Message // a leader's appends and snapshots, which need no sync first
+	Chunks    []SnapshotChunk
 	HardState *HardState
-	Snapshot  *Snapshot
+	Snapshot  *Snapshot // received completely: its data is that of the chunks since offset 0
 	Entries   []Entry
 	Messages  []Message // sent only once everything above is stored
 	Committed []Entry
@@ -187,13 +205,13 @@
 
 // Empty reports whether there is no pending work.
 func (rd *Ready) Empty() bool {
-	return len(rd.Unsynced) == 0 && rd.HardState == nil && rd.Snapshot == nil && len(rd.Entries) == 0 &&
+	return len(rd.Unsynced) == 0 && len(rd.Chunks) == 0 && rd.HardState == nil && rd.Snapshot == nil && len(rd.Entries) == 0 &&
 		len(rd.Messages) == 0 && len(rd.Committed) == 0 && len(rd.Reads) == 0 && len(rd.DroppedTransfers) == 0
 }
 
 // MustSync reports whether something must be stored before Messages are sent.
 func (rd *Ready) MustSync() bool {
-	return rd.HardState != nil || rd.Snapshot != nil || len(rd.Entries) > 0
+	return len(rd.Chunks) > 0 || rd.HardState != nil || rd.Snapshot != nil || len(rd.Entries) > 0
 }
 
 // Config holds the settings and the recovered state of a Replica.
@@ -206,8 +224,9 @@
 	MaxInFlight     uint64 // unacknowledged entries per follower
 	ChunkBytes      int
 	Random          func(n int64) int64
-	// LatestSnapshot returns the stored snapshot, which covers all entries that Compact removed.
-	LatestSnapshot func() (Snapshot, bool)
+	// OpenSnapshot opens the stored snapshot, which covers all entries that Compact removed. It returns nil
+	// if there is none, or if it can't be read for now.
+	OpenSnapshot func() *SnapshotSource
 
 	// Recovered state.
 	HardState HardState
--- a/internal/group/damage.go
+++ b/internal/group/damage.go
@@ -242,7 +242,7 @@
 	switch {
 	case name == identityFile:
 		return 0
-	case strings.HasSuffix(name, ".tmp"):
+	case storage.IsUnfinished(name):
 		return 3
 	case strings.HasPrefix(name, "snapshot-"):
 		return 1
--- a/internal/group/node.go
+++ b/internal/group/node.go
@@ -70,6 +70,7 @@
 type node struct {
 	replica *consensus.Replica
 	store   *storage.Store
+	dir     string
 	start   time.Time
 	wallMs  func() int64
 	send    func(m consensus.Message)
@@ -87,6 +88,11 @@
 	snapshotResults chan snapshotResult
 	background      sync.WaitGroup
 
+	// Only the loop uses these.
+	storedSnapshot consensus.Snapshot // metadata of the newest one
+	sent           *storage.SnapshotReader
+	readFailure    error // the stored snapshot is damaged
+
 	pauses      *pauseWatch
 	log         log.Interface
 	disk        *disk
@@ -115,6 +121,7 @@
 	defer n.failPending(result.New(result.ShuttingDown, "group: the replica stops").WithExecution(result.ExecutionUnknown))
 	defer n.store.Close()
 	defer n.background.Wait()
+	defer n.closeSent()
 
 	n.pauses.ended = n.now()
 	for {
@@ -234,6 +241,9 @@
 // processReady carries out what the consensus core requests, until nothing is left.
 func (n *node) processReady() error {
 	for {
+		if n.readFailure != nil {
+			return n.readFailure
+		}
 		rd := n.replica.Ready()
 		if rd.Empty() {
 			n.updateStatus()
@@ -299,13 +309,15 @@
 
 func (n *node) apply(rd *consensus.Ready) error {
 	if rd.Snapshot != nil {
-		began := n.now()
-		ma, err := statemachine.Restore(rd.Snapshot.Data)
+		n.storedSnapshot = *rd.Snapshot
+		sr, err := n.store.OpenSnapshot(rd.Snapshot.Index)
+		if err != nil {
+			return err
+		}
+		ma, err := n.restoreSnapshot(sr)
 		if err != nil {
 			return err
 		}
-		n.log.WithFields(log.Fields{"index": rd.Snapshot.Index, "bytes": len(rd.Snapshot.Data), "ms": (n.now() - began).Milliseconds()}).
-			Info("snapshot of the leader installed")
 		n.mu.Lock()
 		n.machine, n.lastSnapshotIndex = ma, rd.Snapshot.Index
 		n.onApply()
--- a/internal/group/node_test.go
+++ b/internal/group/node_test.go
@@ -50,7 +50,7 @@
 	names, err := filepath.Glob(filepath.Join(dir, "snapshot-*"))
 	Expect(err).NotTo(HaveOccurred())
 
-	return slices.DeleteFunc(names, func(s string) bool { return strings.HasSuffix(s, ".tmp") })
+	return slices.DeleteFunc(names, func(s string) bool { return strings.HasSuffix(s, ".tmp") || strings.HasSuffix(s, ".part") })
 }
 
 // submit proposes a job whose item has a body of so many bytes, and returns how long the
--- a/internal/group/opennode.go
+++ b/internal/group/opennode.go
@@ -81,7 +81,7 @@
 func newNode(cfg nodeConfig, op *openedState) (*node, error) {
 	st, re, ma := op.store, op.recovered, op.machine
 	n := &node{
-		store: st, start: time.Now(), wallMs: cfg.wallMs, send: cfg.send, onApply: cfg.onApply, onStatus: cfg.onStatus,
+		store: st, dir: cfg.dir, storedSnapshot: re.Snapshot, start: time.Now(), wallMs: cfg.wallMs, send: cfg.send, onApply: cfg.onApply, onStatus: cfg.onStatus,
 		inbox: make(chan event, inboxSize), pendingProposals: map[uint64]pendingProposal{}, pendingReads: map[uint64]*readRequest{},
 		machine: ma, applied: make(chan struct{}), lastSnapshotIndex: re.Snapshot.Index, snapshotResults: make(chan snapshotResult, 1),
 		disk: cfg.disk, onDroppedTransfer: cfg.onDroppedTransfer, log: cfg.log,
@@ -95,7 +95,7 @@
 	}
 	n.replica = consensus.New(consensus.Config{
 		ID: cfg.id, Group: cfg.group, ElectionTimeout: cfg.election, HeartbeatPeriod: cfg.heartbeat,
-		Random: rand.Int64N, LatestSnapshot: n.latestSnapshot,
+		Random: rand.Int64N, OpenSnapshot: n.openSnapshot,
 		HardState: re.HardState, Snapshot: re.Snapshot, Entries: re.Entries,
 	}, n.now())
 	if err := st.Failure(); err != nil {
--- a/internal/group/recovery_test.go
+++ b/internal/group/recovery_test.go
@@ -95,11 +95,12 @@
 	mu      sync.Mutex
 	nodes   map[consensus.ReplicaID]*node
 	longest map[consensus.ReplicaID]*atomic.Int64 // pause of each loop, a time.Duration
+	ends    map[consensus.ReplicaID]error         // of loops that have ended
 	stops   []func()
 }
 
 func newSlowGroup(dir string, voters ...consensus.ReplicaID) *slowGroup {
-	sg := &slowGroup{dir: dir, nodes: map[consensus.ReplicaID]*node{}, longest: map[consensus.ReplicaID]*atomic.Int64{}}
+	sg := &slowGroup{dir: dir, nodes: map[consensus.ReplicaID]*node{}, longest: map[consensus.ReplicaID]*atomic.Int64{}, ends: map[consensus.ReplicaID]error{}}
 	for _, id := range voters {
 		sg.start(id, voters)
 	}
@@ -138,7 +139,13 @@
 	Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- n.run(ctx) }()
+	go func() {
+		err := n.run(ctx)
+		sg.mu.Lock()
+		sg.ends[id] = err
+		sg.mu.Unlock()
+		done <- err
+	}()
 	sg.mu.Lock()
 	defer sg.mu.Unlock()
 	sg.nodes[id], sg.longest[id] = n, longest
@@ -148,6 +155,14 @@
 	})
 }
 
+// ended returns the error with which the loop of a replica has ended, nil if it has not.
+func (sg *slowGroup) ended(id consensus.ReplicaID) error {
+	sg.mu.Lock()
+	defer sg.mu.Unlock()
+
+	return sg.ends[id]
+}
+
 func (sg *slowGroup) stop() {
 	for _, stop := range sg.stops {
 		stop()
--- a/internal/group/snapshot.go
+++ b/internal/group/snapshot.go
@@ -1,9 +1,12 @@
 package group
 
 import (
+	"io"
+
 	"github.com/apex/log"
 
 	"github.com/tamarackbay/tamarackbay/internal/consensus"
+	"github.com/tamarackbay/tamarackbay/internal/statemachine"
 	"github.com/tamarackbay/tamarackbay/internal/storage"
 )
 
@@ -38,14 +41,68 @@
 	return nil
 }
 
-// latestSnapshot reads the stored snapshot for a transfer to a follower.
-func (n *node) latestSnapshot() (consensus.Snapshot, bool) {
+// openSnapshot opens the stored snapshot for transfers to followers. A damaged one ends the replica.
+func (n *node) openSnapshot() *consensus.SnapshotSource {
+	sn := n.storedSnapshot
+	if sn.Index == 0 {
+		return nil
+	}
+	sr, err := n.store.OpenSnapshot(sn.Index)
+	if err != nil {
+		n.recordReadFailure(sn, err)
+
+		return nil
+	}
+	n.log.WithFields(log.Fields{"index": sn.Index, "bytes": sn.Size}).Info("snapshot opened for a transfer")
+	n.sent = sr
+
+	return &consensus.SnapshotSource{
+		Snapshot: sn,
+		ReadAt: func(b []byte, offset uint64) error {
+			err := sr.ReadAt(b, offset)
+			if err != nil {
+				n.recordReadFailure(sn, err)
+			}
+
+			return err
+		},
+		Close: n.closeSent,
+	}
+}
+
+// closeSent closes the snapshot that is being sent, if there is one.
+func (n *node) closeSent() {
+	if n.sent != nil {
+		_ = n.sent.Close() // it was only read
+	}
+	n.sent = nil
+}
+
+// recordReadFailure records that a stored snapshot can't be read for a transfer.
+func (n *node) recordReadFailure(sn consensus.Snapshot, err error) {
+	n.log.WithError(err).WithField("index", sn.Index).Error("the snapshot can't be read for a transfer")
+	if !storage.IsTransient(err) {
+		n.readFailure = err
+	}
+}
+
+// restoreSnapshot returns the state that a stored snapshot holds, and closes it.
+func (n *node) restoreSnapshot(sr *storage.SnapshotReader) (*statemachine.Machine, error) {
+	defer func() { _ = sr.Close() }() // it was only read
+
 	began := n.now()
-	sn, ok := n.store.LatestSnapshot()
-	n.log.WithFields(log.Fields{"index": sn.Index, "bytes": len(sn.Data), "found": ok, "ms": (n.now() - began).Milliseconds()}).
-		Info("snapshot read for a transfer")
+	ma, err := restoreState(n.dir, sr.Snapshot(), sr)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := io.Copy(io.Discard, sr); err != nil { // checks the digest
+		return nil, err
+	}
+	sn := sr.Snapshot()
+	n.log.WithFields(log.Fields{"index": sn.Index, "bytes": sn.Size, "ms": (n.now() - began).Milliseconds()}).
+		Info("snapshot of the leader installed")
 
-	return sn, ok
+	return ma, nil
 }
 
 // finishSnapshot adopts a written snapshot. One that the disk refused is due again after a pause;
@@ -83,7 +140,7 @@
 	if err := n.store.AdoptSnapshot(sn, false); err != nil {
 		return n.suspend(err, unstored{snapshot: &sv})
 	}
-	n.lastSnapshotIndex, n.isSnapshotDue = sn.Index, false
+	n.lastSnapshotIndex, n.isSnapshotDue, n.storedSnapshot = sn.Index, false, sn
 	dropTo := max(n.replica.TailFrom(retainedBytes), 1) - 1
 	if sn.Index > retainedEntries {
 		dropTo = max(dropTo, sn.Index-retainedEntries)
--- a/internal/storage/memorydisk_test.go
+++ b/internal/storage/memorydisk_test.go
@@ -23,8 +23,13 @@
 type memoryFile struct {
 	data   []byte
 	synced int
+	// After a failed sync the system takes what was written for stored; it is gone after a crash.
+	lostFrom, lostTo int
 }
 
+// lose makes the file lose in a crash what was not synced yet.
+func (f *memoryFile) lose() { f.lostFrom, f.lostTo = f.synced, len(f.data) }
+
 var errDisk = errors.New("disk fault")
 
 func newDisk() *memoryDisk {
@@ -40,6 +45,7 @@
 			n += rnd.IntN(extra + 1)
 		}
 		f.data, f.synced = f.data[:n:n], n
+		clear(f.data[min(f.lostFrom, n):min(f.lostTo, n)])
 		d.files[p] = f
 	}
 	d.fault = func(string, string) error { return nil }
@@ -134,6 +140,7 @@
 			}
 			d.files[p].data = d.files[p].data[:size]
 			d.files[p].synced = int(size)
+			d.files[p].lostTo = max(min(d.files[p].lostTo, int(size)), d.files[p].lostFrom)
 
 			return nil
 		},
--- a/internal/storage/piecewriter.go
+++ b/internal/storage/piecewriter.go
@@ -37,11 +37,7 @@
 
 // newPieceWriter returns a writer of the snapshot whose metadata is sn.
 func newPieceWriter(f File, pause func(d time.Duration), group consensus.GroupID, sn consensus.Snapshot) (*pieceWriter, error) {
-	h, err := cbor.Marshal(fileHeader{Format: FormatVersion, Group: group})
-	if err != nil {
-		return nil, err
-	}
-	b, err := appendCBOR(appendRecord(make([]byte, 0, maxPieceBytes), recordHeader, h), recordEntry, withoutData(sn))
+	b, err := appendSnapshotHead(make([]byte, 0, maxPieceBytes), group, sn)
 	if err != nil {
 		return nil, err
 	}
@@ -51,6 +47,16 @@
 	return pw, nil
 }
 
+// appendSnapshotHead appends the records before the data of a snapshot.
+func appendSnapshotHead(dst []byte, group consensus.GroupID, sn consensus.Snapshot) ([]byte, error) {
+	h, err := cbor.Marshal(fileHeader{Format: FormatVersion, Group: group})
+	if err != nil {
+		return nil, err
+	}
+
+	return appendCBOR(appendRecord(dst, recordHeader, h), recordEntry, withoutData(sn))
+}
+
 // beginRecord begins a record of data after those in piece.
 func (pw *pieceWriter) beginRecord(piece []byte) {
 	pw.record = len(piece)
--- a/internal/storage/refusal_test.go
+++ b/internal/storage/refusal_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io/fs"
 	"math/rand/v2"
+	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -41,9 +42,34 @@
 	Fail("the store was not resumed")
 }
 
+// leaderSends returns what a replica stores that receives a part of a snapshot and then a whole one.
+func leaderSends() []consensus.Ready {
+	dropped, sn := consensus.Snapshot{Index: 15, Term: 2}, consensus.Snapshot{Index: 20, Term: 3}
+	parts := []consensus.SnapshotChunk{
+		{Snapshot: sn, Data: make([]byte, 1<<20)},
+		{Snapshot: sn, Offset: 1 << 20, Data: make([]byte, 1<<20)},
+		{Snapshot: sn, Offset: 2 << 20, Data: make([]byte, 1<<20)},
+		{Snapshot: sn, Offset: 3 << 20, Data: []byte("leader's")},
+	}
+	whole := sn
+	digest := consensus.NewSnapshotDigest(&whole)
+	for _, ch := range parts {
+		whole.Size += uint64(len(ch.Data))
+		_, _ = digest.Write(ch.Data)
+	}
+	whole.Digest = digest.Sum64()
+
+	return []consensus.Ready{
+		{Chunks: []consensus.SnapshotChunk{{Snapshot: dropped, Data: []byte("abc")}}},
+		{Chunks: []consensus.SnapshotChunk{{Snapshot: dropped, Offset: 3, Data: []byte("def")}, parts[0], parts[1]}},
+		{Chunks: parts[2:3]},
+		{Chunks: parts[3:], Snapshot: &whole, HardState: &consensus.HardState{Term: 3}},
+	}
+}
+
 var _ = Describe("a disk that refuses writes for a time", func() {
 	// script is what a replica writes: entries, entries that replace others, a snapshot of its
-	// own in many pieces, one from the leader, and entries after each.
+	// own in many pieces, one from the leader in chunks, after a part of another one, and entries after each.
 	script := func(write func(f func(st *storage.Store) error)) {
 		saveEntries := func(es []consensus.Entry, hs *consensus.HardState) {
 			write(func(st *storage.Store) error { return save(st, es, hs) })
@@ -54,9 +80,9 @@
 			return st.SaveSnapshot(consensus.Snapshot{Index: 2, Term: 1, Data: make([]byte, 3<<20)}, false)
 		})
 		saveEntries(entries(6, 2, 2), nil)
-		write(func(st *storage.Store) error {
-			return st.Save(&consensus.Ready{Snapshot: &consensus.Snapshot{Index: 20, Term: 3, Data: []byte("leader's")}, HardState: &consensus.HardState{Term: 3}})
-		})
+		for _, rd := range leaderSends() {
+			write(func(st *storage.Store) error { return st.Save(&rd) })
+		}
 		saveEntries(entries(21, 3, 3), nil)
 	}
 	check := func(d *memoryDisk, what string) {
@@ -66,7 +92,8 @@
 			Expect(st.Failure()).NotTo(HaveOccurred(), what)
 			Expect(re.HardState).To(Equal(consensus.HardState{Term: 3}), what)
 			Expect(re.Snapshot.Index).To(BeEquivalentTo(20), what)
-			Expect(string(re.Snapshot.Data)).To(Equal("leader's"), what)
+			Expect(re.Snapshot.Data).To(HaveLen(3<<20+8), what)
+			Expect(string(re.Snapshot.Data[3<<20:])).To(Equal("leader's"), what)
 			Expect(re.Entries).To(HaveLen(3), what)
 			Expect(st.Close()).To(Succeed())
 			d.crash(rand.New(rand.NewPCG(1, 1)))
@@ -97,11 +124,47 @@
 			names, err := d.operations().List(dir)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(names).NotTo(ContainElement(HaveSuffix(".tmp")), what)
+			Expect(names).NotTo(ContainElement(HaveSuffix(".part")), what)
 			Expect(names).NotTo(ContainElement(HavePrefix("snapshot-0000000000000002")), what)
 		}
 		Expect(points).To(BeNumerically(">", 30))
 	})
 
+	It("loses nothing of a snapshot in chunks that it has stored, though a failed sync drops what was written", func() {
+		rds := leaderSends()
+		for at := 1; at < 8; at++ {
+			d := newDisk()
+			st, _, err := storage.Open(d.operations(), dir, 1)
+			Expect(err).NotTo(HaveOccurred())
+			seen := 0
+			d.fault = func(op, path string) error {
+				if op != "sync" || !strings.Contains(path, ".part") {
+					return nil
+				}
+				if seen++; seen != at {
+					return nil
+				}
+				d.files[path].lose()
+
+				return errDisk
+			}
+			for i := range rds {
+				for st.Save(&rds[i]) != nil {
+					resume(st, 20)
+				}
+			}
+			Expect(save(st, entries(21, 3, 3), nil)).To(Succeed())
+			Expect(st.Close()).To(Succeed())
+			if seen < at {
+				Expect(at).To(BeNumerically(">", 2))
+
+				break
+			}
+			d.crash(rand.New(rand.NewPCG(1, 1)))
+			check(d, fmt.Sprintf("sync %d", at))
+		}
+	})
+
 	It("cuts off the part of a write that was stored", func() {
 		d := newDisk()
 		st, _, err := storage.Open(d.operations(), dir, 1)
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -10,9 +10,6 @@
 	"github.com/tamarackbay/tamarackbay/internal/consensus"
 )
 
-// IsUnfinished reports whether a file of a folder is a snapshot that was not completely written.
-func IsUnfinished(name string) bool { return strings.HasSuffix(name, ".tmp") }
-
 // readSnapshots reads all snapshots, and passes the newest to restore.
 func (st *Store) readSnapshots(names []string, re *Recovered, restore restoreFunc) error {
 	var paths []string // oldest first
@@ -145,7 +142,16 @@
 		return st.failWith(err)
 	}
 
-	return st.removeCoveredSegments(received)
+	if err := st.removeCoveredSegments(received); err != nil {
+		return err
+	}
+	if st.part != nil && st.part.snapshot.Index <= sn.Index {
+		if err := st.dropPart(); err != nil {
+			return st.failWith(err)
+		}
+	}
+
+	return nil
 }
 
 // removeOldSnapshots removes all snapshots before the stored one, also those that a failed
@@ -181,28 +187,6 @@
 	return st.syncFolder()
 }
 
-// LatestSnapshot reads the stored snapshot, and returns false if there is none. If the
-// snapshot cannot be read, all further writes fail.
-func (st *Store) LatestSnapshot() (consensus.Snapshot, bool) {
-	if st.snapshot.Index == 0 || st.failure != nil {
-		return consensus.Snapshot{}, false
-	}
-	var data []byte
-	sn, err := st.readSnapshot(st.snapshotPath(st.snapshot.Index), func(_ consensus.Snapshot, r io.Reader) (err error) {
-		data, err = io.ReadAll(r)
-
-		return err
-	})
-	if err != nil {
-		st.failure = err // the next write returns the error
-
-		return consensus.Snapshot{}, false
-	}
-	sn.Data = data
-
-	return sn, true
-}
-
 func (st *Store) snapshotPath(index uint64) string {
 	return filepath.Join(st.dir, fmt.Sprintf("snapshot-%016d", index))
 }
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -55,6 +55,8 @@
 	hardState    consensus.HardState
 	lastIndex    uint64 // of the log
 	snapshot     consensus.Snapshot
+	part         *part  // nil unless a snapshot is being received
+	received     uint64 // index of the last snapshot that was received and adopted
 	encodeBuffer []byte
 	failure      error
 	pause        func(d time.Duration) // between the pieces of a snapshot
@@ -109,6 +111,7 @@
 		return nil, nil, fileError(dir, err)
 	}
 
+	st.removeParts(names)
 	re := &Recovered{}
 	if err := st.readSnapshots(names, re, restore); err != nil {
 		return nil, nil, err
@@ -375,7 +378,7 @@
 }
 
 func (st *Store) failWith(err error) error {
-	if !result.Is(err, result.DataFolderWrite) {
+	if !result.Is(err, result.DataFolderWrite) && !result.Is(err, result.Internal) {
 		err = fileError(st.dir, err)
 	}
 	st.failure = err
@@ -395,16 +398,15 @@
 	return nil
 }
 
-// Save stores the snapshot of rd, then its hard state and entries with one sync. After an
-// error, all further writes fail.
+// Save stores the chunks of rd, its snapshot, which must have been received in chunks, then its hard state
+// and entries with one sync. After an error, all further writes fail until Resume, after which the call can
+// be repeated.
 func (st *Store) Save(rd *consensus.Ready) error {
 	if st.failure != nil {
 		return st.failure
 	}
-	if rd.Snapshot != nil {
-		if err := st.SaveSnapshot(*rd.Snapshot, true); err != nil {
-			return err
-		}
+	if err := st.saveReceived(rd); err != nil {
+		return err
 	}
 	if rd.HardState == nil && len(rd.Entries) == 0 {
 		return nil
@@ -458,6 +460,9 @@
 
 // Close closes the current segment.
 func (st *Store) Close() error {
+	if st.part != nil {
+		st.part.close()
+	}
 	if st.currentFile.Close == nil {
 		return nil
 	}
--- a/internal/storage/store_test.go
+++ b/internal/storage/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"io/fs"
 	"math/rand/v2"
 	"os"
@@ -175,7 +176,7 @@
 				return nil
 			}
 			sn := consensus.Snapshot{Index: 1, Term: 1}
-			err = st.Save(&consensus.Ready{Entries: entries(1, 1, 1), Snapshot: &sn})
+			err = st.Save(&consensus.Ready{Chunks: []consensus.SnapshotChunk{{Snapshot: sn}}, Entries: entries(1, 1, 1), Snapshot: &sn})
 			Expect(result.Is(err, result.DataFolderWrite)).To(BeTrue(), "%v", err)
 			failing = false
 			Expect(save(st, entries(2, 1, 1), nil)).NotTo(Succeed(), "after one failure the state of the disk is unknown")
@@ -274,10 +275,13 @@
 		st, _, err = storage.Open(storage.OSFiles(), folder, 1)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(heapBytes()-before).To(BeNumerically("<", size/4), "heap growth after a restart")
-		sn, ok := st.LatestSnapshot()
-		Expect(ok).To(BeTrue())
-		Expect(sn.Index).To(Equal(uint64(50)))
-		Expect(sn.Data).To(Equal(make([]byte, size)))
+		sr, err := st.OpenSnapshot(50)
+		Expect(err).NotTo(HaveOccurred())
+		data, err := io.ReadAll(sr)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(sr.Snapshot().Index).To(Equal(uint64(50)))
+		Expect(data).To(Equal(make([]byte, size)))
+		Expect(sr.Close()).To(Succeed())
 		Expect(st.Close()).To(Succeed())
 	})
 
@@ -317,17 +321,6 @@
 		Expect(re.Snapshot).To(Equal(old))
 		Expect(st.Close()).To(Succeed())
 	})
-
-	It("fails all further writes if it cannot be read", func() {
-		d := newDisk()
-		st, _, err := storage.Open(d.operations(), dir, 1)
-		Expect(err).NotTo(HaveOccurred())
-		Expect(st.SaveSnapshot(consensus.Snapshot{Index: 50, Term: 1, Data: make([]byte, 1000)}, false)).To(Succeed())
-		flipBit(d, "snapshot", 0.5)
-		_, ok := st.LatestSnapshot()
-		Expect(ok).To(BeFalse())
-		Expect(result.Is(save(st, entries(51, 1, 1), nil), result.DataFolderDamaged)).To(BeTrue())
-	})
 })
 
 // flipBit flips one bit in a file whose name contains kind, at the given fraction of its size.
