group: the spec of shared rounds checks outside of the loop

A failed expectation on the loop's goroutine ended the test binary. The values are taken there and checked by the spec.

--- a/internal/group/read_test.go
+++ b/internal/group/read_test.go
@@ -48,12 +48,14 @@
 			Expect(an.err).NotTo(HaveOccurred())
 			Expect(an.index).To(BeNumerically(">=", committed))
 		}
+		var count, waiters int
 		Expect(n.runOnLoop(context.Background(), func(time.Duration, *consensus.Replica) error {
-			Expect(len(rounds)).To(BeNumerically("<", reads/10), "heartbeats that are due are among them")
-			Expect(n.readWaiters).To(BeZero())
+			count, waiters = len(rounds), n.readWaiters
 
 			return nil
 		})).To(Succeed())
+		Expect(count).To(BeNumerically("<", reads/10), "heartbeats that are due are among them")
+		Expect(waiters).To(BeZero())
 	})
 
 	ginkgo.It("are refused beyond their limit, and all answered when the lead is lost", func() {
@@ -80,11 +82,13 @@
 			Eventually(answers[i], "5s").Should(Receive(&an))
 			Expect(an.err).To(MatchError(ContainSubstring(want)))
 		}
+		var waiters int
 		Expect(n.runOnLoop(context.Background(), func(time.Duration, *consensus.Replica) error {
-			Expect(n.readWaiters).To(Equal(maxReadWaiters - 2))
+			waiters = n.readWaiters
 			n.readWaiters = 0
 
 			return nil
 		})).To(Succeed())
+		Expect(waiters).To(Equal(maxReadWaiters - 2))
 	})
 })
