--- a/internal/jobdriver/driver.go
+++ b/internal/jobdriver/driver.go
@@ -70,6 +70,7 @@
 	waits    waitQueue
 	progress []job.Part // parts queued for the next commit
 	commit   func(ctx context.Context, pr job.Progress) error
+	list     func(ctx context.Context, li job.ListResults) error
 	// isFlushing is set while a commit of progress is in flight. The next commit waits
 	// for it, since the parts of one item must be applied in order.
 	isFlushing     bool
@@ -96,6 +97,9 @@
 			return cfg.Group.ProposeLocal(ctx, statemachine.KindRecordProgress, pr, nil)
 		},
 	}
+	dr.list = func(ctx context.Context, li job.ListResults) error {
+		return cfg.Group.ProposeLocal(ctx, statemachine.KindListResults, li, nil)
+	}
 	dr.intake.read = func(f func(le *job.Ledger)) {
 		cfg.Group.Read(func(ma *statemachine.Machine) { f(ma.Jobs()) })
 	}
@@ -322,7 +326,7 @@
 		fl["why"] = why
 	}
 	for ctx.Err() == nil {
-		err := dr.cfg.Group.ProposeLocal(ctx, statemachine.KindListResults, job.ListResults{Job: t.job.id, Results: []job.Result{re}}, nil)
+		err := dr.list(ctx, job.ListResults{Job: t.job.id, Results: []job.Result{re}})
 		if err == nil {
 			dr.cfg.Meter.Count("item.listed")
 			dr.cfg.Log.WithFields(fl).Info("item listed")
--- a/internal/jobdriver/loop.go
+++ b/internal/jobdriver/loop.go
@@ -37,14 +37,20 @@
 	dr.mu.Lock()
 	dr.ctx = ctx
 	dr.mu.Unlock()
+	dr.loop(ctx, dr.cfg.Group.Applied, dr.reconcile)
+}
+
+// loop makes passes until ctx ends. applied returns a channel that is closed by the next commit, pass reports whether
+// a further one is due at once.
+func (dr *Driver) loop(ctx context.Context, applied func() <-chan struct{}, pass func() bool) {
 	for ctx.Err() == nil {
-		applied := dr.cfg.Group.Applied()
-		if dr.reconcile() {
+		next := applied()
+		if pass() {
 			runtime.Gosched() // the replica's loop goes first
 
 			continue
 		}
-		dr.awaitPass(ctx, applied)
+		dr.awaitPass(ctx, next)
 	}
 }
 
