--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -110,8 +110,16 @@
 // TermAt returns the term of the entry at index, and false if the log does not hold it.
 func (r *Replica) TermAt(index uint64) (uint64, bool) { return r.log.term(index) }
 
-// Compact removes applied entries up to index. The stored snapshot must cover them.
-func (r *Replica) Compact(index uint64) { r.log.compact(min(index, r.log.applied)) }
+// Compact removes applied entries up to index. The stored snapshot must cover them. What follows a
+// snapshot that is being sent stays, up to maxTransferLogBytes: without it the follower would need the
+// next snapshot as well.
+func (r *Replica) Compact(index uint64) {
+	index = min(index, r.log.applied)
+	if r.source != nil && r.source.Snapshot.Index+1 >= r.log.tailStart(maxTransferLogBytes) {
+		index = min(index, r.source.Snapshot.Index)
+	}
+	r.log.compact(index)
+}
 
 // TailFrom returns the index from which the newest entries hold at most maxBytes of data.
 func (r *Replica) TailFrom(maxBytes int) uint64 { return r.log.tailStart(maxBytes) }
--- a/internal/consensus/transfer.go
+++ b/internal/consensus/transfer.go
@@ -15,6 +15,8 @@
 	// within the first, and ends if it takes nothing within the second.
 	contactTimeouts = 2
 	stallTimeouts   = 10
+	// maxTransferLogBytes bounds the entries that are kept for followers which are being sent a snapshot.
+	maxTransferLogBytes = 24 << 20
 )
 
 // NewSnapshotDigest returns the xxHash64 of the index, term and membership of sn, to which its data is
--- a/internal/consensus/transfer_test.go
+++ b/internal/consensus/transfer_test.go
@@ -177,6 +177,33 @@
 		Expect(le.closed).To(Equal(0))
 	})
 
+	// Guards against followers that are sent one snapshot after the other.
+	It("keeps the entries that follow the snapshot for the follower, though a newer one covers them", func() {
+		le := newSendingLeader()
+		le.reject("d")
+		Expect(le.sent(consensus.MessageSnapshot)).To(HaveLen(1))
+		for range 20 {
+			_, err := le.Propose(le.now, [][]byte{[]byte("x")})
+			Expect(err).NotTo(HaveOccurred())
+			le.Advance(le.now, le.Ready())
+		}
+		for _, id := range []consensus.ReplicaID{"b", "c"} {
+			le.reply(consensus.Message{Kind: consensus.MessageAppendReply, From: id, Index: 71})
+		}
+		le.Advance(le.now, le.Ready())
+		le.Compact(70)
+		for offset := uint64(8); offset < 80; offset += 8 {
+			le.reply(consensus.Message{Kind: consensus.MessageSnapshotReply, From: "d", SnapshotOffset: offset})
+		}
+		le.Ready()
+		le.reply(consensus.Message{Kind: consensus.MessageSnapshotReply, From: "d", SnapshotDone: true})
+		Expect(le.sent(consensus.MessageAppend)).To(ContainElement(consensus.ReplicaID("d")))
+		Expect(le.opened).To(Equal(1))
+		le.Compact(70)
+		_, ok := le.TermAt(69)
+		Expect(ok).To(BeFalse(), "they are removed once nothing needs them")
+	})
+
 	It("repeats a chunk once for a reply that comes twice", func() {
 		le := newSendingLeader()
 		le.reject("d")
