group: a leader whose disk hangs gives up its lead

Cause: nothing is applied before it is stored here, and nothing but a refused write made a leader resign. Change: after 4 s of one write the leader resigns and asks the most complete voter to campaign. Disks that are only slow keep their leader.

--- a/internal/group/node.go
+++ b/internal/group/node.go
@@ -171,6 +171,7 @@
 		n.replica.Tick(n.now())
 		n.pauses.end(stepPropose)
 		n.processReady()
+		n.resignIfStuck()
 		n.pauses.finish()
 		if n.readFailure != nil {
 			return n.readFailure
--- a/internal/group/storewriter.go
+++ b/internal/group/storewriter.go
@@ -10,6 +10,10 @@
 	"github.com/tamarackbay/tamarackbay/internal/storage"
 )
 
+// maxLeaderWrite is how long a write of a leader may take before it gives up the lead. A disk that is only
+// slow takes less; one that hangs may never finish.
+const maxLeaderWrite = 4 * time.Second
+
 // storeTask is one use of the store: to save Ready, to adopt a written snapshot, or to open the stored
 // one for a transfer.
 type storeTask struct {
@@ -27,7 +31,8 @@
 type storeWriter struct {
 	tasks   chan *storeTask
 	results chan *storeTask
-	isBusy  bool // used only by the loop
+	isBusy  bool          // used only by the loop
+	began   time.Duration // of the task that the writer is carrying out; used only by the loop
 	done    sync.WaitGroup
 }
 
@@ -82,7 +87,7 @@
 // startTask gives the store a task. It must be idle.
 func (n *node) startTask(ta *storeTask) {
 	ta.began = n.now()
-	n.writer.isBusy = true
+	n.writer.isBusy, n.writer.began = true, ta.began
 	n.writer.tasks <- ta
 }
 
@@ -132,6 +137,20 @@
 	return nil
 }
 
+// resignIfStuck gives up the lead if the disk has not finished a write for maxLeaderWrite: nothing new can
+// be applied here meanwhile, though followers may go on to store entries.
+func (n *node) resignIfStuck() {
+	took := n.now() - n.writer.began
+	if !n.writer.isBusy || took < maxLeaderWrite || n.replica.Role() != consensus.RoleLeader {
+		return
+	}
+	n.log.WithFields(log.Fields{"ms": took.Milliseconds(), "term": n.replica.Term()}).Warn("the disk does not finish a write, the leader gives up its lead")
+	for _, m := range n.replica.Resign(n.now()) {
+		n.send(m)
+	}
+	n.updateStatus()
+}
+
 // logSlowWrite logs a write of the log that took long.
 func (n *node) logSlowWrite(ta *storeTask) {
 	now := n.now()
--- a/internal/group/storewriter_test.go
+++ b/internal/group/storewriter_test.go
@@ -53,6 +53,23 @@
 		Expect(n.getStatus().Role).To(Equal(consensus.RoleLeader.String()))
 	})
 
+	// Guards against a leader that answers nothing for as long as its disk hangs.
+	ginkgo.It("get another leader if the disk of theirs hangs", func() {
+		old := tg.leader("")
+		tg.disks[old].syncTime.Store(int64(2 * maxLeaderWrite))
+		proposeJobs(tg.node(old), 1, 100)
+		Eventually(func() bool {
+			for _, id := range ids {
+				if id != old && tg.node(id).getStatus().IsSettled {
+					return true
+				}
+			}
+
+			return false
+		}, (maxLeaderWrite + 2*time.Second).String()).Should(BeTrue())
+		Eventually(func() string { return tg.node(old).getStatus().Role }, "2s").Should(Equal(consensus.RoleFollower.String()))
+	})
+
 	ginkgo.It("have stored all that was acknowledged when they are stopped while they write", func() {
 		n := tg.node(tg.leader(""))
 		for i := range 5 {
