--- a/internal/group/node.go
+++ b/internal/group/node.go
@@ -17,16 +17,12 @@
 	inboxSize       = 4096 // events
 	maxBatchEvents  = 1024 // events that may share one sync
 	tickPeriod      = 20 * time.Millisecond
-	snapshotEntries = 20_000 // applied entries after which a snapshot is due
-	retainedEntries = 5_000  // retained for slow followers although a snapshot covers them
+	retainedEntries = 5_000 // retained for slow followers although a snapshot covers them
 	maxReadWaiters  = 65_536
 
 	// snapshotRetryPause is the pause after a snapshot that the disk refused.
 	snapshotRetryPause = time.Second
 
-	// snapshotBytes is the size of the applied commands after which a snapshot is due: a
-	// tenth of the smallest disk.
-	snapshotBytes = 12 << 20
 	// retainedBytes bounds the commands in memory that are retained although a snapshot covers them.
 	retainedBytes = 4 << 20
 )
@@ -78,8 +74,7 @@
 	// onStatus is called with the previous and the current status.
 	onStatus func(old, st Status)
 	// onDroppedTransfer is called with each received snapshot that was dropped; nil ignores them.
-	onDroppedTransfer  func(dropped consensus.DroppedTransfer)
-	bytesSinceSnapshot int // bytes of commands applied since the last snapshot was begun
+	onDroppedTransfer func(dropped consensus.DroppedTransfer)
 
 	// A snapshot is encoded and written in the background, at most one at a time.
 	isSnapshotting  bool
@@ -333,24 +328,22 @@
 		var rep []byte
 		if en.Kind == consensus.EntryCommand {
 			rep = n.machine.Apply(en.Index, en.Data)
-			n.bytesSinceSnapshot += len(en.Data)
 		} else {
 			n.machine.Skip(en.Index)
 		}
 		n.answerProposal(en, rep)
+		if err := n.snapshotIfDue(en.Index); err != nil {
+			n.mu.Unlock()
+
+			return err
+		}
 	}
 	// The view is updated before the lock is released and waiters are notified: a read
 	// that waited for these entries is answered from the view.
 	n.onApply()
 	n.signalApplied()
-	last := rd.Committed[len(rd.Committed)-1].Index
 	n.mu.Unlock()
 
-	isDue := n.isSnapshotDue || last >= n.lastSnapshotIndex+snapshotEntries || n.bytesSinceSnapshot > snapshotBytes
-	if isDue && !n.isSnapshotting && n.now() >= n.snapshotRetryAt {
-		return n.snapshot(last)
-	}
-
 	return nil
 }
 
--- a/internal/group/node_test.go
+++ b/internal/group/node_test.go
@@ -19,6 +19,9 @@
 	"github.com/tamarackbay/tamarackbay/internal/storage"
 )
 
+// snapshotBytes is the size of the commands after which a snapshot is due.
+const snapshotBytes = statemachine.SnapshotBytes
+
 // startSingleReplica runs the only replica of a group; done receives the error that ended it.
 func startSingleReplica(files storage.Files, dir string) (n *node, cancel context.CancelFunc, done chan error) {
 	n, err := openNode(nodeConfig{
--- a/internal/group/snapshot.go
+++ b/internal/group/snapshot.go
@@ -16,6 +16,17 @@
 	err      error
 }
 
+// snapshotIfDue starts a snapshot of the state after the last entry applied, at index, if it is due there. One
+// that is due while another is being written is left out. One that the disk refused is taken as soon as
+// possible: the log grows until then.
+func (n *node) snapshotIfDue(index uint64) error {
+	if (!n.machine.IsSnapshotDue() && !n.isSnapshotDue) || n.isSnapshotting || n.now() < n.snapshotRetryAt {
+		return nil
+	}
+
+	return n.snapshot(index)
+}
+
 // snapshot starts to store the state after index. Entries are applied meanwhile: encoding
 // a large state can take longer than the followers' election timeout.
 func (n *node) snapshot(index uint64) error {
@@ -26,7 +37,7 @@
 
 	term, _ := n.replica.TermAt(index)
 	sn := consensus.Snapshot{Index: index, Term: term, Membership: n.replica.MembershipAt(index)}
-	n.isSnapshotting, n.bytesSinceSnapshot = true, 0
+	n.isSnapshotting = true
 	began := n.now()
 	n.background.Go(func() {
 		stored, err := n.store.WriteSnapshot(sn, encode)
--- a/internal/group/transfer_test.go
+++ b/internal/group/transfer_test.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"os"
@@ -56,12 +57,20 @@
 		sg := newSlowGroup(ginkgo.GinkgoT().TempDir(), "a")
 		defer sg.stop()
 		sg.settled()
-		sg.fill()
-		for i := 0; snapshotBytesIn(filepath.Join(sg.dir, "a")) < slowLedgerBytes*9/10; i++ {
-			sg.submitAnywhere(fmt.Sprintf("more-%d", i), 1<<10)
-			time.Sleep(slowHeartbeat)
+		own := filepath.Join(sg.dir, "a")
+		const jobBytes = 256 << 10
+		for i := range 2*snapshotBytes/jobBytes + 2 {
+			sg.submitAnywhere(fmt.Sprintf("job-%d", i), jobBytes)
+			if i == snapshotBytes/jobBytes {
+				// A snapshot that is due while another is written is left out.
+				Eventually(func() int64 { return snapshotBytesIn(own) }, "20s").Should(BeNumerically(">=", snapshotBytes))
+			}
 		}
+		Eventually(func() int64 { return snapshotBytesIn(own) }, "20s").Should(BeNumerically(">=", 2*snapshotBytes))
+		stateBytes := snapshotBytesIn(own)
 		leader, _ := sg.settled()
+		Eventually(func() []string { return snapshotsIn(own) }, "5s").Should(HaveLen(1))
+		Expect(leader.runOnLoop(context.Background(), func(time.Duration, *consensus.Replica) error { return nil })).To(Succeed(), "the log is compacted")
 
 		before := heapBytes()
 		sg.join(leader)
@@ -77,10 +86,10 @@
 					partBytes = max(partBytes, fi.Size())
 				}
 			}
-			restoring = max(restoring, extra-slowLedgerBytes)
+			restoring = max(restoring, extra-stateBytes)
 			time.Sleep(5 * time.Millisecond)
 		}
-		Expect(partBytes).To(BeNumerically(">", slowLedgerBytes/2), "the transfer was not observed")
+		Expect(partBytes).To(BeNumerically(">", stateBytes/2), "the transfer was not observed")
 		ginkgo.GinkgoWriter.Println("sending", sending, "restoring", restoring, "part", partBytes)
 		Expect(sending).To(BeNumerically("<", maxExtraBytes), "bytes held while chunks are sent and received")
 		Expect(restoring).To(BeNumerically("<", maxExtraBytes), "bytes held beside the state that is restored")
@@ -99,6 +108,29 @@
 		Expect(snapshotsIn(filepath.Join(sg.dir, "d"))).To(BeEmpty())
 	})
 
+	ginkgo.It("can go on under any leader: all replicas store the same bytes", func() {
+		const jobBytes = 256 << 10
+		sg := newSlowGroup(ginkgo.GinkgoT().TempDir(), "a", "b", "c")
+		defer sg.stop()
+		sg.settled()
+		for i := range snapshotBytes/jobBytes + 2 {
+			sg.submitAnywhere(fmt.Sprintf("job-%d", i), jobBytes)
+		}
+		var want []byte
+		for _, id := range []consensus.ReplicaID{"a", "b", "c"} {
+			dir := filepath.Join(sg.dir, string(id))
+			Eventually(func() []string { return snapshotsIn(dir) }, "20s").Should(HaveLen(1))
+			name := filepath.Base(snapshotsIn(dir)[0])
+			Expect(name).To(Equal(filepath.Base(snapshotsIn(filepath.Join(sg.dir, "a"))[0])))
+			got, err := os.ReadFile(snapshotsIn(dir)[0])
+			Expect(err).NotTo(HaveOccurred())
+			if want == nil {
+				want = got
+			}
+			Expect(bytes.Equal(got, want)).To(BeTrue(), "the snapshot of %s differs", id)
+		}
+	})
+
 	ginkgo.It("leaves nothing of an interrupted one behind", func() {
 		dir := ginkgo.GinkgoT().TempDir()
 		st, _, err := storage.Open(storage.OSFiles(), dir, 1)
--- a/internal/statemachine/snapshot.go
+++ b/internal/statemachine/snapshot.go
@@ -27,6 +27,13 @@
 	"github.com/tamarackbay/tamarackbay/internal/weights"
 )
 
+const (
+	// SnapshotEntries is the distance of the log positions after which a snapshot is due.
+	SnapshotEntries = 20_000
+	// SnapshotBytes is the size of the commands after which a snapshot is due: a tenth of the smallest disk.
+	SnapshotBytes = 12 << 20
+)
+
 // jobsField is the key of the jobs in the map that a snapshot is encoded as.
 const jobsField = 15
 
@@ -50,8 +57,27 @@
 	Evacuations   evacuation.Snapshot                  `cbor:"16,keyasint"`
 	Crashed       quarantine.Snapshot                  `cbor:"17,keyasint,omitempty"`
 	Departures    departure.Snapshot                   `cbor:"18,keyasint,omitempty"`
+	CommandBytes  uint64                               `cbor:"19,keyasint,omitempty"`
 }
 
+// count counts the entry that was applied last, with a command of so many bytes. The count begins anew at
+// each multiple of SnapshotEntries, so that replicas agree on it soon after all run a version that counts.
+func (ma *Machine) count(bytes int) {
+	ma.commandBytes += uint64(bytes)
+	isIndexDue, isSizeDue := ma.applied%SnapshotEntries == 0, ma.commandBytes >= SnapshotBytes
+	switch {
+	case isIndexDue:
+		ma.commandBytes = 0
+	case isSizeDue:
+		ma.commandBytes %= SnapshotBytes
+	}
+	ma.isSnapshotDue = isIndexDue || isSizeDue
+}
+
+// IsSnapshotDue reports whether a snapshot is due after the last entry applied. It is due after the same
+// entries on all replicas, so that these take the same snapshots.
+func (ma *Machine) IsSnapshotDue() bool { return ma.isSnapshotDue }
+
 // Snapshot returns the encoded state.
 func (ma *Machine) Snapshot() ([]byte, error) {
 	encode, err := ma.Freeze()
@@ -80,7 +106,7 @@
 		Steps: ma.steps.Steps(), Calls: ma.calls.Snapshot(), Usage: ma.usage.Snapshot(),
 		Quarantine: ma.quarantine.Entries(), Crashed: ma.quarantine.Crashed(), Replicas: ma.replicas, Revision: ma.revision,
 		Routing: ma.routing.Snapshot(), Versions: ma.versions.All(), Roster: ma.roster.Snapshot(), Evacuations: ma.evacuations.Snapshot(),
-		Departures: ma.departures.Snapshot(),
+		Departures: ma.departures.Snapshot(), CommandBytes: ma.commandBytes,
 	})
 	if err != nil {
 		return nil, err
@@ -229,6 +255,6 @@
 		deltasAfter: sn.Applied, revision: sn.Revision,
 		routing: routing.NewState(sn.Routing), versions: weights.NewVersionTable(sn.Versions),
 		roster: roster.NewRoster(sn.Roster), jobs: job.NewLedger(sn.Jobs), evacuations: evacuation.NewState(sn.Evacuations),
-		departures: departure.NewState(sn.Departures),
+		departures: departure.NewState(sn.Departures), commandBytes: sn.CommandBytes,
 	}, nil
 }
--- a/internal/statemachine/snapshot_test.go
+++ b/internal/statemachine/snapshot_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"runtime"
+	"slices"
 	"strings"
 	"testing/iotest"
 
@@ -165,6 +166,62 @@
 		}
 	})
 
+	ginkgo.It("is due after the same entries on all replicas, wherever they restored a snapshot", func() {
+		const entries, jobBytes = 2*statemachine.SnapshotEntries + 10, 3 << 20
+		small, err := statemachine.Encode(statemachine.KindRecordVersion, weights.VersionRecord{Model: "m", Version: 3})
+		Expect(err).NotTo(HaveOccurred())
+		large := make([]byte, jobBytes) // an unknown command counts too
+		step := func(ma *statemachine.Machine, index uint64) {
+			switch {
+			case index%7 == 0:
+				ma.Skip(index)
+			case index%997 == 0:
+				ma.Apply(index, large)
+			default:
+				ma.Apply(index, small)
+			}
+		}
+		due := func(ma *statemachine.Machine) (out []uint64) {
+			for index := ma.Applied() + 1; index <= entries; index++ {
+				step(ma, index)
+				if ma.IsSnapshotDue() {
+					out = append(out, index)
+				}
+			}
+
+			return out
+		}
+		want := due(statemachine.New())
+		Expect(want).To(ContainElements(uint64(statemachine.SnapshotEntries), uint64(2*statemachine.SnapshotEntries)))
+		Expect(len(want)).To(BeNumerically(">=", entries/997*jobBytes/statemachine.SnapshotBytes))
+		for _, at := range []uint64{1, 996, 997, 4000, want[0] - 1, want[0], want[0] + 1, 19_999, 20_000, 20_001} {
+			ma := statemachine.New()
+			for index := range at {
+				step(ma, index+1)
+			}
+			re, err := statemachine.Restore(snapshotOf(ma))
+			Expect(err).NotTo(HaveOccurred())
+			rest := slices.DeleteFunc(slices.Clone(want), func(index uint64) bool { return index <= at })
+			Expect(due(re)).To(Equal(rest), "restored at %d", at)
+		}
+
+		// A version that did not count has restored the snapshot and written it again.
+		ma := statemachine.New()
+		for index := range uint64(5000) {
+			step(ma, index+1)
+		}
+		var fields map[int]cbor.RawMessage
+		Expect(cbor.Unmarshal(snapshotOf(ma), &fields)).To(Succeed())
+		Expect(fields).To(HaveKey(19))
+		delete(fields, 19)
+		b, err := cbor.Marshal(fields)
+		Expect(err).NotTo(HaveOccurred())
+		re, err := statemachine.Restore(b)
+		Expect(err).NotTo(HaveOccurred())
+		rest := slices.DeleteFunc(slices.Clone(want), func(index uint64) bool { return index < statemachine.SnapshotEntries })
+		Expect(slices.DeleteFunc(due(re), func(index uint64) bool { return index < statemachine.SnapshotEntries })).To(Equal(rest))
+	})
+
 	ginkgo.It("is refused when it is cut off, or when more follows", func() {
 		ma := statemachine.New()
 		applyAll(ma, 0, commandsOf(0))
--- a/internal/statemachine/statemachine.go
+++ b/internal/statemachine/statemachine.go
@@ -68,6 +68,9 @@
 	deltas      []Delta
 	deltasAfter uint64 // position after which deltas holds every change
 	revision    uint64 // position of the last change that subscribers follow
+
+	commandBytes  uint64 // size of the commands since a snapshot was due by it
+	isSnapshotDue bool   // after the last entry applied
 }
 
 // New returns the state before the first log entry.
@@ -132,11 +135,15 @@
 func (ma *Machine) Departures() *departure.State { return ma.departures }
 
 // Skip records an entry without a command as applied.
-func (ma *Machine) Skip(index uint64) { ma.applied = index }
+func (ma *Machine) Skip(index uint64) {
+	ma.applied = index
+	ma.count(0)
+}
 
 // Apply applies the command at index and returns its encoded reply.
 func (ma *Machine) Apply(index uint64, command []byte) []byte {
 	ma.applied = index
+	ma.count(len(command))
 	if len(command) < commandHeaderBytes {
 		return encodeReply(nil, result.New(result.Internal, "statemachine: command of %d bytes is shorter than its header", len(command)))
 	}
