--- a/internal/capacity/modeldisk.go
+++ b/internal/capacity/modeldisk.go
@@ -64,6 +64,24 @@
 
 		return b, md.transfer(len(b))
 	}
+	open := fi.Open
+	fi.Open = func(path string) (storage.ReadFile, error) {
+		f, err := open(path)
+		if err != nil {
+			return f, err
+		}
+		readAt := f.ReadAt
+		f.ReadAt = func(b []byte, offset int64) (int, error) {
+			n, err := readAt(b, offset)
+			if terr := md.transfer(n); terr != nil {
+				return 0, terr
+			}
+
+			return n, err
+		}
+
+		return f, nil
+	}
 	fi.SyncDir = func(string) error { return md.use(modelDiskSync) }
 
 	return fi
--- a/internal/capacity/recovery_test.go
+++ b/internal/capacity/recovery_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bytes"
+	"path/filepath"
 	"testing"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/tamarackbay/tamarackbay/internal/storage"
 	"github.com/tamarackbay/tamarackbay/internal/suite"
 )
 
@@ -37,6 +39,28 @@
 })
 
 var _ = ginkgo.Describe("a modelled disk", func() {
+	ginkgo.It("takes its time for each way to read and write", func() {
+		const size = 6e6
+		md := newModelDisk()
+		fi, path := md.files(), filepath.Join(ginkgo.GinkgoT().TempDir(), "f")
+		takes := func(f func()) {
+			began := time.Now()
+			f()
+			Expect(time.Since(began)).To(BeNumerically(">=", 50*time.Millisecond))
+		}
+		for _, open := range []func(string) (storage.File, error){fi.Create, fi.Append} {
+			f, err := open(path)
+			Expect(err).NotTo(HaveOccurred())
+			takes(func() { Expect(f.Write(make([]byte, size))).To(BeEquivalentTo(size)) })
+			Expect(f.Close()).To(Succeed())
+		}
+		takes(func() { Expect(fi.Read(path)).To(HaveLen(2 * size)) })
+		f, err := fi.Open(path)
+		Expect(err).NotTo(HaveOccurred())
+		takes(func() { Expect(f.ReadAt(make([]byte, size), 0)).To(BeEquivalentTo(size)) })
+		Expect(f.Close()).To(Succeed())
+	})
+
 	ginkgo.It("serves its users in their order, and none without power", func() {
 		md := newModelDisk()
 		began := time.Now()
--- a/internal/capacity/recoverygroup.go
+++ b/internal/capacity/recoverygroup.go
@@ -233,7 +233,7 @@
 	for i, fo := range rg.all {
 		names, _ := filepath.Glob(filepath.Join(rg.dataFolder(fo.Name), "*", "snapshot-*")) // the pattern is valid
 		for _, name := range names {
-			if filepath.Ext(name) != ".tmp" {
+			if filepath.Ext(name) == "" { // stored whole
 				out[i] = max(out[i], name)
 			}
 		}
