--- a/internal/group/node.go
+++ b/internal/group/node.go
@@ -83,17 +83,24 @@
 	// A snapshot is encoded and written in the background.
 	snapshots       snapshotSchedule
 	snapshotResults chan snapshotResult
+	written         *consensus.Snapshot // not adopted yet
+	isTransferDue   bool                // a follower needs the stored snapshot
+	transfer        *consensus.Snapshot // read for that
 	background      sync.WaitGroup
 
-	pauses      *pauseWatch
-	log         log.Interface
-	disk        *disk
-	unstored    *unstored           // set while the disk refuses writes
-	heardLeader consensus.ReplicaID // leader that sent a message since then
+	pauses        *pauseWatch
+	log           log.Interface
+	disk          *disk
+	writer        *storeWriter
+	writeLoggedAt time.Duration
+	unstored      *storeTask          // set while the disk refuses writes
+	heardLeader   consensus.ReplicaID // leader that sent a message since then
 
 	inbox            chan event
 	pendingProposals map[uint64]pendingProposal
-	pendingReads     map[uint64]*readRequest
+	queuedReads      []*readRequest
+	pendingReads     map[uint64][]*readRequest // by the ID of their round
+	readWaiters      int                       // queued and pending reads
 	lastReadID       uint64
 
 	applier *applier
@@ -112,6 +119,8 @@
 	defer ticker.Stop()
 	defer n.failPending(errStopping())
 	defer n.store.Close()
+	n.writer.done.Go(func() { n.writer.run(n.store) })
+	defer n.writer.stop()
 	defer n.background.Wait()
 	n.applier.done.Go(n.applyTasks)
 	defer n.applier.stop(errStopping())
@@ -128,6 +137,11 @@
 			if err := n.finishSnapshot(sv); err != nil {
 				return err
 			}
+		case ta := <-n.writer.results:
+			n.pauses.begin()
+			if err := n.finishTask(ta); err != nil {
+				return err
+			}
 		case err := <-n.applier.failed:
 			return err
 		case <-n.applier.room:
@@ -141,22 +155,17 @@
 		n.applier.feed()
 		n.pauses.end(stepReceive)
 		if n.unstored != nil {
-			if err := n.resume(); err != nil {
-				return err
-			}
-			if n.unstored != nil {
-				n.updateStatus()
-				n.pauses.finish()
+			n.resume()
+			n.updateStatus()
+			n.pauses.finish()
 
-				continue
-			}
+			continue
 		}
 		n.propose(batch)
+		n.startReads()
 		n.replica.Tick(n.now())
 		n.pauses.end(stepPropose)
-		if err := n.processReady(); err != nil {
-			return err
-		}
+		n.processReady()
 		n.pauses.finish()
 	}
 }
@@ -189,7 +198,7 @@
 	case ev.proposal != nil:
 		return append(batch, ev.proposal)
 	case ev.read != nil:
-		n.startRead(ev.read)
+		n.queueRead(ev.read)
 	case ev.call != nil:
 		ev.call(n.now(), n.replica)
 	}
@@ -219,32 +228,53 @@
 	}
 }
 
-// startRead begins a read; its answer follows once the leader is confirmed by a quorum.
-func (n *node) startRead(rr *readRequest) {
-	if len(n.pendingReads) >= maxReadWaiters {
-		rr.answer <- readAnswer{err: result.New(result.QueueFull, "group: %d reads are pending, the limit", len(n.pendingReads))}
+// queueRead takes a read for the next round of heartbeats.
+func (n *node) queueRead(rr *readRequest) {
+	if n.readWaiters >= maxReadWaiters {
+		rr.answer <- readAnswer{err: result.New(result.QueueFull, "group: %d reads are pending, the limit", n.readWaiters)}
+
+		return
+	}
+	n.readWaiters++
+	n.queuedReads = append(n.queuedReads, rr)
+}
 
+// startReads begins the queued reads with one round of heartbeats; their answer follows once a
+// quorum has confirmed the leader.
+func (n *node) startReads() {
+	if len(n.queuedReads) == 0 {
 		return
 	}
 
+	reads := n.queuedReads
+	n.queuedReads = nil
 	n.lastReadID++
 	if err := n.replica.ReadIndex(n.now(), n.lastReadID); err != nil {
-		rr.answer <- readAnswer{err: result.New(result.NotLeader, "group: %v", err)}
+		n.answerReads(reads, readAnswer{err: result.New(result.NotLeader, "group: %v", err)})
 
 		return
 	}
-	n.pendingReads[n.lastReadID] = rr
+	n.pendingReads[n.lastReadID] = reads
 }
 
-// processReady carries out what the consensus core requests, until nothing is left.
-func (n *node) processReady() error {
+func (n *node) answerReads(reads []*readRequest, an readAnswer) {
+	n.readWaiters -= len(reads)
+	for _, rr := range reads {
+		rr.answer <- an
+	}
+}
+
+// processReady carries out what the consensus core requests, until nothing is left but what waits
+// for the store.
+func (n *node) processReady() {
 	for {
-		rd := n.replica.Ready()
+		n.startSnapshotTask()
+		rd := n.takeReady()
 		if rd.Empty() {
 			n.updateStatus()
 			n.pauses.end(stepPublish)
 
-			return nil
+			return
 		}
 
 		for _, m := range rd.Unsynced {
@@ -256,44 +286,39 @@
 			}
 		}
 		n.pauses.end(stepSend)
-		if rd.MustSync() {
-			if err := n.store.Save(&rd); err != nil {
-				return n.suspend(err, unstored{ready: &rd})
-			}
-			n.pauses.end(stepStore)
+		n.queueCommitted(rd.Committed)
+		for _, rs := range rd.Reads {
+			n.finishRead(rs)
 		}
-		n.carryOut(rd)
 		n.pauses.end(stepApply)
+		switch {
+		case n.writer.isBusy:
+		case rd.MustSync():
+			n.startTask(&storeTask{ready: &rd})
+		default:
+			n.carryOut(&rd)
+		}
+		n.pauses.end(stepStore)
 	}
 }
 
-// carryOut does what may follow only once rd is stored.
-func (n *node) carryOut(rd consensus.Ready) {
-	for _, m := range rd.Messages {
-		n.send(m)
-	}
-	n.replica.Advance(n.now(), rd)
-	if rd.Snapshot != nil {
-		n.snapshots.store(rd.Snapshot.Index)
-	}
-	n.queueCommitted(&rd)
-	for _, rs := range rd.Reads {
-		n.finishRead(rs)
+// takeReady returns the pending work: while the store is busy, that which needs no write.
+func (n *node) takeReady() consensus.Ready {
+	if n.writer.isBusy {
+		return n.replica.ReadyUnsynced()
 	}
+
+	return n.replica.Ready()
 }
 
 func (n *node) finishRead(rs consensus.ReadState) {
-	rr, ok := n.pendingReads[rs.Context]
-	if !ok {
-		return
-	}
-
+	reads := n.pendingReads[rs.Context]
 	delete(n.pendingReads, rs.Context)
 	an := readAnswer{index: rs.Index}
 	if !rs.OK {
 		an.err = result.New(result.NotLeader, "group: this replica lost leadership before it could confirm the read")
 	}
-	rr.answer <- an
+	n.answerReads(reads, an)
 }
 
 // failPending answers all pending proposals and reads with err.
@@ -302,10 +327,12 @@
 		w.proposal.answer <- proposalAnswer{err: err}
 		delete(n.pendingProposals, i)
 	}
-	for i, rr := range n.pendingReads {
-		rr.answer <- readAnswer{err: err}
+	for i, reads := range n.pendingReads {
+		n.answerReads(reads, readAnswer{err: err})
 		delete(n.pendingReads, i)
 	}
+	n.answerReads(n.queuedReads, readAnswer{err: err})
+	n.queuedReads = nil
 }
 
 // enqueue puts an event into the inbox.
