--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -46,6 +46,8 @@
 	transferStart  time.Duration
 
 	incoming         *incomingSnapshot // being received in chunks
+	chunks           []SnapshotChunk   // for Ready.Chunks
+	source           *SnapshotSource   // being sent as leader, nil if there is no transfer
 	pendingInstall   *Snapshot         // received completely; the next Ready returns it
 	unstoredInstall  uint64            // index of the received snapshot that Advance has not confirmed, 0 if there is none
 	droppedTransfers []DroppedTransfer // for Ready.DroppedTransfers
@@ -108,8 +110,16 @@
 // TermAt returns the term of the entry at index, and false if the log does not hold it.
 func (r *Replica) TermAt(index uint64) (uint64, bool) { return r.log.term(index) }
 
-// Compact removes applied entries up to index. The stored snapshot must cover them.
-func (r *Replica) Compact(index uint64) { r.log.compact(min(index, r.log.applied)) }
+// Compact removes applied entries up to index. The stored snapshot must cover them. What follows a
+// snapshot that is being sent stays, up to maxTransferLogBytes: without it the follower would need the
+// next snapshot as well.
+func (r *Replica) Compact(index uint64) {
+	index = min(index, r.log.applied)
+	if r.source != nil && r.source.Snapshot.Index+1 >= r.log.tailStart(maxTransferLogBytes) {
+		index = min(index, r.source.Snapshot.Index)
+	}
+	r.log.compact(index)
+}
 
 // TailFrom returns the index from which the newest entries hold at most maxBytes of data.
 func (r *Replica) TailFrom(maxBytes int) uint64 { return r.log.tailStart(maxBytes) }
@@ -204,8 +214,8 @@
 // again.
 func (r *Replica) Ready() Ready {
 	rd := r.ReadyUnsynced()
-	rd.Messages, rd.Snapshot = r.messages, r.pendingInstall
-	r.messages, r.pendingInstall = nil, nil
+	rd.Messages, rd.Snapshot, rd.Chunks, rd.DroppedTransfers = r.messages, r.pendingInstall, r.chunks, r.droppedTransfers
+	r.messages, r.pendingInstall, r.chunks, r.droppedTransfers = nil, nil, nil, nil
 
 	if r.hardState != r.emittedHardState {
 		hs := r.hardState
@@ -223,8 +233,8 @@
 // ReadyUnsynced returns the pending work that needs no write. The driver may call it while it
 // stores what Ready returned.
 func (r *Replica) ReadyUnsynced() Ready {
-	rd := Ready{Unsynced: r.unsyncedMessages, Reads: r.readStates, DroppedTransfers: r.droppedTransfers}
-	r.unsyncedMessages, r.readStates, r.droppedTransfers = nil, nil, nil
+	rd := Ready{Unsynced: r.unsyncedMessages, Reads: r.readStates}
+	r.unsyncedMessages, r.readStates = nil, nil
 	if end := min(r.log.commit, r.log.persisted); end > r.log.applied {
 		rd.Committed = append([]Entry(nil), r.log.entries[r.log.applied-r.log.snapIndex:end-r.log.snapIndex]...)
 		r.log.applied = end
@@ -268,6 +278,7 @@
 
 	r.role, r.leader, r.preVoting = RoleFollower, leader, false
 	r.progress, r.transferTarget = nil, ""
+	r.releaseSource()
 	r.resetElectionTimer(now)
 }
 
--- a/internal/consensus/simulation_disk_test.go
+++ b/internal/consensus/simulation_disk_test.go
@@ -28,7 +28,6 @@
 			return
 		}
 		s.sendFrom(n, rd.Unsynced)
-		s.checkDropped(&rd)
 		s.apply(n, &rd)
 		for _, r := range rd.Reads {
 			if r.OK {
@@ -96,11 +95,13 @@
 			s.events["replacedWrite"]++
 		}
 	}
+	s.storeChunks(n, &w.rd)
+	s.checkDropped(n, &w.rd)
 	s.persist(n, &w.rd)
 	s.sendFrom(n, w.rd.Messages)
 	n.replica.Advance(n.clock(s.now), w.rd)
 	if w.rd.Snapshot != nil {
-		s.install(n, w.rd.Snapshot)
+		s.install(n)
 	}
 	if s.now > w.begun {
 		s.events["slowWrite"]++
@@ -124,6 +125,7 @@
 	case 2:
 		rd.Entries = nil
 	}
+	s.storeChunks(n, &w.rd)
 	s.persist(n, rd)
 	s.events["tornWrite"]++
 }
--- a/internal/consensus/write_test.go
+++ b/internal/consensus/write_test.go
@@ -49,7 +49,7 @@
 		commit = 2
 		re = consensus.New(consensus.Config{
 			ID: "a", Group: 1, ElectionTimeout: 300 * time.Millisecond, HeartbeatPeriod: 60 * time.Millisecond,
-			Random: func(int64) int64 { return 0 }, LatestSnapshot: func() (consensus.Snapshot, bool) { return consensus.Snapshot{}, false },
+			Random: func(int64) int64 { return 0 }, OpenSnapshot: func() *consensus.SnapshotSource { return nil },
 			HardState: consensus.HardState{Term: 1}, Entries: entries(1, 1, 3),
 			Snapshot: consensus.Snapshot{Membership: consensus.Membership{Voters: []consensus.ReplicaID{"a", "b", "c"}}},
 		}, 0)
@@ -148,7 +148,7 @@
 	newReplica := func(m consensus.Membership) *consensus.Replica {
 		return consensus.New(consensus.Config{
 			ID: "a", Group: 1, ElectionTimeout: 300 * time.Millisecond, HeartbeatPeriod: 60 * time.Millisecond,
-			Random: func(int64) int64 { return 0 }, LatestSnapshot: func() (consensus.Snapshot, bool) { return consensus.Snapshot{}, false },
+			Random: func(int64) int64 { return 0 }, OpenSnapshot: func() *consensus.SnapshotSource { return nil },
 			HardState: consensus.HardState{Term: 1}, Snapshot: consensus.Snapshot{Membership: m},
 		}, 0)
 	}
--- a/internal/group/applier.go
+++ b/internal/group/applier.go
@@ -5,11 +5,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/apex/log"
-
 	"github.com/tamarackbay/tamarackbay/internal/consensus"
 	"github.com/tamarackbay/tamarackbay/internal/result"
-	"github.com/tamarackbay/tamarackbay/internal/statemachine"
+	"github.com/tamarackbay/tamarackbay/internal/storage"
 )
 
 const (
@@ -23,6 +21,7 @@
 // applyTask is a part of the log: a received snapshot or committed entries.
 type applyTask struct {
 	snapshot   *consensus.Snapshot
+	reader     *storage.SnapshotReader // of snapshot
 	entries    []consensus.Entry
 	proposals  map[uint64]*proposal // to answer, by index
 	membership consensus.Membership // after each of the entries
@@ -130,14 +129,17 @@
 }
 
 func (ta *applyTask) fail(err error) {
+	if ta.reader != nil {
+		_ = ta.reader.Close() // it was only read
+	}
 	for _, p := range ta.proposals {
 		p.answer <- proposalAnswer{err: err}
 	}
 }
 
-// queueSnapshot passes a received snapshot to the applier.
-func (n *node) queueSnapshot(sn *consensus.Snapshot) {
-	n.applier.held = append(n.applier.held, &applyTask{snapshot: sn})
+// queueSnapshot passes a received snapshot to the applier, which closes its reader.
+func (n *node) queueSnapshot(sn *consensus.Snapshot, sr *storage.SnapshotReader) {
+	n.applier.held = append(n.applier.held, &applyTask{snapshot: sn, reader: sr})
 	n.applier.feed()
 }
 
@@ -187,7 +189,7 @@
 
 			continue
 		case ta.snapshot != nil:
-			err = n.restore(ta.snapshot)
+			err = n.restore(ta)
 		default:
 			err = n.apply(ta)
 		}
@@ -205,19 +207,16 @@
 }
 
 // restore replaces the state by that of a received snapshot.
-func (n *node) restore(sn *consensus.Snapshot) error {
-	began := n.now()
-	ma, err := statemachine.Restore(sn.Data)
+func (n *node) restore(ta *applyTask) error {
+	ma, err := n.restoreSnapshot(ta.reader)
 	if err != nil {
 		return err
 	}
-	n.log.WithFields(log.Fields{"index": sn.Index, "bytes": len(sn.Data), "ms": (n.now() - began).Milliseconds()}).
-		Info("snapshot of the leader installed")
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.machine = ma
 	n.onApply()
-	n.applier.moveTo(position{sn.Index, sn.Term})
+	n.applier.moveTo(position{ta.snapshot.Index, ta.snapshot.Term})
 
 	return nil
 }
--- a/internal/group/node.go
+++ b/internal/group/node.go
@@ -71,6 +71,7 @@
 type node struct {
 	replica *consensus.Replica
 	store   *storage.Store
+	dir     string
 	start   time.Time
 	wallMs  func() int64
 	send    func(m consensus.Message)
@@ -83,9 +84,12 @@
 	// A snapshot is encoded and written in the background.
 	snapshots       snapshotSchedule
 	snapshotResults chan snapshotResult
-	written         *consensus.Snapshot // not adopted yet
-	isTransferDue   bool                // a follower needs the stored snapshot
-	transfer        *consensus.Snapshot // read for that
+	written         *consensus.Snapshot     // not adopted yet
+	isTransferDue   bool                    // a follower needs the stored snapshot
+	transfer        *storage.SnapshotReader // opened for that
+	sent            *storage.SnapshotReader // being sent to followers
+	readFailure     error                   // the stored snapshot is damaged
+	storedSnapshot  consensus.Snapshot      // metadata of the newest one
 	background      sync.WaitGroup
 
 	pauses        *pauseWatch
@@ -122,6 +126,7 @@
 	n.writer.done.Go(func() { n.writer.run(n.store) })
 	defer n.writer.stop()
 	defer n.background.Wait()
+	defer n.closeSnapshots()
 	n.applier.done.Go(n.applyTasks)
 	defer n.applier.stop(errStopping())
 
@@ -167,6 +172,9 @@
 		n.pauses.end(stepPropose)
 		n.processReady()
 		n.pauses.finish()
+		if n.readFailure != nil {
+			return n.readFailure
+		}
 	}
 }
 
@@ -296,7 +304,7 @@
 		case rd.MustSync():
 			n.startTask(&storeTask{ready: &rd})
 		default:
-			n.carryOut(&rd)
+			n.carryOut(&rd, nil)
 		}
 		n.pauses.end(stepStore)
 	}
--- a/internal/group/storewriter.go
+++ b/internal/group/storewriter.go
@@ -10,18 +10,17 @@
 	"github.com/tamarackbay/tamarackbay/internal/storage"
 )
 
-// storeTask is one use of the store: to save Ready, to adopt a written snapshot, or to read the stored
+// storeTask is one use of the store: to save Ready, to adopt a written snapshot, or to open the stored
 // one for a transfer.
 type storeTask struct {
-	isRetry  bool // the disk has refused a write
-	ready    *consensus.Ready
-	adopt    *consensus.Snapshot
-	isStale  bool // the leader has sent a newer snapshot than adopt
-	isRead   bool
-	began    time.Duration
-	snapshot consensus.Snapshot // that was read
-	isFound  bool
-	err      error
+	isRetry bool // the disk has refused a write
+	ready   *consensus.Ready
+	adopt   *consensus.Snapshot
+	isStale bool   // the leader has sent a newer snapshot than adopt
+	opens   uint64 // index of the stored snapshot to open for a transfer, 0 for none
+	began   time.Duration
+	reader  *storage.SnapshotReader // of the snapshot in ready, or of the one that was opened
+	err     error
 }
 
 // storeWriter uses the store beside the loop of the replica, for one task at a time.
@@ -58,20 +57,28 @@
 	}
 	switch {
 	case ta.ready != nil:
-		return st.Save(ta.ready)
+		if err := st.Save(ta.ready); err != nil || ta.ready.Snapshot == nil {
+			return err
+		}
+
+		return ta.open(st, ta.ready.Snapshot.Index)
 	case ta.adopt != nil && ta.isStale:
 		return st.DropSnapshot(ta.adopt.Index)
 	case ta.adopt != nil:
 		return st.AdoptSnapshot(*ta.adopt, false)
-	case ta.isRead:
-		ta.snapshot, ta.isFound = st.LatestSnapshot()
-
-		return st.Failure()
+	case ta.opens > 0:
+		return ta.open(st, ta.opens)
 	}
 
 	return nil
 }
 
+func (ta *storeTask) open(st *storage.Store, index uint64) (err error) {
+	ta.reader, err = st.OpenSnapshot(index)
+
+	return err
+}
+
 // startTask gives the store a task. It must be idle.
 func (n *node) startTask(ta *storeTask) {
 	ta.began = n.now()
@@ -82,7 +89,7 @@
 // startSnapshotTask gives the store what is due with snapshots, if it is idle.
 func (n *node) startSnapshotTask() {
 	if n.replica.Role() != consensus.RoleLeader {
-		n.isTransferDue, n.transfer = false, nil
+		n.dropTransfer()
 	}
 	switch {
 	case n.writer.isBusy:
@@ -91,14 +98,20 @@
 		n.written = nil
 		n.startTask(&storeTask{adopt: sn, isStale: sn.Index <= n.snapshots.stored()})
 	case n.isTransferDue:
-		n.startTask(&storeTask{isRead: true})
+		n.startTask(&storeTask{opens: n.storedSnapshot.Index})
 	}
 }
 
 // finishTask does what may follow only once a task is done.
 func (n *node) finishTask(ta *storeTask) error {
 	n.writer.isBusy = false
-	if ta.err != nil {
+	switch {
+	case ta.err != nil && ta.opens > 0:
+		n.recordReadFailure(ta.err)
+		n.dropTransfer() // the replica asks again
+
+		return n.readFailure
+	case ta.err != nil:
 		return n.suspend(ta.err, ta)
 	}
 	if n.unstored != nil {
@@ -108,17 +121,12 @@
 	switch {
 	case ta.ready != nil:
 		n.logSlowWrite(ta)
-		n.carryOut(ta.ready)
+		n.carryOut(ta.ready, ta.reader)
 	case ta.adopt != nil:
 		n.finishAdoption(ta)
-	case ta.isRead:
-		n.log.WithFields(log.Fields{
-			"index": ta.snapshot.Index, "bytes": len(ta.snapshot.Data), "found": ta.isFound, "ms": (n.now() - ta.began).Milliseconds(),
-		}).Info("snapshot read for a transfer")
-		n.isTransferDue = false
-		if ta.isFound {
-			n.transfer = &ta.snapshot
-		}
+	case ta.opens > 0:
+		n.dropTransfer()
+		n.transfer = ta.reader
 	}
 
 	return nil
@@ -137,27 +145,14 @@
 	}).Warn("a write of the replica took long")
 }
 
-// carryOut does what may follow only once rd is stored.
-func (n *node) carryOut(rd *consensus.Ready) {
+// carryOut does what may follow only once rd is stored. received is its snapshot, nil if it has none.
+func (n *node) carryOut(rd *consensus.Ready, received *storage.SnapshotReader) {
 	for _, m := range rd.Messages {
 		n.send(m)
 	}
 	n.replica.Advance(n.now(), *rd)
 	if rd.Snapshot != nil {
-		n.snapshots.store(rd.Snapshot.Index)
-		n.queueSnapshot(rd.Snapshot)
+		n.storeSnapshot(*rd.Snapshot)
+		n.queueSnapshot(rd.Snapshot, received)
 	}
 }
-
-// latestSnapshot returns the stored snapshot for a transfer to a follower. It is read beside the
-// loop, and the replica asks again with the next heartbeat.
-func (n *node) latestSnapshot() (consensus.Snapshot, bool) {
-	if sn := n.transfer; sn != nil && sn.Index == n.snapshots.stored() {
-		n.transfer = nil
-
-		return *sn, true
-	}
-	n.isTransferDue = n.snapshots.stored() > 0
-
-	return consensus.Snapshot{}, false
-}
