--- a/internal/group/applier.go
+++ b/internal/group/applier.go
@@ -195,6 +195,7 @@
 		}
 		ap.release(ta)
 		if err != nil {
+			ta.fail(err)
 			ap.failed <- err
 
 			return
@@ -223,21 +224,20 @@
 
 // apply applies the entries of a task and answers its proposals.
 func (n *node) apply(ta *applyTask) error {
-	replies := n.applyEntries(ta)
+	replies, err := n.applyEntries(ta)
+	if err != nil {
+		return err
+	}
 	for i, p := range ta.proposals {
 		p.answer <- proposalAnswer{reply: replies[i]}
 	}
 
-	last := ta.entries[len(ta.entries)-1]
-	if !n.snapshots.begin(last.Index, ta.bytes, n.now()) {
-		return nil
-	}
-
-	return n.snapshot(consensus.Snapshot{Index: last.Index, Term: last.Term, Membership: ta.membership})
+	return nil
 }
 
-// applyEntries returns the replies to the proposals of a task by their index.
-func (n *node) applyEntries(ta *applyTask) map[uint64][]byte {
+// applyEntries applies the entries of a task, and begins a snapshot after the one at which it is due. It
+// returns the replies to the proposals by their index.
+func (n *node) applyEntries(ta *applyTask) (map[uint64][]byte, error) {
 	replies := make(map[uint64][]byte, len(ta.proposals))
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -245,12 +245,14 @@
 	for _, en := range ta.entries {
 		if en.Kind != consensus.EntryCommand {
 			n.machine.Skip(en.Index)
-
+		} else if rep := n.machine.Apply(en.Index, en.Data); ta.proposals[en.Index] != nil {
+			replies[en.Index] = rep
+		}
+		if !n.snapshots.begin(en.Index, n.machine.IsSnapshotDue(), n.now()) {
 			continue
 		}
-		rep := n.machine.Apply(en.Index, en.Data)
-		if ta.proposals[en.Index] != nil {
-			replies[en.Index] = rep
+		if err := n.snapshot(consensus.Snapshot{Index: en.Index, Term: en.Term, Membership: ta.membership}); err != nil {
+			return nil, err
 		}
 	}
 	// The view is updated before the entries count as applied: a read that waited for them is
@@ -259,7 +261,7 @@
 	last := ta.entries[len(ta.entries)-1]
 	n.applier.moveTo(position{last.Index, last.Term})
 
-	return replies
+	return replies, nil
 }
 
 // snapshotSchedule decides when a snapshot of the state is begun, at most one at a time. It is safe
@@ -267,23 +269,22 @@
 type snapshotSchedule struct {
 	mu        sync.Mutex
 	index     uint64 // of the stored snapshot
-	bytes     int    // of commands applied since the last one was begun
 	isRunning bool
 	isDue     bool          // the last one could not be written
 	retryAt   time.Duration // earliest time of the next one
 }
 
-// begin counts applied commands up to index, and reports whether a snapshot at index is begun now.
-func (ss *snapshotSchedule) begin(index uint64, bytes int, now time.Duration) bool {
+// begin reports whether a snapshot at index, where isDue says whether the state is due for one, is begun
+// now. One that is due while another is being written is left out. One that the disk refused is begun as
+// soon as possible: the log grows until then.
+func (ss *snapshotSchedule) begin(index uint64, isDue bool, now time.Duration) bool {
 	ss.mu.Lock()
 	defer ss.mu.Unlock()
 
-	ss.bytes += bytes
-	isDue := ss.isDue || index >= ss.index+snapshotEntries || ss.bytes > snapshotBytes
-	if !isDue || ss.isRunning || index <= ss.index || now < ss.retryAt {
+	if (!isDue && !ss.isDue) || ss.isRunning || index <= ss.index || now < ss.retryAt {
 		return false
 	}
-	ss.isRunning, ss.bytes = true, 0
+	ss.isRunning = true
 
 	return true
 }
--- a/internal/group/node.go
+++ b/internal/group/node.go
@@ -18,16 +18,12 @@
 	inboxSize       = 4096 // events
 	maxBatchEvents  = 1024 // events that may share one sync
 	tickPeriod      = 20 * time.Millisecond
-	snapshotEntries = 20_000 // applied entries after which a snapshot is due
-	retainedEntries = 5_000  // retained for slow followers although a snapshot covers them
+	retainedEntries = 5_000 // retained for slow followers although a snapshot covers them
 	maxReadWaiters  = 65_536
 
 	// snapshotRetryPause is the pause after a snapshot that the disk refused.
 	snapshotRetryPause = time.Second
 
-	// snapshotBytes is the size of the applied commands after which a snapshot is due: a
-	// tenth of the smallest disk.
-	snapshotBytes = 12 << 20
 	// retainedBytes bounds the commands in memory that are retained although a snapshot covers them.
 	retainedBytes = 4 << 20
 )
@@ -171,6 +167,7 @@
 		n.replica.Tick(n.now())
 		n.pauses.end(stepPropose)
 		n.processReady()
+		n.resignIfStuck()
 		n.pauses.finish()
 		if n.readFailure != nil {
 			return n.readFailure
