--- a/internal/capacity/recovery.go
+++ b/internal/capacity/recovery.go
@@ -148,7 +148,7 @@
 func (rg *recoveryGroup) awaitQuiet() error {
 	last, since := rg.newestSnapshots(), time.Now()
 	_, ok := waitFor(func() bool {
-		if now := rg.newestSnapshots(); !slices.Equal(now, last) {
+		if now := rg.newestSnapshots(); !slices.Equal(now, last) || rg.isWritingSnapshot() {
 			last, since = now, time.Now()
 		}
 
--- a/internal/capacity/recoverygroup.go
+++ b/internal/capacity/recoverygroup.go
@@ -241,3 +241,10 @@
 
 	return out
 }
+
+// isWritingSnapshot reports whether any replica has a snapshot that is not written whole.
+func (rg *recoveryGroup) isWritingSnapshot() bool {
+	names, _ := filepath.Glob(filepath.Join(rg.folder, "*", "*", "snapshot-*.tmp")) // the pattern is valid
+
+	return len(names) > 0
+}
