peer: retain at most 32 KiB in each buffer of a session

Each end keeps a buffer of yamux and two of the queue of writes, so that 64 KiB each can add up to 384 KiB. Change: 32 KiB for each, and for what is written at once. The bound of the test stays.

--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -37,8 +37,8 @@
 	largeMessageBytes = 64 << 10
 	// maxWriteBytes bounds what is passed to yamux at once, as a session retains a buffer of the largest
 	// write. maxRetainedBytes bounds the other buffers that are kept for further messages.
-	maxWriteBytes    = 64 << 10
-	maxRetainedBytes = 64 << 10
+	maxWriteBytes    = 32 << 10
+	maxRetainedBytes = 32 << 10
 )
 
 // Message is a request or a message of an answer.
