--- a/soak/packets_test.go
+++ b/soak/packets_test.go
@@ -109,9 +109,10 @@
 		target, err = net.Listen("tcp", acceptor+":0")
 		Expect(err).NotTo(HaveOccurred())
 		reached.Store(0)
+		ln := target // the next spec sets target, which the goroutine may still read
 		go func() {
 			for {
-				co, err := target.Accept()
+				co, err := ln.Accept()
 				if err != nil {
 					return // closed
 				}
