feed: a process lags until its first view has been handled

The gateway admitted a request and was not confirmed just after.

Cause: the first state of a controller is published, and counts as confirmed only once the process has handled the view. In between it stood as isolated, since a controller counts as reachable only 500 ms after its first bytes, and an isolated gateway is ready and admits, although its balancer has not been given the backend servers yet.

Change: until the first view has been handled, the standing is Lagging: a gateway refuses as not run and is not ready, a store waits with placing.

--- a/internal/feed/eachview_test.go
+++ b/internal/feed/eachview_test.go
@@ -8,7 +8,9 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/tamarackbay/tamarackbay/internal/logging"
+	"github.com/tamarackbay/tamarackbay/internal/peer"
 	"github.com/tamarackbay/tamarackbay/internal/routing"
+	"github.com/tamarackbay/tamarackbay/internal/wire"
 )
 
 // Guards against a process that counts as up to date while the part of it that picks backend servers still has an
@@ -73,3 +75,46 @@
 		<-done
 	})
 })
+
+func version(vi *View) uint64 {
+	if vi.Table == nil {
+		return 0
+	}
+
+	return vi.Table.Version()
+}
+
+// Guards against a process that serves by its first view before it has handled it: before it knows the backend
+// servers, it would answer that there are none.
+var _ = ginkgo.Describe("the standing of a follower that has just started", func() {
+	ginkgo.It("is confirmed once its first view was handled, and not isolated before", func() {
+		const bound = 2 * time.Second
+		links := peer.NewLinks(context.Background(), peer.Config{Hello: &wire.Hello{Protocol: peer.ProtocolVersion}})
+		defer links.Close()
+		fo := NewFollower(Config{Links: links, Log: logging.Discard()})
+		fo.following["a"] = func() {}
+		Expect(fo.Standing(bound)).To(Equal(Isolated), "no controller was reached yet")
+
+		ctx, cancel := context.WithCancel(context.Background())
+		begun, proceed, done := make(chan uint64), make(chan struct{}), make(chan struct{})
+		go func() {
+			defer close(done)
+			fo.EachView(ctx, func(vi *View) {
+				begun <- version(vi)
+				<-proceed
+			})
+		}()
+		Expect(<-begun).To(BeZero())
+		proceed <- struct{}{}
+		de := diff(noState, &State{Config: &routing.Config{Version: 1}, Position: 1})
+		fo.applyDelta("a", de, time.Now())
+		Expect(fo.Standing(bound)).To(Equal(Lagging), "the view is not confirmed")
+		fo.recordContact("a", head{Ping: int64(time.Since(fo.start))}, de, time.Now())
+		Expect(<-begun).To(Equal(uint64(1)))
+		Expect(fo.Standing(bound)).To(Equal(Lagging), "the view is not handled")
+		proceed <- struct{}{}
+		Eventually(func() Standing { return fo.Standing(bound) }, "1s", "1ms").Should(Equal(Confirmed))
+		cancel()
+		<-done
+	})
+})
--- a/internal/feed/standing.go
+++ b/internal/feed/standing.go
@@ -9,7 +9,7 @@
 	// Confirmed says that the view holds every change that was acknowledged longer ago than the bound.
 	Confirmed Standing = iota + 1
 	// Lagging says that the view may lack changes, and that a controller sends to this process which may
-	// have them.
+	// have them, or that the first view has not been handled yet.
 	Lagging
 	// Isolated says that the view may lack changes, and that no controller can be reached which may have
 	// them: those that can be are not confirmed by a majority either.
@@ -30,12 +30,16 @@
 // Standing returns the standing of the view for changes that must be known within a bound after
 // their acknowledgement.
 func (fo *Follower) Standing(bound time.Duration) Standing {
-	if age, ok := fo.Age(); ok && age <= bound {
+	age, ok := fo.Age()
+	if ok && age <= bound {
 		return Confirmed
 	}
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
 
+	if !ok && fo.published > 0 {
+		return Lagging // the first view is still being handled
+	}
 	for a := range fo.following {
 		ct := fo.contacts[a]
 		// With the time since its message, and that for which its ping may have waited.
