group: read the chunks of a transfer beside the loop

The consensus core asks for one, is told that it is not at hand, and sends it when the driver says that it is.

In the simulations of consensus each chunk is at hand only when it is asked for again.

--- a/internal/consensus/scenario_test.go
+++ b/internal/consensus/scenario_test.go
@@ -24,6 +24,7 @@
 	for end := s.now + d; s.now < end; s.now += time.Millisecond {
 		s.deliver()
 		for _, n := range s.alive() {
+			n.replica.SendChunks(n.clock(s.now))
 			n.replica.Tick(n.clock(s.now))
 			s.flush(n)
 		}
--- a/internal/consensus/simulation_snapshot_test.go
+++ b/internal/consensus/simulation_snapshot_test.go
@@ -67,7 +67,8 @@
 	s.encodings[keyOfSnapshot(&so.Snapshot)] = sn.Data
 }
 
-// openSnapshot opens the stored snapshot of a replica. Only one may be open at a time.
+// openSnapshot opens the stored snapshot of a replica. Only one may be open at a time. A chunk is at hand
+// when it is asked for again.
 func (n *simNode) openSnapshot() *consensus.SnapshotSource {
 	if n.snapshot.Index == 0 {
 		return nil
@@ -76,6 +77,14 @@
 	Expect(n.opened).To(Equal(1), "%s sends two snapshots at once", n.id)
 	so := sourceOf(n.snapshot)
 	so.Close = func() { n.opened-- }
+	read, isAsked := so.Read, map[uint64]bool{}
+	so.Read = func(offset uint64, bytes int) ([]byte, error) {
+		if isAsked[offset] = !isAsked[offset]; isAsked[offset] {
+			return nil, nil
+		}
+
+		return read(offset, bytes)
+	}
 
 	return so
 }
--- a/internal/consensus/simulation_test.go
+++ b/internal/consensus/simulation_test.go
@@ -239,6 +239,7 @@
 	s.now += time.Duration(s.rnd.Int64N(int64(3 * time.Millisecond)))
 	s.deliver()
 	for _, n := range s.alive() {
+		n.replica.SendChunks(n.clock(s.now))
 		n.replica.Tick(n.clock(s.now))
 		s.flush(n)
 	}
@@ -357,6 +358,7 @@
 		s.now += time.Millisecond
 		s.deliver()
 		for _, n := range s.alive() {
+			n.replica.SendChunks(n.clock(s.now))
 			n.replica.Tick(n.clock(s.now))
 			s.flush(n)
 		}
--- a/internal/consensus/snapshot_test.go
+++ b/internal/consensus/snapshot_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -62,10 +63,10 @@
 
 	return &consensus.SnapshotSource{
 		Snapshot: sn,
-		ReadAt: func(b []byte, offset uint64) error {
-			Expect(copy(b, data[offset:])).To(Equal(len(b)))
+		Read: func(offset uint64, bytes int) ([]byte, error) {
+			Expect(offset + uint64(bytes)).To(BeNumerically("<=", len(data)))
 
-			return nil
+			return slices.Clone(data[offset : offset+uint64(bytes)]), nil
 		},
 		Close: func() {},
 	}
--- a/internal/consensus/transfer.go
+++ b/internal/consensus/transfer.go
@@ -45,6 +45,7 @@
 	sent     uint64 // offset of the last chunk sent
 	sentTo   uint64 // end of the furthest chunk sent
 	advanced time.Duration
+	isDue    bool // the next chunk is to be sent once it is at hand
 }
 
 // accepts reports whether the reply m belongs to the transfer. The reply of a follower whose
@@ -116,16 +117,32 @@
 	}
 }
 
-// sendChunk reads and sends the chunk that the follower lacks next. The transfer ends if it can't be read.
+// SendChunks sends the chunks that were not at hand when they were due, as far as they are now.
+func (r *Replica) SendChunks(now time.Duration) {
+	for _, id := range r.peers() {
+		if pr := r.progress[id]; pr.outgoing != nil && pr.outgoing.isDue {
+			r.sendChunk(now, id, pr)
+		}
+	}
+}
+
+// sendChunk sends the chunk that the follower lacks next, once it is at hand. The transfer ends if it
+// can't be read.
 func (r *Replica) sendChunk(now time.Duration, id ReplicaID, pr *progress) {
 	pr.snapshotSent = now
 	ou := pr.outgoing
 	from := min(ou.offset, ou.snapshot.Size)
 	end := min(from+uint64(r.cfg.ChunkBytes), ou.snapshot.Size)
-	chunk := make([]byte, end-from)
-	if err := r.source.ReadAt(chunk, from); err != nil {
-		r.endTransfer(pr) // the driver knows the error
+	chunk := []byte{}
+	if end > from {
+		var err error
+		if chunk, err = r.source.Read(from, int(end-from)); err != nil {
+			r.endTransfer(pr) // the driver knows the error
 
+			return
+		}
+	}
+	if ou.isDue = chunk == nil; ou.isDue {
 		return
 	}
 	ou.sent, ou.sentTo = from, max(ou.sentTo, end)
--- a/internal/consensus/transfer_test.go
+++ b/internal/consensus/transfer_test.go
@@ -33,6 +33,7 @@
 	now            time.Duration
 	opened, closed int
 	readError      error
+	isDiskSlow     bool // no chunk is at hand
 }
 
 func newSendingLeader() *sendingLeader {
@@ -46,13 +47,13 @@
 		OpenSnapshot: func() *consensus.SnapshotSource {
 			le.opened++
 			so := sourceOf(sn)
-			read := so.ReadAt
-			so.ReadAt = func(b []byte, offset uint64) error {
-				if le.readError != nil {
-					return le.readError
+			read := so.Read
+			so.Read = func(offset uint64, bytes int) ([]byte, error) {
+				if le.readError != nil || le.isDiskSlow {
+					return nil, le.readError
 				}
 
-				return read(b, offset)
+				return read(offset, bytes)
 			}
 			so.Close = func() { le.closed++ }
 
@@ -216,6 +217,26 @@
 		Expect(le.sent(consensus.MessageSnapshot)).To(HaveLen(1), "the chunk may be lost")
 	})
 
+	It("sends a chunk that the disk has not delivered once it has, and heartbeats meanwhile", func() {
+		le := newSendingLeader()
+		le.isDiskSlow = true
+		le.reject("d")
+		for range 5 {
+			le.advance(400*time.Millisecond, "b", "c", "d")
+			le.SendChunks(le.now)
+			Expect(le.sent(consensus.MessageSnapshot)).To(BeEmpty())
+			le.advance(70*time.Millisecond, "b", "c", "d")
+			Expect(le.sent(consensus.MessageAppend)).To(ContainElement(consensus.ReplicaID("d")))
+		}
+		Expect(le.Role()).To(Equal(consensus.RoleLeader))
+		Expect(le.opened).To(Equal(1))
+		le.isDiskSlow = false
+		le.SendChunks(le.now)
+		le.SendChunks(le.now)
+		Expect(le.sent(consensus.MessageSnapshot)).To(Equal([]consensus.ReplicaID{"d"}))
+		Expect(le.closed).To(Equal(0))
+	})
+
 	It("ends for a follower that takes nothing for long, and closes the file", func() {
 		le := newSendingLeader()
 		le.reject("d")
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -112,8 +112,10 @@
 // is stored meanwhile.
 type SnapshotSource struct {
 	Snapshot Snapshot // with its size and digest
-	ReadAt   func(b []byte, offset uint64) error
-	Close    func()
+	// Read returns so many bytes of the data, from an offset, which the caller owns. It returns nil without an
+	// error if they are not at hand yet; the driver calls Replica.SendChunks once they are.
+	Read  func(offset uint64, bytes int) ([]byte, error)
+	Close func()
 }
 
 // SnapshotChunk is a received part of a snapshot's data, which the driver stores after the parts before it.
--- a/internal/group/node.go
+++ b/internal/group/node.go
@@ -83,9 +83,10 @@
 	written         *consensus.Snapshot     // not adopted yet
 	isTransferDue   bool                    // a follower needs the stored snapshot
 	transfer        *storage.SnapshotReader // opened for that
-	sent            *storage.SnapshotReader // being sent to followers
-	readFailure     error                   // the stored snapshot is damaged
-	storedSnapshot  consensus.Snapshot      // metadata of the newest one
+	sent            *chunkReader            // of the one that is being sent to followers
+	chunkResults    chan chunkResult
+	readFailure     error              // the stored snapshot is damaged
+	storedSnapshot  consensus.Snapshot // metadata of the newest one
 	background      sync.WaitGroup
 
 	pauses        *pauseWatch
@@ -143,6 +144,9 @@
 			if err := n.finishTask(ta); err != nil {
 				return err
 			}
+		case re := <-n.chunkResults:
+			n.pauses.begin()
+			n.finishChunk(re)
 		case err := <-n.applier.failed:
 			return err
 		case <-n.applier.room:
--- a/internal/group/opennode.go
+++ b/internal/group/opennode.go
@@ -83,7 +83,7 @@
 	n := &node{
 		store: st, dir: cfg.dir, start: time.Now(), wallMs: cfg.wallMs, send: cfg.send, onApply: cfg.onApply, onStatus: cfg.onStatus,
 		inbox: make(chan event, inboxSize), pendingProposals: map[uint64]pendingProposal{}, pendingReads: map[uint64][]*readRequest{},
-		machine: ma, applier: newApplier(position{re.Snapshot.Index, re.Snapshot.Term}), snapshotResults: make(chan snapshotResult, 1), writer: newStoreWriter(),
+		machine: ma, applier: newApplier(position{re.Snapshot.Index, re.Snapshot.Term}), snapshotResults: make(chan snapshotResult, 1), chunkResults: make(chan chunkResult, 1), writer: newStoreWriter(),
 		disk: cfg.disk, onDroppedTransfer: cfg.onDroppedTransfer, log: cfg.log,
 	}
 	n.storeSnapshot(re.Snapshot)
--- a/internal/group/recovery_test.go
+++ b/internal/group/recovery_test.go
@@ -31,7 +31,8 @@
 
 // slowDisk is a disk with a bandwidth. Whoever reads, writes or syncs waits for those before.
 type slowDisk struct {
-	mu sync.Mutex
+	mu        sync.Mutex
+	readDelay atomic.Int64 // a time.Duration, added to each read of a part of a file
 }
 
 func (sd *slowDisk) use(d time.Duration) {
@@ -78,6 +79,7 @@
 		readAt := fl.ReadAt
 		fl.ReadAt = func(b []byte, offset int64) (int, error) {
 			sd.transfer(len(b))
+			time.Sleep(time.Duration(sd.readDelay.Load()))
 
 			return readAt(b, offset)
 		}
@@ -94,13 +96,14 @@
 
 	mu      sync.Mutex
 	nodes   map[consensus.ReplicaID]*node
+	disks   map[*node]*slowDisk
 	longest map[consensus.ReplicaID]*atomic.Int64 // pause of each loop, a time.Duration
 	ends    map[consensus.ReplicaID]error         // of loops that have ended
 	stops   []func()
 }
 
 func newSlowGroup(dir string, voters ...consensus.ReplicaID) *slowGroup {
-	sg := &slowGroup{dir: dir, nodes: map[consensus.ReplicaID]*node{}, longest: map[consensus.ReplicaID]*atomic.Int64{}, ends: map[consensus.ReplicaID]error{}}
+	sg := &slowGroup{dir: dir, nodes: map[consensus.ReplicaID]*node{}, disks: map[*node]*slowDisk{}, longest: map[consensus.ReplicaID]*atomic.Int64{}, ends: map[consensus.ReplicaID]error{}}
 	for _, id := range voters {
 		sg.start(id, voters)
 	}
@@ -116,9 +119,9 @@
 }
 
 func (sg *slowGroup) start(id consensus.ReplicaID, voters []consensus.ReplicaID) {
-	longest := &atomic.Int64{}
+	longest, sd := &atomic.Int64{}, &slowDisk{}
 	n, err := openNode(nodeConfig{
-		id: id, group: 1, bootstrap: consensus.Membership{Voters: voters}, files: (&slowDisk{}).files(), dir: filepath.Join(sg.dir, string(id)),
+		id: id, group: 1, bootstrap: consensus.Membership{Voters: voters}, files: sd.files(), dir: filepath.Join(sg.dir, string(id)),
 		election: slowElection, heartbeat: slowHeartbeat, wallMs: func() int64 { return 1 },
 		send: func(m consensus.Message) {
 			if to := sg.node(m.To); to != nil {
@@ -148,7 +151,7 @@
 	}()
 	sg.mu.Lock()
 	defer sg.mu.Unlock()
-	sg.nodes[id], sg.longest[id] = n, longest
+	sg.nodes[id], sg.disks[n], sg.longest[id] = n, sd, longest
 	sg.stops = append(sg.stops, func() {
 		cancel()
 		Expect(<-done).To(Succeed())
@@ -218,6 +221,14 @@
 	return names
 }
 
+// partsIn returns the snapshots that are being received in a replica's folder.
+func partsIn(dir string) []string {
+	names, err := filepath.Glob(filepath.Join(dir, "snapshot-*.part"))
+	Expect(err).NotTo(HaveOccurred())
+
+	return names
+}
+
 // submitAnywhere submits a job to whichever replica leads.
 func (sg *slowGroup) submitAnywhere(id string, bytes int) {
 	b, err := statemachine.Encode(statemachine.KindSubmitJob, testJob(id, bytes))
@@ -269,6 +280,17 @@
 			want := leader.getStatus().Commit
 			Eventually(func() uint64 { return sg.node("d").getStatus().Applied }, "60s").Should(BeNumerically(">=", want))
 		}},
+		{"its disk is slow to read a snapshot for a replica that joins", func(sg *slowGroup, leader *node) {
+			sg.join(leader)
+			dir := filepath.Join(sg.dir, "d")
+			Eventually(func() []string { return partsIn(dir) }, "20s", "1ms").Should(HaveLen(1), "the transfer has begun")
+			sg.disks[leader].readDelay.Store(int64(2 * slowElection))
+			time.Sleep(4 * slowElection)
+			Expect(partsIn(dir)).To(HaveLen(1), "the transfer goes on")
+			sg.disks[leader].readDelay.Store(0)
+			want := leader.getStatus().Commit
+			Eventually(func() uint64 { return sg.node("d").getStatus().Applied }, "60s").Should(BeNumerically(">=", want))
+		}},
 		{"the state is read for long", func(_ *slowGroup, leader *node) {
 			leader.mu.RLock()
 			defer leader.mu.RUnlock()
--- a/internal/group/snapshot.go
+++ b/internal/group/snapshot.go
@@ -47,27 +47,17 @@
 
 		return nil
 	}
-	n.transfer, n.sent = nil, sr
+	n.transfer, n.sent = nil, newChunkReader(sr, sn.Size, n.chunkResults)
+	n.background.Go(n.sent.run)
 	n.log.WithFields(log.Fields{"index": sn.Index, "bytes": sn.Size}).Info("snapshot opened for a transfer")
 
-	return &consensus.SnapshotSource{
-		Snapshot: sn,
-		ReadAt: func(b []byte, offset uint64) error {
-			err := sr.ReadAt(b, offset)
-			if err != nil {
-				n.recordReadFailure(err)
-			}
-
-			return err
-		},
-		Close: n.closeSent,
-	}
+	return &consensus.SnapshotSource{Snapshot: sn, Read: n.sent.read, Close: n.closeSent}
 }
 
 // closeSent closes the snapshot that is being sent, if there is one.
 func (n *node) closeSent() {
 	if n.sent != nil {
-		_ = n.sent.Close() // it was only read
+		n.sent.close()
 	}
 	n.sent = nil
 }
