consensus: bound what is in flight to a follower by its bytes

A follower that hears nothing in time begins an election.

Cause: the window counted entries only.

Change: the leader counts the bytes of the appends that a follower has not acknowledged, and sends it none while they are 4 MiB or more: 5 MiB at most, with the last message. What is sent anew no longer counts as in flight.

The simulations run with a window of 800 bytes.

--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -18,10 +18,46 @@
 	// append in flight would be rejected and each rejection would resend entries.
 	probing bool
 
+	// unacked are the appends in flight, in the order of their entries, and unackedBytes their size.
+	unacked      []sentEntries
+	unackedBytes int
+
 	outgoing     *outgoingSnapshot // nil unless the follower is receiving a snapshot
 	snapshotSent time.Duration
 }
 
+// sentEntries are the entries of one append.
+type sentEntries struct {
+	last  uint64
+	bytes int
+}
+
+// recordSent records entries that were sent, and moves next behind them.
+func (pr *progress) recordSent(entries []Entry) {
+	if len(entries) == 0 {
+		return
+	}
+	pr.next += uint64(len(entries))
+	se := sentEntries{last: pr.next - 1, bytes: sizeOf(entries)}
+	pr.unacked = append(pr.unacked, se)
+	pr.unackedBytes += se.bytes
+}
+
+// acknowledge records that the follower has stored the entries up to match.
+func (pr *progress) acknowledge(match uint64) {
+	pr.match, pr.next = match, max(pr.next, match+1)
+	n := 0
+	for ; n < len(pr.unacked) && pr.unacked[n].last <= match; n++ {
+		pr.unackedBytes -= pr.unacked[n].bytes
+	}
+	pr.unacked = slices.Delete(pr.unacked, 0, n)
+}
+
+// sendFrom sets the entry to send next. Those in flight no longer count.
+func (pr *progress) sendFrom(next uint64) {
+	pr.next, pr.unacked, pr.unackedBytes = next, nil, 0
+}
+
 func (r *Replica) becomeLeader(now time.Duration) {
 	r.role, r.leader = RoleLeader, r.cfg.ID
 	r.progress = map[ReplicaID]*progress{}
@@ -110,7 +146,8 @@
 		return
 	}
 	if !pr.probing && now > pr.lastContact+r.cfg.ElectionTimeout {
-		pr.probing, pr.next = true, max(pr.match, r.log.snapIndex)+1
+		pr.probing = true
+		pr.sendFrom(max(pr.match, r.log.snapIndex) + 1)
 	}
 	if pr.probing {
 		if heartbeat {
@@ -121,7 +158,7 @@
 	}
 
 	var entries []Entry
-	if window := pr.match + r.cfg.MaxInFlight; pr.next <= window {
+	if window := pr.match + r.cfg.MaxInFlight; pr.next <= window && pr.unackedBytes < r.cfg.MaxInFlightBytes {
 		entries = r.log.slice(pr.next, r.cfg.MaxAppendBytes, window-pr.next+1)
 	}
 	if len(entries) == 0 && !heartbeat {
@@ -133,7 +170,7 @@
 		Kind: MessageAppend, To: id, Index: pr.next - 1, LogTerm: prev,
 		Entries: entries, Commit: r.log.commit, Round: r.round,
 	})
-	pr.next += uint64(len(entries))
+	pr.recordSent(entries)
 	pr.commitSent = r.log.commit
 }
 
@@ -172,7 +209,7 @@
 		if m.Index < pr.match || (pr.probing && m.Index != pr.next-1) {
 			return // reply to an older message
 		}
-		pr.next = max(pr.match+1, min(m.Hint+1, r.log.lastIndex()+1))
+		pr.sendFrom(max(pr.match+1, min(m.Hint+1, r.log.lastIndex()+1)))
 		pr.probing = true
 		// A follower that waits for a snapshot rejects the next heartbeat too.
 		r.sendAppend(now, m.From, pr.next > r.log.snapIndex)
@@ -184,8 +221,7 @@
 	}
 
 	if m.Index > pr.match && m.Index <= r.log.lastIndex() {
-		pr.match = m.Index
-		pr.next = max(pr.next, pr.match+1)
+		pr.acknowledge(m.Index)
 		r.advanceCommit(now)
 	}
 	if r.role != RoleLeader {
--- a/internal/consensus/log.go
+++ b/internal/consensus/log.go
@@ -109,7 +109,7 @@
 	tail := lo.entries[from-lo.snapIndex-1:]
 	size := 0
 	for i := range tail {
-		size += len(tail[i].Data) + 16
+		size += sizeOf(tail[i : i+1])
 		if i > 0 && (size > maxBytes || uint64(i) >= maxEntries) {
 			return tail[:i:i]
 		}
@@ -118,6 +118,17 @@
 	return tail[:len(tail):len(tail)]
 }
 
+// sizeOf returns about how many bytes entries take in a message.
+func sizeOf(entries []Entry) int {
+	const indexAndTerm = 16
+	size := 0
+	for i := range entries {
+		size += len(entries[i].Data) + indexAndTerm
+	}
+
+	return size
+}
+
 // compact removes the entries up to index, which a stored snapshot covers.
 func (lo *raftLog) compact(index uint64) {
 	if index <= lo.snapIndex || index > lo.lastIndex() {
--- a/internal/consensus/simulation_test.go
+++ b/internal/consensus/simulation_test.go
@@ -104,7 +104,7 @@
 	}
 	n.replica = consensus.New(consensus.Config{
 		ID: n.id, Group: 1, ElectionTimeout: 300 * time.Millisecond, HeartbeatPeriod: 60 * time.Millisecond,
-		MaxAppendBytes: 400, MaxInFlight: 40, ChunkBytes: 8, Random: s.rnd.Int64N,
+		MaxAppendBytes: 400, MaxInFlight: 40, MaxInFlightBytes: 800, ChunkBytes: 8, Random: s.rnd.Int64N,
 		OpenSnapshot: n.openSnapshot,
 		HardState:    n.hs, Snapshot: n.snapshot, Entries: slices.Clone(n.entries),
 	}, n.clock(s.now))
--- a/internal/consensus/transfer.go
+++ b/internal/consensus/transfer.go
@@ -170,7 +170,7 @@
 	case m.SnapshotDone:
 		r.endTransfer(pr)
 		pr.match = max(pr.match, m.Index)
-		pr.next = pr.match + 1
+		pr.sendFrom(pr.match + 1)
 		r.sendAppend(now, m.From, true)
 	case m.SnapshotOffset == ou.sent && now <= pr.snapshotSent+r.cfg.ElectionTimeout:
 		// The chunk is under way; this is a late or repeated reply.
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -227,8 +227,10 @@
 	HeartbeatPeriod time.Duration
 	MaxAppendBytes  int
 	MaxInFlight     uint64 // unacknowledged entries per follower
-	ChunkBytes      int
-	Random          func(n int64) int64
+	// MaxInFlightBytes is the size of unacknowledged entries from which on a follower is sent no more.
+	MaxInFlightBytes int
+	ChunkBytes       int
+	Random           func(n int64) int64
 	// OpenSnapshot opens the stored snapshot, which covers all entries that Compact removed. It returns nil
 	// if there is none, or if it can't be read for now.
 	OpenSnapshot func() *SnapshotSource
@@ -253,6 +255,9 @@
 	if c.MaxInFlight == 0 {
 		c.MaxInFlight = 8192
 	}
+	if c.MaxInFlightBytes == 0 {
+		c.MaxInFlightBytes = 4 << 20
+	}
 	if c.ChunkBytes == 0 {
 		c.ChunkBytes = 256 << 10
 	}
