jobdriver: leave as much time to other work as a pass took

Its heartbeats compete with that.

Change: a pass that took longer than the usual pause is followed by a pause as long, up to 100 ms. Passes below 2 ms are not changed.

--- a/internal/jobdriver/loop.go
+++ b/internal/jobdriver/loop.go
@@ -45,12 +45,13 @@
 func (dr *Driver) loop(ctx context.Context, applied func() <-chan struct{}, pass func() bool) {
 	for ctx.Err() == nil {
 		next := applied()
+		began := time.Now()
 		if pass() {
 			runtime.Gosched() // the replica's loop goes first
 
 			continue
 		}
-		dr.awaitPass(ctx, next)
+		dr.awaitPass(ctx, next, time.Since(began))
 	}
 }
 
@@ -70,8 +71,9 @@
 }
 
 // awaitPass waits until the pass after one that has just ended is due: after wakePause if Wake is called,
-// after commitPause if there are commits, and after reconcilePeriod otherwise.
-func (dr *Driver) awaitPass(ctx context.Context, applied <-chan struct{}) {
+// after commitPause if there are commits, and after reconcilePeriod otherwise. A pass that took longer is
+// followed by a pause as long, up to reconcilePeriod, so that other work gets half of the processor.
+func (dr *Driver) awaitPass(ctx context.Context, applied <-chan struct{}, took time.Duration) {
 	ended := time.Now()
 	isWoken := false
 	select {
@@ -91,8 +93,9 @@
 		case <-ctx.Done():
 		}
 	}
+	pause := min(max(wakePause, took), reconcilePeriod)
 	select {
-	case <-time.After(wakePause - time.Since(ended)):
+	case <-time.After(pause - time.Since(ended)):
 	case <-ctx.Done():
 	}
 }
--- a/internal/jobdriver/loop_test.go
+++ b/internal/jobdriver/loop_test.go
@@ -33,7 +33,7 @@
 				dr := New(Config{Log: logging.Discard()})
 				tc.wake(dr)
 				start := time.Now()
-				dr.awaitPass(context.Background(), tc.applied)
+				dr.awaitPass(context.Background(), tc.applied, 0)
 				shortest = min(shortest, time.Since(start))
 			}
 			Expect(shortest).To(BeNumerically(">=", tc.min), tc.name)
@@ -49,7 +49,7 @@
 		go func() {
 			defer close(done)
 			for range 1000 {
-				dr.awaitPass(context.Background(), committed)
+				dr.awaitPass(context.Background(), committed, 0)
 			}
 		}()
 		start := time.Now()
@@ -64,13 +64,38 @@
 		Expect(time.Since(start)).To(BeNumerically("<", 1000*commitPause))
 	})
 
+	// Guards against passes over thousands of items that leave a leader no time for the rest of its work.
+	ginkgo.It("leaves as much time to other work as the pass took, however often the driver is woken", func() {
+		const passes, passTime = 40, 5 * wakePause
+		dr := New(Config{Log: logging.Discard()})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		least, n := time.Duration(0), 0
+		start := time.Now()
+		dr.loop(ctx, func() <-chan struct{} { return nil }, func() bool {
+			began := time.Now()
+			time.Sleep(passTime)
+			dr.Wake()
+			if n++; n == passes {
+				cancel()
+
+				return false
+			}
+			took := time.Since(began)
+			least += took + min(took, reconcilePeriod)
+
+			return false
+		})
+		Expect(time.Since(start)).To(BeNumerically(">=", least))
+	})
+
 	ginkgo.It("is at once when the driver ends", func() {
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
 		dr := New(Config{Log: logging.Discard()})
 		start := time.Now()
 		for range 20 {
-			dr.awaitPass(ctx, nil)
+			dr.awaitPass(ctx, nil, 0)
 		}
 		Expect(time.Since(start)).To(BeNumerically("<", reconcilePeriod))
 	})
