storage: skip the records before the data that is read

Change: of a record that holds only data before the offset, the header and the kind are read. The record that is returned is checked as before, and the receiver checks the digest of the whole.

The suite of storage passes.

--- a/internal/storage/memorydisk_test.go
+++ b/internal/storage/memorydisk_test.go
@@ -18,6 +18,7 @@
 	durable         map[string]*memoryFile // files whose folder entry was synced
 	fault           func(op, path string) error
 	shortWriteBytes int // writes stop short after this many bytes; -1 disables it
+	readBytes       int // read from parts of files so far
 }
 
 type memoryFile struct {
@@ -105,7 +106,11 @@
 			if !ok {
 				return storage.ReadFile{}, fs.ErrNotExist
 			}
-			readAt := func(b []byte, offset int64) (int, error) { return bytes.NewReader(f.data).ReadAt(b, offset) }
+			readAt := func(b []byte, offset int64) (int, error) {
+				d.readBytes += len(b)
+
+				return bytes.NewReader(f.data).ReadAt(b, offset)
+			}
 
 			return storage.ReadFile{ReadAt: readAt, Close: func() error { return nil }}, d.fault("openToRead", p)
 		},
--- a/internal/storage/snapshotreader.go
+++ b/internal/storage/snapshotreader.go
@@ -179,7 +179,11 @@
 		if sr.ended {
 			return io.EOF
 		}
-		if err := sr.readNext(); err != nil {
+		isSkipped, err := sr.skipBefore(offset)
+		if err == nil && !isSkipped {
+			err = sr.readNext()
+		}
+		if err != nil {
 			return err
 		}
 	}
@@ -187,6 +191,21 @@
 	return nil
 }
 
+// skipBefore skips the next record if it holds data before an offset only, and reports whether it did. The
+// data is neither read nor checked.
+func (sr *SnapshotReader) skipBefore(offset uint64) (bool, error) {
+	n, h, err := sr.recordHead()
+	if err != nil || h[recordHeaderBytes] != recordSnapshotData || sr.total+uint64(n-1) > offset {
+		return false, err
+	}
+	sr.starts = append(sr.starts, recordStart{sr.next, sr.total})
+	sr.next += recordHeaderBytes + n
+	sr.total += uint64(n - 1)
+	sr.data, sr.from = nil, sr.total
+
+	return true, nil
+}
+
 // readNext reads the next record of data, or the end of the data.
 func (sr *SnapshotReader) readNext() error {
 	start := recordStart{sr.next, sr.total}
@@ -210,14 +229,10 @@
 
 // record reads the record at next and moves next to its end. The body is valid until the next call.
 func (sr *SnapshotReader) record() (kind byte, body []byte, err error) {
-	var h [recordHeaderBytes]byte
-	if err := sr.readFile(h[:], sr.next); err != nil {
+	n, h, err := sr.recordHead()
+	if err != nil {
 		return 0, nil, err
 	}
-	n := int64(binary.LittleEndian.Uint32(h[:]))
-	if n < 1 || n > maxRecordBytes || sr.next+recordHeaderBytes+n > sr.fileSize {
-		return 0, nil, sr.damaged(sr.next)
-	}
 	if int64(cap(sr.body)) < n {
 		sr.body = make([]byte, n)
 	}
@@ -233,6 +248,20 @@
 	return b[0], b[1:], nil
 }
 
+// recordHead reads the header of the record at next and the kind that follows it. n is the size of the kind and
+// the body.
+func (sr *SnapshotReader) recordHead() (n int64, h [recordHeaderBytes + 1]byte, err error) {
+	if err := sr.readFile(h[:], sr.next); err != nil {
+		return 0, h, err
+	}
+	n = int64(binary.LittleEndian.Uint32(h[:]))
+	if n < 1 || n > maxRecordBytes || sr.next+recordHeaderBytes+n > sr.fileSize {
+		return 0, h, sr.damaged(sr.next)
+	}
+
+	return n, h, nil
+}
+
 func (sr *SnapshotReader) readFile(b []byte, offset int64) error {
 	n, err := sr.file.ReadAt(b, offset)
 	switch {
--- a/internal/storage/snapshotreader_test.go
+++ b/internal/storage/snapshotreader_test.go
@@ -113,6 +113,20 @@
 		Expect(result.Is(err, result.DataFolderDamaged)).To(BeTrue(), "%v", err)
 	})
 
+	// Guards against a transfer that begins anew under each next leader, as it reads all that the follower has already.
+	It("reads little more than what is asked for, at any offset", func() {
+		const asked, record = 1000, 256 << 10
+		d, st := stored()
+		sr, err := st.OpenSnapshot(meta.Index)
+		Expect(err).NotTo(HaveOccurred())
+		d.readBytes = 0
+		from := len(data) - 2*asked
+		b := make([]byte, asked)
+		Expect(sr.ReadAt(b, uint64(from))).To(Succeed())
+		Expect(bytes.Equal(b, data[from:from+asked])).To(BeTrue())
+		Expect(d.readBytes).To(BeNumerically("<", record+asked))
+	})
+
 	It("stays readable though a newer one has replaced it", func() {
 		folder := GinkgoT().TempDir()
 		st, _, err := storage.Open(storage.OSFiles(), folder, 1)
