consensus, group: a transfer does not end for what its own leader has not sent

A transfer ended after 10 election timeouts in which the follower took nothing, also while the leader's disk had not delivered the chunk, and the next one began with a new reader beside the old: with a disk that is slow enough no replica ever joins.

Change: time in which a chunk is due counts no more as the follower's. So that a read that never ends holds up nobody for good, a leader gives up its lead if one takes 4 s, as it does for a write.

The consensus spec of a chunk that is late now lasts longer than the stall bound and fails without the change.

--- a/internal/consensus/transfer.go
+++ b/internal/consensus/transfer.go
@@ -110,7 +110,7 @@
 // continueTransfer repeats a chunk that may be lost, and ends a transfer that makes no progress.
 func (r *Replica) continueTransfer(now time.Duration, id ReplicaID, pr *progress) {
 	switch {
-	case now > pr.outgoing.advanced+stallTimeouts*r.cfg.ElectionTimeout:
+	case !pr.outgoing.isDue && now > pr.outgoing.advanced+stallTimeouts*r.cfg.ElectionTimeout:
 		r.endTransfer(pr)
 	case now > pr.snapshotSent+r.cfg.ElectionTimeout:
 		r.sendChunk(now, id, pr)
@@ -131,6 +131,7 @@
 func (r *Replica) sendChunk(now time.Duration, id ReplicaID, pr *progress) {
 	pr.snapshotSent = now
 	ou := pr.outgoing
+	isLate := ou.isDue
 	from := min(ou.offset, ou.snapshot.Size)
 	end := min(from+uint64(r.cfg.ChunkBytes), ou.snapshot.Size)
 	chunk := []byte{}
@@ -145,6 +146,9 @@
 	if ou.isDue = chunk == nil; ou.isDue {
 		return
 	}
+	if isLate { // the follower can't have taken what it was not sent
+		ou.advanced = now
+	}
 	ou.sent, ou.sentTo = from, max(ou.sentTo, end)
 	r.sendUnsynced(Message{
 		Kind: MessageSnapshot, To: id, Index: ou.snapshot.Index, LogTerm: ou.snapshot.Term,
--- a/internal/consensus/transfer_test.go
+++ b/internal/consensus/transfer_test.go
@@ -221,7 +221,7 @@
 		le := newSendingLeader()
 		le.isDiskSlow = true
 		le.reject("d")
-		for range 5 {
+		for range 10 { // longer than a follower may take nothing
 			le.advance(400*time.Millisecond, "b", "c", "d")
 			le.SendChunks(le.now)
 			Expect(le.sent(consensus.MessageSnapshot)).To(BeEmpty())
@@ -234,7 +234,9 @@
 		le.SendChunks(le.now)
 		le.SendChunks(le.now)
 		Expect(le.sent(consensus.MessageSnapshot)).To(Equal([]consensus.ReplicaID{"d"}))
+		le.advance(2*time.Second, "d")
 		Expect(le.closed).To(Equal(0))
+		Expect(le.opened).To(Equal(1))
 	})
 
 	It("ends for a follower that takes nothing for long, and closes the file", func() {
--- a/internal/group/chunkreader.go
+++ b/internal/group/chunkreader.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/tamarackbay/tamarackbay/internal/storage"
 )
@@ -21,7 +22,9 @@
 	requests chan chunkRange
 	results  chan<- chunkResult
 	closed   chan struct{}
+	now      func() time.Duration
 	pending  map[uint64]bool // offsets that were requested
+	since    time.Duration   // since when the disk has been reading the first of them
 	ready    []chunkResult   // in the order in which they were read
 	err      error           // of the first chunk that can't be read
 }
@@ -41,9 +44,9 @@
 }
 
 // newChunkReader returns a reader of an open snapshot of so many bytes, whose run passes what it reads to results.
-func newChunkReader(sr *storage.SnapshotReader, size uint64, results chan<- chunkResult) *chunkReader {
+func newChunkReader(sr *storage.SnapshotReader, size uint64, results chan<- chunkResult, now func() time.Duration) *chunkReader {
 	return &chunkReader{
-		snapshot: sr, size: size, requests: make(chan chunkRange, maxChunkRequests), results: results,
+		snapshot: sr, size: size, requests: make(chan chunkRange, maxChunkRequests), results: results, now: now,
 		closed: make(chan struct{}), pending: map[uint64]bool{},
 	}
 }
@@ -107,14 +110,27 @@
 	}
 	select {
 	case cr.requests <- chunkRange{offset, bytes}:
+		if len(cr.pending) == 0 {
+			cr.since = cr.now()
+		}
 		cr.pending[offset] = true
 	default:
 	}
 }
 
+// waited returns how long the disk has been reading a chunk, 0 if none is requested.
+func (cr *chunkReader) waited() time.Duration {
+	if len(cr.pending) == 0 {
+		return 0
+	}
+
+	return cr.now() - cr.since
+}
+
 // finish takes a chunk that was read.
 func (cr *chunkReader) finish(re chunkResult) {
 	delete(cr.pending, re.offset)
+	cr.since = cr.now()
 	if re.err != nil {
 		cr.err = re.err
 
--- a/internal/group/recovery_test.go
+++ b/internal/group/recovery_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -285,8 +286,10 @@
 			dir := filepath.Join(sg.dir, "d")
 			Eventually(func() []string { return partsIn(dir) }, "20s", "1ms").Should(HaveLen(1), "the transfer has begun")
 			sg.disks[leader].readDelay.Store(int64(2 * slowElection))
+			time.Sleep(slowElection) // a chunk that was read before may be under way
+			before := partBytesIn(dir)
 			time.Sleep(4 * slowElection)
-			Expect(partsIn(dir)).To(HaveLen(1), "the transfer goes on")
+			Eventually(func() int64 { return partBytesIn(dir) }, "20s").Should(BeNumerically(">", before), "the transfer goes on")
 			sg.disks[leader].readDelay.Store(0)
 			want := leader.getStatus().Commit
 			Eventually(func() uint64 { return sg.node("d").getStatus().Applied }, "60s").Should(BeNumerically(">=", want))
@@ -314,3 +317,68 @@
 		})
 	}
 })
+
+// Guards against a replica that joins and never gets its state, since each transfer begins anew or waits for a disk.
+var _ = ginkgo.Describe("the transfer of a large state from a slow disk", func() {
+	// interrupted returns a group in which a replica has received a part of the state.
+	interrupted := func() (sg *slowGroup, leader *node, want uint64) {
+		sg = newSlowGroup(ginkgo.GinkgoT().TempDir(), "a", "b", "c")
+		sg.settled()
+		sg.fill()
+		leader, _ = sg.settled()
+		want = leader.getStatus().Commit
+		sg.join(leader)
+		Eventually(func() int64 { return partBytesIn(filepath.Join(sg.dir, "d")) }, "20s", "1ms").Should(BeNumerically(">", slowLedgerBytes/3))
+
+		return sg, leader, want
+	}
+
+	ginkgo.It("goes on under the next leader, though reads take long there", func() {
+		sg, leader, want := interrupted()
+		defer sg.stop()
+		before := partBytesIn(filepath.Join(sg.dir, "d"))
+		setDelay := func(d time.Duration) {
+			for _, sd := range sg.disks {
+				sd.readDelay.Store(int64(d))
+			}
+		}
+		setDelay(slowElection / 5)
+		Expect(leader.runOnLoop(context.Background(), func(now time.Duration, re *consensus.Replica) error {
+			for _, m := range re.Resign(now) {
+				leader.send(m)
+			}
+
+			return nil
+		})).To(Succeed())
+		Eventually(func() uint64 {
+			if n := partBytesIn(filepath.Join(sg.dir, "d")); n > 0 {
+				Expect(n).To(BeNumerically(">=", before), "the transfer began anew")
+				if n > before+1<<20 {
+					setDelay(0) // the rest would take long
+				}
+			}
+
+			return sg.node("d").getStatus().Applied
+		}, "60s", "10ms").Should(BeNumerically(">=", want))
+	})
+
+	ginkgo.It("goes on under another leader if a read does not end", func() {
+		sg, leader, want := interrupted()
+		defer sg.stop()
+		term := leader.getStatus().Term
+		sg.disks[leader].readDelay.Store(int64(3 * maxLeaderWrite / 2))
+		Eventually(func() uint64 { return sg.node("b").getStatus().Term }, 2*maxLeaderWrite, "10ms").Should(BeNumerically(">", term))
+		Eventually(func() uint64 { return sg.node("d").getStatus().Applied }, "60s").Should(BeNumerically(">=", want))
+	})
+})
+
+// partBytesIn returns the size of the snapshot that is being received in a replica's folder, 0 if there is none.
+func partBytesIn(dir string) int64 {
+	for _, path := range partsIn(dir) {
+		if fi, err := os.Stat(path); err == nil {
+			return fi.Size()
+		}
+	}
+
+	return 0
+}
--- a/internal/group/snapshot.go
+++ b/internal/group/snapshot.go
@@ -47,7 +47,7 @@
 
 		return nil
 	}
-	n.transfer, n.sent = nil, newChunkReader(sr, sn.Size, n.chunkResults)
+	n.transfer, n.sent = nil, newChunkReader(sr, sn.Size, n.chunkResults, n.now)
 	n.background.Go(n.sent.run)
 	n.log.WithFields(log.Fields{"index": sn.Index, "bytes": sn.Size}).Info("snapshot opened for a transfer")
 
--- a/internal/group/storewriter.go
+++ b/internal/group/storewriter.go
@@ -10,7 +10,7 @@
 	"github.com/tamarackbay/tamarackbay/internal/storage"
 )
 
-// maxLeaderWrite is how long a write of a leader may take before it gives up the lead. A disk that is only
+// maxLeaderWrite is how long a write of a leader, or a read of a chunk, may take before it gives up the lead. A disk that is only
 // slow takes less; one that hangs may never finish.
 const maxLeaderWrite = 4 * time.Second
 
@@ -138,13 +138,21 @@
 }
 
 // resignIfStuck gives up the lead if the disk has not finished a write for maxLeaderWrite: nothing new can
-// be applied here meanwhile, though followers may go on to store entries.
+// be applied here meanwhile, though followers may go on to store entries. It does so too for a read of a
+// snapshot, without which a follower that lacks entries gets none.
 func (n *node) resignIfStuck() {
-	took := n.now() - n.writer.began
-	if !n.writer.isBusy || took < maxLeaderWrite || n.replica.Role() != consensus.RoleLeader {
+	write, read := time.Duration(0), time.Duration(0)
+	if n.writer.isBusy {
+		write = n.now() - n.writer.began
+	}
+	if n.sent != nil {
+		read = n.sent.waited()
+	}
+	took := max(write, read)
+	if took < maxLeaderWrite || n.replica.Role() != consensus.RoleLeader {
 		return
 	}
-	n.log.WithFields(log.Fields{"ms": took.Milliseconds(), "term": n.replica.Term()}).Warn("the disk does not finish a write, the leader gives up its lead")
+	n.log.WithFields(log.Fields{"ms": took.Milliseconds(), "read": read > write, "term": n.replica.Term()}).Warn("the disk does not finish a write or a read, the leader gives up its lead")
 	for _, m := range n.replica.Resign(n.now()) {
 		n.send(m)
 	}
