consensus: do not send anew what waits before a follower that pauses

After an election timeout of silence a leader probes a follower, and nothing counts as in flight any more.

Change: after a silence only a reply to an append of the next round or a later one ends the probe, so that what was sent before has been read by then.

The suite of consensus passes, also under the race detector.

--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -15,8 +15,10 @@
 
 	// probing is set when the follower rejects an append or stops replying. It then
 	// receives only empty appends until its log matches at next-1. Otherwise every
-	// append in flight would be rejected and each rejection would resend entries.
-	probing bool
+	// append in flight would be rejected and each rejection would resend entries. Only
+	// replies to appends of probeRound and later end it: others may have waited long.
+	probing    bool
+	probeRound uint64
 
 	// unacked are the appends in flight, in the order of their entries, and unackedBytes their size.
 	unacked      []sentEntries
@@ -146,7 +148,7 @@
 		return
 	}
 	if !pr.probing && now > pr.lastContact+r.cfg.ElectionTimeout {
-		pr.probing = true
+		pr.probing, pr.probeRound = true, r.round+1 // appends of this round may be in flight
 		pr.sendFrom(max(pr.match, r.log.snapIndex) + 1)
 	}
 	if pr.probing {
@@ -216,7 +218,7 @@
 
 		return
 	}
-	if pr.probing && m.Index+1 >= pr.next {
+	if pr.probing && m.Round >= pr.probeRound && m.Index+1 >= pr.next {
 		pr.probing = false
 	}
 
--- a/internal/consensus/scenario_test.go
+++ b/internal/consensus/scenario_test.go
@@ -179,84 +179,108 @@
 })
 
 // Guards against heartbeats that wait in a stream behind hundreds of megabytes of entries.
-var _ = Describe("a follower that is alive and slow to store entries", func() {
-	It("is sent no more of them than fit in flight, with heartbeats, and all of them in the end", func() {
-		const entryBytes, maxInFlightBytes = 64 << 10, 4 << 20
-		now := time.Second
-		re := consensus.New(consensus.Config{
-			ID: "a", Group: 1, ElectionTimeout: 300 * time.Millisecond, HeartbeatPeriod: 60 * time.Millisecond,
-			Random: func(int64) int64 { return 0 }, OpenSnapshot: func() *consensus.SnapshotSource { return nil },
-			Snapshot: consensus.Snapshot{Membership: consensus.Membership{Voters: []consensus.ReplicaID{"a", "b", "c"}}},
-		}, 0)
-		re.Tick(now)
-		for _, kind := range []consensus.MessageKind{consensus.MessagePreVoteReply, consensus.MessageVoteReply} {
-			re.Step(now, consensus.Message{Kind: kind, Group: 1, From: "c", To: "a", Term: 1})
-		}
-		Expect(re.Role()).To(Equal(consensus.RoleLeader))
+var _ = Describe("a follower that is slow to store entries", func() {
+	const entryBytes, maxInFlightBytes = 64 << 10, 4 << 20
+	for _, tc := range []struct {
+		name       string
+		reads      int // of 10 ms each, after which the follower reads a message; 0 for each message at once
+		heartbeats int // that it reads in 12 s
+	}{
+		{"and reads its messages at once", 0, 100},
+		{"and pauses for longer than an election timeout between two messages", 40, 1},
+	} {
+		It("is sent no more of them than fit in flight, with heartbeats, and all of them in the end: one that is alive "+tc.name, func() {
+			now := time.Second
+			re := consensus.New(consensus.Config{
+				ID: "a", Group: 1, ElectionTimeout: 300 * time.Millisecond, HeartbeatPeriod: 60 * time.Millisecond,
+				Random: func(int64) int64 { return 0 }, OpenSnapshot: func() *consensus.SnapshotSource { return nil },
+				Snapshot: consensus.Snapshot{Membership: consensus.Membership{Voters: []consensus.ReplicaID{"a", "b", "c"}}},
+			}, 0)
+			re.Tick(now)
+			for _, kind := range []consensus.MessageKind{consensus.MessagePreVoteReply, consensus.MessageVoteReply} {
+				re.Step(now, consensus.Message{Kind: kind, Group: 1, From: "c", To: "a", Term: 1})
+			}
+			Expect(re.Role()).To(Equal(consensus.RoleLeader))
 
-		stored, inFlight, heartbeats := uint64(0), 0, 0
-		var unstored []consensus.Message // of b
-		reply := func(from consensus.ReplicaID, index, round uint64) {
-			re.Step(now, consensus.Message{Kind: consensus.MessageAppendReply, Group: 1, From: from, To: "a", Term: 1, Index: index, Round: round})
-		}
-		receive := func() {
-			rd := re.Ready()
-			re.Advance(now, rd)
-			for _, m := range append(rd.Unsynced, rd.Messages...) {
+			// The stream to "b", and what it has read and not stored.
+			var stream, unstored []consensus.Message
+			stored, received, heartbeats := uint64(0), uint64(0), 0
+			reply := func(from consensus.ReplicaID, index, round uint64) {
+				re.Step(now, consensus.Message{Kind: consensus.MessageAppendReply, Group: 1, From: from, To: "a", Term: 1, Index: index, Round: round})
+			}
+			read := func(m consensus.Message) {
 				switch {
-				case m.Kind != consensus.MessageAppend:
-				case m.To == "c":
-					reply("c", m.Index+uint64(len(m.Entries)), m.Round)
+				case m.Index > received:
+					Fail("entries are left out")
 				case len(m.Entries) == 0:
 					heartbeats++
 					reply("b", stored, m.Round)
 				default:
-					Expect(m.Index).To(Equal(stored+uint64(count(unstored))), "entries are left out")
-					unstored = append(unstored, m)
-					inFlight += entriesBytes(m)
+					if last := m.Index + uint64(len(m.Entries)); last > received {
+						received, unstored = last, append(unstored, m)
+					}
 				}
 			}
-		}
-		for range 400 {
-			now += 10 * time.Millisecond
-			_, err := re.Propose(now, [][]byte{make([]byte, entryBytes)})
-			Expect(err).NotTo(HaveOccurred())
-			re.Tick(now)
-			receive()
-			Expect(inFlight).To(BeNumerically("<=", maxInFlightBytes+1<<20), "one message more than the bound")
-		}
-		Expect(heartbeats).To(BeNumerically(">", 30))
-		Expect(re.Role()).To(Equal(consensus.RoleLeader))
+			take := func() {
+				rd := re.Ready()
+				re.Advance(now, rd)
+				for _, m := range append(rd.Unsynced, rd.Messages...) {
+					switch {
+					case m.Kind != consensus.MessageAppend:
+					case m.To == "c":
+						reply("c", m.Index+uint64(len(m.Entries)), m.Round)
+					default:
+						stream = append(stream, m)
+					}
+				}
+			}
+			for i := range 1200 {
+				now += 10 * time.Millisecond
+				_, err := re.Propose(now, [][]byte{make([]byte, entryBytes)})
+				Expect(err).NotTo(HaveOccurred())
+				re.Tick(now)
+				take()
+				for len(stream) > 0 && (tc.reads == 0 || i%tc.reads == 0) {
+					m := stream[0]
+					stream = stream[1:]
+					read(m)
+					if tc.reads > 0 {
+						break
+					}
+				}
+				Expect(entriesBytes(stream)).To(BeNumerically("<=", maxInFlightBytes+1<<20), "one message more than the bound")
+				Expect(entriesBytes(unstored)).To(BeNumerically("<=", maxInFlightBytes+1<<20), "one message more than the bound")
+			}
+			Expect(heartbeats).To(BeNumerically(">=", tc.heartbeats))
+			Expect(re.Role()).To(Equal(consensus.RoleLeader))
 
-		for range 1000 {
-			now += 10 * time.Millisecond
-			re.Tick(now)
-			receive()
-			if len(unstored) > 0 {
-				m := unstored[0]
-				unstored = unstored[1:]
-				stored += uint64(len(m.Entries))
-				inFlight -= entriesBytes(m)
-				reply("b", stored, m.Round)
+			for range 3000 {
+				now += 10 * time.Millisecond
+				re.Tick(now)
+				take()
+				for len(stream) > 0 {
+					m := stream[0]
+					stream = stream[1:]
+					read(m)
+				}
+				if len(unstored) > 0 {
+					m := unstored[0]
+					unstored = unstored[1:]
+					stored = max(stored, m.Index+uint64(len(m.Entries)))
+					reply("b", stored, m.Round)
+				}
 			}
-		}
-		Expect(stored).To(BeNumerically(">", 400))
-	})
+			Expect(stored).To(BeNumerically(">", 1200))
+		})
+	}
 })
 
-func count(messages []consensus.Message) int {
+func entriesBytes(messages []consensus.Message) int {
 	n := 0
 	for _, m := range messages {
-		n += len(m.Entries)
-	}
-
-	return n
-}
-
-func entriesBytes(m consensus.Message) int {
-	n := 0
-	for _, en := range m.Entries {
-		n += len(en.Data)
+		for _, en := range m.Entries {
+			n += len(en.Data)
+		}
 	}
 
 	return n
